--- /dev/null
+++ b/cmd/primrosedrift/operate.go
@@ -0,0 +1,187 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"os"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/cockroachdb/errors"
+	"github.com/urfave/cli/v3"
+
+	"github.com/primrosedrift/primrosedrift/internal/publisher"
+	operatorv1 "github.com/primrosedrift/primrosedrift/pkg/api/operator/v1"
+	"github.com/primrosedrift/primrosedrift/pkg/api/operator/v1/operatorv1connect"
+)
+
+func operatorFlag() cli.Flag {
+	return &cli.StringFlag{Name: "entry", Usage: "operator address of an entry instance, as host:port", Required: true}
+}
+
+func outputFlag() cli.Flag {
+	return &cli.StringFlag{Name: "output", Usage: "text or json", Value: "text"}
+}
+
+func operatorURL(c *cli.Command) string {
+	return "http://" + c.String("entry")
+}
+
+func publishCommand() *cli.Command {
+	return &cli.Command{
+		Name: "publish", Usage: "publish an operators' file", ArgsUsage: "FILE",
+		Flags: []cli.Flag{
+			operatorFlag(),
+			&cli.BoolFlag{Name: "dry-run", Usage: "only show what would change"},
+			&cli.BoolFlag{Name: "prune", Usage: "delete what the file lacks"},
+			&cli.StringFlag{Name: "operator", Usage: "who publishes", Value: os.Getenv("USER")},
+		},
+		Action: publish,
+	}
+}
+
+func publish(ctx context.Context, c *cli.Command) error {
+	f, err := publisher.Load(c.Args().First())
+	if err != nil {
+		return exitError{exitUsage, err}
+	}
+	got, err := operatorv1connect.NewOperatorQueriesClient(http.DefaultClient, operatorURL(c)).
+		Get(ctx, connect.NewRequest(&operatorv1.GetRequest{}))
+	if err != nil {
+		return errors.Wrap(err, "ask what is in force; is the entry instance up?")
+	}
+	change := publisher.Diff(got.Msg.GetObjects(), f.Objects(), c.Bool("prune"))
+	for _, l := range change.Lines() {
+		fmt.Println(l)
+	}
+	if change.IsEmpty() {
+		fmt.Printf("nothing to change at version %d\n", got.Msg.GetVersion())
+		return nil
+	}
+	if c.Bool("dry-run") {
+		fmt.Printf("dry run against version %d: nothing was published\n", got.Msg.GetVersion())
+		return nil
+	}
+	resp, err := operatorv1connect.NewOperatorCommandsClient(http.DefaultClient, operatorURL(c)).
+		Publish(ctx, connect.NewRequest(&operatorv1.PublishRequest{
+			BaseVersion: got.Msg.GetVersion(), Upserts: change.Upserts, Deletes: change.Deletes, Operator: c.String("operator"),
+		}))
+	if err != nil && connect.IsWireError(err) {
+		return errors.Wrap(err, "publish")
+	}
+	if err != nil {
+		return exitError{exitUnknown, errors.Wrap(err, "unknown whether the change was published; run publish again")}
+	}
+	return publishResult(resp.Msg)
+}
+
+func publishResult(m *operatorv1.PublishResponse) error {
+	switch m.GetResult() {
+	case operatorv1.PublishResult_PUBLISH_RESULT_ACCEPTED:
+		fmt.Printf("accepted at version %d\n", m.GetVersion())
+		return nil
+	case operatorv1.PublishResult_PUBLISH_RESULT_LOST_RACE:
+		return exitError{exitLost, errors.Newf("lost a race to version %d; look at what is in force and publish again", m.GetVersion())}
+	}
+	return exitError{exitUnknown, errors.Newf("unknown whether the change was published (%s); run publish again", m.GetDetail())}
+}
+
+func getCommand() *cli.Command {
+	return &cli.Command{
+		Name: "get", Usage: "show what is in force, and which replica is where",
+		Flags: []cli.Flag{operatorFlag(), outputFlag()},
+		Action: func(ctx context.Context, c *cli.Command) error {
+			resp, err := operatorv1connect.NewOperatorQueriesClient(http.DefaultClient, operatorURL(c)).
+				Get(ctx, connect.NewRequest(&operatorv1.GetRequest{}))
+			if err != nil {
+				return errors.Wrap(err, "get; is the entry instance up?")
+			}
+			m := resp.Msg
+			if c.String("output") == "json" {
+				return printJSON(newGetView(m))
+			}
+			fmt.Printf("version %d, %d objects, log offset %d\n", m.GetVersion(), len(m.GetObjects()), m.GetNextOffset())
+			for _, r := range m.GetReplicas() {
+				fmt.Printf("%-10s %-24s %-16s %s %v\n", r.GetState(), r.GetModel(), r.GetUpstream(), r.GetId(), r.GetAdapters())
+			}
+			return nil
+		},
+	}
+}
+
+type getView struct {
+	Version  uint64        `json:"version"`
+	Offset   uint64        `json:"next-offset"`
+	Objects  int           `json:"objects"`
+	Replicas []replicaView `json:"replicas"`
+}
+
+type replicaView struct {
+	ID       string   `json:"id"`
+	Model    string   `json:"model"`
+	Upstream string   `json:"upstream"`
+	State    string   `json:"state"`
+	Bytes    uint64   `json:"memory-bytes"`
+	Adapters []string `json:"adapters"`
+	Reason   string   `json:"reason"`
+}
+
+func newGetView(m *operatorv1.GetResponse) getView {
+	v := getView{Version: m.GetVersion(), Offset: m.GetNextOffset(), Objects: len(m.GetObjects())}
+	for _, r := range m.GetReplicas() {
+		v.Replicas = append(v.Replicas, replicaView{
+			r.GetId(), r.GetModel(), r.GetUpstream(), r.GetState(), r.GetMemoryBytes(), r.GetAdapters(), r.GetReason(),
+		})
+	}
+	return v
+}
+
+func explainCommand() *cli.Command {
+	return &cli.Command{
+		Name: "explain", ArgsUsage: "SUBJECT",
+		Usage: "say what happened to a model, replica, upstream, customer, key or request, who decided it, and why",
+		Flags: []cli.Flag{operatorFlag(), outputFlag(), &cli.IntFlag{Name: "limit", Value: 50}},
+		Action: func(ctx context.Context, c *cli.Command) error {
+			resp, err := operatorv1connect.NewOperatorQueriesClient(http.DefaultClient, operatorURL(c)).
+				Explain(ctx, connect.NewRequest(&operatorv1.ExplainRequest{Subject: c.Args().First(), Limit: uint32(c.Int("limit"))}))
+			if err != nil {
+				return errors.Wrap(err, "explain; is the entry instance up?")
+			}
+			return printExplanations(resp.Msg.GetExplanations(), c.String("output") == "json")
+		},
+	}
+}
+
+type explanationView struct {
+	Time     time.Time `json:"time"`
+	Position uint64    `json:"position"`
+	Actor    string    `json:"actor"`
+	Event    string    `json:"event"`
+	Subject  string    `json:"subject"`
+	Grounds  string    `json:"grounds"`
+	Counted  bool      `json:"counted"`
+}
+
+func printExplanations(list []*operatorv1.Explanation, asJSON bool) error {
+	views := make([]explanationView, 0, len(list))
+	for _, e := range list {
+		views = append(views, explanationView{
+			time.UnixMilli(e.GetUnixMs()).UTC(), e.GetPosition(), e.GetActor(), e.GetEvent(), e.GetSubject(), e.GetGrounds(), e.GetCounted(),
+		})
+	}
+	if asJSON {
+		return printJSON(views)
+	}
+	for _, v := range views {
+		fmt.Printf("%s at %d by %s: %s %s: %s\n", v.Time.Format(time.RFC3339), v.Position, v.Actor, v.Event, v.Subject, v.Grounds)
+	}
+	return nil
+}
+
+func printJSON(v any) error {
+	enc := json.NewEncoder(os.Stdout)
+	enc.SetIndent("", "  ")
+	return errors.Wrap(enc.Encode(v), "print")
+}
--- /dev/null
+++ b/internal/entry/entry.go
@@ -0,0 +1,213 @@
+// Package entry puts the parts of an entry instance together and runs them.
+//
+// Every entry instance is alike: it serves callers, operators and peers, reads
+// the log, and may hold control shards. Nothing lasts on it; a new process
+// starts from the log.
+package entry
+
+import (
+	"context"
+	"math"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/cockroachdb/errors"
+	"go.uber.org/zap"
+
+	"github.com/primrosedrift/primrosedrift/internal/attempter"
+	"github.com/primrosedrift/primrosedrift/internal/controller"
+	"github.com/primrosedrift/primrosedrift/internal/dispatcher"
+	"github.com/primrosedrift/primrosedrift/internal/explainer"
+	"github.com/primrosedrift/primrosedrift/internal/folder"
+	"github.com/primrosedrift/primrosedrift/internal/keeper"
+	"github.com/primrosedrift/primrosedrift/internal/monitor"
+	"github.com/primrosedrift/primrosedrift/internal/orderer"
+	"github.com/primrosedrift/primrosedrift/internal/recorder"
+	"github.com/primrosedrift/primrosedrift/internal/settings"
+	"github.com/primrosedrift/primrosedrift/internal/tailer"
+	"github.com/primrosedrift/primrosedrift/internal/tallier"
+	"github.com/primrosedrift/primrosedrift/internal/watcher"
+	peerv1 "github.com/primrosedrift/primrosedrift/pkg/api/peer/v1"
+	platformv1 "github.com/primrosedrift/primrosedrift/pkg/api/platform/v1"
+	"github.com/primrosedrift/primrosedrift/pkg/api/platform/v1/platformv1connect"
+	recordv1 "github.com/primrosedrift/primrosedrift/pkg/api/record/v1"
+)
+
+// logSilence is how long the log may be silent before nothing can be agreed.
+const logSilence = 2 * time.Second
+
+// idleConnsPerHost is how many idle connections are kept to each upstream.
+const idleConnsPerHost = 512
+
+// Entry is one entry instance.
+type Entry struct {
+	Settings    settings.Settings
+	Incarnation string
+	Log         *zap.Logger
+
+	keeper     keeper.Keeper
+	recorder   *recorder.Recorder
+	tailer     *tailer.Tailer
+	watcher    *watcher.Watcher
+	monitor    *monitor.Monitor
+	tallier    *tallier.Tallier
+	orderer    *orderer.Orderer
+	controller *controller.Controller
+	dispatcher *dispatcher.Dispatcher
+	explainer  *explainer.Explainer
+	metrics    *metrics
+}
+
+// New returns an entry instance that has not started.
+func New(s settings.Settings, log *zap.Logger) *Entry {
+	e := &Entry{Settings: s, Incarnation: recorder.NewID(), Log: log, metrics: newMetrics()}
+	client := &http.Client{Transport: &http.Transport{
+		MaxIdleConnsPerHost: idleConnsPerHost, MaxIdleConns: math.MaxInt16, IdleConnTimeout: 90 * time.Second,
+		DialContext: (&net.Dialer{Timeout: time.Second, KeepAlive: 15 * time.Second}).DialContext,
+	}}
+	e.wirePlatform(client)
+	e.wireControl(client)
+	e.dispatcher = &dispatcher.Dispatcher{
+		Instance: s.Instance, Incarnation: e.Incarnation, Keeper: &e.keeper, Recorder: e.recorder,
+		Monitor: e.monitor, Tallier: e.tallier, Attempter: &attempter.Attempter{HTTP: client},
+		Log: log.Named("dispatcher"), CanAgree: e.canAgree,
+	}
+	e.recorder.Abandoned = e.dispatcher.Voided
+	e.explainer = &explainer.Explainer{}
+	e.keeper.Subscribe(e.recorder.OnEvents)
+	e.keeper.Subscribe(e.explainer.OnEvents)
+	return e
+}
+
+// wirePlatform makes the parts that talk to the platform.
+func (e *Entry) wirePlatform(client *http.Client) {
+	logCommands := platformv1connect.NewLogCommandsClient(client, e.Settings.Platform.Log)
+	e.recorder = &recorder.Recorder{
+		Incarnation: e.Incarnation, MaxPending: e.Settings.Limits.PendingRecords, OnAppend: e.metrics.onAppend,
+		Append: func(ctx context.Context, payload []byte) error {
+			_, err := logCommands.Append(ctx, connect.NewRequest(&platformv1.AppendRequest{Payload: payload}))
+			return errors.Wrap(err, "append")
+		},
+	}
+	tailLog := e.Log.Named("tailer")
+	e.tailer = &tailer.Tailer{
+		Log: platformv1connect.NewLogQueriesClient(client, e.Settings.Platform.Log), Keeper: &e.keeper,
+		OnError: func(err error) { tailLog.Warn("log connection ended", zap.Error(err)) },
+	}
+	watchLog := e.Log.Named("watcher")
+	e.watcher = &watcher.Watcher{
+		Self: watcher.Member{
+			Name: e.Settings.Instance, Incarnation: e.Incarnation, DataCentre: e.Settings.DataCentre,
+			Address: e.Settings.Listen.Peer, CallerAddress: e.Settings.Listen.Caller,
+		},
+		List: platformv1connect.NewInstanceListQueriesClient(client, e.Settings.Platform.InstanceList),
+		HTTP: client,
+		OnChange: func(ms []watcher.Member) {
+			watchLog.Info("membership changed", zap.Int("members", len(ms)))
+			e.controller.Wake()
+		},
+	}
+}
+
+// wireControl makes the parts that plan and order.
+func (e *Entry) wireControl(client *http.Client) {
+	e.monitor = &monitor.Monitor{HTTP: client, Upstreams: e.upstreams}
+	e.tallier = &tallier.Tallier{
+		Instance: e.Settings.Instance, Holder: tallier.HolderOf(e.keeper.View),
+		Send: e.sendWant, OnWant: func() { e.controller.Wake() },
+	}
+	orderLog := e.Log.Named("orderer")
+	e.orderer = &orderer.Orderer{
+		HTTP:    client,
+		MaySend: func(t orderer.Task) bool { return controller.MaySend(e.keeper.View, t) },
+		Submit:  e.recorder.Submit,
+		OnResult: func(t orderer.Task, err error) {
+			orderLog.Info("order sent", zap.Stringer("action", t.Order.GetAction()), zap.String("replica", t.Order.GetReplica()),
+				zap.String("model", t.Order.GetModel()), zap.Error(err))
+		},
+	}
+	e.controller = &controller.Controller{
+		Instance: e.Settings.Instance, Incarnation: e.Incarnation, Keeper: &e.keeper, Recorder: e.recorder,
+		Watcher: e.watcher, Monitor: e.monitor, Tallier: e.tallier, Orderer: e.orderer,
+		Log: e.Log.Named("controller"), IsReady: e.tailer.HasCaughtUp,
+		KeepWarm: e.Settings.Timing.KeepWarm.Duration, TakeoverAfter: e.Settings.Timing.TakeoverAfter.Duration,
+	}
+	e.controller.Init()
+}
+
+// canAgree reports whether the log answers, as far as known.
+func (e *Entry) canAgree() bool {
+	return e.tailer.HasCaughtUp() && time.Since(e.tailer.Heard()) < logSilence && !e.recorder.IsFailing()
+}
+
+// upstreams returns the upstreams in force. The messages are never changed in place.
+func (e *Entry) upstreams() map[string]*recordv1.Upstream {
+	out := make(map[string]*recordv1.Upstream)
+	e.keeper.View(func(s *folder.State) {
+		for k, v := range s.Config.Upstreams {
+			out[k] = v
+		}
+	})
+	return out
+}
+
+func (e *Entry) sendWant(ctx context.Context, holder string, req *peerv1.WantRequest) error {
+	m, ok := e.watcher.Member(holder)
+	if !ok {
+		return errors.Newf("no member %q", holder)
+	}
+	resp, err := e.watcher.Commands(m).Want(ctx, req)
+	if err != nil {
+		return errors.Wrap(err, "want")
+	}
+	if !resp.GetHolds() {
+		return errors.Newf("%q does not hold the shard", holder)
+	}
+	return nil
+}
+
+// Run runs the instance until ctx ends, then stops as planned: it leaves the
+// answers of Locate, goes on serving while callers may keep an old answer,
+// gives up its shards, and ends when its requests have ended.
+func (e *Entry) Run(ctx context.Context) error {
+	work, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	defer cancel()
+	servers, err := e.listen()
+	if err != nil {
+		return err
+	}
+	var parts sync.WaitGroup
+	for _, run := range []func(context.Context){
+		e.recorder.Run, e.tailer.Run, e.watcher.Run, e.monitor.Run, e.tallier.Run, e.controller.Run,
+	} {
+		parts.Go(func() { run(work) })
+	}
+	e.Log.Info("serving", zap.String("caller", e.Settings.Listen.Caller), zap.String("incarnation", e.Incarnation))
+	<-ctx.Done()
+	e.stop(servers)
+	cancel()
+	parts.Wait()
+	e.Log.Info("stopped")
+	return nil
+}
+
+func (e *Entry) stop(servers []*http.Server) {
+	e.Log.Info("stopping, new callers are sent elsewhere")
+	ctx, cancel := context.WithTimeout(context.Background(), e.Settings.Timing.StopAfter.Duration)
+	defer cancel()
+	e.watcher.SetLeaving()
+	e.controller.Wake()
+	select {
+	case <-ctx.Done():
+	case <-time.After(e.Settings.Timing.LocateKeep.Duration + time.Second):
+	}
+	for _, s := range servers {
+		if err := s.Shutdown(ctx); err != nil {
+			e.Log.Warn("requests were cut at the end of the stop", zap.Error(err))
+			_ = s.Close()
+		}
+	}
+}
--- /dev/null
+++ b/internal/entry/listen.go
@@ -0,0 +1,89 @@
+package entry
+
+import (
+	"net"
+	"net/http"
+	"net/http/pprof"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+	"go.uber.org/zap"
+
+	"github.com/primrosedrift/primrosedrift/pkg/api/caller/v1/callerv1connect"
+	"github.com/primrosedrift/primrosedrift/pkg/api/operator/v1/operatorv1connect"
+	peerv1 "github.com/primrosedrift/primrosedrift/pkg/api/peer/v1"
+)
+
+const readHeaderTimeout = 10 * time.Second
+
+// listen starts the servers. Each kind of client has an address of its own.
+func (e *Entry) listen() ([]*http.Server, error) {
+	callers := http.NewServeMux()
+	callers.Handle(callerv1connect.NewCallerCommandsHandler(&callerCommands{e}))
+	callers.Handle(callerv1connect.NewCallerQueriesHandler(&callerQueries{e}))
+	operators := http.NewServeMux()
+	operators.Handle(operatorv1connect.NewOperatorCommandsHandler(&operatorCommands{e}))
+	operators.Handle(operatorv1connect.NewOperatorQueriesHandler(&operatorQueries{e}))
+	peers := http.NewServeMux()
+	peerCommandsServer := peerv1.NewPeerCommandsServer(&peerCommands{e})
+	peerQueriesServer := peerv1.NewPeerQueriesServer(&peerQueries{e})
+	peers.Handle(peerCommandsServer.PathPrefix(), peerCommandsServer)
+	peers.Handle(peerQueriesServer.PathPrefix(), peerQueriesServer)
+
+	var servers []*http.Server
+	for _, l := range []struct {
+		address string
+		handler http.Handler
+	}{
+		{e.Settings.Listen.Caller, callers},
+		{e.Settings.Listen.Operator, operators},
+		{e.Settings.Listen.Peer, peers},
+		{e.Settings.Listen.Debug, e.debug()},
+	} {
+		if l.address == "" {
+			continue
+		}
+		s, err := e.serve(l.address, l.handler)
+		if err != nil {
+			for _, other := range servers {
+				_ = other.Close()
+			}
+			return nil, err
+		}
+		servers = append(servers, s)
+	}
+	return servers, nil
+}
+
+func (e *Entry) serve(address string, h http.Handler) (*http.Server, error) {
+	ln, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, errors.Wrapf(err, "listen on %s", address)
+	}
+	var protocols http.Protocols
+	protocols.SetHTTP1(true)
+	protocols.SetUnencryptedHTTP2(true)
+	s := &http.Server{Handler: h, ReadHeaderTimeout: readHeaderTimeout, Protocols: &protocols}
+	go func() {
+		if err := s.Serve(ln); !errors.Is(err, http.ErrServerClosed) {
+			e.Log.Error("server ended", zap.String("address", address), zap.Error(err))
+		}
+	}()
+	return s, nil
+}
+
+func (e *Entry) debug() http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle("/metrics", promhttp.HandlerFor(e.metrics.registry, promhttp.HandlerOpts{}))
+	mux.HandleFunc("/health", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
+	mux.HandleFunc("/ready", func(w http.ResponseWriter, _ *http.Request) {
+		if !e.tailer.HasCaughtUp() || e.watcher.IsLeaving() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+	})
+	mux.HandleFunc("/debug/pprof/", pprof.Index)
+	mux.HandleFunc("/debug/pprof/profile", pprof.Profile)
+	mux.HandleFunc("/debug/pprof/trace", pprof.Trace)
+	return mux
+}
--- /dev/null
+++ b/internal/entry/operator.go
@@ -0,0 +1,92 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/cockroachdb/errors"
+
+	"github.com/primrosedrift/primrosedrift/internal/folder"
+	"github.com/primrosedrift/primrosedrift/internal/recorder"
+	operatorv1 "github.com/primrosedrift/primrosedrift/pkg/api/operator/v1"
+	recordv1 "github.com/primrosedrift/primrosedrift/pkg/api/record/v1"
+)
+
+const publishTimeout = 10 * time.Second
+
+type operatorCommands struct{ e *Entry }
+
+// Publish changes the configuration if its base version is in force. Accepted
+// means that the change was read back from the log.
+func (c *operatorCommands) Publish(ctx context.Context, req *connect.Request[operatorv1.PublishRequest]) (*connect.Response[operatorv1.PublishResponse], error) {
+	m := req.Msg
+	ctx, cancel := context.WithTimeout(ctx, publishTimeout)
+	defer cancel()
+	e, err := c.e.recorder.Submit(ctx, &recordv1.Record{Kind: &recordv1.Record_ConfigChange{ConfigChange: &recordv1.ConfigChange{
+		BaseVersion: m.GetBaseVersion(), Upserts: m.GetUpserts(), Deletes: m.GetDeletes(), Operator: m.GetOperator(),
+	}}})
+	resp := &operatorv1.PublishResponse{}
+	switch {
+	case errors.Is(err, recorder.ErrNotWritten):
+		return nil, connect.NewError(connect.CodeUnavailable, errors.Newf("nothing was published: %v", err))
+	case err != nil:
+		resp.Result, resp.Detail = operatorv1.PublishResult_PUBLISH_RESULT_UNKNOWN, err.Error()
+	case e.Counted:
+		resp.Result = operatorv1.PublishResult_PUBLISH_RESULT_ACCEPTED
+	default:
+		resp.Result, resp.Detail = operatorv1.PublishResult_PUBLISH_RESULT_LOST_RACE, e.Why
+	}
+	c.e.keeper.View(func(s *folder.State) { resp.Version = s.Config.Version })
+	if e.Counted {
+		resp.Version = uint64(e.Position)
+	}
+	return connect.NewResponse(resp), nil
+}
+
+type operatorQueries struct{ e *Entry }
+
+// Get returns what is in force.
+func (q *operatorQueries) Get(context.Context, *connect.Request[operatorv1.GetRequest]) (*connect.Response[operatorv1.GetResponse], error) {
+	resp := &operatorv1.GetResponse{Instance: q.e.Settings.Instance}
+	q.e.keeper.View(func(s *folder.State) {
+		resp.Version = s.Config.Version
+		resp.Objects = s.Config.Objects()
+		resp.NextOffset = s.Next
+		s.EachReplica(func(r folder.Replica) bool {
+			resp.Replicas = append(resp.Replicas, replicaView(r))
+			return true
+		})
+		for id := range uint32(folder.ShardCount) {
+			sh := s.Shard(id)
+			v := &operatorv1.ShardView{
+				Shard: id, Claim: uint64(sh.Current.Claim), Instance: sh.Current.Instance, Incarnation: sh.Current.Incarnation,
+			}
+			for _, h := range sh.Unsettled {
+				v.Unsettled = append(v.Unsettled, uint64(h.Claim))
+			}
+			resp.Shards = append(resp.Shards, v)
+		}
+	})
+	return connect.NewResponse(resp), nil
+}
+
+func replicaView(r folder.Replica) *operatorv1.ReplicaView {
+	v := &operatorv1.ReplicaView{
+		Id: r.ID, Model: r.Model, Upstream: r.Upstream, State: r.Phase.String(),
+		MemoryBytes: r.Bytes, Reason: r.Reason, Position: uint64(r.Decided),
+	}
+	for name, p := range r.Adapters {
+		if p == folder.PhaseLoaded {
+			v.Adapters = append(v.Adapters, name)
+		}
+	}
+	return v
+}
+
+// Explain returns what happened to a subject and why.
+func (q *operatorQueries) Explain(_ context.Context, req *connect.Request[operatorv1.ExplainRequest]) (*connect.Response[operatorv1.ExplainResponse], error) {
+	return connect.NewResponse(&operatorv1.ExplainResponse{
+		Explanations: q.e.explainer.Explain(req.Msg.GetSubject(), int(req.Msg.GetLimit())),
+	}), nil
+}
--- /dev/null
+++ b/internal/entry/peer.go
@@ -0,0 +1,54 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"github.com/primrosedrift/primrosedrift/internal/controller"
+	"github.com/primrosedrift/primrosedrift/internal/folder"
+	peerv1 "github.com/primrosedrift/primrosedrift/pkg/api/peer/v1"
+)
+
+func shardKey(shard uint32) string {
+	return controller.ShardKey(shard)
+}
+
+type peerCommands struct{ e *Entry }
+
+// Want takes over what a peer wants of this instance's shards.
+func (c *peerCommands) Want(_ context.Context, req *peerv1.WantRequest) (*peerv1.WantResponse, error) {
+	holds := true
+	c.e.keeper.View(func(s *folder.State) {
+		for _, d := range req.GetDemands() {
+			sh := s.Shard(folder.ShardOf(d.GetModel()))
+			holds = holds && !sh.Released && sh.Current.Incarnation == c.e.Incarnation
+		}
+	})
+	c.e.tallier.Receive(req, time.Now())
+	return &peerv1.WantResponse{Holds: holds}, nil
+}
+
+// Lease gives no share yet: every instance keeps to its own safe share.
+func (c *peerCommands) Lease(context.Context, *peerv1.LeaseRequest) (*peerv1.LeaseResponse, error) {
+	return &peerv1.LeaseResponse{}, nil
+}
+
+// Evict is refused: holders unload by their own plan only.
+func (c *peerCommands) Evict(context.Context, *peerv1.EvictRequest) (*peerv1.EvictResponse, error) {
+	return &peerv1.EvictResponse{}, nil
+}
+
+type peerQueries struct{ e *Entry }
+
+// Status says how this instance is.
+func (q *peerQueries) Status(context.Context, *peerv1.StatusRequest) (*peerv1.StatusResponse, error) {
+	return &peerv1.StatusResponse{
+		Instance: q.e.Settings.Instance, Incarnation: q.e.Incarnation, Leaving: q.e.watcher.IsLeaving(),
+		NextOffset: q.e.keeper.Next(), CallerAddress: q.e.Settings.Listen.Caller,
+	}, nil
+}
+
+// State is not given yet: a newcomer reads the log.
+func (q *peerQueries) State(context.Context, *peerv1.StateRequest) (*peerv1.StateResponse, error) {
+	return &peerv1.StateResponse{}, nil
+}
--- /dev/null
+++ b/internal/folder/decide.go
@@ -0,0 +1,214 @@
+package folder
+
+import (
+	"slices"
+
+	recordv1 "github.com/primrosedrift/primrosedrift/pkg/api/record/v1"
+)
+
+// decide applies a decision and returns why it does not count, if so.
+func (s *State) decide(d *recordv1.Decision, at Position) string {
+	if d.GetShard() >= ShardCount || d.GetShard() != ShardOf(d.GetModel()) {
+		return "no such shard for the model"
+	}
+	if !s.shards[d.GetShard()].isCurrent(Position(d.GetEpoch())) {
+		return "epoch is not the current claim"
+	}
+	switch d.GetAction() {
+	case recordv1.DecisionAction_DECISION_ACTION_LOAD:
+		return s.decideLoad(d, at)
+	case recordv1.DecisionAction_DECISION_ACTION_UNLOAD:
+		return s.decideUnload(d, at)
+	case recordv1.DecisionAction_DECISION_ACTION_LOAD_ADAPTER:
+		return s.decideLoadAdapter(d, at)
+	case recordv1.DecisionAction_DECISION_ACTION_UNLOAD_ADAPTER:
+		return s.decideUnloadAdapter(d, at)
+	}
+	return "unknown action"
+}
+
+func (s *State) decideLoad(d *recordv1.Decision, at Position) string {
+	m := s.Config.Models[d.GetModel()]
+	u := s.Config.Upstreams[d.GetUpstream()]
+	if m == nil || u == nil {
+		return "model or upstream is not in force"
+	}
+	if _, ok := s.replicas[d.GetReplica()]; ok || d.GetReplica() == "" {
+		return "replica id is taken"
+	}
+	if why := s.checkRoom(m, u, d.GetMemoryBytes()); why != "" {
+		return why
+	}
+	r := Replica{
+		ID: d.GetReplica(), Model: m.GetName(), Customer: m.GetCustomer(),
+		Upstream: u.GetName(), UpstreamIncarnation: d.GetUpstreamIncarnation(),
+		Shard: d.GetShard(), Epoch: Position(d.GetEpoch()), Decided: at, Changed: at,
+		Bytes: d.GetMemoryBytes(), Phase: PhaseLoading, Reason: d.GetReason(),
+		FromStore: d.GetSource() == recordv1.LoadSource_LOAD_SOURCE_STORE,
+	}
+	s.addReplica(r)
+	return ""
+}
+
+// checkRoom returns which bound one more replica would break.
+func (s *State) checkRoom(m *recordv1.Model, u *recordv1.Upstream, bytes uint64) string {
+	c := s.Config.Contracts[m.GetCustomer()]
+	used := s.usage[m.GetCustomer()]
+	switch {
+	case c == nil:
+		return "customer has no contract"
+	case bytes < m.GetMemoryBytes():
+		return "memory is less than the model needs"
+	case bytes > u.GetMemoryBytes() || s.reserved[u.GetName()] > u.GetMemoryBytes()-bytes:
+		return "upstream has no memory left"
+	case used.Replicas >= c.GetReplicas():
+		return "contract has no replica left"
+	case bytes > c.GetMemoryBytes() || used.Bytes > c.GetMemoryBytes()-bytes:
+		return "contract has no memory left"
+	case m.GetMaxReplicas() > 0 && len(s.byModel[m.GetName()]) >= int(m.GetMaxReplicas()):
+		return "model has no replica left"
+	}
+	return ""
+}
+
+func (s *State) decideUnload(d *recordv1.Decision, at Position) string {
+	r, ok := s.replicas[d.GetReplica()]
+	if !ok || r.Model != d.GetModel() {
+		return "no such replica"
+	}
+	if r.Phase != PhaseLoading && r.Phase != PhaseLoaded {
+		return "replica is going"
+	}
+	s.setReplica(r.WithPhase(PhaseUnloading, at))
+	return ""
+}
+
+func (s *State) decideLoadAdapter(d *recordv1.Decision, at Position) string {
+	r, ok := s.replicas[d.GetReplica()]
+	a := s.Config.Adapters[d.GetAdapter()]
+	switch {
+	case !ok || r.Model != d.GetModel() || r.Phase != PhaseLoaded:
+		return "no such loaded replica"
+	case a == nil || a.GetModel() != r.Model:
+		return "adapter is not in force for the model"
+	case r.Adapters[d.GetAdapter()] != 0:
+		return "replica has the adapter"
+	case s.adapters >= s.adapterLimit():
+		return "too many adapter loads in flight"
+	}
+	s.setReplica(r.WithAdapter(d.GetAdapter(), PhaseLoading, at))
+	return ""
+}
+
+func (s *State) adapterLimit() int {
+	if n := s.Config.Policy.GetAdapterLoadsInFlight(); n > 0 {
+		return int(n)
+	}
+	return DefaultAdapterLoads
+}
+
+func (s *State) decideUnloadAdapter(d *recordv1.Decision, at Position) string {
+	r, ok := s.replicas[d.GetReplica()]
+	if !ok || r.Adapters[d.GetAdapter()] != PhaseLoaded {
+		return "no such loaded adapter"
+	}
+	s.setReplica(r.WithAdapter(d.GetAdapter(), PhaseUnloading, at))
+	return ""
+}
+
+// observe applies an observation and returns why it does not count, if so.
+func (s *State) observe(o *recordv1.Observation, at Position) string {
+	if o.GetShard() >= ShardCount || !s.shards[o.GetShard()].isCurrent(Position(o.GetEpoch())) {
+		return "epoch is not the current claim"
+	}
+	r, ok := s.replicas[o.GetReplica()]
+	if !ok || r.Shard != o.GetShard() {
+		return "no such replica"
+	}
+	if o.GetAdapter() != "" {
+		return s.observeAdapter(r, o, at)
+	}
+	switch o.GetKind() {
+	case recordv1.ObservationKind_OBSERVATION_KIND_LOADED:
+		if r.Phase != PhaseLoading || r.UpstreamIncarnation != o.GetUpstreamIncarnation() {
+			return "replica is not loading on this incarnation"
+		}
+		s.setReplica(r.WithPhase(PhaseLoaded, at))
+	case recordv1.ObservationKind_OBSERVATION_KIND_UNLOADED:
+		if r.Phase != PhaseUnloading && r.Phase != PhaseGhost {
+			return "replica is not decided to go"
+		}
+		s.freeReplica(r, at)
+	case recordv1.ObservationKind_OBSERVATION_KIND_FAILED, recordv1.ObservationKind_OBSERVATION_KIND_UPSTREAM_GONE:
+		s.freeReplica(r, at)
+	default:
+		return "unknown observation"
+	}
+	return ""
+}
+
+func (s *State) observeAdapter(r Replica, o *recordv1.Observation, at Position) string {
+	p := r.Adapters[o.GetAdapter()]
+	switch {
+	case p == PhaseLoading && o.GetKind() == recordv1.ObservationKind_OBSERVATION_KIND_LOADED:
+		s.setReplica(r.WithAdapter(o.GetAdapter(), PhaseLoaded, at))
+	case p != 0 && o.GetKind() != recordv1.ObservationKind_OBSERVATION_KIND_LOADED:
+		s.setReplica(r.WithoutAdapter(o.GetAdapter(), at))
+	default:
+		return "adapter is not in that phase"
+	}
+	return ""
+}
+
+// freeReplica frees the replica's memory, unless a late order could load it
+// again. Then it stays reserved as a ghost until a later observation.
+func (s *State) freeReplica(r Replica, at Position) {
+	u := s.Config.Upstreams[r.Upstream]
+	if !u.GetChecksFencing() && s.shards[r.Shard].mayGetLateOrders(r.Epoch) {
+		r.Adapters = nil
+		s.setReplica(r.WithPhase(PhaseGhost, at))
+		return
+	}
+	s.removeReplica(r)
+}
+
+func (s *State) addReplica(r Replica) {
+	put(&s.replicas, r.ID, r)
+	put(&s.byModel, r.Model, append(slices.Clone(s.byModel[r.Model]), r.ID))
+	put(&s.reserved, r.Upstream, s.reserved[r.Upstream]+r.Bytes)
+	used := s.usage[r.Customer]
+	put(&s.usage, r.Customer, Usage{used.Replicas + 1, used.Bytes + r.Bytes})
+	s.countLoads(r, 1)
+}
+
+func (s *State) setReplica(r Replica) {
+	s.countLoads(s.replicas[r.ID], -1)
+	s.replicas[r.ID] = r
+	s.countLoads(r, 1)
+}
+
+func (s *State) removeReplica(r Replica) {
+	s.countLoads(s.replicas[r.ID], -1)
+	delete(s.replicas, r.ID)
+	ids := slices.DeleteFunc(slices.Clone(s.byModel[r.Model]), func(id string) bool { return id == r.ID })
+	if len(ids) == 0 {
+		delete(s.byModel, r.Model)
+	} else {
+		s.byModel[r.Model] = ids
+	}
+	s.reserved[r.Upstream] -= r.Bytes
+	used := s.usage[r.Customer]
+	s.usage[r.Customer] = Usage{used.Replicas - 1, used.Bytes - r.Bytes}
+}
+
+// countLoads adds the replica's loads in flight to the totals, sign times.
+func (s *State) countLoads(r Replica, sign int) {
+	if r.Phase == PhaseLoading && r.FromStore {
+		s.fromStore += sign
+	}
+	for _, p := range r.Adapters {
+		if p == PhaseLoading {
+			s.adapters += sign
+		}
+	}
+}
--- /dev/null
+++ b/internal/folder/shard.go
@@ -0,0 +1,73 @@
+package folder
+
+import (
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+
+	recordv1 "github.com/primrosedrift/primrosedrift/pkg/api/record/v1"
+)
+
+// ShardCount is the number of control shards. A shard plans the replicas of
+// the models that hash to it.
+const ShardCount = 64
+
+// ShardOf returns the control shard of a model.
+func ShardOf(model string) uint32 {
+	return uint32(xxhash.Sum64String(model) % ShardCount)
+}
+
+// Holder is the instance that a claim names.
+type Holder struct {
+	Claim       Position
+	Instance    string
+	Incarnation string
+}
+
+// Shard is who plans a group of models.
+type Shard struct {
+	Current  Holder
+	Released bool
+	// Unsettled holds the earlier holders that may still have unsent orders.
+	Unsettled []Holder
+}
+
+func (s *Shard) claim(c *recordv1.Claim, at Position) string {
+	if Position(c.GetSupersedes()) != s.Current.Claim {
+		return "superseded claim is not the current one"
+	}
+	if s.Current.Claim != 0 && !s.Released {
+		s.Unsettled = append(slices.Clone(s.Unsettled), s.Current)
+	}
+	s.Current = Holder{Claim: at, Instance: c.GetInstance(), Incarnation: c.GetIncarnation()}
+	s.Released = false
+	return ""
+}
+
+func (s *Shard) release(claim Position) string {
+	if claim == 0 || claim != s.Current.Claim {
+		return "claim is not the current one"
+	}
+	s.Released = true
+	return ""
+}
+
+func (s *Shard) settle(claim Position) string {
+	i := slices.IndexFunc(s.Unsettled, func(h Holder) bool { return h.Claim == claim })
+	if i < 0 {
+		return "claim is not an unsettled one"
+	}
+	s.Unsettled = slices.Delete(slices.Clone(s.Unsettled), i, i+1)
+	return ""
+}
+
+// isCurrent reports whether decisions under the epoch count.
+func (s *Shard) isCurrent(epoch Position) bool {
+	return epoch != 0 && epoch == s.Current.Claim && !s.Released
+}
+
+// mayGetLateOrders reports whether a superseded holder that could have sent
+// orders for a replica decided under epoch is not settled yet.
+func (s *Shard) mayGetLateOrders(epoch Position) bool {
+	return slices.ContainsFunc(s.Unsettled, func(h Holder) bool { return h.Claim >= epoch })
+}
--- /dev/null
+++ b/internal/folder/state.go
@@ -0,0 +1,168 @@
+package folder
+
+import (
+	"google.golang.org/protobuf/proto"
+
+	recordv1 "github.com/primrosedrift/primrosedrift/pkg/api/record/v1"
+)
+
+// Version is the version of the fold's rules.
+const Version = 1
+
+// DefaultAdapterLoads bounds adapter loads in flight if no policy is in force.
+const DefaultAdapterLoads = 32
+
+// Stats counts what the fold read.
+type Stats struct {
+	Batches     uint64
+	Records     uint64
+	Counted     uint64
+	Undecodable uint64
+	Newer       uint64
+	Unknown     uint64
+}
+
+// Event is the fate of one record.
+type Event struct {
+	Position Position
+	Writer   string
+	Record   *recordv1.Record
+	Counted  bool
+	// Why says why the record does not count.
+	Why string
+}
+
+// State is what all instances agree on. Its zero value is the state before
+// the first record.
+type State struct {
+	// Next is the first offset that the state does not include.
+	Next    uint64
+	Config  Config
+	Intents Intents
+	Poison  Poison
+	Stats   Stats
+
+	shards    [ShardCount]Shard
+	replicas  map[string]Replica
+	byModel   map[string][]string
+	reserved  map[string]uint64 // bytes by upstream
+	usage     map[string]Usage  // by customer
+	adapters  int               // adapter loads in flight
+	fromStore int               // loads in flight from the weight store
+}
+
+// Usage is what a customer's replicas take.
+type Usage struct {
+	Replicas uint32
+	Bytes    uint64
+}
+
+// Apply folds the batch at offset. Offsets that the state already includes
+// change nothing.
+func (s *State) Apply(offset uint64, payload []byte) []Event {
+	if offset < s.Next {
+		return nil
+	}
+	s.Next = offset + 1
+	s.Stats.Batches++
+	var b recordv1.Batch
+	if err := proto.Unmarshal(payload, &b); err != nil || len(b.GetRecords()) > MaxBatchRecords {
+		s.Stats.Undecodable++
+		return nil
+	}
+	if b.GetVersion() > Version {
+		s.Stats.Newer++
+		return nil
+	}
+	events := make([]Event, 0, len(b.GetRecords()))
+	for i, r := range b.GetRecords() {
+		at := PositionOf(offset, i)
+		why := s.applyRecord(r, at)
+		s.Stats.Records++
+		if why == "" {
+			s.Stats.Counted++
+		}
+		events = append(events, Event{Position: at, Writer: b.GetWriter(), Record: r, Counted: why == "", Why: why})
+	}
+	return events
+}
+
+// applyRecord applies one record and returns why it does not count, if so.
+func (s *State) applyRecord(r *recordv1.Record, at Position) string {
+	switch k := r.GetKind().(type) {
+	case *recordv1.Record_ConfigChange:
+		return s.Config.apply(k.ConfigChange, at)
+	case *recordv1.Record_Claim:
+		return s.onShard(k.Claim.GetShard(), func(sh *Shard) string { return sh.claim(k.Claim, at) })
+	case *recordv1.Record_Release:
+		return s.onShard(k.Release.GetShard(), func(sh *Shard) string { return sh.release(Position(k.Release.GetClaim())) })
+	case *recordv1.Record_Settle:
+		return s.onShard(k.Settle.GetShard(), func(sh *Shard) string { return sh.settle(Position(k.Settle.GetClaim())) })
+	case *recordv1.Record_Decision:
+		return s.decide(k.Decision, at)
+	case *recordv1.Record_Observation:
+		return s.observe(k.Observation, at)
+	case *recordv1.Record_Intent:
+		return s.Intents.begin(r.GetId(), k.Intent, at)
+	case *recordv1.Record_Outcome:
+		return s.Intents.end(k.Outcome)
+	case *recordv1.Record_Suspicion:
+		return s.Poison.suspect(k.Suspicion)
+	case *recordv1.Record_CheckpointChunk:
+		return ""
+	}
+	s.Stats.Unknown++
+	return "unknown kind"
+}
+
+func (s *State) onShard(id uint32, f func(*Shard) string) string {
+	if id >= ShardCount {
+		return "no such shard"
+	}
+	return f(&s.shards[id])
+}
+
+// Shard returns the shard with the given number.
+func (s *State) Shard(id uint32) Shard {
+	return s.shards[id%ShardCount]
+}
+
+// Replica returns the replica with the given id.
+func (s *State) Replica(id string) (Replica, bool) {
+	r, ok := s.replicas[id]
+	return r, ok
+}
+
+// ReplicaIDs returns the ids of a model's replicas in the order of their decisions.
+func (s *State) ReplicaIDs(model string) []string {
+	return s.byModel[model]
+}
+
+// EachReplica calls f for every replica until f returns false.
+func (s *State) EachReplica(f func(Replica) bool) {
+	for _, r := range s.replicas {
+		if !f(r) {
+			return
+		}
+	}
+}
+
+// ReservedBytes returns the memory reserved on an upstream.
+func (s *State) ReservedBytes(upstream string) uint64 {
+	return s.reserved[upstream]
+}
+
+// UsageOf returns what a customer's replicas take.
+func (s *State) UsageOf(customer string) Usage {
+	return s.usage[customer]
+}
+
+// AdapterLoads returns the number of adapter loads in flight.
+func (s *State) AdapterLoads() int {
+	return s.adapters
+}
+
+// StoreLoads returns the number of loads in flight from the weight store.
+func (s *State) StoreLoads() int {
+	return s.fromStore
+}
--- /dev/null
+++ b/internal/keeper/keeper.go
@@ -0,0 +1,72 @@
+// Package keeper shares one folded state between the goroutines of an instance.
+//
+// One goroutine applies batches in the order of the log. All others read
+// through View, or wait on Changed. Subscribers hear the fate of every record
+// after the state includes it, in the order of the log, and without the lock.
+package keeper
+
+import (
+	"sync"
+
+	"github.com/primrosedrift/primrosedrift/internal/folder"
+)
+
+// Keeper guards a state. Its zero value keeps the state before the first record.
+type Keeper struct {
+	mu      sync.RWMutex
+	state   folder.State
+	changed chan struct{}
+
+	subMu sync.Mutex
+	subs  []func([]folder.Event)
+}
+
+// Subscribe calls f with the events of every batch that is applied from now on.
+func (k *Keeper) Subscribe(f func([]folder.Event)) {
+	k.subMu.Lock()
+	defer k.subMu.Unlock()
+	k.subs = append(k.subs, f)
+}
+
+// Apply folds a batch and tells the subscribers.
+func (k *Keeper) Apply(offset uint64, payload []byte) {
+	k.mu.Lock()
+	events := k.state.Apply(offset, payload)
+	if k.changed != nil {
+		close(k.changed)
+		k.changed = nil
+	}
+	k.mu.Unlock()
+
+	k.subMu.Lock()
+	subs := k.subs
+	k.subMu.Unlock()
+	for _, f := range subs {
+		f(events)
+	}
+}
+
+// View calls f with the state. f must not keep it or change it, and must not
+// call the keeper again.
+func (k *Keeper) View(f func(*folder.State)) {
+	k.mu.RLock()
+	defer k.mu.RUnlock()
+	f(&k.state)
+}
+
+// Changed returns a channel that is closed at the next change of the state.
+func (k *Keeper) Changed() <-chan struct{} {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.changed == nil {
+		k.changed = make(chan struct{})
+	}
+	return k.changed
+}
+
+// Next returns the first offset that the state does not include.
+func (k *Keeper) Next() uint64 {
+	k.mu.RLock()
+	defer k.mu.RUnlock()
+	return k.state.Next
+}
--- /dev/null
+++ b/internal/locator/locator.go
@@ -0,0 +1,52 @@
+// Package locator chooses which entry instances a caller should use.
+//
+// Rendezvous hashing names the same few instances for a target to every
+// caller, so bursts, prefix caches, queues and limits meet in few places. When
+// an instance leaves, only the targets that it was first for move.
+package locator
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Candidate is an instance that may be named.
+type Candidate struct {
+	Name       string
+	DataCentre string
+}
+
+// Rank orders the candidates for a key, best first. The order depends on the
+// key and the names only.
+func Rank(key string, cands []Candidate) []Candidate {
+	type scored struct {
+		c     Candidate
+		score uint64
+	}
+	list := make([]scored, len(cands))
+	for i, c := range cands {
+		list[i] = scored{c, score(key, c.Name)}
+	}
+	slices.SortFunc(list, func(a, b scored) int {
+		if a.score != b.score {
+			return cmp.Compare(b.score, a.score)
+		}
+		return cmp.Compare(a.c.Name, b.c.Name)
+	})
+	out := make([]Candidate, len(list))
+	for i, s := range list {
+		out[i] = s.c
+	}
+	return out
+}
+
+func score(key, name string) uint64 {
+	var d xxhash.Digest
+	d.Reset()
+	_, _ = d.WriteString(name)
+	_, _ = d.Write([]byte{0})
+	_, _ = d.WriteString(key)
+	return d.Sum64()
+}
--- /dev/null
+++ b/internal/publisher/publisher.go
@@ -0,0 +1,304 @@
+// Package publisher reads the operators' file and finds what it changes.
+//
+// The file holds contracts, models, adapters, upstreams and the policy. It is
+// the whole wish of the operators: what differs from what is in force becomes
+// an upsert, and what it lacks is deleted only if the operator asks for that.
+package publisher
+
+import (
+	"fmt"
+	"os"
+	"slices"
+	"strconv"
+	"strings"
+
+	"github.com/cockroachdb/errors"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/primrosedrift/primrosedrift/internal/folder"
+	"github.com/primrosedrift/primrosedrift/internal/settings"
+	recordv1 "github.com/primrosedrift/primrosedrift/pkg/api/record/v1"
+)
+
+// File is the operators' file.
+type File struct {
+	Policy    *Policy    `toml:"policy"`
+	Contracts []Contract `toml:"contracts"`
+	Models    []Model    `toml:"models"`
+	Adapters  []Adapter  `toml:"adapters"`
+	Upstreams []Upstream `toml:"upstreams"`
+}
+
+// Policy weighs the two measures and bounds the weight store.
+type Policy struct {
+	ColdStartWeight      float64 `toml:"cold-start-weight"`
+	IdleWeight           float64 `toml:"idle-weight"`
+	StoreLoadsPerSecond  float64 `toml:"store-loads-per-second"`
+	StoreConcurrentLoads uint32  `toml:"store-concurrent-loads"`
+	AdapterLoadsInFlight uint32  `toml:"adapter-loads-in-flight"`
+	MaxEntries           uint32  `toml:"max-entries"`
+}
+
+// Contract bounds what one customer may use.
+type Contract struct {
+	Customer          string            `toml:"customer"`
+	Replicas          uint32            `toml:"replicas"`
+	Memory            Bytes             `toml:"memory"`
+	WaitingTime       settings.Duration `toml:"waiting-time"`
+	Concurrency       uint32            `toml:"concurrency"`
+	RequestsPerSecond float64           `toml:"requests-per-second"`
+	Class             Class             `toml:"class"`
+	NeverTwice        []string          `toml:"never-twice"`
+	Weight            float64           `toml:"weight"`
+}
+
+// Model is a model of a customer.
+type Model struct {
+	Name        string `toml:"name"`
+	Customer    string `toml:"customer"`
+	Memory      Bytes  `toml:"memory"`
+	Checkpoint  string `toml:"checkpoint"`
+	Version     string `toml:"version"`
+	MaxReplicas uint32 `toml:"max-replicas"`
+	Class       Class  `toml:"class"`
+}
+
+// Adapter is an adapter on a model.
+type Adapter struct {
+	Name     string `toml:"name"`
+	Model    string `toml:"model"`
+	Customer string `toml:"customer"`
+}
+
+// Upstream is an engine, or a plain service if Service is set.
+type Upstream struct {
+	Name          string `toml:"name"`
+	Address       string `toml:"address"`
+	DataCentre    string `toml:"data-centre"`
+	Service       string `toml:"service"`
+	Memory        Bytes  `toml:"memory"`
+	Slots         uint32 `toml:"slots"`
+	ChecksFencing bool   `toml:"checks-fencing"`
+}
+
+// Bytes is a size that reads as text, such as 80GiB.
+type Bytes uint64
+
+var byteUnits = []struct {
+	suffix string
+	size   uint64
+}{{"KiB", 1 << 10}, {"MiB", 1 << 20}, {"GiB", 1 << 30}, {"TiB", 1 << 40}, {"B", 1}}
+
+// UnmarshalText reads a size.
+func (b *Bytes) UnmarshalText(text []byte) error {
+	for _, u := range byteUnits {
+		if num, ok := strings.CutSuffix(string(text), u.suffix); ok {
+			n, err := strconv.ParseUint(strings.TrimSpace(num), 10, 64)
+			if err != nil || n > (1<<63)/u.size {
+				break
+			}
+			*b = Bytes(n * u.size)
+			return nil
+		}
+	}
+	return errors.Newf("%q is not a size such as 80GiB", text)
+}
+
+// Class is a request class that reads as text.
+type Class recordv1.RequestClass
+
+var classes = map[string]recordv1.RequestClass{
+	"urgent":      recordv1.RequestClass_REQUEST_CLASS_URGENT,
+	"interactive": recordv1.RequestClass_REQUEST_CLASS_INTERACTIVE,
+	"batch":       recordv1.RequestClass_REQUEST_CLASS_BATCH,
+}
+
+// UnmarshalText reads a class.
+func (c *Class) UnmarshalText(text []byte) error {
+	v, ok := classes[string(text)]
+	if !ok {
+		return errors.Newf("%q is not urgent, interactive or batch", text)
+	}
+	*c = Class(v)
+	return nil
+}
+
+// Load reads and checks an operators' file.
+func Load(file string) (File, error) {
+	data, err := os.ReadFile(file)
+	if err != nil {
+		return File{}, errors.Wrap(err, "read operators' file")
+	}
+	return Parse(file, data)
+}
+
+// Parse reads and checks an operators' file. The error is a settings.Faults.
+func Parse(file string, data []byte) (File, error) {
+	var f File
+	if faults := settings.Decode(file, data, &f); len(faults) > 0 {
+		return File{}, faults
+	}
+	if faults := f.check(file); len(faults) > 0 {
+		return File{}, faults
+	}
+	return f, nil
+}
+
+// check returns the faults of the values.
+func (f File) check(file string) settings.Faults {
+	var out settings.Faults
+	add := func(key, format string, args ...any) {
+		out = append(out, settings.Fault{File: file, Key: key, Text: fmt.Sprintf(format, args...)})
+	}
+	customers, models, seen := make(map[string]bool), make(map[string]bool), make(map[string]bool)
+	unique := func(kind, name string) {
+		if name == "" {
+			add(kind, "needs a name")
+		}
+		if seen[kind+" "+name] {
+			add(kind+" "+name, "is there twice")
+		}
+		seen[kind+" "+name] = true
+	}
+	for _, c := range f.Contracts {
+		unique("contract", c.Customer)
+		customers[c.Customer] = true
+		if c.WaitingTime.Duration <= 0 {
+			add("contract "+c.Customer, "needs a waiting-time above zero")
+		}
+		if c.Concurrency == 0 {
+			add("contract "+c.Customer, "needs a concurrency above zero")
+		}
+	}
+	for _, m := range f.Models {
+		unique("model", m.Name)
+		models[m.Name] = true
+		if !customers[m.Customer] {
+			add("model "+m.Name, "customer %q has no contract in this file", m.Customer)
+		}
+		if m.Memory == 0 {
+			add("model "+m.Name, "needs a memory above zero")
+		}
+	}
+	for _, a := range f.Adapters {
+		unique("adapter", a.Name)
+		if !models[a.Model] {
+			add("adapter "+a.Name, "model %q is not in this file", a.Model)
+		}
+	}
+	for _, u := range f.Upstreams {
+		unique("upstream", u.Name)
+		if u.Address == "" {
+			add("upstream "+u.Name, "needs an address")
+		}
+		if u.Service == "" && u.Memory == 0 {
+			add("upstream "+u.Name, "needs a memory above zero, or a service")
+		}
+	}
+	return out
+}
+
+// Objects returns the file's objects.
+func (f File) Objects() []*recordv1.ConfigObject {
+	var out []*recordv1.ConfigObject
+	if p := f.Policy; p != nil {
+		out = append(out, &recordv1.ConfigObject{Object: &recordv1.ConfigObject_Policy{Policy: &recordv1.Policy{
+			ColdStartWeight: p.ColdStartWeight, IdleWeight: p.IdleWeight,
+			StoreLoadsPerSecond: p.StoreLoadsPerSecond, StoreConcurrentLoads: p.StoreConcurrentLoads,
+			AdapterLoadsInFlight: p.AdapterLoadsInFlight, MaxEntries: p.MaxEntries,
+		}}})
+	}
+	for _, c := range f.Contracts {
+		out = append(out, &recordv1.ConfigObject{Object: &recordv1.ConfigObject_Contract{Contract: &recordv1.Contract{
+			Customer: c.Customer, Replicas: c.Replicas, MemoryBytes: uint64(c.Memory),
+			WaitingTimeMs: uint32(c.WaitingTime.Milliseconds()), Concurrency: c.Concurrency,
+			RequestsPerSecond: c.RequestsPerSecond, Class: recordv1.RequestClass(c.Class),
+			NeverTwice: c.NeverTwice, Weight: c.Weight,
+		}}})
+	}
+	for _, m := range f.Models {
+		out = append(out, &recordv1.ConfigObject{Object: &recordv1.ConfigObject_Model{Model: &recordv1.Model{
+			Name: m.Name, Customer: m.Customer, MemoryBytes: uint64(m.Memory), Checkpoint: m.Checkpoint,
+			Version: m.Version, MaxReplicas: m.MaxReplicas, Class: recordv1.RequestClass(m.Class),
+		}}})
+	}
+	for _, a := range f.Adapters {
+		out = append(out, &recordv1.ConfigObject{Object: &recordv1.ConfigObject_Adapter{Adapter: &recordv1.Adapter{
+			Name: a.Name, Model: a.Model, Customer: a.Customer,
+		}}})
+	}
+	for _, u := range f.Upstreams {
+		kind := recordv1.UpstreamKind_UPSTREAM_KIND_ENGINE
+		if u.Service != "" {
+			kind = recordv1.UpstreamKind_UPSTREAM_KIND_SERVICE
+		}
+		out = append(out, &recordv1.ConfigObject{Object: &recordv1.ConfigObject_Upstream{Upstream: &recordv1.Upstream{
+			Name: u.Name, Address: u.Address, DataCentre: u.DataCentre, Kind: kind, MemoryBytes: uint64(u.Memory),
+			Slots: u.Slots, ChecksFencing: u.ChecksFencing, Service: u.Service,
+		}}})
+	}
+	return out
+}
+
+// Change is what a file changes of what is in force.
+type Change struct {
+	Upserts []*recordv1.ConfigObject
+	Deletes []*recordv1.ConfigKey
+}
+
+// IsEmpty reports whether nothing changes.
+func (c Change) IsEmpty() bool {
+	return len(c.Upserts)+len(c.Deletes) == 0
+}
+
+// Lines says in words what changes.
+func (c Change) Lines() []string {
+	var out []string
+	for _, o := range c.Upserts {
+		out = append(out, "set "+keyText(folder.ObjectKey(o)))
+	}
+	for _, k := range c.Deletes {
+		out = append(out, "delete "+keyText(k))
+	}
+	slices.Sort(out)
+	return out
+}
+
+var kindNames = map[recordv1.ConfigKind]string{
+	recordv1.ConfigKind_CONFIG_KIND_CONTRACT: "contract",
+	recordv1.ConfigKind_CONFIG_KIND_MODEL:    "model",
+	recordv1.ConfigKind_CONFIG_KIND_ADAPTER:  "adapter",
+	recordv1.ConfigKind_CONFIG_KIND_UPSTREAM: "upstream",
+	recordv1.ConfigKind_CONFIG_KIND_POLICY:   "policy",
+}
+
+func keyText(k *recordv1.ConfigKey) string {
+	return kindNames[k.GetKind()] + " " + k.GetName()
+}
+
+// Diff returns what the wanted objects change of those in force. Objects that
+// are not wanted are deleted if prune is set.
+func Diff(inForce, wanted []*recordv1.ConfigObject, prune bool) Change {
+	var c Change
+	have := make(map[string]*recordv1.ConfigObject)
+	for _, o := range inForce {
+		have[keyText(folder.ObjectKey(o))] = o
+	}
+	for _, o := range wanted {
+		k := keyText(folder.ObjectKey(o))
+		if !proto.Equal(have[k], o) {
+			c.Upserts = append(c.Upserts, o)
+		}
+		delete(have, k)
+	}
+	if !prune {
+		return c
+	}
+	for _, o := range inForce {
+		k := folder.ObjectKey(o)
+		if have[keyText(k)] != nil {
+			c.Deletes = append(c.Deletes, k)
+		}
+	}
+	return c
+}
--- /dev/null
+++ b/internal/recorder/doc.go
@@ -0,0 +1,16 @@
+// Package recorder writes records to the platform's log by group commit.
+//
+// One append is under way at a time; the records that arrive meanwhile form
+// the next batch. A record's fate is learnt by reading it back: Submit returns
+// when the tailer has applied the record, whatever the append replied. After a
+// failed append the recorder writes the records that it has not read back yet
+// once more. That is safe because every kind of record counts at most once.
+//
+// The rules:
+//
+//   - The queue is bounded. A full queue or an outage refuses at once.
+//   - A caller that stops waiting for a record that was never part of an
+//     append gets ErrNotWritten: the record is in no log, now or later.
+//   - In every other case it gets ErrUnknown, and Abandoned is called if the
+//     record is read back after all.
+package recorder
--- /dev/null
+++ b/internal/settings/settings.go
@@ -0,0 +1,243 @@
+// Package settings reads and checks the settings file of an entry instance.
+//
+// Check finds every fault at once and names its line and key. Unknown keys are
+// refused. A setting that is absent has the default that its field documents.
+package settings
+
+import (
+	"bytes"
+	"fmt"
+	"net"
+	"net/url"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/pelletier/go-toml/v2"
+)
+
+// Settings are the settings of one entry instance.
+type Settings struct {
+	// Instance is the instance's name, unique in the platform's list.
+	Instance   string   `toml:"instance"`
+	DataCentre string   `toml:"data-centre"`
+	Listen     Listen   `toml:"listen"`
+	Platform   Platform `toml:"platform"`
+	Limits     Limits   `toml:"limits"`
+	Timing     Timing   `toml:"timing"`
+	Log        Log      `toml:"log"`
+}
+
+// Listen holds the addresses that the instance serves on, as host:port.
+type Listen struct {
+	Caller   string `toml:"caller"`
+	Peer     string `toml:"peer"`
+	Operator string `toml:"operator"`
+	// Debug serves metrics, health and pprof. Empty means none.
+	Debug string `toml:"debug"`
+}
+
+// Platform holds the URLs of the platform's services.
+type Platform struct {
+	Log          string `toml:"log"`
+	InstanceList string `toml:"instance-list"`
+}
+
+// Limits bound what the instance holds.
+type Limits struct {
+	// QueuedRequests is the most requests that wait; default 4096.
+	QueuedRequests int `toml:"queued-requests"`
+	// PendingRecords is the most records that wait for the log; default 8192.
+	PendingRecords int `toml:"pending-records"`
+}
+
+// Timing holds durations of the control.
+type Timing struct {
+	// KeepWarm is how long an idle replica stays loaded; default 5m.
+	KeepWarm Duration `toml:"keep-warm"`
+	// TakeoverAfter is how long a holder is lost before its shards are claimed; default 3s.
+	TakeoverAfter Duration `toml:"takeover-after"`
+	// LocateKeep is how long callers keep an answer of Locate; default 2s.
+	LocateKeep Duration `toml:"locate-keep"`
+	// StopAfter is the longest time of a planned stop; default 30s.
+	StopAfter Duration `toml:"stop-after"`
+}
+
+// Log says what is logged.
+type Log struct {
+	// Level is debug, info, warn or error; default info.
+	Level string `toml:"level"`
+}
+
+// Duration is a time.Duration that reads as text, such as 1.5s.
+type Duration struct{ time.Duration }
+
+// UnmarshalText reads a duration.
+func (d *Duration) UnmarshalText(b []byte) error {
+	v, err := time.ParseDuration(string(b))
+	if err != nil {
+		return errors.Newf("%q is not a duration such as 1.5s", b)
+	}
+	d.Duration = v
+	return nil
+}
+
+// MarshalText writes the duration.
+func (d Duration) MarshalText() ([]byte, error) {
+	return []byte(d.String()), nil
+}
+
+// Default values.
+const (
+	DefaultQueuedRequests = 4096
+	DefaultPendingRecords = 8192
+	DefaultKeepWarm       = 5 * time.Minute
+	DefaultTakeoverAfter  = 3 * time.Second
+	DefaultLocateKeep     = 2 * time.Second
+	DefaultStopAfter      = 30 * time.Second
+)
+
+// Fault is one fault of a file.
+type Fault struct {
+	File string
+	Line int // 0 if the fault is that something is missing
+	Key  string
+	Text string
+}
+
+func (f Fault) String() string {
+	if f.Line == 0 {
+		return fmt.Sprintf("%s: %s: %s", f.File, f.Key, f.Text)
+	}
+	return fmt.Sprintf("%s:%d: %s: %s", f.File, f.Line, f.Key, f.Text)
+}
+
+// Faults are all faults of a file. It is an error.
+type Faults []Fault
+
+func (f Faults) Error() string {
+	lines := make([]string, len(f))
+	for i, v := range f {
+		lines[i] = v.String()
+	}
+	return strings.Join(lines, "\n")
+}
+
+// Load reads and checks a settings file.
+func Load(file string) (Settings, error) {
+	data, err := os.ReadFile(file)
+	if err != nil {
+		return Settings{}, errors.Wrap(err, "read settings")
+	}
+	return Parse(file, data)
+}
+
+// Parse reads and checks settings. The error is a Faults.
+func Parse(file string, data []byte) (Settings, error) {
+	var s Settings
+	if faults := Decode(file, data, &s); len(faults) > 0 {
+		return Settings{}, faults
+	}
+	if faults := s.check(file, data); len(faults) > 0 {
+		return Settings{}, faults
+	}
+	return s.withDefaults(), nil
+}
+
+// Decode reads TOML into v and returns what is wrong with it. Unknown keys are faults.
+func Decode(file string, data []byte, v any) Faults {
+	dec := toml.NewDecoder(bytes.NewReader(data))
+	dec.DisallowUnknownFields()
+	err := dec.Decode(v)
+	var strict *toml.StrictMissingError
+	var one *toml.DecodeError
+	switch {
+	case err == nil:
+		return nil
+	case errors.As(err, &strict):
+		var out Faults
+		for _, e := range strict.Errors {
+			line, _ := e.Position()
+			out = append(out, Fault{file, line, strings.Join(e.Key(), "."), "unknown key"})
+		}
+		return out
+	case errors.As(err, &one):
+		line, _ := one.Position()
+		return Faults{{file, line, strings.Join(one.Key(), "."), one.Error()}}
+	}
+	return Faults{{File: file, Key: "file", Text: err.Error()}}
+}
+
+// check returns the faults of the values.
+func (s Settings) check(file string, data []byte) Faults {
+	var out Faults
+	add := func(key, text string) {
+		out = append(out, Fault{file, LineOf(data, key), key, text})
+	}
+	if s.Instance == "" {
+		add("instance", "is missing; give the name that the instance list has")
+	}
+	if s.DataCentre == "" {
+		add("data-centre", "is missing")
+	}
+	for key, addr := range map[string]string{
+		"listen.caller": s.Listen.Caller, "listen.peer": s.Listen.Peer, "listen.operator": s.Listen.Operator,
+	} {
+		if _, _, err := net.SplitHostPort(addr); err != nil {
+			add(key, "needs host:port, such as 127.0.0.1:7001")
+		}
+	}
+	for key, raw := range map[string]string{"platform.log": s.Platform.Log, "platform.instance-list": s.Platform.InstanceList} {
+		if u, err := url.Parse(raw); err != nil || u.Host == "" || u.Scheme != "http" && u.Scheme != "https" {
+			add(key, "needs a URL, such as http://127.0.0.1:7000")
+		}
+	}
+	for key, n := range map[string]int{
+		"limits.queued-requests": s.Limits.QueuedRequests, "limits.pending-records": s.Limits.PendingRecords,
+	} {
+		if n < 0 {
+			add(key, "must not be negative")
+		}
+	}
+	for key, d := range map[string]Duration{
+		"timing.keep-warm": s.Timing.KeepWarm, "timing.takeover-after": s.Timing.TakeoverAfter,
+		"timing.locate-keep": s.Timing.LocateKeep, "timing.stop-after": s.Timing.StopAfter,
+	} {
+		if d.Duration < 0 {
+			add(key, "must not be negative")
+		}
+	}
+	switch s.Log.Level {
+	case "", "debug", "info", "warn", "error":
+	default:
+		add("log.level", "must be debug, info, warn or error")
+	}
+	SortFaults(out)
+	return out
+}
+
+func (s Settings) withDefaults() Settings {
+	setInt(&s.Limits.QueuedRequests, DefaultQueuedRequests)
+	setInt(&s.Limits.PendingRecords, DefaultPendingRecords)
+	setDuration(&s.Timing.KeepWarm, DefaultKeepWarm)
+	setDuration(&s.Timing.TakeoverAfter, DefaultTakeoverAfter)
+	setDuration(&s.Timing.LocateKeep, DefaultLocateKeep)
+	setDuration(&s.Timing.StopAfter, DefaultStopAfter)
+	if s.Log.Level == "" {
+		s.Log.Level = "info"
+	}
+	return s
+}
+
+func setInt(v *int, d int) {
+	if *v == 0 {
+		*v = d
+	}
+}
+
+func setDuration(v *Duration, d time.Duration) {
+	if v.Duration == 0 {
+		v.Duration = d
+	}
+}
--- /dev/null
+++ b/pkg/verdict/verdict.go
@@ -0,0 +1,152 @@
+package verdict
+
+import (
+	"fmt"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/cockroachdb/errors"
+
+	callerv1 "github.com/primrosedrift/primrosedrift/pkg/api/caller/v1"
+)
+
+// Ran says whether a refused request may have run.
+type Ran uint8
+
+// Values of Ran.
+const (
+	MayHaveRun Ran = iota
+	NotRun
+)
+
+func (r Ran) String() string {
+	if r == NotRun {
+		return "not-run"
+	}
+	return "may-have-run"
+}
+
+// Reason says why a request was refused, in kebab case. The set is bounded,
+// so that a metric may carry it as a label.
+type Reason string
+
+// Reasons of refusals.
+const (
+	ReasonInvalid         Reason = "invalid"
+	ReasonNoContract      Reason = "no-contract"
+	ReasonUnknownTarget   Reason = "unknown-target"
+	ReasonDeadline        Reason = "deadline"
+	ReasonQueueFull       Reason = "queue-full"
+	ReasonContractLimit   Reason = "contract-limit"
+	ReasonNoUpstream      Reason = "no-upstream"
+	ReasonUpstreamFailed  Reason = "upstream-failed"
+	ReasonLogDown         Reason = "log-down"
+	ReasonEarlierAttempt  Reason = "earlier-attempt"
+	ReasonKeyTooOld       Reason = "key-too-old"
+	ReasonPoison          Reason = "poison"
+	ReasonStopping        Reason = "stopping"
+	ReasonNotReady        Reason = "not-ready"
+	ReasonCanceled        Reason = "canceled"
+	ReasonIncompleteReply Reason = "incomplete-reply"
+)
+
+// Refusal is the verdict on a request that was not answered. It is an error.
+type Refusal struct {
+	Ran    Ran
+	Reason Reason
+	// ComeBack is when the caller should try again. Zero means never.
+	ComeBack time.Duration
+	// Detail is for people.
+	Detail string
+}
+
+// Refuse returns a refusal of a request that provably did not run.
+func Refuse(reason Reason, comeBack time.Duration, format string, args ...any) Refusal {
+	return Refusal{Ran: NotRun, Reason: reason, ComeBack: comeBack, Detail: fmt.Sprintf(format, args...)}
+}
+
+// Doubt returns a refusal of a request that may have run.
+func Doubt(reason Reason, comeBack time.Duration, format string, args ...any) Refusal {
+	return Refusal{Ran: MayHaveRun, Reason: reason, ComeBack: comeBack, Detail: fmt.Sprintf(format, args...)}
+}
+
+func (r Refusal) Error() string {
+	return fmt.Sprintf("%s (%s): %s", r.Reason, r.Ran, r.Detail)
+}
+
+// WithComeBack returns the refusal with another time to come back.
+func (r Refusal) WithComeBack(d time.Duration) Refusal {
+	r.ComeBack = d
+	return r
+}
+
+// Of returns the refusal in err. An error that is no refusal may have run.
+func Of(err error) Refusal {
+	var r Refusal
+	if errors.As(err, &r) {
+		return r
+	}
+	return Doubt(ReasonUpstreamFailed, 0, "%v", err)
+}
+
+var codes = map[Reason]connect.Code{
+	ReasonInvalid:        connect.CodeInvalidArgument,
+	ReasonNoContract:     connect.CodePermissionDenied,
+	ReasonUnknownTarget:  connect.CodeNotFound,
+	ReasonDeadline:       connect.CodeDeadlineExceeded,
+	ReasonQueueFull:      connect.CodeResourceExhausted,
+	ReasonContractLimit:  connect.CodeResourceExhausted,
+	ReasonEarlierAttempt: connect.CodeAlreadyExists,
+	ReasonKeyTooOld:      connect.CodeFailedPrecondition,
+	ReasonPoison:         connect.CodeFailedPrecondition,
+	ReasonCanceled:       connect.CodeCanceled,
+}
+
+// ToConnect returns the refusal as an error of the caller's interface.
+func (r Refusal) ToConnect(requestID string) *connect.Error {
+	code, ok := codes[r.Reason]
+	if !ok {
+		code = connect.CodeUnavailable
+	}
+	e := connect.NewError(code, errors.Newf("%s", r.Error()))
+	ran := callerv1.Ran_RAN_MAY_HAVE_RUN
+	if r.Ran == NotRun {
+		ran = callerv1.Ran_RAN_NOT_RUN
+	}
+	detail, err := connect.NewErrorDetail(&callerv1.Refusal{
+		Ran: ran, Reason: string(r.Reason), ComeBackMs: uint32(r.ComeBack.Milliseconds()),
+		RequestId: requestID, Detail: r.Detail,
+	})
+	if err == nil {
+		e.AddDetail(detail)
+	}
+	return e
+}
+
+// FromConnect returns the refusal that an entry instance sent. Without a
+// refusal in the error the request may have run.
+func FromConnect(err error) Refusal {
+	var ce *connect.Error
+	if !errors.As(err, &ce) {
+		return Doubt(ReasonUpstreamFailed, 0, "%v", err)
+	}
+	for _, d := range ce.Details() {
+		v, derr := d.Value()
+		if derr != nil {
+			continue
+		}
+		p, ok := v.(*callerv1.Refusal)
+		if !ok {
+			continue
+		}
+		r := Refusal{
+			Reason: Reason(p.GetReason()), Detail: p.GetDetail(),
+			ComeBack: time.Duration(p.GetComeBackMs()) * time.Millisecond,
+		}
+		if p.GetRan() == callerv1.Ran_RAN_NOT_RUN {
+			r.Ran = NotRun
+		}
+		return r
+	}
+	return Doubt(ReasonUpstreamFailed, 0, "%v", err)
+}
--- /dev/null
+++ b/test/fleet_test.go
@@ -0,0 +1,265 @@
+package test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/stretchr/testify/require"
+
+	"github.com/primrosedrift/primrosedrift/internal/publisher"
+	"github.com/primrosedrift/primrosedrift/internal/standin/faulter"
+	operatorv1 "github.com/primrosedrift/primrosedrift/pkg/api/operator/v1"
+	"github.com/primrosedrift/primrosedrift/pkg/api/operator/v1/operatorv1connect"
+	"github.com/primrosedrift/primrosedrift/pkg/caller"
+)
+
+// eventually bounds waits for things that must happen; no test asserts a time.
+const eventually = 60 * time.Second
+
+// process is one process under test.
+type process struct {
+	t    *testing.T
+	name string
+	cmd  *exec.Cmd
+	out  bytes.Buffer
+	done chan struct{}
+}
+
+func startProcess(t *testing.T, name, program string, args ...string) *process {
+	t.Helper()
+	p := &process{t: t, name: name, cmd: exec.Command(filepath.Join(binDir, program), args...), done: make(chan struct{})}
+	p.cmd.Stdout = &p.out
+	p.cmd.Stderr = &p.out
+	require.NoError(t, p.cmd.Start())
+	go func() {
+		_ = p.cmd.Wait()
+		close(p.done)
+	}()
+	t.Cleanup(func() {
+		_ = p.cmd.Process.Signal(syscall.SIGCONT)
+		p.kill()
+		if t.Failed() {
+			t.Logf("%s:\n%s", name, tail(p.out.String()))
+		}
+	})
+	return p
+}
+
+func tail(s string) string {
+	const most = 6000
+	if len(s) > most {
+		return s[len(s)-most:]
+	}
+	return s
+}
+
+func (p *process) kill() {
+	_ = p.cmd.Process.Kill()
+	<-p.done
+}
+
+func (p *process) signal(s syscall.Signal) {
+	require.NoError(p.t, p.cmd.Process.Signal(s))
+}
+
+func freeAddress(t *testing.T) string {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer ln.Close()
+	return ln.Addr().String()
+}
+
+// entryProcess is an entry instance.
+type entryProcess struct {
+	*process
+	name, caller, peer, operator, debug, settings string
+}
+
+// fleet is a whole deployment.
+type fleet struct {
+	t                *testing.T
+	log, list, store string
+	procs            map[string]*process
+	addresses        map[string]string
+	entries          []*entryProcess
+	upstreams        strings.Builder
+}
+
+func newFleet(t *testing.T, logArgs ...string) *fleet {
+	t.Helper()
+	f := &fleet{t: t, procs: make(map[string]*process), addresses: make(map[string]string)}
+	f.log = f.standin("log", append([]string{"log"}, logArgs...)...)
+	f.list = f.standin("list", "list")
+	f.store = f.standin("store", "store", "--load-ms", "50", "--loads-per-second", "100")
+	return f
+}
+
+// standin starts a stand-in and returns its address.
+func (f *fleet) standin(name string, args ...string) string {
+	f.t.Helper()
+	addr := f.addresses[name]
+	if addr == "" {
+		addr = freeAddress(f.t)
+		f.addresses[name] = addr
+	}
+	f.procs[name] = startProcess(f.t, name, "standin", append(args, "--listen", addr)...)
+	f.waitUp(addr)
+	return addr
+}
+
+func (f *fleet) waitUp(addr string) {
+	f.t.Helper()
+	require.Eventually(f.t, func() bool {
+		c, err := net.Dial("tcp", addr)
+		if err != nil {
+			return false
+		}
+		_ = c.Close()
+		return true
+	}, eventually, 10*time.Millisecond, "%s", addr)
+}
+
+func (f *fleet) engine(name string, fencing bool, args ...string) {
+	f.t.Helper()
+	all := append([]string{"engine", "--store", "http://" + f.store}, args...)
+	if fencing {
+		all = append(all, "--checks-fencing")
+	}
+	addr := f.standin(name, all...)
+	fmt.Fprintf(&f.upstreams, "[[upstreams]]\nname = %q\naddress = %q\ndata-centre = \"zaal-utr\"\nmemory = \"80GiB\"\nslots = 32\nchecks-fencing = %t\n", name, addr, fencing)
+}
+
+func (f *fleet) service(name, service string, args ...string) {
+	f.t.Helper()
+	addr := f.standin(name, append([]string{"service"}, args...)...)
+	fmt.Fprintf(&f.upstreams, "[[upstreams]]\nname = %q\naddress = %q\ndata-centre = \"zaal-utr\"\nservice = %q\nslots = 32\n", name, addr, service)
+}
+
+// entry starts a new entry instance, or a new run of an old one.
+func (f *fleet) entry(name string) *entryProcess {
+	f.t.Helper()
+	var e *entryProcess
+	for _, old := range f.entries {
+		if old.name == name {
+			e = old
+		}
+	}
+	if e == nil {
+		e = &entryProcess{name: name, caller: freeAddress(f.t), peer: freeAddress(f.t), operator: freeAddress(f.t), debug: freeAddress(f.t)}
+		e.settings = filepath.Join(f.t.TempDir(), name+".toml")
+		f.entries = append(f.entries, e)
+		require.NoError(f.t, os.WriteFile(e.settings, fmt.Appendf(nil, `instance = %q
+data-centre = "zaal-utr"
+[listen]
+caller = %q
+peer = %q
+operator = %q
+debug = %q
+[platform]
+log = "http://%s"
+instance-list = "http://%s"
+[timing]
+takeover-after = "1s"
+locate-keep = "500ms"
+`, name, e.caller, e.peer, e.operator, e.debug, f.log, f.list), 0o600))
+	}
+	e.process = startProcess(f.t, name, "primrosedrift", "serve", e.settings)
+	f.waitUp(e.caller)
+	f.announce(e, "live", "")
+	return e
+}
+
+func (f *fleet) announce(e *entryProcess, state, incarnation string) {
+	f.post("http://"+f.list+"/instances", map[string]string{
+		"name": e.name, "address": e.peer, "data-centre": "zaal-utr", "state": state, "role": "entry", "incarnation": incarnation,
+	})
+}
+
+func (f *fleet) post(url string, body any) {
+	f.t.Helper()
+	data, err := json.Marshal(body)
+	require.NoError(f.t, err)
+	resp, err := http.Post(url, "application/json", bytes.NewReader(data))
+	require.NoError(f.t, err)
+	defer resp.Body.Close()
+	require.Less(f.t, resp.StatusCode, 300)
+}
+
+// faults sets the faults of a stand-in.
+func (f *fleet) faults(name string, faults faulter.Faults) {
+	f.t.Helper()
+	f.post("http://"+f.addresses[name]+"/faults", faults)
+}
+
+// publish publishes an operators' file with the fleet's upstreams and waits
+// until every entry instance has it in force.
+func (f *fleet) publish(rest string) {
+	f.t.Helper()
+	file, err := publisher.Parse("operators.toml", []byte(rest+f.upstreams.String()))
+	require.NoError(f.t, err)
+	var version uint64
+	require.Eventually(f.t, func() bool {
+		got, err := f.entries[0].queries().Get(context.Background(), connect.NewRequest(&operatorv1.GetRequest{}))
+		if err != nil {
+			return false
+		}
+		change := publisher.Diff(got.Msg.GetObjects(), file.Objects(), false)
+		resp, err := operatorv1connect.NewOperatorCommandsClient(http.DefaultClient, "http://"+f.entries[0].operator).
+			Publish(context.Background(), connect.NewRequest(&operatorv1.PublishRequest{
+				BaseVersion: got.Msg.GetVersion(), Upserts: change.Upserts, Operator: "test",
+			}))
+		if err != nil {
+			return false
+		}
+		version = resp.Msg.GetVersion()
+		return resp.Msg.GetResult() == operatorv1.PublishResult_PUBLISH_RESULT_ACCEPTED
+	}, eventually, 50*time.Millisecond)
+	for _, e := range f.entries {
+		require.Eventually(f.t, func() bool { return e.version() >= version }, eventually, 10*time.Millisecond)
+	}
+}
+
+func (e *entryProcess) queries() operatorv1connect.OperatorQueriesClient {
+	return operatorv1connect.NewOperatorQueriesClient(http.DefaultClient, "http://"+e.operator)
+}
+
+func (e *entryProcess) version() uint64 {
+	got, err := e.queries().Get(context.Background(), connect.NewRequest(&operatorv1.GetRequest{}))
+	if err != nil {
+		return 0
+	}
+	return got.Msg.GetVersion()
+}
+
+// client returns a caller of a customer that knows all entry instances.
+func (f *fleet) client(customer string) *caller.Client {
+	c := &caller.Client{Customer: customer}
+	for _, e := range f.entries {
+		c.Entries = append(c.Entries, e.caller)
+	}
+	return c
+}
+
+// ran returns how often each key ran at a plain service.
+func (f *fleet) ran(name string) map[string]int {
+	f.t.Helper()
+	resp, err := http.Get("http://" + f.addresses[name] + "/ran")
+	require.NoError(f.t, err)
+	defer resp.Body.Close()
+	out := make(map[string]int)
+	require.NoError(f.t, json.NewDecoder(resp.Body).Decode(&out))
+	return out
+}
--- /dev/null
+++ b/test/outage_test.go
@@ -0,0 +1,63 @@
+package test
+
+import (
+	"context"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/oklog/ulid/v2"
+	"github.com/stretchr/testify/require"
+
+	"github.com/primrosedrift/primrosedrift/internal/standin/faulter"
+	callerv1 "github.com/primrosedrift/primrosedrift/pkg/api/caller/v1"
+	"github.com/primrosedrift/primrosedrift/pkg/verdict"
+)
+
+// While the log is out a warm model is served, and a request that may not be
+// repeated is refused as not run. After the outage the same key runs once.
+func TestLogOutage(t *testing.T) {
+	f := newSmallFleet(t)
+	c := f.client("tolwerk")
+	ctx := context.Background()
+	generate := &callerv1.GenerateRequest{Model: "levy-status", Prompt: "p", MaxTokens: 3}
+	require.NoError(t, c.Generate(ctx, generate, func(string) {}))
+
+	f.faults("log", faulter.Faults{Outage: true})
+	key := ulid.Make().String()
+	var last verdict.Refusal
+	require.Eventually(t, func() bool {
+		_, err := c.Call(ctx, &callerv1.CallRequest{Service: "kernheffing", Method: "debit", Key: key, DeadlineMs: 2000})
+		last = verdict.Of(err)
+		return err != nil && last.Reason == verdict.ReasonLogDown
+	}, eventually, 50*time.Millisecond)
+	require.Equal(t, verdict.NotRun, last.Ran)
+	require.Positive(t, last.ComeBack)
+	require.NoError(t, c.Generate(ctx, generate, func(string) {}))
+
+	f.faults("log", faulter.Faults{})
+	require.Eventually(t, func() bool {
+		_, err := c.Call(ctx, &callerv1.CallRequest{Service: "kernheffing", Method: "debit", Key: key})
+		return err == nil
+	}, eventually, 50*time.Millisecond)
+	require.LessOrEqual(t, f.ran("kernheffing-1")[key], 1)
+}
+
+// A cold model is served though the holder of its shard is frozen: another
+// instance takes the shard over.
+func TestFrozenHolder(t *testing.T) {
+	f := newSmallFleet(t)
+	c := f.client("tolwerk")
+	addresses, err := c.Locate(context.Background(), "levy-status")
+	require.NoError(t, err)
+	for _, e := range f.entries {
+		if e.caller == addresses[0] {
+			e.signal(syscall.SIGSTOP)
+		}
+	}
+	require.Eventually(t, func() bool {
+		ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+		defer cancel()
+		return c.Generate(ctx, &callerv1.GenerateRequest{Model: "levy-status", Prompt: "p", MaxTokens: 3}, func(string) {}) == nil
+	}, eventually, 50*time.Millisecond)
+}
