--- /dev/null
+++ b/internal/dispatcher/candidates.go
@@ -0,0 +1,47 @@
+package dispatcher
+
+import (
+	"time"
+
+	"github.com/primrosedrift/primrosedrift/internal/folder"
+	"github.com/primrosedrift/primrosedrift/internal/router"
+	callerv1 "github.com/primrosedrift/primrosedrift/pkg/api/caller/v1"
+)
+
+// replicas returns the loaded replicas that can serve the request.
+func (d *Dispatcher) replicas(req *callerv1.GenerateRequest, now time.Time) []router.Candidate {
+	var loaded []folder.Replica
+	d.Keeper.View(func(s *folder.State) {
+		for _, id := range s.ReplicaIDs(req.GetModel()) {
+			r, _ := s.Replica(id)
+			if r.IsUsable() && (req.GetAdapter() == "" || r.Adapters[req.GetAdapter()] == folder.PhaseLoaded) {
+				loaded = append(loaded, r)
+			}
+		}
+	})
+	var out []router.Candidate
+	for _, r := range loaded {
+		v, ok := d.Monitor.View(r.Upstream)
+		if !ok || !v.IsUsable(now) || v.Report.GetIncarnation() != r.UpstreamIncarnation {
+			continue
+		}
+		out = append(out, router.Candidate{
+			Upstream: r.Upstream, Replica: r.ID, Address: v.Config.GetAddress(),
+			Load: v.Load(), Slots: int(v.Report.GetSlots()),
+		})
+	}
+	return out
+}
+
+// services returns the upstreams of a plain service.
+func (d *Dispatcher) services(name string, now time.Time) []router.Candidate {
+	var out []router.Candidate
+	for up, v := range d.Monitor.Views() {
+		if v.Config.GetService() == name && v.IsUsable(now) {
+			out = append(out, router.Candidate{
+				Upstream: up, Address: v.Config.GetAddress(), Load: v.Load(), Slots: int(v.Report.GetSlots()),
+			})
+		}
+	}
+	return out
+}
