--- a/internal/attempter/attempter.go
+++ b/internal/attempter/attempter.go
@@ -91,7 +91,11 @@
 	if stream.Err() == nil {
 		return 0, verdict.Doubt(verdict.ReasonIncompleteReply, 0, "stream ended without an end mark")
 	}
-	return 0, judge(stream.Err(), req.GetAttempt(), connected.Load())
+	r := judge(stream.Err(), req.GetAttempt(), connected.Load())
+	if next > req.GetFromToken() {
+		r = r.After(verdict.MayHaveRun) // it ran: tokens came
+	}
+	return 0, r
 }
 
 // Call calls a plain service once.
--- a/pkg/verdict/verdict.go
+++ b/pkg/verdict/verdict.go
@@ -80,6 +80,15 @@
 	return r
 }
 
+// After returns the refusal of a request whose earlier attempts ended with
+// ran: it did not run only if no attempt did.
+func (r Refusal) After(ran Ran) Refusal {
+	if ran == MayHaveRun {
+		r.Ran = MayHaveRun
+	}
+	return r
+}
+
 // Of returns the refusal in err. An error that is no refusal may have run.
 func Of(err error) Refusal {
 	var r Refusal
