dispatcher, monitor, quarantiner: resume, bound and judge attempts by their outcomes

Cause: an attempt that broke off put its upstream out of use until the next report and began the answer's retry without a budget; a refusal after a broken attempt could say not-run; a request that crashes its upstream was retried four times; an upstream that refuses as leaving was tried again while its report lagged; a holder planned no new replica while the old one stood on an upstream that had left.

Ruled out: condemning by key (callers send again with a new one); running all suspects together again (TestOnlyThePoisonIsCondemnedNegative: innocent requests are condemned); leaving it to the report alone (TestLeavingUpstream with a report 60 s late: no answer within 60 s before peers told each other who leaves).

During a log outage suspicion is shared late: not yet proved.

--- a/internal/attempter/attempter.go
+++ b/internal/attempter/attempter.go
@@ -23,8 +23,39 @@
 	"github.com/primrosedrift/primrosedrift/pkg/verdict"
 )
 
+// Kind says how an attempt ended that was not answered.
+type Kind uint8
+
+// Kinds of failures.
+const (
+	// KindBroken means that the connection broke off, or the upstream failed.
+	KindBroken Kind = iota
+	// KindUnreachable means that no connection was had.
+	KindUnreachable
+	// KindRefused means that the upstream refused and did not run the attempt.
+	KindRefused
+	// KindLeaving means that it refused since it leaves.
+	KindLeaving
+	// KindIncomplete means that the answer was not whole or not this attempt's.
+	KindIncomplete
+	// KindCaller means that the caller went away.
+	KindCaller
+)
+
+// Failure is the end of an attempt that was not answered. It is an error that
+// wraps its verdict.
+type Failure struct {
+	verdict.Refusal
+	Kind Kind
+}
+
+// Unwrap returns the verdict.
+func (f Failure) Unwrap() error { return f.Refusal }
+
 // Headers of an upstream's error replies.
 const (
+	// HeaderLeaving says "true" if the upstream takes no new work any more.
+	HeaderLeaving = "Primrosedrift-Leaving"
 	// HeaderAttempt echoes the attempt that the error is about.
 	HeaderAttempt = "Primrosedrift-Attempt"
 	// HeaderRan says "not-run" if the upstream did not run the attempt.
@@ -45,15 +76,24 @@
 }
 
 // judge returns the verdict on an attempt that ended with err.
-func judge(err error, attempt string, connected bool) verdict.Refusal {
+func judge(err error, attempt string, connected bool) Failure {
 	if !connected {
-		return verdict.Refuse(verdict.ReasonUpstreamFailed, 0, "no connection: %v", err)
+		return Failure{verdict.Refuse(verdict.ReasonUpstreamFailed, 0, "no connection: %v", err), KindUnreachable}
 	}
 	var ce *connect.Error
-	if errors.As(err, &ce) && connect.IsWireError(err) && ce.Meta().Get(HeaderAttempt) == attempt && ce.Meta().Get(HeaderRan) == "not-run" {
-		return verdict.Refuse(verdict.ReasonUpstreamFailed, 0, "upstream refused: %v", err)
+	if !errors.As(err, &ce) || !connect.IsWireError(err) || ce.Meta().Get(HeaderAttempt) != attempt || ce.Meta().Get(HeaderRan) != "not-run" {
+		return Failure{verdict.Doubt(verdict.ReasonUpstreamFailed, 0, "attempt broke off: %v", err), KindBroken}
+	}
+	f := Failure{verdict.Refuse(verdict.ReasonUpstreamFailed, 0, "upstream refused: %v", err), KindRefused}
+	if ce.Meta().Get(HeaderLeaving) == "true" {
+		f.Kind = KindLeaving
 	}
-	return verdict.Doubt(verdict.ReasonUpstreamFailed, 0, "attempt broke off: %v", err)
+	return f
+}
+
+// incomplete returns the failure of an answer that is not whole.
+func incomplete(format string, args ...any) Failure {
+	return Failure{verdict.Doubt(verdict.ReasonIncompleteReply, 0, format, args...), KindIncomplete}
 }
 
 // Generate streams an answer and calls emit for every token, in order and from
@@ -75,27 +115,27 @@
 		m := stream.Msg()
 		switch {
 		case m.GetAttempt() != req.GetAttempt():
-			return 0, verdict.Doubt(verdict.ReasonIncompleteReply, 0, "message of another attempt")
+			return 0, incomplete("message of another attempt")
 		case m.GetEnd() && m.GetCount() != next:
-			return 0, verdict.Doubt(verdict.ReasonIncompleteReply, 0, "end mark counts %d tokens, %d came", m.GetCount(), next)
+			return 0, incomplete("end mark counts %d tokens, %d came", m.GetCount(), next)
 		case m.GetEnd():
 			return next, nil
 		case m.GetIndex() != next:
-			return 0, verdict.Doubt(verdict.ReasonIncompleteReply, 0, "token %d came, %d was next", m.GetIndex(), next)
+			return 0, incomplete("token %d came, %d was next", m.GetIndex(), next)
 		}
 		if err := emit(next, m.GetToken()); err != nil {
-			return 0, errors.Wrap(err, "caller went away")
+			return 0, Failure{verdict.Doubt(verdict.ReasonCanceled, 0, "caller went away: %v", err), KindCaller}
 		}
 		next++
 	}
 	if stream.Err() == nil {
-		return 0, verdict.Doubt(verdict.ReasonIncompleteReply, 0, "stream ended without an end mark")
+		return 0, incomplete("stream ended without an end mark")
 	}
-	r := judge(stream.Err(), req.GetAttempt(), connected.Load())
+	f := judge(stream.Err(), req.GetAttempt(), connected.Load())
 	if next > req.GetFromToken() {
-		r = r.After(verdict.MayHaveRun) // it ran: tokens came
+		f.Refusal = f.After(verdict.MayHaveRun) // it ran: tokens came
 	}
-	return 0, r
+	return 0, f
 }
 
 // Call calls a plain service once.
@@ -108,7 +148,7 @@
 		return nil, judge(err, req.GetAttempt(), connected.Load())
 	}
 	if resp.Msg.GetAttempt() != req.GetAttempt() {
-		return nil, verdict.Doubt(verdict.ReasonIncompleteReply, 0, "answer of another attempt")
+		return nil, incomplete("answer of another attempt")
 	}
 	return resp.Msg.GetBody(), nil
 }
--- a/internal/controller/gather.go
+++ b/internal/controller/gather.go
@@ -93,8 +93,8 @@
 	}
 	for _, id := range s.ReplicaIDs(name) {
 		r, _ := s.Replica(id)
-		if c.submitted[id] {
-			continue
+		if c.submitted[id] || views[r.Upstream].IsStranded(now) {
+			continue // what cannot serve does not count as a replica
 		}
 		m.Replicas = append(m.Replicas, placer.Replica{
 			ID: id, Upstream: r.Upstream, Phase: r.Phase, Busy: isBusy(views[r.Upstream], id),
--- a/internal/dispatcher/call.go
+++ b/internal/dispatcher/call.go
@@ -5,8 +5,10 @@
 	"slices"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/oklog/ulid/v2"
 
+	"github.com/primrosedrift/primrosedrift/internal/attempter"
 	"github.com/primrosedrift/primrosedrift/internal/folder"
 	"github.com/primrosedrift/primrosedrift/internal/recorder"
 	"github.com/primrosedrift/primrosedrift/internal/router"
@@ -53,34 +55,48 @@
 
 func (d *Dispatcher) callRepeatable(ctx context.Context, req *callerv1.CallRequest, until time.Time) (Answer, error) {
 	tried := make(map[string]bool)
-	var last verdict.Refusal
-	for range maxTries {
+	last := verdict.Refusal{Ran: verdict.NotRun}
+	d.Retries.First()
+	for try := range maxTries {
+		if try > 0 && !d.Retries.Retry() {
+			break
+		}
 		c, err := d.await(ctx, until, tried, func(now time.Time) []router.Candidate { return d.services(req.GetService(), now) })
 		if err != nil {
-			if len(tried) > 0 {
-				return Answer{}, last
-			}
-			return Answer{}, err
+			return Answer{}, verdict.Of(err).After(last.Ran)
 		}
 		body, err := d.attemptCall(ctx, c, req)
 		if err == nil {
 			return Answer{Body: body}, nil
 		}
-		last = verdict.Of(err)
+		last = verdict.Of(err).After(last.Ran)
 		if ctx.Err() != nil {
+			last.Reason = verdict.ReasonDeadline
 			break
 		}
 		tried[c.Upstream] = true
-		d.Monitor.Fail(c.Upstream)
 	}
 	return Answer{}, last.WithComeBack(comeBackSoon)
 }
 
 func (d *Dispatcher) attemptCall(ctx context.Context, c router.Candidate, req *callerv1.CallRequest) ([]byte, error) {
 	defer d.Monitor.Begin(c.Upstream)()
-	return d.Attempter.Call(ctx, c.Address, &upstreamv1.CallRequest{
+	began := time.Now()
+	body, err := d.Attempter.Call(ctx, c.Address, &upstreamv1.CallRequest{
 		Method: req.GetMethod(), Body: req.GetBody(), Key: req.GetKey(),
 	})
+	var f attempter.Failure
+	switch {
+	case err == nil:
+		d.Monitor.Succeed(c.Upstream, time.Since(began))
+	case errors.As(err, &f) && f.Kind == attempter.KindUnreachable:
+		d.Monitor.Unreachable(c.Upstream)
+	case errors.As(err, &f) && f.Kind == attempter.KindLeaving:
+		d.Monitor.Refused(c.Upstream)
+	case errors.As(err, &f) && f.Kind != attempter.KindRefused && ctx.Err() == nil:
+		d.Monitor.Fail(c.Upstream, began)
+	}
+	return body, err
 }
 
 // callOnce sends a request that may not be repeated at most once.
--- a/internal/dispatcher/candidates.go
+++ b/internal/dispatcher/candidates.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/primrosedrift/primrosedrift/internal/folder"
+	"github.com/primrosedrift/primrosedrift/internal/monitor"
 	"github.com/primrosedrift/primrosedrift/internal/router"
 	callerv1 "github.com/primrosedrift/primrosedrift/pkg/api/caller/v1"
 )
@@ -26,8 +27,8 @@
 			continue
 		}
 		out = append(out, router.Candidate{
-			Upstream: r.Upstream, Replica: r.ID, Address: v.Config.GetAddress(),
-			Load: v.Load(), Slots: int(v.Report.GetSlots()),
+			Upstream: r.Upstream, Incarnation: r.UpstreamIncarnation, Replica: r.ID, Address: v.Config.GetAddress(),
+			Load: v.Load(), Slots: int(v.Report.GetSlots()), Latency: v.Latency, Distance: d.distance(v),
 		})
 	}
 	return out
@@ -39,9 +40,20 @@
 	for up, v := range d.Monitor.Views() {
 		if v.Config.GetService() == name && v.IsUsable(now) {
 			out = append(out, router.Candidate{
-				Upstream: up, Address: v.Config.GetAddress(), Load: v.Load(), Slots: int(v.Report.GetSlots()),
+				Upstream: up, Incarnation: v.Report.GetIncarnation(), Address: v.Config.GetAddress(),
+				Load: v.Load(), Slots: int(v.Report.GetSlots()), Latency: v.Latency, Distance: d.distance(v),
 			})
 		}
 	}
 	return out
 }
+
+// otherDataCentre is the round trip to an upstream in another data centre.
+const otherDataCentre = 2 * time.Millisecond
+
+func (d *Dispatcher) distance(v monitor.View) time.Duration {
+	if v.Config.GetDataCentre() == d.DataCentre {
+		return 0
+	}
+	return otherDataCentre
+}
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -16,7 +16,9 @@
 	"github.com/primrosedrift/primrosedrift/internal/folder"
 	"github.com/primrosedrift/primrosedrift/internal/keeper"
 	"github.com/primrosedrift/primrosedrift/internal/monitor"
+	"github.com/primrosedrift/primrosedrift/internal/quarantiner"
 	"github.com/primrosedrift/primrosedrift/internal/recorder"
+	"github.com/primrosedrift/primrosedrift/internal/retrier"
 	"github.com/primrosedrift/primrosedrift/internal/tallier"
 	callerv1 "github.com/primrosedrift/primrosedrift/pkg/api/caller/v1"
 	recordv1 "github.com/primrosedrift/primrosedrift/pkg/api/record/v1"
@@ -25,22 +27,24 @@
 
 // Bounds of the dispatcher.
 const (
-	maxTries       = 4
-	defaultWait    = 2 * time.Second
-	comeBackSoon   = 500 * time.Millisecond
-	comeBackLater  = 2 * time.Second
-	attemptTimeout = 60 * time.Second
+	maxTries      = 4
+	defaultWait   = 2 * time.Second
+	comeBackSoon  = 500 * time.Millisecond
+	comeBackLater = 2 * time.Second
 )
 
 // Dispatcher dispatches requests. Its fields must be set before use.
 type Dispatcher struct {
 	Instance    string
 	Incarnation string
+	DataCentre  string
 	Keeper      *keeper.Keeper
 	Recorder    *recorder.Recorder
 	Monitor     *monitor.Monitor
 	Tallier     *tallier.Tallier
 	Attempter   *attempter.Attempter
+	Retries     *retrier.Budget
+	Quarantiner *quarantiner.Quarantiner
 	Log         *zap.Logger
 	// CanAgree reports whether the log answers, so that something can be agreed.
 	CanAgree func() bool
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -25,7 +25,9 @@
 	"github.com/primrosedrift/primrosedrift/internal/keeper"
 	"github.com/primrosedrift/primrosedrift/internal/monitor"
 	"github.com/primrosedrift/primrosedrift/internal/orderer"
+	"github.com/primrosedrift/primrosedrift/internal/quarantiner"
 	"github.com/primrosedrift/primrosedrift/internal/recorder"
+	"github.com/primrosedrift/primrosedrift/internal/retrier"
 	"github.com/primrosedrift/primrosedrift/internal/settings"
 	"github.com/primrosedrift/primrosedrift/internal/tailer"
 	"github.com/primrosedrift/primrosedrift/internal/tallier"
@@ -71,8 +73,9 @@
 	e.wirePlatform(client)
 	e.wireControl(client)
 	e.dispatcher = &dispatcher.Dispatcher{
-		Instance: s.Instance, Incarnation: e.Incarnation, Keeper: &e.keeper, Recorder: e.recorder,
-		Monitor: e.monitor, Tallier: e.tallier, Attempter: &attempter.Attempter{HTTP: client},
+		Instance: s.Instance, Incarnation: e.Incarnation, DataCentre: s.DataCentre,
+		Keeper: &e.keeper, Recorder: e.recorder, Monitor: e.monitor, Tallier: e.tallier,
+		Attempter: &attempter.Attempter{HTTP: client}, Retries: &retrier.Budget{}, Quarantiner: &quarantiner.Quarantiner{},
 		Log: log.Named("dispatcher"), CanAgree: e.canAgree,
 	}
 	e.recorder.Abandoned = e.dispatcher.Voided
@@ -103,8 +106,9 @@
 			Name: e.Settings.Instance, Incarnation: e.Incarnation, DataCentre: e.Settings.DataCentre,
 			Address: e.Settings.Listen.Peer, CallerAddress: e.Settings.Listen.Caller,
 		},
-		List: platformv1connect.NewInstanceListQueriesClient(client, e.Settings.Platform.InstanceList),
-		HTTP: client,
+		List:     platformv1connect.NewInstanceListQueriesClient(client, e.Settings.Platform.InstanceList),
+		HTTP:     client,
+		OnStatus: func(st *peerv1.StatusResponse) { e.monitor.PeerSays(st.GetLeavingUpstreams()) },
 		OnChange: func(ms []watcher.Member) {
 			watchLog.Info("membership changed", zap.Int("members", len(ms)))
 			e.controller.Wake()
@@ -114,7 +118,7 @@
 
 // wireControl makes the parts that plan and order.
 func (e *Entry) wireControl(client *http.Client) {
-	e.monitor = &monitor.Monitor{HTTP: client, Upstreams: e.upstreams}
+	e.monitor = &monitor.Monitor{HTTP: client, Upstreams: e.upstreams, Listed: e.watcher.Upstream}
 	e.tallier = &tallier.Tallier{
 		Instance: e.Settings.Instance, Holder: tallier.HolderOf(e.keeper.View),
 		Send: e.sendWant, OnWant: func() { e.controller.Wake() },
--- a/internal/entry/peer.go
+++ b/internal/entry/peer.go
@@ -45,6 +45,7 @@
 	return &peerv1.StatusResponse{
 		Instance: q.e.Settings.Instance, Incarnation: q.e.Incarnation, Leaving: q.e.watcher.IsLeaving(),
 		NextOffset: q.e.keeper.Next(), CallerAddress: q.e.Settings.Listen.Caller,
+		LeavingUpstreams: q.e.monitor.Leaving(),
 	}, nil
 }
 
--- a/internal/monitor/monitor.go
+++ b/internal/monitor/monitor.go
@@ -2,19 +2,31 @@
 // knows of them beyond the reports.
 //
 // Reports lag. The load of an upstream is its last report plus what this
-// instance has sent since. An upstream is out of use as soon as anything says
-// so: the list, its own report, or a refused connection; it is in use again
-// only by its own word.
+// instance has sent since.
+//
+// The rules:
+//
+//   - An upstream is out of use as soon as anything says so: the list, its own
+//     report, its refusal of an attempt, or a refused connection.
+//   - It is in use again only by its own word: a report that was asked for
+//     after the failure, or a newer incarnation.
+//   - One that reports itself well and fails its attempts is kept back by a
+//     breaker, whatever it reports.
 package monitor
 
 import (
 	"context"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
 	"connectrpc.com/connect"
+	"github.com/cockroachdb/errors"
 
+	"github.com/primrosedrift/primrosedrift/internal/breaker"
+	"github.com/primrosedrift/primrosedrift/internal/prefixer"
+	platformv1 "github.com/primrosedrift/primrosedrift/pkg/api/platform/v1"
 	recordv1 "github.com/primrosedrift/primrosedrift/pkg/api/record/v1"
 	upstreamv1 "github.com/primrosedrift/primrosedrift/pkg/api/upstream/v1"
 	"github.com/primrosedrift/primrosedrift/pkg/api/upstream/v1/upstreamv1connect"
@@ -25,6 +37,8 @@
 	DefaultInterval = 200 * time.Millisecond
 	// DefaultStaleAfter is the age at which a report says nothing any more.
 	DefaultStaleAfter = 2 * time.Second
+	probeTimeout      = 500 * time.Millisecond
+	strandedAfter     = time.Second
 )
 
 // View is an upstream as this instance sees it. Reports are never changed in place.
@@ -32,8 +46,17 @@
 	Config *recordv1.Upstream
 	Report *upstreamv1.ReportResponse // nil before the first
 	Heard  time.Time
-	// Failed is when the last attempt or report failed, zero after a newer report.
+	// Failed is when the last report failed or a connection was refused, zero
+	// after a newer report.
 	Failed time.Time
+	// FailedSince is when the present run of failures began, zero for none.
+	FailedSince time.Time
+	// Left is the incarnation that the list or a refusal calls leaving.
+	Left string
+	// Breaker is what the attempts' outcomes say.
+	Breaker breaker.Breaker
+	// Latency is the smoothed time to the first byte, zero if unknown.
+	Latency time.Duration
 	// Outstanding is what this instance has sent and not heard the end of.
 	Outstanding int
 	// SentSince is what this instance has sent since the last report.
@@ -42,7 +65,28 @@
 
 // IsUsable reports whether new work may go to the upstream at the given time.
 func (v View) IsUsable(now time.Time) bool {
-	return v.Report != nil && !v.Report.GetLeaving() && v.Failed.IsZero() && now.Sub(v.Heard) < DefaultStaleAfter
+	return v.Report != nil && !v.IsLeaving() && v.Failed.IsZero() &&
+		now.Sub(v.Heard) < DefaultStaleAfter && v.Breaker.Allows(now)
+}
+
+// IsStranded reports whether the upstream is out of use for so long that what
+// is loaded there should be replaced elsewhere.
+func (v View) IsStranded(now time.Time) bool {
+	return v.IsLeaving() || !v.FailedSince.IsZero() && now.Sub(v.FailedSince) > strandedAfter
+}
+
+// withFailure returns the view after a report or a connection failed.
+func (v View) withFailure(now time.Time) View {
+	v.Failed = now
+	if v.FailedSince.IsZero() {
+		v.FailedSince = now
+	}
+	return v
+}
+
+// IsLeaving reports whether anything says that the upstream leaves.
+func (v View) IsLeaving() bool {
+	return v.Report.GetLeaving() || v.Left != "" && v.Left == v.Report.GetIncarnation()
 }
 
 // Load returns the requests that run or wait at the upstream, as far as known.
@@ -55,12 +99,15 @@
 type Monitor struct {
 	// Upstreams returns the upstreams in force.
 	Upstreams func() map[string]*recordv1.Upstream
-	HTTP      *http.Client
-	Interval  time.Duration
+	// Listed, if set, returns what the instance list says of an upstream.
+	Listed   func(name string) *platformv1.Instance
+	HTTP     *http.Client
+	Interval time.Duration
 
-	mu      sync.RWMutex
-	views   map[string]View
-	changed chan struct{}
+	mu       sync.RWMutex
+	views    map[string]View
+	prefixes map[string]*prefixer.Memory
+	changed  chan struct{}
 }
 
 // View returns the upstream with the given name.
@@ -108,9 +155,11 @@
 
 // Begin counts an attempt on an upstream. The returned function ends it.
 func (m *Monitor) Begin(name string) func() {
+	now := time.Now()
 	m.update(name, func(v View) View {
 		v.Outstanding++
 		v.SentSince++
+		v.Breaker = v.Breaker.WithAttempt(now)
 		return v
 	})
 	return func() {
@@ -121,14 +170,115 @@
 	}
 }
 
-// Fail puts an upstream out of use until its next report.
-func (m *Monitor) Fail(name string) {
+// latencyWeight is the part of a new latency in the smoothed one.
+const latencyWeight = 8
+
+// Succeed notes an attempt that was answered, and its time to the first byte.
+func (m *Monitor) Succeed(name string, firstByte time.Duration) {
+	m.update(name, func(v View) View {
+		v.Breaker = v.Breaker.WithSuccess()
+		if v.Latency == 0 {
+			v.Latency = firstByte
+		}
+		v.Latency += (firstByte - v.Latency) / latencyWeight
+		return v
+	})
+}
+
+// Fail notes an attempt that began at the given time and failed.
+func (m *Monitor) Fail(name string, began time.Time) {
+	m.update(name, func(v View) View {
+		v.Breaker = v.Breaker.WithFailure(began, time.Now())
+		return v
+	})
+}
+
+// Unreachable puts an upstream out of use until it reports again.
+func (m *Monitor) Unreachable(name string) {
 	m.update(name, func(v View) View {
-		v.Failed = time.Now()
+		return v.withFailure(time.Now())
+	})
+}
+
+// Refused notes that an upstream said that it leaves.
+func (m *Monitor) Refused(name string) {
+	m.update(name, func(v View) View {
+		v.Left = v.Report.GetIncarnation()
 		return v
 	})
 }
 
+// Leaving returns the incarnations of upstreams that are known to leave.
+func (m *Monitor) Leaving() []string {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	var out []string
+	for _, v := range m.views {
+		if v.IsLeaving() {
+			out = append(out, v.Report.GetIncarnation())
+		}
+	}
+	return out
+}
+
+// PeerSays takes over which incarnations a peer knows to leave.
+func (m *Monitor) PeerSays(leaving []string) {
+	if len(leaving) == 0 {
+		return
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for name, v := range m.views {
+		if slices.Contains(leaving, v.Report.GetIncarnation()) {
+			v.Left = v.Report.GetIncarnation()
+			m.views[name] = v
+		}
+	}
+}
+
+// Sent notes that a prompt with the prefix went to the upstream.
+func (m *Monitor) Sent(name string, prefix uint64) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.prefixLocked(name).Sent(prefix)
+}
+
+// HasPrefix reports whether the upstream likely holds the prefix.
+func (m *Monitor) HasPrefix(name string, prefix uint64) bool {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	p := m.prefixes[name]
+	return p != nil && p.Has(prefix)
+}
+
+func (m *Monitor) prefixLocked(name string) *prefixer.Memory {
+	if m.prefixes == nil {
+		m.prefixes = make(map[string]*prefixer.Memory)
+	}
+	p := m.prefixes[name]
+	if p == nil {
+		p = &prefixer.Memory{}
+		m.prefixes[name] = p
+	}
+	return p
+}
+
+// Probe asks an upstream for its report now and returns whether the given
+// incarnation still runs. An upstream that says nothing in time may run.
+func (m *Monitor) Probe(ctx context.Context, name, incarnation string) bool {
+	v, ok := m.View(name)
+	if !ok {
+		return false
+	}
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	if err := m.poll(ctx, v.Config); err != nil {
+		return errors.Is(err, context.DeadlineExceeded) || connect.CodeOf(err) == connect.CodeDeadlineExceeded
+	}
+	v, _ = m.View(name)
+	return v.Report.GetIncarnation() == incarnation
+}
+
 // Run polls until ctx ends.
 func (m *Monitor) Run(ctx context.Context) {
 	interval := m.Interval
@@ -151,7 +301,7 @@
 				continue
 			}
 			wg.Go(func() {
-				m.poll(ctx, u)
+				_ = m.poll(ctx, u) // the view notes the failure
 				busyMu.Lock()
 				delete(busy, name)
 				busyMu.Unlock()
@@ -176,6 +326,7 @@
 	for name := range m.views {
 		if ups[name] == nil {
 			delete(m.views, name)
+			delete(m.prefixes, name)
 		}
 	}
 	for name, u := range ups {
@@ -184,12 +335,31 @@
 			v = View{}
 		}
 		v.Config = u
-		m.views[name] = v
+		m.views[name] = v.withListed(m.listed(name))
 	}
 	return ups
 }
 
-func (m *Monitor) poll(ctx context.Context, u *recordv1.Upstream) {
+func (m *Monitor) listed(name string) *platformv1.Instance {
+	if m.Listed == nil {
+		return nil
+	}
+	return m.Listed(name)
+}
+
+// withListed takes over the list's word. The list lags: a newer incarnation
+// that reports itself is not bound by what the list says of an older one.
+func (v View) withListed(in *platformv1.Instance) View {
+	switch in.GetState() {
+	case platformv1.InstanceState_INSTANCE_STATE_LEAVING, platformv1.InstanceState_INSTANCE_STATE_GONE:
+		if inc := in.GetIncarnation(); inc != "" {
+			v.Left = inc
+		}
+	}
+	return v
+}
+
+func (m *Monitor) poll(ctx context.Context, u *recordv1.Upstream) error {
 	ctx, cancel := context.WithTimeout(ctx, time.Second)
 	defer cancel()
 	asked := time.Now()
@@ -197,11 +367,17 @@
 		Report(ctx, connect.NewRequest(&upstreamv1.ReportRequest{}))
 	m.update(u.GetName(), func(v View) View {
 		if err != nil {
-			v.Failed = time.Now()
-			return v
+			return v.withFailure(time.Now())
 		}
 		return withReport(v, resp.Msg, asked)
 	})
+	if err != nil {
+		return errors.Wrap(err, "report")
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.prefixLocked(u.GetName()).Observe(resp.Msg)
+	return nil
 }
 
 // withReport takes over a report that is newer than the last one. A report
@@ -214,10 +390,14 @@
 	if !same || r.GetSequence() != v.Report.GetSequence() {
 		v.SentSince = 0
 	}
+	if !same {
+		v.Breaker = breaker.Breaker{}
+		v.Latency = 0
+	}
 	v.Report = r
 	v.Heard = time.Now()
 	if asked.After(v.Failed) {
-		v.Failed = time.Time{}
+		v.Failed, v.FailedSince = time.Time{}, time.Time{}
 	}
 	return v
 }
--- /dev/null
+++ b/internal/prefixer/prefixer_test.go
@@ -0,0 +1,69 @@
+package prefixer
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	upstreamv1 "github.com/primrosedrift/primrosedrift/pkg/api/upstream/v1"
+)
+
+func report(incarnation string, events ...*upstreamv1.CacheEvent) *upstreamv1.ReportResponse {
+	return &upstreamv1.ReportResponse{Incarnation: incarnation, CacheEvents: events}
+}
+
+func event(seq, prefix uint64, dropped bool) *upstreamv1.CacheEvent {
+	return &upstreamv1.CacheEvent{Sequence: seq, Prefix: prefix, Dropped: dropped}
+}
+
+func TestObserve(t *testing.T) {
+	for _, tc := range []struct {
+		name    string
+		reports []*upstreamv1.ReportResponse
+		held    []uint64
+		gone    []uint64
+	}{
+		{"cached", []*upstreamv1.ReportResponse{report("a", event(1, 10, false))}, []uint64{10}, nil},
+		{"dropped", []*upstreamv1.ReportResponse{report("a", event(1, 10, false), event(2, 10, true))}, nil, []uint64{10}},
+		{"seen twice", []*upstreamv1.ReportResponse{
+			report("a", event(1, 10, false), event(2, 10, true)), report("a", event(1, 10, false), event(2, 10, true)),
+		}, nil, []uint64{10}},
+		{"gap forgets what was before", []*upstreamv1.ReportResponse{
+			report("a", event(1, 10, false)), report("a", event(3, 30, false)),
+		}, []uint64{30}, []uint64{10}},
+		{"new incarnation holds nothing", []*upstreamv1.ReportResponse{
+			report("a", event(1, 10, false)), report("b"),
+		}, nil, []uint64{10}},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			var m Memory
+			for _, r := range tc.reports {
+				m.Observe(r)
+			}
+			for _, p := range tc.held {
+				require.True(t, m.Has(p))
+			}
+			for _, p := range tc.gone {
+				require.False(t, m.Has(p))
+			}
+		})
+	}
+}
+
+func TestMemoryIsBounded(t *testing.T) {
+	var m Memory
+	for p := range uint64(2 * Remembered) {
+		m.Sent(p)
+	}
+	require.Equal(t, Remembered, m.Len())
+	require.True(t, m.Has(2*Remembered-1))
+}
+
+func TestOfLooksAtThePrefixOnly(t *testing.T) {
+	long := make([]byte, 2*prefixBytes)
+	other := append([]byte(nil), long...)
+	other[len(other)-1] = 'x'
+	require.Equal(t, Of("m", "a", string(long)), Of("m", "a", string(other)))
+	require.NotEqual(t, Of("m", "a", "p"), Of("m", "b", "p"))
+	require.NotEqual(t, Of("m", "ab", ""), Of("ma", "b", ""))
+}
--- /dev/null
+++ b/internal/quarantiner/quarantiner_test.go
@@ -0,0 +1,108 @@
+package quarantiner
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+var now = time.Unix(1_000_000, 0)
+
+func TestLoseNamesWhatRanThere(t *testing.T) {
+	var q Quarantiner
+	done := q.Begin("u", "1", 10, false)
+	broken := q.Begin("u", "1", 11, false)
+	q.Begin("u", "1", 12, false)
+	q.Begin("u", "2", 13, false)
+	q.Begin("v", "1", 14, false)
+	done.End(false, now)
+	broken.End(true, now)
+	require.Equal(t, []uint64{11, 12}, q.Lose("u", "1", now))
+	require.Equal(t, 1, q.Losses(11, nil, now))
+	require.Equal(t, 1, q.Losses(11, []string{"1"}, now), "the same loss counts once")
+	require.Equal(t, 2, q.Losses(11, []string{"9"}, now))
+	require.Equal(t, 0, q.Losses(11, nil, now.Add(memory+1)))
+	q.Clear(11)
+	require.Equal(t, 0, q.Losses(11, nil, now))
+}
+
+func TestOneSuspectOnAnUpstream(t *testing.T) {
+	var q Quarantiner
+	a := q.Begin("u", "1", 10, true)
+	require.NotNil(t, a)
+	require.Nil(t, q.Begin("u", "1", 11, true))
+	require.NotNil(t, q.Begin("u", "1", 12, false))
+	require.False(t, q.IsLaneFree("u"))
+	a.End(false, now)
+	require.NotNil(t, q.Begin("u", "1", 11, true))
+}
+
+// One poison request among innocent ones: with lanes it alone is condemned,
+// it costs two upstreams, and every innocent request runs to its end.
+func condemn(t *rapid.T, lanes bool) (lost int, condemned []uint64) {
+	var q Quarantiner
+	const poison = uint64(0)
+	n := rapid.IntRange(2, 12).Draw(t, "requests")
+	crash := func(upstream, incarnation string, fps []uint64) {
+		var as []*Attempt
+		for _, f := range fps {
+			as = append(as, q.Begin(upstream, incarnation, f, false))
+		}
+		lost++
+		for _, a := range as {
+			a.End(true, now)
+		}
+		q.Lose(upstream, incarnation, now)
+	}
+	var all []uint64
+	for f := range uint64(n) {
+		all = append(all, f)
+	}
+	crash("u", "u1", all)
+	if !lanes {
+		crash("v", "v1", all) // all run together again
+	} else {
+		for _, f := range rapid.Permutation(all).Draw(t, "order") {
+			a := q.Begin("v", "v1", f, true)
+			require.NotNil(t, a)
+			a.End(f == poison, now)
+			if f == poison {
+				lost++
+				q.Lose("v", "v1", now)
+				continue
+			}
+			q.Clear(f)
+		}
+	}
+	for _, f := range all {
+		if q.Losses(f, nil, now) >= 2 {
+			condemned = append(condemned, f)
+		}
+	}
+	return lost, condemned
+}
+
+func TestOnlyThePoisonIsCondemned(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		lost, condemned := condemn(t, true)
+		require.Equal(t, 2, lost)
+		require.Equal(t, []uint64{0}, condemned)
+	})
+}
+
+func TestOnlyThePoisonIsCondemnedNegative(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		_, condemned := condemn(t, false)
+		require.Greater(t, len(condemned), 1, "without lanes innocent requests are condemned")
+	})
+}
+
+func TestRunningIsBounded(t *testing.T) {
+	var q Quarantiner
+	for i := range 1000 {
+		q.Begin("u", "1", uint64(i), false).End(true, now.Add(time.Duration(i)*time.Second))
+	}
+	require.LessOrEqual(t, len(q.running[place{"u", "1"}]), int(afterglow/time.Second)+1)
+}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -29,9 +29,10 @@
 
 // Candidate is an upstream, or a replica on it, that can take the attempt.
 type Candidate struct {
-	Upstream string
-	Replica  string
-	Address  string
+	Upstream    string
+	Incarnation string // of the upstream
+	Replica     string
+	Address     string
 	// Load is what runs and waits there, Slots how much runs at once.
 	Load  int
 	Slots int
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -30,6 +30,7 @@
 // Headers of error replies, as the system's upstreams give them.
 const (
 	headerAttempt = "Primrosedrift-Attempt"
+	headerLeaving = "Primrosedrift-Leaving"
 	headerRan     = "Primrosedrift-Ran"
 )
 
@@ -126,7 +127,7 @@
 }
 
 // refuse returns an error that says that the attempt did not run.
-func refuse(code connect.Code, attempt, text string) error {
+func refuse(code connect.Code, attempt, text string) *connect.Error {
 	err := connect.NewError(code, errors.New(text))
 	err.Meta().Set(headerAttempt, attempt)
 	err.Meta().Set(headerRan, "not-run")
@@ -309,6 +310,11 @@
 
 // begin checks that the request can run and counts it.
 func (e *Engine) begin(m *upstreamv1.GenerateRequest) (func(), error) {
+	if e.Faults.Get().Leaving {
+		err := refuse(connect.CodeUnavailable, m.GetAttempt(), "leaving")
+		err.Meta().Set(headerLeaving, "true")
+		return nil, err
+	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	r := e.replicas[m.GetReplica()]
--- a/internal/watcher/watcher.go
+++ b/internal/watcher/watcher.go
@@ -61,6 +61,8 @@
 	LostAfter  time.Duration
 	// OnChange, if set, is called after a round that changed who is usable.
 	OnChange func([]Member)
+	// OnStatus, if set, hears every status of a peer.
+	OnStatus func(*peerv1.StatusResponse)
 
 	mu       sync.RWMutex
 	peers    map[string]Member
@@ -219,6 +221,9 @@
 		wg.Go(func() {
 			st, err := w.client(m).Status(ctx, &peerv1.StatusRequest{Instance: w.Self.Name})
 			w.applyStatus(m.Name, st, err)
+			if err == nil && w.OnStatus != nil {
+				w.OnStatus(st)
+			}
 		})
 	}
 	wg.Wait()
--- a/test/fleet_test.go
+++ b/test/fleet_test.go
@@ -263,3 +263,11 @@
 	require.NoError(f.t, json.NewDecoder(resp.Body).Decode(&out))
 	return out
 }
+
+func (e *entryProcess) replicas() ([]*operatorv1.ReplicaView, error) {
+	got, err := e.queries().Get(context.Background(), connect.NewRequest(&operatorv1.GetRequest{}))
+	if err != nil {
+		return nil, err
+	}
+	return got.Msg.GetReplicas(), nil
+}
