admitter, dispatcher: queue waiting requests in one table with fair shares

Cause: every waiting request looked at all candidates at every change, chose an upstream and counted itself there later. The looks grew with the square of the waiting requests, and requests that chose at the same moment took the same slot. There was no order, no bound and no refusal before the deadline.

Now one table holds what waits, and one pump turns free slots into grants that count at once. Order: deadlines within a customer and class, start-time fair queueing by slot time between customers and classes on each upstream. Ruled out: strict priority, which starves batch requests; fair clocks per target or for the whole instance, since customers meet on upstreams and use of an idle upstream must not cost a customer its share elsewhere.

--- /dev/null
+++ b/internal/admitter/admitter_test.go
@@ -0,0 +1,212 @@
+package admitter
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/primrosedrift/primrosedrift/internal/router"
+	"github.com/primrosedrift/primrosedrift/pkg/verdict"
+)
+
+// upstream is an upstream with slots, and counts how it is looked at and used.
+type upstream struct {
+	mu      sync.Mutex
+	slots   int
+	running int
+	most    int
+	looks   atomic.Int64
+	changed chan struct{}
+}
+
+func (u *upstream) change(f func()) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	f()
+	u.most = max(u.most, u.running)
+	close(u.changed)
+	u.changed = make(chan struct{})
+}
+
+func (u *upstream) source() Source {
+	return Source{
+		Candidates: func(time.Time) []router.Candidate {
+			u.looks.Add(1)
+			u.mu.Lock()
+			defer u.mu.Unlock()
+			return []router.Candidate{{Upstream: "up", Load: u.running, Slots: u.slots}}
+		},
+		Choose: func(list []router.Candidate) int {
+			if list[0].Load >= list[0].Slots {
+				return -1
+			}
+			return 0
+		},
+	}
+}
+
+func (u *upstream) admitter() *Admitter {
+	u.changed = make(chan struct{})
+	return &Admitter{
+		Begin: func(string) func() {
+			u.change(func() { u.running++ })
+			return func() { u.change(func() { u.running-- }) }
+		},
+		Changed: func() (state, load <-chan struct{}) {
+			u.mu.Lock()
+			defer u.mu.Unlock()
+			return nil, u.changed
+		},
+	}
+}
+
+// TestOneVerdictEach sends many requests at once: each gets one verdict, at its
+// deadline at the latest, slots are never overcommitted, and the work for all
+// of them grows with their number, not with its square.
+func TestOneVerdictEach(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		u := &upstream{slots: 4}
+		a := u.admitter()
+		looks := u.burst(t, a.Admit)
+		require.Equal(t, 4, u.most)
+		require.Zero(t, a.Waiting())
+		require.False(t, a.pumping)
+		require.LessOrEqual(t, looks, 6)
+	})
+}
+
+// TestOneVerdictEachNegative shows what the pump is for. If every waiting
+// request looks at its candidates at every change, the looks of each grow with
+// the number of those who wait.
+func TestOneVerdictEachNegative(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		u := &upstream{slots: 4}
+		a := u.admitter()
+		require.Greater(t, u.burst(t, a.pollAll), 6)
+	})
+}
+
+// pollAll is the baseline in which every request waits for itself.
+func (a *Admitter) pollAll(_ context.Context, req Request, src Source) (Grant, error) {
+	timer := time.NewTimer(time.Until(req.Deadline))
+	defer timer.Stop()
+	for {
+		_, load := a.Changed()
+		a.mu.Lock()
+		list := src.Candidates(time.Now())
+		if i := src.Choose(list); i >= 0 {
+			end := a.Begin(list[i].Upstream)
+			a.mu.Unlock()
+			return Grant{Candidate: list[i], done: sync.OnceFunc(end)}, nil
+		}
+		a.mu.Unlock()
+		select {
+		case <-timer.C:
+			return Grant{}, verdict.Refuse(verdict.ReasonDeadline, time.Second, "no room")
+		case <-load:
+		}
+	}
+}
+
+// burst sends 1000 requests at once, checks their verdicts and returns how
+// often the candidates were looked at for each.
+func (u *upstream) burst(t *testing.T, admit func(context.Context, Request, Source) (Grant, error)) int {
+	const n = 1000
+	var served, refused atomic.Int64
+	var wg sync.WaitGroup
+	for i := range n {
+		wg.Go(func() {
+			deadline := time.Now().Add(time.Duration(1+i%700) * time.Millisecond)
+			g, err := admit(t.Context(), Request{ID: fmt.Sprint(i), Customer: "a", Target: "x", Deadline: deadline}, u.source())
+			require.False(t, time.Now().After(deadline), "the verdict came late")
+			if err != nil {
+				r := verdict.Of(err)
+				require.Equal(t, verdict.NotRun, r.Ran)
+				require.Positive(t, r.ComeBack)
+				refused.Add(1)
+				return
+			}
+			time.Sleep(2 * time.Millisecond)
+			g.Done()
+			g.Done()
+			served.Add(1)
+		})
+	}
+	wg.Wait()
+	synctest.Wait()
+	require.EqualValues(t, n, served.Load()+refused.Load())
+	require.GreaterOrEqual(t, served.Load(), int64(n/2))
+	require.Zero(t, u.running)
+	looks := int(u.looks.Load() / n)
+	t.Logf("%d served, %d refused, at most %d at once, %d looks each", served.Load(), refused.Load(), u.most, looks)
+	return looks
+}
+
+// TestExpiryIsExact checks that a request that nobody can serve is refused at
+// its deadline and not later.
+func TestExpiryIsExact(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		u := &upstream{}
+		a := u.admitter()
+		start := time.Now()
+		_, err := a.Admit(t.Context(), Request{ID: "1", Customer: "a", Target: "x", Deadline: start.Add(1234 * time.Microsecond)}, u.source())
+		require.Equal(t, verdict.ReasonDeadline, verdict.Of(err).Reason)
+		require.Equal(t, 1234*time.Microsecond, time.Since(start))
+	})
+}
+
+// TestCallerGoesAway checks that a request whose caller is gone holds no place.
+func TestCallerGoesAway(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		u := &upstream{}
+		a := u.admitter()
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan error, 1)
+		go func() {
+			_, err := a.Admit(ctx, Request{ID: "1", Customer: "a", Target: "x", Deadline: time.Now().Add(time.Hour)}, u.source())
+			done <- err
+		}()
+		synctest.Wait()
+		require.Equal(t, 1, a.Waiting())
+		cancel()
+		require.Equal(t, verdict.ReasonCanceled, verdict.Of(<-done).Reason)
+		require.Zero(t, a.Waiting())
+	})
+}
+
+// TestNewcomerWaits checks that a new request does not take a freed slot that
+// a waiting request should get.
+func TestNewcomerWaits(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		u := &upstream{slots: 1}
+		a := u.admitter()
+		admit := func(id string, slack time.Duration) Grant {
+			g, err := a.Admit(t.Context(), Request{ID: id, Customer: "a", Target: "x", Deadline: time.Now().Add(slack)}, u.source())
+			require.NoError(t, err)
+			return g
+		}
+		first := admit("first", time.Second)
+		var order []string
+		var wg sync.WaitGroup
+		wg.Go(func() {
+			g := admit("waiting", time.Second)
+			order = append(order, "waiting")
+			g.Done()
+		})
+		synctest.Wait()
+		first.Done()
+		wg.Go(func() {
+			g := admit("newcomer", 2*time.Second)
+			order = append(order, "newcomer")
+			g.Done()
+		})
+		wg.Wait()
+		require.Equal(t, []string{"waiting", "newcomer"}, order)
+	})
+}
--- a/internal/dispatcher/call.go
+++ b/internal/dispatcher/call.go
@@ -7,6 +7,7 @@
 
 	"github.com/oklog/ulid/v2"
 
+	"github.com/primrosedrift/primrosedrift/internal/admitter"
 	"github.com/primrosedrift/primrosedrift/internal/folder"
 	"github.com/primrosedrift/primrosedrift/internal/recorder"
 	"github.com/primrosedrift/primrosedrift/internal/router"
@@ -45,17 +46,21 @@
 	until := deadline(time.Now(), req.GetDeadlineMs(), contract.GetWaitingTimeMs())
 	ctx, cancel := context.WithDeadline(ctx, until)
 	defer cancel()
+	adm := admitter.Request{
+		ID: req.GetRequestId(), Customer: req.GetCustomer(), Class: contract.GetClass(), Weight: contract.GetWeight(),
+		Target: "service " + req.GetService(), Deadline: until,
+	}
 	if slices.Contains(contract.GetNeverTwice(), req.GetMethod()) {
-		return d.callOnce(ctx, req, until)
+		return d.callOnce(ctx, req, adm)
 	}
-	return d.callRepeatable(ctx, req, until)
+	return d.callRepeatable(ctx, req, adm)
 }
 
-func (d *Dispatcher) callRepeatable(ctx context.Context, req *callerv1.CallRequest, until time.Time) (Answer, error) {
+func (d *Dispatcher) callRepeatable(ctx context.Context, req *callerv1.CallRequest, adm admitter.Request) (Answer, error) {
 	tried := make(map[string]bool)
 	var last verdict.Refusal
 	for range maxTries {
-		c, err := d.await(ctx, until, tried, func(now time.Time) []router.Candidate { return d.services(req.GetService(), now) })
+		c, err := d.await(ctx, adm, tried, func(now time.Time) []router.Candidate { return d.services(req.GetService(), now) })
 		if err != nil {
 			if len(tried) > 0 {
 				return Answer{}, last
@@ -76,15 +81,15 @@
 	return Answer{}, last.WithComeBack(comeBackSoon)
 }
 
-func (d *Dispatcher) attemptCall(ctx context.Context, c router.Candidate, req *callerv1.CallRequest) ([]byte, error) {
-	defer d.Monitor.Begin(c.Upstream)()
+func (d *Dispatcher) attemptCall(ctx context.Context, c admitter.Grant, req *callerv1.CallRequest) ([]byte, error) {
+	defer c.Done()
 	return d.Attempter.Call(ctx, c.Address, &upstreamv1.CallRequest{
 		Method: req.GetMethod(), Body: req.GetBody(), Key: req.GetKey(),
 	})
 }
 
 // callOnce sends a request that may not be repeated at most once.
-func (d *Dispatcher) callOnce(ctx context.Context, req *callerv1.CallRequest, until time.Time) (Answer, error) {
+func (d *Dispatcher) callOnce(ctx context.Context, req *callerv1.CallRequest, adm admitter.Request) (Answer, error) {
 	if err := checkKey(req.GetKey(), time.Now()); err != nil {
 		return Answer{}, err
 	}
@@ -95,10 +100,11 @@
 	if !d.CanAgree() {
 		return Answer{}, verdict.Refuse(verdict.ReasonLogDown, comeBackLater, "the log does not answer")
 	}
-	c, err := d.await(ctx, until, nil, func(now time.Time) []router.Candidate { return d.services(req.GetService(), now) })
+	c, err := d.await(ctx, adm, nil, func(now time.Time) []router.Candidate { return d.services(req.GetService(), now) })
 	if err != nil {
 		return Answer{}, err
 	}
+	defer c.Done()
 	rec := &recordv1.Record{Id: recorder.NewID(), Kind: &recordv1.Record_Intent{Intent: &recordv1.Intent{
 		Customer: k.Customer, Key: k.Key, Instance: d.Instance, Incarnation: d.Incarnation,
 		Upstream: c.Upstream, Method: req.GetMethod(),
@@ -120,7 +126,7 @@
 }
 
 // sendOnce sends after the intent won, and logs the outcome.
-func (d *Dispatcher) sendOnce(ctx context.Context, c router.Candidate, req *callerv1.CallRequest, k folder.IntentKey, intent string) (Answer, error) {
+func (d *Dispatcher) sendOnce(ctx context.Context, c admitter.Grant, req *callerv1.CallRequest, k folder.IntentKey, intent string) (Answer, error) {
 	body, err := d.attemptCall(ctx, c, req)
 	o := &recordv1.Outcome{Customer: k.Customer, Key: k.Key, IntentId: intent}
 	switch r := verdict.Of(err); {
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -8,10 +8,12 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"go.uber.org/zap"
 
+	"github.com/primrosedrift/primrosedrift/internal/admitter"
 	"github.com/primrosedrift/primrosedrift/internal/attempter"
 	"github.com/primrosedrift/primrosedrift/internal/folder"
 	"github.com/primrosedrift/primrosedrift/internal/keeper"
@@ -44,6 +46,10 @@
 	Log         *zap.Logger
 	// CanAgree reports whether the log answers, so that something can be agreed.
 	CanAgree func() bool
+	// Admitter queues the requests that wait for an upstream.
+	Admitter admitter.Admitter
+
+	admit sync.Once
 }
 
 // deadline returns when the request must have its first byte or its refusal.
@@ -84,5 +90,9 @@
 	until := deadline(time.Now(), req.GetDeadlineMs(), contract.GetWaitingTimeMs())
 	ticket := d.Tallier.Wait(tallier.Target{Model: req.GetModel(), Adapter: req.GetAdapter()}, class, until)
 	defer ticket.Done()
-	return d.generate(ctx, req, class, until, ticket, emit)
+	adm := admitter.Request{
+		ID: req.GetRequestId(), Customer: req.GetCustomer(), Class: class, Weight: contract.GetWeight(),
+		Target: req.GetModel() + "/" + req.GetAdapter(), Deadline: until,
+	}
+	return d.generate(ctx, req, adm, ticket, emit)
 }
--- a/internal/dispatcher/generate.go
+++ b/internal/dispatcher/generate.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/primrosedrift/primrosedrift/internal/admitter"
 	"github.com/primrosedrift/primrosedrift/internal/router"
 	"github.com/primrosedrift/primrosedrift/internal/tallier"
 	callerv1 "github.com/primrosedrift/primrosedrift/pkg/api/caller/v1"
@@ -12,12 +13,12 @@
 	"github.com/primrosedrift/primrosedrift/pkg/verdict"
 )
 
-func (d *Dispatcher) generate(ctx context.Context, req *callerv1.GenerateRequest, class recordv1.RequestClass, until time.Time, ticket *tallier.Ticket, emit func(uint32, string) error) (uint32, error) {
+func (d *Dispatcher) generate(ctx context.Context, req *callerv1.GenerateRequest, adm admitter.Request, ticket *tallier.Ticket, emit func(uint32, string) error) (uint32, error) {
 	next := uint32(0)
 	tried := make(map[string]bool)
 	var last verdict.Refusal
 	for range maxTries {
-		c, err := d.await(ctx, until, tried, func(now time.Time) []router.Candidate { return d.replicas(req, now) })
+		c, err := d.await(ctx, adm, tried, func(now time.Time) []router.Candidate { return d.replicas(req, now) })
 		if err != nil {
 			if len(tried) > 0 {
 				return 0, last
@@ -25,7 +26,7 @@
 			return 0, err
 		}
 		ticket.Run()
-		n, err := d.attemptGenerate(ctx, c, req, class, next, func(i uint32, tok string) error {
+		n, err := d.attemptGenerate(ctx, c, req, adm.Class, next, func(i uint32, tok string) error {
 			next = i + 1
 			return emit(i, tok)
 		})
@@ -42,10 +43,10 @@
 	return 0, last.WithComeBack(comeBackSoon)
 }
 
-func (d *Dispatcher) attemptGenerate(ctx context.Context, c router.Candidate, req *callerv1.GenerateRequest, class recordv1.RequestClass, from uint32, emit func(uint32, string) error) (uint32, error) {
+func (d *Dispatcher) attemptGenerate(ctx context.Context, c admitter.Grant, req *callerv1.GenerateRequest, class recordv1.RequestClass, from uint32, emit func(uint32, string) error) (uint32, error) {
 	ctx, cancel := context.WithTimeout(ctx, attemptTimeout)
 	defer cancel()
-	defer d.Monitor.Begin(c.Upstream)()
+	defer c.Done()
 	return d.Attempter.Generate(ctx, c.Address, &upstreamv1.GenerateRequest{
 		Model: req.GetModel(), Adapter: req.GetAdapter(), Replica: c.Replica, Prompt: req.GetPrompt(),
 		MaxTokens: req.GetMaxTokens(), Priority: uint32(class), FromToken: from,
--- a/internal/dispatcher/wait.go
+++ b/internal/dispatcher/wait.go
@@ -5,27 +5,25 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/primrosedrift/primrosedrift/internal/admitter"
 	"github.com/primrosedrift/primrosedrift/internal/router"
-	"github.com/primrosedrift/primrosedrift/pkg/verdict"
 )
 
-// await waits until a candidate has room.
-func (d *Dispatcher) await(ctx context.Context, until time.Time, tried map[string]bool, cands func(time.Time) []router.Candidate) (router.Candidate, error) {
-	timer := time.NewTimer(time.Until(until))
-	defer timer.Stop()
-	for {
-		state, load := d.Keeper.Changed(), d.Monitor.Changed()
-		list := cands(time.Now())
-		if i := router.Choose(list, tried, rand.New(rand.NewPCG(rand.Uint64(), 0))); i >= 0 {
-			return list[i], nil
-		}
-		select {
-		case <-ctx.Done():
-			return router.Candidate{}, verdict.Refuse(verdict.ReasonCanceled, 0, "caller went away")
-		case <-timer.C:
-			return router.Candidate{}, verdict.Refuse(verdict.ReasonDeadline, comeBackLater, "no upstream had room in time")
-		case <-state:
-		case <-load:
-		}
+// await waits until a candidate has room for the request. The grant's Done
+// must be called.
+func (d *Dispatcher) await(ctx context.Context, req admitter.Request, tried map[string]bool, cands func(time.Time) []router.Candidate) (admitter.Grant, error) {
+	d.admit.Do(d.initAdmitter)
+	return d.Admitter.Admit(ctx, req, admitter.Source{
+		Candidates: cands,
+		Choose: func(list []router.Candidate) int {
+			return router.Choose(list, tried, rand.New(rand.NewPCG(rand.Uint64(), 0)))
+		},
+	})
+}
+
+func (d *Dispatcher) initAdmitter() {
+	d.Admitter.Begin = d.Monitor.Begin
+	d.Admitter.Changed = func() (state, load <-chan struct{}) {
+		return d.Keeper.Changed(), d.Monitor.Changed()
 	}
 }
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -75,6 +75,7 @@
 		Monitor: e.monitor, Tallier: e.tallier, Attempter: &attempter.Attempter{HTTP: client},
 		Log: log.Named("dispatcher"), CanAgree: e.canAgree,
 	}
+	e.dispatcher.Admitter.Table.MaxWaiting = s.Limits.QueuedRequests
 	e.recorder.Abandoned = e.dispatcher.Voided
 	e.explainer = &explainer.Explainer{}
 	e.keeper.Subscribe(e.recorder.OnEvents)
