--- a/cmd/primrosedrift/operate.go
+++ b/cmd/primrosedrift/operate.go
@@ -25,8 +25,10 @@
 	return &cli.StringFlag{Name: "output", Usage: "text or json", Value: "text"}
 }
 
+const operatorScheme = "http://"
+
 func operatorURL(c *cli.Command) string {
-	return "http://" + c.String("entry")
+	return operatorScheme + c.String("entry")
 }
 
 func publishCommand() *cli.Command {
--- /dev/null
+++ b/internal/loader/plot.go
@@ -0,0 +1,71 @@
+package loader
+
+import (
+	"io"
+	"math"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/cockroachdb/errors"
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/plotutil"
+	"gonum.org/v1/plot/vg"
+	"gonum.org/v1/plot/vg/draw"
+	"gonum.org/v1/plot/vg/vgsvg"
+)
+
+// Size of the plot.
+const (
+	plotWidth  = 20 * vg.Centimeter
+	plotHeight = 12 * vg.Centimeter
+)
+
+// maxNines is the highest quantile drawn: 4 stands for 99.99%.
+const maxNines = 4
+
+// WriteSVG draws the time to the first token of every target by quantile.
+func (r Report) WriteSVG(w io.Writer) error {
+	p := plot.New()
+	p.Title.Text = "time to the first token"
+	p.X.Label.Text = "quantile in nines (1 = 90%, 2 = 99%, 3 = 99.9%)"
+	p.Y.Label.Text = "milliseconds"
+	p.Y.Scale, p.Y.Tick.Marker = plot.LogScale{}, plot.LogTicks{Prec: -1}
+	p.Legend.Top, p.Legend.Left = true, true
+	parts := append([]Part(nil), r.Targets...)
+	if r.Direct != nil {
+		parts = append(parts, *r.Direct)
+	}
+	for i, part := range parts {
+		points := quantiles(part.first)
+		if len(points) == 0 {
+			continue
+		}
+		line, err := plotter.NewLine(points)
+		if err != nil {
+			return errors.Wrap(err, "plot")
+		}
+		line.Color = plotutil.Color(i)
+		line.Dashes = plotutil.Dashes(i)
+		p.Add(line)
+		p.Legend.Add(part.Name, line)
+	}
+	c := vgsvg.New(plotWidth, plotHeight)
+	p.Draw(draw.New(c))
+	_, err := c.WriteTo(w)
+	return errors.Wrap(err, "write plot")
+}
+
+// quantiles returns a histogram as points, up to the quantile that its count supports.
+func quantiles(h *hdrhistogram.Histogram) plotter.XYs {
+	if h == nil || h.TotalCount() == 0 {
+		return nil
+	}
+	const step = 0.05
+	most := min(maxNines, math.Log10(float64(h.TotalCount())))
+	var out plotter.XYs
+	for nines := 0.0; nines <= most; nines += step {
+		q := 100 * (1 - math.Pow(10, -nines))
+		out = append(out, plotter.XY{X: nines, Y: float64(max(h.ValueAtQuantile(q), lowestMicroseconds)) / 1000})
+	}
+	return out
+}
