internal/tallier: ask for holders without the lock

At 2,000 requests/s an entry instance stopped answering after half a second: the controller viewed the state and took the tally, while the tally viewed the state under its own lock, and a writer waiting for the state closed the circle. The holders are now asked before the lock is taken.

--- a/internal/tallier/tallier.go
+++ b/internal/tallier/tallier.go
@@ -266,15 +266,10 @@
 	own := false
 	byHolder := make(map[string]*peerv1.WantRequest)
 	now := time.Now()
+	holders := t.holders(all)
 	t.mu.Lock()
-	for target, l := range t.local {
-		if l.sent && (!all || l.waiting+l.running == 0) {
-			continue
-		}
-		holder := t.Holder(target.Model)
-		if holder == "" {
-			continue
-		}
+	for target, holder := range holders {
+		l := t.localLocked(target)
 		l.sent = true
 		if holder == t.Instance {
 			own = true
@@ -303,6 +298,28 @@
 	}
 }
 
+// holders returns the holder of every target that has something to send. It
+// asks without the lock, since those who view the state take the tally.
+func (t *Tallier) holders(all bool) map[Target]string {
+	t.mu.Lock()
+	due := make(map[Target]string)
+	for target, l := range t.local {
+		if !l.sent || all && l.waiting+l.running > 0 {
+			due[target] = ""
+		}
+	}
+	t.mu.Unlock()
+	for target := range due {
+		holder := t.Holder(target.Model)
+		if holder == "" {
+			delete(due, target)
+			continue
+		}
+		due[target] = holder
+	}
+	return due
+}
+
 // unsend makes the next round send the demands again.
 func (t *Tallier) unsend(req *peerv1.WantRequest) {
 	t.mu.Lock()
