--- a/internal/entry/listen.go
+++ b/internal/entry/listen.go
@@ -6,6 +6,7 @@
 	"net/http/pprof"
 	"time"
 
+	"connectrpc.com/connect"
 	"github.com/cockroachdb/errors"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 	"go.uber.org/zap"
@@ -17,11 +18,16 @@
 
 const readHeaderTimeout = 10 * time.Second
 
+// compressMinBytes is the size from which replies to callers are compressed.
+const compressMinBytes = 1024
+
 // listen starts the servers. Each kind of client has an address of its own.
 func (e *Entry) listen() ([]*http.Server, error) {
+	// Compressing tokens of a few bytes costs more than it saves.
+	small := connect.WithCompressMinBytes(compressMinBytes)
 	callers := http.NewServeMux()
-	callers.Handle(callerv1connect.NewCallerCommandsHandler(&callerCommands{e}))
-	callers.Handle(callerv1connect.NewCallerQueriesHandler(&callerQueries{e}))
+	callers.Handle(callerv1connect.NewCallerCommandsHandler(&callerCommands{e}, small))
+	callers.Handle(callerv1connect.NewCallerQueriesHandler(&callerQueries{e}, small))
 	operators := http.NewServeMux()
 	operators.Handle(operatorv1connect.NewOperatorCommandsHandler(&operatorCommands{e}))
 	operators.Handle(operatorv1connect.NewOperatorQueriesHandler(&operatorQueries{e}))
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -120,8 +120,8 @@
 func (e *Engine) Handler() http.Handler {
 	e.init()
 	mux := http.NewServeMux()
-	mux.Handle(upstreamv1connect.NewEngineCommandsHandler(e))
-	mux.Handle(upstreamv1connect.NewEngineQueriesHandler(e))
+	mux.Handle(upstreamv1connect.NewEngineCommandsHandler(e, connect.WithCompressMinBytes(1024)))
+	mux.Handle(upstreamv1connect.NewEngineQueriesHandler(e, connect.WithCompressMinBytes(1024)))
 	return e.Faults.Wrap(mux, func(path string) bool { return strings.HasSuffix(path, "/Order") })
 }
 
--- a/internal/standin/service/service.go
+++ b/internal/standin/service/service.go
@@ -57,8 +57,8 @@
 func (s *Service) Handler() http.Handler {
 	s.init()
 	mux := http.NewServeMux()
-	mux.Handle(upstreamv1connect.NewServiceCommandsHandler(s))
-	mux.Handle(upstreamv1connect.NewEngineQueriesHandler(s))
+	mux.Handle(upstreamv1connect.NewServiceCommandsHandler(s, connect.WithCompressMinBytes(1024)))
+	mux.Handle(upstreamv1connect.NewEngineQueriesHandler(s, connect.WithCompressMinBytes(1024)))
 	mux.HandleFunc("GET /ran", func(w http.ResponseWriter, _ *http.Request) {
 		w.Header().Set("Content-Type", "application/json")
 		_ = json.NewEncoder(w).Encode(s.Ran())
