--- a/cmd/primrosedrift/operate.go
+++ b/cmd/primrosedrift/operate.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"net/http"
 	"os"
-	"time"
 
 	"connectrpc.com/connect"
 	"github.com/cockroachdb/errors"
@@ -140,48 +139,6 @@
 	return v
 }
 
-func explainCommand() *cli.Command {
-	return &cli.Command{
-		Name: "explain", ArgsUsage: "SUBJECT",
-		Usage: "say what happened to a model, replica, upstream, customer, key or request, who decided it, and why",
-		Flags: []cli.Flag{operatorFlag(), outputFlag(), &cli.IntFlag{Name: "limit", Value: 50}},
-		Action: func(ctx context.Context, c *cli.Command) error {
-			resp, err := operatorv1connect.NewOperatorQueriesClient(http.DefaultClient, operatorURL(c)).
-				Explain(ctx, connect.NewRequest(&operatorv1.ExplainRequest{Subject: c.Args().First(), Limit: uint32(c.Int("limit"))}))
-			if err != nil {
-				return errors.Wrap(err, "explain; is the entry instance up?")
-			}
-			return printExplanations(resp.Msg.GetExplanations(), c.String("output") == "json")
-		},
-	}
-}
-
-type explanationView struct {
-	Time     time.Time `json:"time"`
-	Position uint64    `json:"position"`
-	Actor    string    `json:"actor"`
-	Event    string    `json:"event"`
-	Subject  string    `json:"subject"`
-	Grounds  string    `json:"grounds"`
-	Counted  bool      `json:"counted"`
-}
-
-func printExplanations(list []*operatorv1.Explanation, asJSON bool) error {
-	views := make([]explanationView, 0, len(list))
-	for _, e := range list {
-		views = append(views, explanationView{
-			time.UnixMilli(e.GetUnixMs()).UTC(), e.GetPosition(), e.GetActor(), e.GetEvent(), e.GetSubject(), e.GetGrounds(), e.GetCounted(),
-		})
-	}
-	if asJSON {
-		return printJSON(views)
-	}
-	for _, v := range views {
-		fmt.Printf("%s at %d by %s: %s %s: %s\n", v.Time.Format(time.RFC3339), v.Position, v.Actor, v.Event, v.Subject, v.Grounds)
-	}
-	return nil
-}
-
 func printJSON(v any) error {
 	enc := json.NewEncoder(os.Stdout)
 	enc.SetIndent("", "  ")
--- a/internal/entry/caller.go
+++ b/internal/entry/caller.go
@@ -102,7 +102,7 @@
 	e.metrics.requests.WithLabelValues(kind, r.Ran.String(), string(r.Reason)).Inc()
 	e.Log.Named("caller").Info("request refused", zap.String("request-id", requestID), zap.String("customer", customer),
 		zap.String("target", target), zap.String("reason", string(r.Reason)), zap.Stringer("ran", r.Ran))
-	e.explainer.Add(&operatorv1.Explanation{
+	e.explainer.AddEnd(&operatorv1.Explanation{
 		Actor: e.Settings.Instance, Event: "refused " + r.Ran.String(), Subject: requestID,
 		Grounds: string(r.Reason) + ": " + r.Detail, Counted: true,
 	}, requestID, customer, target)
@@ -111,7 +111,7 @@
 
 func (e *Entry) answered(kind, requestID, customer, target string) {
 	e.metrics.requests.WithLabelValues(kind, "answered", "").Inc()
-	e.explainer.Add(&operatorv1.Explanation{
+	e.explainer.AddEnd(&operatorv1.Explanation{
 		Actor: e.Settings.Instance, Event: "answered", Subject: requestID, Grounds: target, Counted: true,
 	}, requestID, customer, target)
 }
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -58,6 +58,7 @@
 	controller *controller.Controller
 	dispatcher *dispatcher.Dispatcher
 	explainer  *explainer.Explainer
+	membership explainer.Membership
 	metrics    *metrics
 }
 
@@ -77,6 +78,7 @@
 	}
 	e.recorder.Abandoned = e.dispatcher.Voided
 	e.explainer = &explainer.Explainer{}
+	e.membership = explainer.Membership{Explainer: e.explainer, Instance: s.Instance}
 	e.keeper.Subscribe(e.recorder.OnEvents)
 	e.keeper.Subscribe(e.explainer.OnEvents)
 	return e
@@ -107,6 +109,7 @@
 		HTTP: client,
 		OnChange: func(ms []watcher.Member) {
 			watchLog.Info("membership changed", zap.Int("members", len(ms)))
+			e.membership.Update(explainedMembers(ms))
 			e.controller.Wake()
 		},
 	}
--- a/internal/entry/operator.go
+++ b/internal/entry/operator.go
@@ -7,8 +7,10 @@
 	"connectrpc.com/connect"
 	"github.com/cockroachdb/errors"
 
+	"github.com/primrosedrift/primrosedrift/internal/explainer"
 	"github.com/primrosedrift/primrosedrift/internal/folder"
 	"github.com/primrosedrift/primrosedrift/internal/recorder"
+	"github.com/primrosedrift/primrosedrift/internal/watcher"
 	operatorv1 "github.com/primrosedrift/primrosedrift/pkg/api/operator/v1"
 	recordv1 "github.com/primrosedrift/primrosedrift/pkg/api/record/v1"
 )
@@ -90,3 +92,15 @@
 		Explanations: q.e.explainer.Explain(req.Msg.GetSubject(), int(req.Msg.GetLimit())),
 	}), nil
 }
+
+// explainedMembers returns what the explainer remembers of the members.
+func explainedMembers(members []watcher.Member) []explainer.Member {
+	out := make([]explainer.Member, 0, len(members))
+	for _, m := range members {
+		out = append(out, explainer.Member{
+			Name: m.Name, Incarnation: m.Incarnation, Addresses: []string{m.Address, m.CallerAddress},
+			Usable: m.IsUsable(), Leaving: m.Leaving,
+		})
+	}
+	return out
+}
--- a/internal/explainer/explainer.go
+++ b/internal/explainer/explainer.go
@@ -6,10 +6,13 @@
 package explainer
 
 import (
+	"cmp"
 	"slices"
 	"sync"
 	"time"
 
+	lru "github.com/hashicorp/golang-lru/v2"
+
 	"github.com/primrosedrift/primrosedrift/internal/folder"
 	operatorv1 "github.com/primrosedrift/primrosedrift/pkg/api/operator/v1"
 	recordv1 "github.com/primrosedrift/primrosedrift/pkg/api/record/v1"
@@ -18,13 +21,103 @@
 // DefaultCapacity is how many events an Explainer remembers.
 const DefaultCapacity = 20_000
 
+// DefaultLimit is how many events of each kind Explain returns at most.
+const DefaultLimit = 50
+
 // Explainer remembers events. Its zero value is ready to use.
 type Explainer struct {
+	// Capacity is how many events of each of the two kinds are remembered.
 	Capacity int
 
-	mu   sync.Mutex
-	ring []entry
-	next int
+	mu sync.Mutex
+	// decided holds what the log and the membership say, ended how requests
+	// ended. They are apart so that many requests do not crowd out decisions.
+	decided, ended ring
+	// instances holds the instance of an incarnation, models the model of a replica.
+	instances, models names
+}
+
+// names holds the newest names that something is known by.
+type names struct {
+	*lru.Cache[string, string]
+}
+
+func (n *names) put(key, name string) {
+	if key == "" || name == "" {
+		return
+	}
+	if n.Cache == nil {
+		n.Cache, _ = lru.New[string, string](maxNames) // fails only at a size below 1
+	}
+	n.Add(key, name)
+}
+
+func (n *names) get(key string) string {
+	if n.Cache == nil {
+		return ""
+	}
+	name, _ := n.Get(key)
+	return name
+}
+
+// ring holds the newest events.
+type ring struct {
+	events []entry
+	next   int
+}
+
+func (r *ring) add(v entry, limit int) {
+	if len(r.events) < limit {
+		r.events = append(r.events, v)
+		return
+	}
+	r.events[r.next] = v
+	r.next = (r.next + 1) % limit
+}
+
+// about returns the newest events about the subject, newest first.
+func (r *ring) about(subject string, limit int) []*operatorv1.Explanation {
+	var out []*operatorv1.Explanation
+	for i := len(r.events) - 1; i >= 0 && len(out) < limit; i-- {
+		v := r.events[(r.next+i)%len(r.events)]
+		if subject == "" || slices.Contains(v.subjects, subject) {
+			out = append(out, v.e)
+		}
+	}
+	return out
+}
+
+// maxNames bounds the names that are remembered of each kind.
+const maxNames = 4096
+
+// name remembers the instance of an incarnation.
+func (x *Explainer) name(incarnation, instance string) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.instances.put(incarnation, instance)
+}
+
+// learn remembers the names that a record tells.
+func (x *Explainer) learn(r *recordv1.Record) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.instances.put(r.GetClaim().GetIncarnation(), r.GetClaim().GetInstance())
+	x.instances.put(r.GetIntent().GetIncarnation(), r.GetIntent().GetInstance())
+	x.models.put(r.GetDecision().GetReplica(), r.GetDecision().GetModel())
+}
+
+// actor returns the instance of a writer, or the writer if that is unknown.
+func (x *Explainer) actor(writer string) string {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return cmp.Or(x.instances.get(writer), writer)
+}
+
+// model returns the model of an observed replica, "" if that is unknown.
+func (x *Explainer) model(r *recordv1.Record) string {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return x.models.get(r.GetObservation().GetReplica())
 }
 
 type entry struct {
@@ -32,49 +125,52 @@
 	e        *operatorv1.Explanation
 }
 
-// Add remembers an event under its subjects.
+// Add remembers an event of the log or the membership under its subjects.
 func (x *Explainer) Add(e *operatorv1.Explanation, subjects ...string) {
+	x.addTo(&x.decided, e, subjects)
+}
+
+// AddEnd remembers how a request ended under its subjects.
+func (x *Explainer) AddEnd(e *operatorv1.Explanation, subjects ...string) {
+	x.addTo(&x.ended, e, subjects)
+}
+
+func (x *Explainer) addTo(r *ring, e *operatorv1.Explanation, subjects []string) {
 	e.UnixMs = time.Now().UnixMilli()
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	limit := x.Capacity
-	if limit == 0 {
-		limit = DefaultCapacity
-	}
-	if len(x.ring) < limit {
-		x.ring = append(x.ring, entry{subjects, e})
-		return
-	}
-	x.ring[x.next] = entry{subjects, e}
-	x.next = (x.next + 1) % limit
+	r.add(entry{subjects, e}, cmp.Or(x.Capacity, DefaultCapacity))
 }
 
-// Explain returns the newest events about the subject, oldest first.
+// Explain returns the newest events about the subject, oldest first: at most
+// limit decisions and at most limit ends of requests.
 func (x *Explainer) Explain(subject string, limit int) []*operatorv1.Explanation {
 	if limit <= 0 {
-		limit = 50
+		limit = DefaultLimit
 	}
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	var out []*operatorv1.Explanation
-	for i := len(x.ring) - 1; i >= 0 && len(out) < limit; i-- {
-		v := x.ring[(x.next+i)%len(x.ring)]
-		if subject == "" || slices.Contains(v.subjects, subject) {
-			out = append(out, v.e)
-		}
-	}
+	out := x.decided.about(subject, limit)
 	slices.Reverse(out)
+	ended := x.ended.about(subject, limit)
+	slices.Reverse(ended)
+	out = append(out, ended...)
+	slices.SortStableFunc(out, func(a, b *operatorv1.Explanation) int { return cmp.Compare(a.GetUnixMs(), b.GetUnixMs()) })
 	return out
 }
 
 // OnEvents remembers the events of a batch.
 func (x *Explainer) OnEvents(events []folder.Event) {
 	for _, e := range events {
-		v := &operatorv1.Explanation{Position: uint64(e.Position), Actor: e.Writer, Counted: e.Counted}
+		x.learn(e.Record)
+		v := &operatorv1.Explanation{Position: uint64(e.Position), Actor: x.actor(e.Writer), Counted: e.Counted}
 		subjects := describe(v, e.Record)
 		if len(subjects) == 0 {
 			continue
 		}
+		if m := x.model(e.Record); m != "" {
+			subjects = append(subjects, m)
+		}
 		if !e.Counted {
 			v.Grounds += " (does not count: " + e.Why + ")"
 		}
--- /dev/null
+++ b/internal/explainer/members.go
@@ -0,0 +1,69 @@
+package explainer
+
+import (
+	"slices"
+
+	operatorv1 "github.com/primrosedrift/primrosedrift/pkg/api/operator/v1"
+)
+
+// Member is what a Membership needs to know of an entry instance.
+type Member struct {
+	Name        string
+	Incarnation string
+	// Addresses are the addresses under which callers and peers know it.
+	Addresses []string
+	Usable    bool
+	Leaving   bool
+}
+
+// Membership remembers in an Explainer how the membership changed. One
+// goroutine may use it.
+type Membership struct {
+	Explainer *Explainer
+	// Instance is the instance that saw the changes.
+	Instance string
+
+	last map[string]Member
+}
+
+// Update compares the members with those of the last update.
+func (m *Membership) Update(members []Member) {
+	now := make(map[string]Member, len(members))
+	for _, v := range members {
+		now[v.Name] = v
+		m.Explainer.name(v.Incarnation, v.Name)
+		if event, grounds := change(m.last[v.Name], v); event != "" {
+			m.add(v, event, grounds)
+		}
+	}
+	for name, v := range m.last {
+		if _, ok := now[name]; !ok && v.Usable {
+			m.add(v, "gone", groundsLost)
+		}
+	}
+	m.last = now
+}
+
+const groundsLost = "it does not answer: a request that it had at that moment was cut, so its verdict is may-have-run, " +
+	"unless an answer had come before; what was agreed for a key stands in the log and is found under the key"
+
+func change(was, is Member) (event, grounds string) {
+	switch {
+	case was.Incarnation != "" && was.Incarnation != is.Incarnation:
+		return "restarted", "it answers with a new incarnation; its earlier one ended and holds nothing"
+	case is.Usable && !was.Usable:
+		return "in use", "it answers and is not leaving"
+	case was.Usable && is.Leaving:
+		return "leaving", "planned stop: it gets no new callers and finishes what it has"
+	case was.Usable && !is.Usable:
+		return "lost", groundsLost
+	}
+	return "", ""
+}
+
+func (m *Membership) add(v Member, event, grounds string) {
+	subjects := append([]string{v.Name, v.Incarnation, "members"}, v.Addresses...)
+	m.Explainer.Add(&operatorv1.Explanation{
+		Actor: m.Instance, Event: event, Subject: v.Name, Grounds: grounds, Counted: true,
+	}, slices.Clip(subjects)...)
+}
--- a/pkg/caller/caller.go
+++ b/pkg/caller/caller.go
@@ -115,6 +115,7 @@
 			return nil
 		}
 		last = judge(err, connected.Load())
+		last.Detail += " (through " + a + ")"
 		if last.Ran != verdict.NotRun || !isLocal(last.Reason) || ctx.Err() != nil {
 			return last
 		}
