--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -60,6 +60,7 @@
 	controller *controller.Controller
 	dispatcher *dispatcher.Dispatcher
 	explainer  *explainer.Explainer
+	membership explainer.Membership
 	metrics    *metrics
 }
 
@@ -81,6 +82,7 @@
 	e.dispatcher.Admitter.Table.MaxWaiting = s.Limits.QueuedRequests
 	e.recorder.Abandoned = e.dispatcher.Voided
 	e.explainer = &explainer.Explainer{}
+	e.membership = explainer.Membership{Explainer: e.explainer, Instance: s.Instance}
 	e.keeper.Subscribe(e.recorder.OnEvents)
 	e.keeper.Subscribe(e.explainer.OnEvents)
 	return e
@@ -112,6 +114,7 @@
 		OnStatus: func(st *peerv1.StatusResponse) { e.monitor.PeerSays(st.GetLeavingUpstreams()) },
 		OnChange: func(ms []watcher.Member) {
 			watchLog.Info("membership changed", zap.Int("members", len(ms)))
+			e.membership.Update(explainedMembers(ms))
 			e.controller.Wake()
 		},
 	}
