watcher: keep list outages and one-way cuts from looking like lost peers

A list that hung used up the time of the round, so that every peer looked lost and each instance would have claimed all shards. Each half of a round has its own time-out now.

A peer that asks for this instance's status is alive, also if its own answers do not arrive; the question carries the asker's incarnation for that. The list's word that an instance leaves was undone by the instance's next answer; it stands now until that run ends. Ended incarnations are remembered up to a bound.

--- a/internal/entry/peer.go
+++ b/internal/entry/peer.go
@@ -41,7 +41,8 @@
 type peerQueries struct{ e *Entry }
 
 // Status says how this instance is.
-func (q *peerQueries) Status(context.Context, *peerv1.StatusRequest) (*peerv1.StatusResponse, error) {
+func (q *peerQueries) Status(_ context.Context, req *peerv1.StatusRequest) (*peerv1.StatusResponse, error) {
+	q.e.watcher.Asked(req.GetInstance(), req.GetIncarnation())
 	return &peerv1.StatusResponse{
 		Instance: q.e.Settings.Instance, Incarnation: q.e.Incarnation, Leaving: q.e.watcher.IsLeaving(),
 		NextOffset: q.e.keeper.Next(), CallerAddress: q.e.Settings.Listen.Caller,
--- a/internal/watcher/watcher.go
+++ b/internal/watcher/watcher.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"connectrpc.com/connect"
+	lru "github.com/hashicorp/golang-lru/v2"
 
 	peerv1 "github.com/primrosedrift/primrosedrift/pkg/api/peer/v1"
 	platformv1 "github.com/primrosedrift/primrosedrift/pkg/api/platform/v1"
@@ -36,14 +37,22 @@
 	CallerAddress string
 	DataCentre    string
 	Incarnation   string
-	Leaving       bool
+	// Leaving says that the list or the member itself says that it leaves.
+	Leaving bool
 	// Lost says that the peer did not answer for a while.
-	Lost       bool
+	Lost bool
+	// Alive says that the peer answered or asked a short while ago. After a cut
+	// in one direction a lost peer is still alive.
+	Alive      bool
 	NextOffset uint64
 	Running    uint32
 	Queued     uint32
 
-	heard time.Time
+	heard     time.Time // its last answer
+	asked     time.Time // its last question
+	ownWord   bool      // it says itself that it leaves
+	listWord  bool      // the list says that it leaves
+	listRun   string    // incarnation that the list's word is about
 }
 
 // IsUsable reports whether new work may go to the member.
@@ -62,14 +71,35 @@
 	// OnChange, if set, is called after a round that changed who is usable.
 	OnChange func([]Member)
 
+	// Now is time.Now unless set.
+	Now func() time.Time
+
 	mu       sync.RWMutex
 	peers    map[string]Member
-	gone     map[string]bool // incarnations that the list names as ended
-	listed   time.Time
+	gone     *lru.Cache[string, struct{}] // incarnations that the list names as ended
+	rounds   int                         // rounds that ended after the list had been read
+	listed   bool
 	upstream map[string]*platformv1.Instance
 	leaving  bool
 }
 
+// maxGone bounds the ended incarnations that are remembered.
+const maxGone = 16384
+
+func (w *Watcher) now() time.Time {
+	if w.Now != nil {
+		return w.Now()
+	}
+	return time.Now()
+}
+
+// IsKnown reports whether the list was read and its members were asked once.
+func (w *Watcher) IsKnown() bool {
+	w.mu.RLock()
+	defer w.mu.RUnlock()
+	return w.rounds > 0
+}
+
 // SetLeaving makes this instance say that it leaves.
 func (w *Watcher) SetLeaving() {
 	w.mu.Lock()
@@ -90,9 +120,12 @@
 	defer w.mu.RUnlock()
 	self := w.Self
 	self.Leaving = w.leaving
+	self.Alive = true
 	out := make([]Member, 0, len(w.peers)+1)
 	out = append(out, self)
 	for _, p := range w.peers {
+		p.Leaving = p.ownWord || p.listWord
+		p.Alive = w.isAliveLocked(p)
 		out = append(out, p)
 	}
 	slices.SortFunc(out, func(a, b Member) int { return cmp.Compare(a.Name, b.Name) })
@@ -113,7 +146,33 @@
 func (w *Watcher) IsGone(incarnation string) bool {
 	w.mu.RLock()
 	defer w.mu.RUnlock()
-	return w.gone[incarnation]
+	return w.gone != nil && w.gone.Contains(incarnation)
+}
+
+func (w *Watcher) isAliveLocked(p Member) bool {
+	last := p.heard
+	if p.asked.After(last) {
+		last = p.asked
+	}
+	return !last.IsZero() && w.now().Sub(last) <= w.lostAfter()
+}
+
+func (w *Watcher) lostAfter() time.Duration {
+	return cmp.Or(w.LostAfter, DefaultLostAfter)
+}
+
+// Asked notes that a peer asked for this instance's status. A peer that asks is
+// alive, also if its own answers do not arrive.
+func (w *Watcher) Asked(name, incarnation string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	p, ok := w.peers[name]
+	if !ok || incarnation == "" || p.Incarnation != "" && p.Incarnation != incarnation {
+		return
+	}
+	p.Incarnation = incarnation
+	p.asked = w.now()
+	w.peers[name] = p
 }
 
 // Upstream returns what the list last said of an upstream, nil for nothing.
@@ -141,17 +200,28 @@
 	}
 }
 
+// round reads the list and asks the peers, each with its own time-out: a list
+// that hangs makes no peer look lost.
 func (w *Watcher) round(ctx context.Context, interval time.Duration) {
 	before := w.usable()
-	rctx, cancel := context.WithTimeout(ctx, 2*interval)
-	defer cancel()
-	w.readList(rctx)
-	w.askPeers(rctx)
+	w.bounded(ctx, 2*interval, w.readList)
+	w.bounded(ctx, 2*interval, w.askPeers)
+	w.mu.Lock()
+	if w.listed {
+		w.rounds++
+	}
+	w.mu.Unlock()
 	if after := w.Members(); w.OnChange != nil && !slices.Equal(before, w.usable()) {
 		w.OnChange(after)
 	}
 }
 
+func (w *Watcher) bounded(ctx context.Context, d time.Duration, f func(context.Context)) {
+	ctx, cancel := context.WithTimeout(ctx, d)
+	defer cancel()
+	f(ctx)
+}
+
 func (w *Watcher) usable() []string {
 	var out []string
 	for _, m := range w.Members() {
@@ -168,15 +238,19 @@
 	if err != nil {
 		return
 	}
+	w.takeList(resp.Msg.GetInstances())
+}
+
+func (w *Watcher) takeList(list []*platformv1.Instance) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.listed = time.Now()
+	w.listed = true
 	if w.peers == nil {
 		w.peers = make(map[string]Member)
-		w.gone = make(map[string]bool)
+		w.gone, _ = lru.New[string, struct{}](maxGone) // fails for a size below 1 only
 	}
 	w.upstream = make(map[string]*platformv1.Instance)
-	for _, in := range resp.Msg.GetInstances() {
+	for _, in := range list {
 		if in.GetRole() != platformv1.InstanceRole_INSTANCE_ROLE_ENTRY {
 			w.upstream[in.GetName()] = in
 			continue
@@ -188,7 +262,7 @@
 func (w *Watcher) applyListed(in *platformv1.Instance) {
 	if in.GetState() == platformv1.InstanceState_INSTANCE_STATE_GONE {
 		if in.GetIncarnation() != "" && in.GetIncarnation() != w.Self.Incarnation {
-			w.gone[in.GetIncarnation()] = true
+			w.gone.Add(in.GetIncarnation(), struct{}{})
 		}
 		if p, ok := w.peers[in.GetName()]; ok && p.Incarnation == in.GetIncarnation() {
 			delete(w.peers, in.GetName())
@@ -205,7 +279,11 @@
 			Incarnation: in.GetIncarnation(), Lost: true, // until it answers
 		}
 	}
-	p.Leaving = p.Leaving || in.GetState() == platformv1.InstanceState_INSTANCE_STATE_LEAVING
+	p.listWord = in.GetState() == platformv1.InstanceState_INSTANCE_STATE_LEAVING
+	p.listRun = cmp.Or(in.GetIncarnation(), p.Incarnation)
+	if p.listRun != p.Incarnation && !p.heard.IsZero() {
+		p.listWord = false // the list lags: it speaks of another run
+	}
 	w.peers[in.GetName()] = p
 }
 
@@ -217,7 +295,7 @@
 			continue
 		}
 		wg.Go(func() {
-			st, err := w.client(m).Status(ctx, &peerv1.StatusRequest{Instance: w.Self.Name})
+			st, err := w.client(m).Status(ctx, &peerv1.StatusRequest{Instance: w.Self.Name, Incarnation: w.Self.Incarnation})
 			w.applyStatus(m.Name, st, err)
 		})
 	}
@@ -246,31 +324,40 @@
 }
 
 func (w *Watcher) applyStatus(name string, st *peerv1.StatusResponse, err error) {
-	lostAfter := w.LostAfter
-	if lostAfter == 0 {
-		lostAfter = DefaultLostAfter
-	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	p, ok := w.peers[name]
 	if !ok {
 		return
 	}
-	now := time.Now()
+	now := w.now()
 	switch {
 	case err != nil:
-		p.Lost = p.Lost || now.Sub(p.heard) > lostAfter
+		p.Lost = p.Lost || now.Sub(p.heard) > w.lostAfter()
 	case st.GetInstance() != name:
 		p.Lost = true // another instance has taken over the address
 	default:
-		p.heard = now
-		p.Lost = false
-		p.Incarnation = st.GetIncarnation()
-		p.Leaving = st.GetLeaving()
-		p.NextOffset = st.GetNextOffset()
-		p.CallerAddress = st.GetCallerAddress()
-		p.Running = st.GetRunning()
-		p.Queued = st.GetQueued()
+		p = w.heardFrom(p, st, now)
 	}
 	w.peers[name] = p
 }
+
+// heardFrom returns the member after its own word. The list's word that it
+// leaves ends with the run that it is about.
+func (w *Watcher) heardFrom(p Member, st *peerv1.StatusResponse, now time.Time) Member {
+	if p.listWord && p.listRun == "" {
+		p.listRun = st.GetIncarnation()
+	}
+	if p.listRun != st.GetIncarnation() {
+		p.listWord = false
+	}
+	p.heard = now
+	p.Lost = false
+	p.Incarnation = st.GetIncarnation()
+	p.ownWord = st.GetLeaving()
+	p.NextOffset = st.GetNextOffset()
+	p.CallerAddress = st.GetCallerAddress()
+	p.Running = st.GetRunning()
+	p.Queued = st.GetQueued()
+	return p
+}
