controller, orderer: keep late orders from undoing what the log says

A load whose reply was lost may reach the engine after a confirmed unload, and left a replica that the log did not know. An unload is confirmed twice while an order of its replica is late; a refused load counts as failed only after an unload; a claim is settled or released only once no order of its shard is under way. TestLateOrderOfSameHolder, TestRefusedAfterLateOrder and TestFrozenHolder bring this about on engines that check fencing numbers and on those that do not; their Negative kin show that the checker sees the fault.

A replica whose upstream runs anew was freed by the new incarnation's report, though a repeated order may have loaded it there. It is unloaded first, and three reports are needed, since the first may be older than the decision. The process's end by the platform's word frees it at once, but for ghosts that are not settled, also on engines that check fencing: a new process knows no number.

A ghost that was not settled was unloaded over and over, with an append each time; it waits for the settlement now.

Claims: a newcomer that knows nobody yet claims nothing; a holder that is not the best member any more releases, so that Locate names the holder; a shard that is taken back and forth over a cut is taken ever more slowly. Ranks are worked out once per change of membership.

Ruled out: freeing by a fixed quiet time alone, since a frozen engine may run its buffers at any later time.

--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -4,6 +4,19 @@
 // and keeps the orders of decided changes going. It keeps no state of its own
 // that matters: after a takeover the next holder goes on from the folded state.
 //
+// The rules:
+//
+//   - A shard belongs to the best usable member, as Locate ranks them. A holder
+//     that is not the best any more releases the shard once its orders have ended.
+//   - A holder that is lost, and neither asks nor answers, is superseded after
+//     the takeover time. That time doubles each time the shard is taken back.
+//   - A superseded holder may still have orders under way until its claim is
+//     settled: by itself after its last order is spent, or by the platform's
+//     word that its process has ended. Until then what it could load again
+//     stays reserved.
+//   - A replica whose upstream runs anew is unloaded, and is gone only by the
+//     word of the process that runs there now.
+//
 // Lock order: none. The controller runs in one goroutine and reads the keeper,
 // the monitor and the watcher one after the other.
 package controller
@@ -22,6 +35,7 @@
 	"github.com/primrosedrift/primrosedrift/internal/recorder"
 	"github.com/primrosedrift/primrosedrift/internal/tallier"
 	"github.com/primrosedrift/primrosedrift/internal/watcher"
+	platformv1 "github.com/primrosedrift/primrosedrift/pkg/api/platform/v1"
 	recordv1 "github.com/primrosedrift/primrosedrift/pkg/api/record/v1"
 )
 
@@ -30,30 +44,65 @@
 	DefaultInterval = 100 * time.Millisecond
 	// DefaultTakeoverAfter is how long a holder must be lost before another claims.
 	DefaultTakeoverAfter = 3 * time.Second
-	submitTimeout        = 5 * time.Second
+	// DefaultRebalanceAfter is how long the members must stay the same before a
+	// holder gives a shard up to a better member.
+	DefaultRebalanceAfter = 3 * time.Second
+	submitTimeout         = 5 * time.Second
 )
 
+// Membership says who the entry instances and upstreams are. The watcher's
+// methods fill it.
+type Membership struct {
+	Members func() []watcher.Member
+	// IsKnown reports whether the members were learnt once.
+	IsKnown func() bool
+	// IsGone reports whether the platform names the incarnation as ended.
+	IsGone func(incarnation string) bool
+	// Upstream returns what the list says of an upstream.
+	Upstream func(name string) *platformv1.Instance
+	// IsLeaving reports whether this instance leaves.
+	IsLeaving func() bool
+}
+
+// MembershipOf returns the membership that a watcher keeps.
+func MembershipOf(w *watcher.Watcher) Membership {
+	return Membership{w.Members, w.IsKnown, w.IsGone, w.Upstream, w.IsLeaving}
+}
+
 // Controller plans. Its fields must be set before Run.
 type Controller struct {
+	Membership
 	Instance    string
 	Incarnation string
 	Keeper      *keeper.Keeper
 	Recorder    *recorder.Recorder
-	Watcher     *watcher.Watcher
 	Monitor     *monitor.Monitor
 	Tallier     *tallier.Tallier
 	Orderer     *orderer.Orderer
 	Log         *zap.Logger
 	// IsReady reports whether the state has caught up with the log.
-	IsReady       func() bool
-	KeepWarm      time.Duration
-	TakeoverAfter time.Duration
+	IsReady        func() bool
+	KeepWarm       time.Duration
+	TakeoverAfter  time.Duration
+	RebalanceAfter time.Duration
 
 	wake      chan struct{}
-	lostSince map[string]time.Time // holders out of use, by incarnation
 	submitted map[string]bool      // subjects with a record whose fate is unknown
 	results   chan string          // subjects whose record's fate is known
 	lastUsed  map[string]time.Time // by model
+
+	started   time.Time
+	alive     map[string]bool            // incarnations that answer or ask
+	lostSince map[string]time.Time       // holders out of use, by incarnation
+	ranked    []string                   // usable members, as of rankedAt
+	rankedAt  time.Time                  // when the usable members last changed
+	ranks     []string                   // best usable member by shard
+	held      map[uint32]folder.Position // own claims by shard
+	taken     map[uint32]int             // how often a shard was taken from this instance
+	releasing map[folder.Position]bool   // own claims that are being released
+
+	addresses  map[string]string   // last known address by upstream
+	mismatches map[string]mismatch // by replica
 }
 
 // Wake makes the next step run at once. It may be called before Run.
@@ -71,6 +120,10 @@
 	c.lostSince = make(map[string]time.Time)
 	c.submitted = make(map[string]bool)
 	c.lastUsed = make(map[string]time.Time)
+	c.held = make(map[uint32]folder.Position)
+	c.taken = make(map[uint32]int)
+	c.releasing = make(map[folder.Position]bool)
+	c.addresses = make(map[string]string)
 }
 
 // Run steps until ctx ends.
@@ -106,7 +159,7 @@
 }
 
 func (c *Controller) step(ctx context.Context, now time.Time) {
-	if c.Watcher.IsLeaving() {
+	if c.IsLeaving() {
 		c.releaseAll(ctx)
 		return
 	}
@@ -139,11 +192,17 @@
 	}()
 }
 
-// holds reports whether this instance is the current holder of the shard.
-func (c *Controller) holds(sh folder.Shard) bool {
+// isHolder reports whether this instance is the current holder of the shard.
+func (c *Controller) isHolder(sh folder.Shard) bool {
 	return !sh.Released && sh.Current.Claim != 0 && sh.Current.Incarnation == c.Incarnation
 }
 
+// holds reports whether this instance plans for the shard: it is the holder and
+// is not giving the shard up.
+func (c *Controller) holds(sh folder.Shard) bool {
+	return c.isHolder(sh) && !c.releasing[sh.Current.Claim]
+}
+
 func (c *Controller) plan(ctx context.Context, now time.Time) {
 	pi := c.gather(now)
 	for _, o := range pi.adapters {
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -131,7 +131,7 @@
 	}
 	e.controller = &controller.Controller{
 		Instance: e.Settings.Instance, Incarnation: e.Incarnation, Keeper: &e.keeper, Recorder: e.recorder,
-		Watcher: e.watcher, Monitor: e.monitor, Tallier: e.tallier, Orderer: e.orderer,
+		Membership: controller.MembershipOf(e.watcher), Monitor: e.monitor, Tallier: e.tallier, Orderer: e.orderer,
 		Log: e.Log.Named("controller"), IsReady: e.tailer.HasCaughtUp,
 		KeepWarm: e.Settings.Timing.KeepWarm.Duration, TakeoverAfter: e.Settings.Timing.TakeoverAfter.Duration,
 	}
--- a/internal/folder/decide.go
+++ b/internal/folder/decide.go
@@ -139,8 +139,10 @@
 			return "replica is not decided to go"
 		}
 		s.freeReplica(r, at)
-	case recordv1.ObservationKind_OBSERVATION_KIND_FAILED, recordv1.ObservationKind_OBSERVATION_KIND_UPSTREAM_GONE:
+	case recordv1.ObservationKind_OBSERVATION_KIND_FAILED:
 		s.freeReplica(r, at)
+	case recordv1.ObservationKind_OBSERVATION_KIND_UPSTREAM_GONE:
+		s.freeEnded(r, at)
 	default:
 		return "unknown observation"
 	}
@@ -172,6 +174,18 @@
 	s.removeReplica(r)
 }
 
+// freeEnded frees the memory of a replica whose upstream's process has ended.
+// The upstream's next process knows no fencing number yet, so checking them
+// does not keep late orders from it.
+func (s *State) freeEnded(r Replica, at Position) {
+	if s.shards[r.Shard].mayGetLateOrders(r.Epoch) {
+		r.Adapters = nil
+		s.setReplica(r.WithPhase(PhaseGhost, at))
+		return
+	}
+	s.removeReplica(r)
+}
+
 func (s *State) addReplica(r Replica) {
 	put(&s.replicas, r.ID, r)
 	put(&s.byModel, r.Model, append(slices.Clone(s.byModel[r.Model]), r.ID))
--- a/internal/folder/shard.go
+++ b/internal/folder/shard.go
@@ -71,3 +71,9 @@
 func (s *Shard) mayGetLateOrders(epoch Position) bool {
 	return slices.ContainsFunc(s.Unsettled, func(h Holder) bool { return h.Claim >= epoch })
 }
+
+// MayGetLateOrders reports whether a superseded holder that is not settled could
+// still send an order for the replica.
+func (s *State) MayGetLateOrders(r Replica) bool {
+	return s.shards[r.Shard].mayGetLateOrders(r.Epoch)
+}
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -7,6 +7,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"net/http"
 	"os"
 	"slices"
@@ -19,6 +20,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/oklog/ulid/v2"
 
+	"github.com/primrosedrift/primrosedrift/internal/standin/checker"
 	"github.com/primrosedrift/primrosedrift/internal/standin/faulter"
 	platformv1 "github.com/primrosedrift/primrosedrift/pkg/api/platform/v1"
 	"github.com/primrosedrift/primrosedrift/pkg/api/platform/v1/platformv1connect"
@@ -116,12 +118,27 @@
 	return out
 }
 
-// Handler serves the engine.
+// Held returns what the engine holds and did, for the checker.
+func (e *Engine) Held() checker.Held {
+	e.init()
+	replicas := e.Replicas()
+	s := e.Stats()
+	return checker.Held{
+		Incarnation: e.incarnation, MemoryBytes: e.MemoryBytes, MostBytes: s.MostBytes, Overcommitted: s.Overcommitted,
+		Loads: s.Loads, Fenced: s.Fenced, Replicas: replicas,
+	}
+}
+
+// Handler serves the engine, and GET /held for what it holds.
 func (e *Engine) Handler() http.Handler {
 	e.init()
 	mux := http.NewServeMux()
 	mux.Handle(upstreamv1connect.NewEngineCommandsHandler(e))
 	mux.Handle(upstreamv1connect.NewEngineQueriesHandler(e))
+	mux.HandleFunc("GET /held", func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "application/json")
+		_ = json.NewEncoder(w).Encode(e.Held())
+	})
 	return e.Faults.Wrap(mux, func(path string) bool { return strings.HasSuffix(path, "/Order") })
 }
 
--- a/internal/watcher/watcher.go
+++ b/internal/watcher/watcher.go
@@ -48,11 +48,11 @@
 	Running    uint32
 	Queued     uint32
 
-	heard     time.Time // its last answer
-	asked     time.Time // its last question
-	ownWord   bool      // it says itself that it leaves
-	listWord  bool      // the list says that it leaves
-	listRun   string    // incarnation that the list's word is about
+	heard    time.Time // its last answer
+	asked    time.Time // its last question
+	ownWord  bool      // it says itself that it leaves
+	listWord bool      // the list says that it leaves
+	listRun  string    // incarnation that the list's word is about
 }
 
 // IsUsable reports whether new work may go to the member.
@@ -77,7 +77,7 @@
 	mu       sync.RWMutex
 	peers    map[string]Member
 	gone     *lru.Cache[string, struct{}] // incarnations that the list names as ended
-	rounds   int                         // rounds that ended after the list had been read
+	rounds   int                          // rounds that ended after the list had been read
 	listed   bool
 	upstream map[string]*platformv1.Instance
 	leaving  bool
