dispatcher: let a resend wait for the outcome of the earlier request

A resend of a key whose first request was under way was refused in doubt, though the answer was about to be kept. It waits for the outcome now, until its deadline, and is told at once when the log stops answering or the instance that had the key has ended.

test: results are not taken from the cache after the programs changed.

--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -44,6 +44,14 @@
 	Log         *zap.Logger
 	// CanAgree reports whether the log answers, so that something can be agreed.
 	CanAgree func() bool
+	// IsGone, if set, reports whether an instance's process has ended, so that
+	// no outcome of its requests will come.
+	IsGone func(incarnation string) bool
+	// Wins reports whether an intent that was read back is the first of its
+	// key. The fold's word is taken unless set.
+	Wins func(folder.Event) bool
+
+	outcomes outcomes
 }
 
 // deadline returns when the request must have its first byte or its refusal.
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -73,11 +73,12 @@
 	e.dispatcher = &dispatcher.Dispatcher{
 		Instance: s.Instance, Incarnation: e.Incarnation, Keeper: &e.keeper, Recorder: e.recorder,
 		Monitor: e.monitor, Tallier: e.tallier, Attempter: &attempter.Attempter{HTTP: client},
-		Log: log.Named("dispatcher"), CanAgree: e.canAgree,
+		Log: log.Named("dispatcher"), CanAgree: e.canAgree, IsGone: e.watcher.IsGone,
 	}
 	e.recorder.Abandoned = e.dispatcher.Voided
 	e.explainer = &explainer.Explainer{}
 	e.keeper.Subscribe(e.recorder.OnEvents)
+	e.keeper.Subscribe(e.dispatcher.OnEvents)
 	e.keeper.Subscribe(e.explainer.OnEvents)
 	return e
 }
--- a/internal/standin/faulter/faulter.go
+++ b/internal/standin/faulter/faulter.go
@@ -21,6 +21,8 @@
 	LoseReplies int `json:"lose-replies"`
 	// LagMs is the age of what the stand-in reports.
 	LagMs int `json:"lag-ms"`
+	// TailLagMs delays what the log's readers are sent.
+	TailLagMs int `json:"tail-lag-ms"`
 	// CrashOn ends the process when a request contains this text.
 	CrashOn string `json:"crash-on"`
 	// Leaving makes an upstream report that it leaves.
--- a/internal/standin/logstore/logstore.go
+++ b/internal/standin/logstore/logstore.go
@@ -116,6 +116,9 @@
 		if err != nil {
 			return err
 		}
+		if lag := s.Faults.Get().TailLagMs; lag > 0 && len(resp.GetEntries()) > 0 {
+			time.Sleep(time.Duration(lag) * time.Millisecond)
+		}
 		if err := stream.Send(resp); err != nil {
 			return errors.Wrap(err, "send")
 		}
--- a/test/main_test.go
+++ b/test/main_test.go
@@ -3,6 +3,7 @@
 package test
 
 import (
+	"io/fs"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -23,6 +24,9 @@
 	}
 	defer func() { _ = os.RemoveAll(dir) }()
 	binDir = dir
+	if err := touchSources(); err != nil {
+		panic(err)
+	}
 	build := exec.Command("go", "build", "-race", "-o", dir+string(filepath.Separator), "../cmd/primrosedrift", "../cmd/standin")
 	build.Stderr = os.Stderr
 	if err := build.Run(); err != nil {
@@ -30,3 +34,24 @@
 	}
 	return m.Run()
 }
+
+// touchSources opens the sources of the programs, so that a result is not taken
+// from the test cache after they changed.
+func touchSources() error {
+	for _, root := range []string{"../cmd", "../internal", "../pkg"} {
+		err := filepath.WalkDir(root, func(path string, d fs.DirEntry, err error) error {
+			if err != nil || d.IsDir() {
+				return err
+			}
+			f, err := os.Open(path)
+			if err != nil {
+				return err
+			}
+			return f.Close()
+		})
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
