--- a/internal/loader/plan.go
+++ b/internal/loader/plan.go
@@ -73,20 +73,16 @@
 // ParsePlan reads and checks a plan. The error is a settings.Faults.
 func ParsePlan(file string, data []byte) (Plan, error) {
 	var p Plan
-	if faults := settings.Decode(file, data, &p); len(faults) > 0 {
-		return Plan{}, faults
-	}
-	if faults := p.check(file); len(faults) > 0 {
-		return Plan{}, faults
+	c := settings.Checker{File: file}
+	c.Decode(data, &p)
+	p.check(c.Add)
+	if err := c.Err(); err != nil {
+		return Plan{}, err
 	}
 	return p.withDefaults(), nil
 }
 
-func (p Plan) check(file string) settings.Faults {
-	var out settings.Faults
-	add := func(key, text string) {
-		out = append(out, settings.Fault{File: file, Key: key, Text: text})
-	}
+func (p Plan) check(add func(key, text string)) {
 	if len(p.Targets) == 0 {
 		add("targets", "needs at least one target")
 	}
@@ -108,7 +104,6 @@
 			add(key+".resend-share", "must be from 0 to 1")
 		}
 	}
-	return out
 }
 
 func (p Plan) withDefaults() Plan {
--- a/internal/publisher/publisher.go
+++ b/internal/publisher/publisher.go
@@ -6,7 +6,6 @@
 package publisher
 
 import (
-	"fmt"
 	"os"
 	"slices"
 	"strconv"
@@ -135,69 +134,15 @@
 // Parse reads and checks an operators' file. The error is a settings.Faults.
 func Parse(file string, data []byte) (File, error) {
 	var f File
-	if faults := settings.Decode(file, data, &f); len(faults) > 0 {
-		return File{}, faults
-	}
-	if faults := f.check(file); len(faults) > 0 {
-		return File{}, faults
+	c := settings.Checker{File: file}
+	c.Decode(data, &f)
+	f.check(c.Add)
+	if err := c.Err(); err != nil {
+		return File{}, err
 	}
 	return f, nil
 }
 
-// check returns the faults of the values.
-func (f File) check(file string) settings.Faults {
-	var out settings.Faults
-	add := func(key, format string, args ...any) {
-		out = append(out, settings.Fault{File: file, Key: key, Text: fmt.Sprintf(format, args...)})
-	}
-	customers, models, seen := make(map[string]bool), make(map[string]bool), make(map[string]bool)
-	unique := func(kind, name string) {
-		if name == "" {
-			add(kind, "needs a name")
-		}
-		if seen[kind+" "+name] {
-			add(kind+" "+name, "is there twice")
-		}
-		seen[kind+" "+name] = true
-	}
-	for _, c := range f.Contracts {
-		unique("contract", c.Customer)
-		customers[c.Customer] = true
-		if c.WaitingTime.Duration <= 0 {
-			add("contract "+c.Customer, "needs a waiting-time above zero")
-		}
-		if c.Concurrency == 0 {
-			add("contract "+c.Customer, "needs a concurrency above zero")
-		}
-	}
-	for _, m := range f.Models {
-		unique("model", m.Name)
-		models[m.Name] = true
-		if !customers[m.Customer] {
-			add("model "+m.Name, "customer %q has no contract in this file", m.Customer)
-		}
-		if m.Memory == 0 {
-			add("model "+m.Name, "needs a memory above zero")
-		}
-	}
-	for _, a := range f.Adapters {
-		unique("adapter", a.Name)
-		if !models[a.Model] {
-			add("adapter "+a.Name, "model %q is not in this file", a.Model)
-		}
-	}
-	for _, u := range f.Upstreams {
-		unique("upstream", u.Name)
-		if u.Address == "" {
-			add("upstream "+u.Name, "needs an address")
-		}
-		if u.Service == "" && u.Memory == 0 {
-			add("upstream "+u.Name, "needs a memory above zero, or a service")
-		}
-	}
-	return out
-}
-
 // Objects returns the file's objects.
 func (f File) Objects() []*recordv1.ConfigObject {
 	var out []*recordv1.ConfigObject
--- a/internal/settings/line.go
+++ b/internal/settings/line.go
@@ -2,38 +2,77 @@
 
 import (
 	"cmp"
+	"fmt"
 	"slices"
 	"strings"
+
+	"github.com/pelletier/go-toml/v2/unstable"
 )
 
-// LineOf returns the line of a dotted key in TOML text, 0 if it is not there.
-// For a missing key of a table that is there it returns the table's line.
-func LineOf(data []byte, key string) int {
-	table, leaf := "", key
-	if i := strings.LastIndexByte(key, '.'); i >= 0 {
-		table, leaf = key[:i], key[i+1:]
-	}
-	current, tableLine := "", 0
-	for i, line := range strings.Split(string(data), "\n") {
-		line = strings.TrimSpace(line)
-		if strings.HasPrefix(line, "[") {
-			current = strings.Trim(strings.SplitN(line, "#", 2)[0], "[] ")
-			if current == table {
-				tableLine = i + 1
+// Positions holds the lines of the keys of a TOML file. The keys are dotted,
+// and the entries of an array of tables are numbered: contracts[2].class.
+type Positions map[string]int
+
+// PositionsOf returns the lines of the keys up to the first syntax error.
+func PositionsOf(data []byte) Positions {
+	out := make(Positions)
+	counts := make(map[string]int)
+	table := ""
+	var p unstable.Parser
+	p.Reset(data)
+	for p.NextExpression() {
+		e := p.Expression()
+		name, line := keyOf(&p, e)
+		switch e.Kind {
+		case unstable.Table:
+			table = name
+			out[name] = line
+		case unstable.ArrayTable:
+			table = fmt.Sprintf("%s[%d]", name, counts[name])
+			counts[name]++
+			out[table] = line
+		case unstable.KeyValue:
+			if table != "" {
+				name = table + "." + name
 			}
-			continue
+			out[name] = line
+		}
+	}
+	return out
+}
+
+// keyOf returns an expression's dotted key and its line.
+func keyOf(p *unstable.Parser, e *unstable.Node) (string, int) {
+	var parts []string
+	line := 0
+	for it := e.Key(); it.Next(); {
+		n := it.Node()
+		if line == 0 {
+			line = p.Shape(n.Raw).Start.Line
+		}
+		parts = append(parts, string(n.Data))
+	}
+	return strings.Join(parts, "."), line
+}
+
+// Line returns the line of a key. For a key that is missing it returns the
+// line of the closest table around it, 0 if there is none.
+func (p Positions) Line(key string) int {
+	for {
+		if line, ok := p[key]; ok {
+			return line
 		}
-		name, _, ok := strings.Cut(line, "=")
-		if ok && current == table && strings.TrimSpace(name) == leaf {
-			return i + 1
+		i := strings.LastIndexByte(key, '.')
+		if i < 0 {
+			return 0
 		}
+		key = key[:i]
 	}
-	return tableLine
 }
 
 // SortFaults sorts faults by line and key.
 func SortFaults(f Faults) {
-	slices.SortFunc(f, func(a, b Fault) int {
+	slices.SortStableFunc(f, func(a, b Fault) int {
 		return cmp.Or(cmp.Compare(a.Line, b.Line), cmp.Compare(a.Key, b.Key))
 	})
 }
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -5,7 +5,6 @@
 package settings
 
 import (
-	"bytes"
 	"fmt"
 	"net"
 	"net/url"
@@ -14,7 +13,6 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
-	"github.com/pelletier/go-toml/v2"
 )
 
 // Settings are the settings of one entry instance.
@@ -136,45 +134,17 @@
 // Parse reads and checks settings. The error is a Faults.
 func Parse(file string, data []byte) (Settings, error) {
 	var s Settings
-	if faults := Decode(file, data, &s); len(faults) > 0 {
-		return Settings{}, faults
-	}
-	if faults := s.check(file, data); len(faults) > 0 {
-		return Settings{}, faults
+	c := Checker{File: file}
+	c.Decode(data, &s)
+	s.check(c.Add)
+	if err := c.Err(); err != nil {
+		return Settings{}, err
 	}
 	return s.withDefaults(), nil
 }
 
-// Decode reads TOML into v and returns what is wrong with it. Unknown keys are faults.
-func Decode(file string, data []byte, v any) Faults {
-	dec := toml.NewDecoder(bytes.NewReader(data))
-	dec.DisallowUnknownFields()
-	err := dec.Decode(v)
-	var strict *toml.StrictMissingError
-	var one *toml.DecodeError
-	switch {
-	case err == nil:
-		return nil
-	case errors.As(err, &strict):
-		var out Faults
-		for _, e := range strict.Errors {
-			line, _ := e.Position()
-			out = append(out, Fault{file, line, strings.Join(e.Key(), "."), "unknown key"})
-		}
-		return out
-	case errors.As(err, &one):
-		line, _ := one.Position()
-		return Faults{{file, line, strings.Join(one.Key(), "."), one.Error()}}
-	}
-	return Faults{{File: file, Key: "file", Text: err.Error()}}
-}
-
-// check returns the faults of the values.
-func (s Settings) check(file string, data []byte) Faults {
-	var out Faults
-	add := func(key, text string) {
-		out = append(out, Fault{file, LineOf(data, key), key, text})
-	}
+// check adds the faults of the values.
+func (s Settings) check(add func(key, text string)) {
 	if s.Instance == "" {
 		add("instance", "is missing; give the name that the instance list has")
 	}
@@ -213,8 +183,6 @@
 	default:
 		add("log.level", "must be debug, info, warn or error")
 	}
-	SortFaults(out)
-	return out
 }
 
 func (s Settings) withDefaults() Settings {
