--- a/internal/dispatcher/generate.go
+++ b/internal/dispatcher/generate.go
@@ -6,6 +6,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/primrosedrift/primrosedrift/internal/admitter"
 	"github.com/primrosedrift/primrosedrift/internal/attempter"
 	"github.com/primrosedrift/primrosedrift/internal/folder"
 	"github.com/primrosedrift/primrosedrift/internal/prefixer"
@@ -33,8 +34,7 @@
 type generation struct {
 	d      *Dispatcher
 	req    *callerv1.GenerateRequest
-	class  recordv1.RequestClass
-	until  time.Time // for the first byte
+	adm    admitter.Request // its deadline is that of the first byte
 	ticket *tallier.Ticket
 	emit   func(uint32, string) error
 
@@ -48,9 +48,9 @@
 	last        verdict.Refusal
 }
 
-func (d *Dispatcher) generate(ctx context.Context, req *callerv1.GenerateRequest, class recordv1.RequestClass, until time.Time, ticket *tallier.Ticket, emit func(uint32, string) error) (uint32, error) {
+func (d *Dispatcher) generate(ctx context.Context, req *callerv1.GenerateRequest, adm admitter.Request, ticket *tallier.Ticket, emit func(uint32, string) error) (uint32, error) {
 	g := &generation{
-		d: d, req: req, class: class, until: until, ticket: ticket, emit: emit,
+		d: d, req: req, adm: adm, ticket: ticket, emit: emit,
 		fingerprint: quarantiner.Fingerprint(req.GetCustomer(), req.GetModel(), req.GetAdapter(), req.GetPrompt()),
 		prefix:      prefixer.Of(req.GetModel(), req.GetAdapter(), req.GetPrompt()),
 		next:        req.GetFromToken(), tried: make(map[string]bool), ran: verdict.NotRun,
@@ -60,7 +60,7 @@
 
 // run attempts until the answer is whole, or nothing more may be tried.
 func (g *generation) run(ctx context.Context) (uint32, error) {
-	wait := time.Until(g.until)
+	wait := time.Until(g.adm.Deadline)
 	g.d.Retries.First()
 	for try := range maxTries {
 		losses := g.losses()
@@ -72,7 +72,7 @@
 			break
 		}
 		if g.began {
-			g.until = time.Now().Add(wait) // an answer that broke off has as long again to go on
+			g.adm.Deadline = time.Now().Add(wait) // an answer that broke off has as long again to go on
 		}
 		c, a, err := g.begin(ctx, losses > 0)
 		if err != nil {
@@ -107,9 +107,9 @@
 }
 
 // begin waits for a candidate. A suspect waits for one where no other suspect runs.
-func (g *generation) begin(ctx context.Context, suspect bool) (router.Candidate, *quarantiner.Attempt, error) {
+func (g *generation) begin(ctx context.Context, suspect bool) (admitter.Grant, *quarantiner.Attempt, error) {
 	for {
-		c, err := g.d.await(ctx, g.until, g.tried, func(now time.Time) []router.Candidate {
+		c, err := g.d.await(ctx, g.adm, g.tried, func(now time.Time) []router.Candidate {
 			return g.candidates(now, suspect)
 		})
 		if err != nil {
@@ -118,6 +118,7 @@
 		if a := g.d.Quarantiner.Begin(c.Upstream, c.Incarnation, g.fingerprint, suspect); a != nil {
 			return c, a, nil
 		}
+		c.Done()
 	}
 }
 
@@ -136,16 +137,16 @@
 
 // attempt makes one attempt. The first one may use half of the time that is
 // left for the first byte, so that another can follow.
-func (g *generation) attempt(ctx context.Context, c router.Candidate, try int) (uint32, error) {
+func (g *generation) attempt(ctx context.Context, c admitter.Grant, try int) (uint32, error) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	silence := time.Until(g.until)
+	silence := time.Until(g.adm.Deadline)
 	if try == 0 {
 		silence /= 2
 	}
 	watchdog := time.AfterFunc(silence, func() { cancel(errSilent) })
 	defer watchdog.Stop()
-	defer g.d.Monitor.Begin(c.Upstream)()
+	defer c.Done()
 
 	g.ticket.Run()
 	g.attempted = true
@@ -154,7 +155,7 @@
 	first := true
 	n, err := g.d.Attempter.Generate(ctx, c.Address, &upstreamv1.GenerateRequest{
 		Model: g.req.GetModel(), Adapter: g.req.GetAdapter(), Replica: c.Replica, Prompt: g.req.GetPrompt(),
-		MaxTokens: g.req.GetMaxTokens(), Priority: uint32(g.class), FromToken: g.next,
+		MaxTokens: g.req.GetMaxTokens(), Priority: uint32(g.adm.Class), FromToken: g.next,
 	}, func(i uint32, tok string) error {
 		if first {
 			g.d.Monitor.Succeed(c.Upstream, time.Since(began))
@@ -171,7 +172,7 @@
 }
 
 // settle draws the conclusions from the end of an attempt.
-func (g *generation) settle(ctx context.Context, c router.Candidate, a *quarantiner.Attempt, err error) {
+func (g *generation) settle(ctx context.Context, c admitter.Grant, a *quarantiner.Attempt, err error) {
 	var f attempter.Failure
 	if !errors.As(err, &f) {
 		a.End(false, time.Now())
@@ -198,7 +199,7 @@
 }
 
 // suspect notes that the upstream has ended, and tells the others what ran there.
-func (g *generation) suspect(c router.Candidate) {
+func (g *generation) suspect(c admitter.Grant) {
 	now := time.Now()
 	fps := g.d.Quarantiner.Lose(c.Upstream, c.Incarnation, now)
 	if len(fps) == 0 {
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -79,6 +79,7 @@
 		Attempter: &attempter.Attempter{HTTP: client}, Retries: &retrier.Budget{}, Quarantiner: &quarantiner.Quarantiner{},
 		Log: log.Named("dispatcher"), CanAgree: e.canAgree,
 	}
+	e.dispatcher.Admitter.Table.MaxWaiting = s.Limits.QueuedRequests
 	e.recorder.Abandoned = e.dispatcher.Voided
 	e.explainer = &explainer.Explainer{}
 	e.membership = explainer.Membership{Explainer: e.explainer, Instance: s.Instance}
