folder: count no record twice, free no memory too early, agree on versions

Property tests over racing writers, duplicates and junk found these faults in the fold as it was:

- A duplicate of a load counted again under the same claim after the replica had gone, and so did duplicates of adapter orders and releases, and an intent whose key had been freed twice.
- An observation from before a holder was settled, or a duplicate of one, freed a ghost though the late order could have come between.
Observations now say how much of the log their observer had read when it looked (as-of).
- Anybody could settle a holder by "the holder saw the newer claim".
- A refused unload order was logged as failed and freed a loaded replica.
- Memory was reserved by the upstream's name: a new name for the same address started empty.
It now belongs to the address.
- Unsettled holders, usage and the answers of intents grew without bound.
One key with a time far ahead, once forgotten, made all keys too old; the oldest key is now forgotten first.
- A reader skipped over a gap of offsets in silence.
- Readers of different versions disagreed on batches of newer ones.
Rules are now activated by a record, at its place in the log; a program that does not know the active rules halts there and agrees to nothing.

Ruled out: a sequence number in each decision, since the writers would have to carry it over restarts; record ids remembered under a claim with a horizon need nothing from the writer.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -124,6 +124,7 @@
 		HTTP:    client,
 		MaySend: func(t orderer.Task) bool { return controller.MaySend(e.keeper.View, t) },
 		Submit:  e.recorder.Submit,
+		AsOf:    e.keeper.Next,
 		OnResult: func(t orderer.Task, err error) {
 			orderLog.Info("order sent", zap.Stringer("action", t.Order.GetAction()), zap.String("replica", t.Order.GetReplica()),
 				zap.String("model", t.Order.GetModel()), zap.Error(err))
@@ -140,7 +141,7 @@
 
 // canAgree reports whether the log answers, as far as known.
 func (e *Entry) canAgree() bool {
-	return e.tailer.HasCaughtUp() && time.Since(e.tailer.Heard()) < logSilence && !e.recorder.IsFailing()
+	return e.tailer.HasCaughtUp() && !e.keeper.IsHalted() && time.Since(e.tailer.Heard()) < logSilence && !e.recorder.IsFailing()
 }
 
 // upstreams returns the upstreams in force. The messages are never changed in place.
--- a/internal/folder/decide.go
+++ b/internal/folder/decide.go
@@ -8,7 +8,7 @@
 
 // decide applies a decision and returns why it does not count, if so.
 func (s *State) decide(d *recordv1.Decision, at Position) string {
-	if d.GetShard() >= ShardCount || d.GetShard() != ShardOf(d.GetModel()) {
+	if d.GetShard() != ShardOf(d.GetModel()) {
 		return "no such shard for the model"
 	}
 	if !s.shards[d.GetShard()].isCurrent(Position(d.GetEpoch())) {
@@ -41,7 +41,7 @@
 	}
 	r := Replica{
 		ID: d.GetReplica(), Model: m.GetName(), Customer: m.GetCustomer(),
-		Upstream: u.GetName(), UpstreamIncarnation: d.GetUpstreamIncarnation(),
+		Upstream: u.GetName(), UpstreamIncarnation: d.GetUpstreamIncarnation(), Address: u.GetAddress(),
 		Shard: d.GetShard(), Epoch: Position(d.GetEpoch()), Decided: at, Changed: at,
 		Bytes: d.GetMemoryBytes(), Phase: PhaseLoading, Reason: d.GetReason(),
 		FromStore: d.GetSource() == recordv1.LoadSource_LOAD_SOURCE_STORE,
@@ -59,11 +59,11 @@
 		return "customer has no contract"
 	case bytes < m.GetMemoryBytes():
 		return "memory is less than the model needs"
-	case bytes > u.GetMemoryBytes() || s.reserved[u.GetName()] > u.GetMemoryBytes()-bytes:
+	case !fits(s.reserved[u.GetAddress()], bytes, u.GetMemoryBytes()) && !s.off.has(checkMemory):
 		return "upstream has no memory left"
-	case used.Replicas >= c.GetReplicas():
+	case used.Replicas >= c.GetReplicas() && !s.off.has(checkContract):
 		return "contract has no replica left"
-	case bytes > c.GetMemoryBytes() || used.Bytes > c.GetMemoryBytes()-bytes:
+	case !fits(used.Bytes, bytes, c.GetMemoryBytes()) && !s.off.has(checkContract):
 		return "contract has no memory left"
 	case m.GetMaxReplicas() > 0 && len(s.byModel[m.GetName()]) >= int(m.GetMaxReplicas()):
 		return "model has no replica left"
@@ -71,6 +71,11 @@
 	return ""
 }
 
+// fits reports whether more fits beside used below limit.
+func fits(used, more, limit uint64) bool {
+	return more <= limit && used <= limit-more
+}
+
 func (s *State) decideUnload(d *recordv1.Decision, at Position) string {
 	r, ok := s.replicas[d.GetReplica()]
 	if !ok || r.Model != d.GetModel() {
@@ -89,11 +94,11 @@
 	switch {
 	case !ok || r.Model != d.GetModel() || r.Phase != PhaseLoaded:
 		return "no such loaded replica"
-	case a == nil || a.GetModel() != r.Model:
+	case a == nil || a.GetModel() != r.Model || d.GetAdapter() == "":
 		return "adapter is not in force for the model"
 	case r.Adapters[d.GetAdapter()] != 0:
 		return "replica has the adapter"
-	case s.adapters >= s.adapterLimit():
+	case s.adapters >= s.adapterLimit() && !s.off.has(checkAdapterLoads):
 		return "too many adapter loads in flight"
 	}
 	s.setReplica(r.WithAdapter(d.GetAdapter(), PhaseLoading, at))
@@ -118,7 +123,7 @@
 
 // observe applies an observation and returns why it does not count, if so.
 func (s *State) observe(o *recordv1.Observation, at Position) string {
-	if o.GetShard() >= ShardCount || !s.shards[o.GetShard()].isCurrent(Position(o.GetEpoch())) {
+	if !s.shards[o.GetShard()].isCurrent(Position(o.GetEpoch())) {
 		return "epoch is not the current claim"
 	}
 	r, ok := s.replicas[o.GetReplica()]
@@ -138,9 +143,17 @@
 		if r.Phase != PhaseUnloading && r.Phase != PhaseGhost {
 			return "replica is not decided to go"
 		}
-		s.freeReplica(r, at)
-	case recordv1.ObservationKind_OBSERVATION_KIND_FAILED, recordv1.ObservationKind_OBSERVATION_KIND_UPSTREAM_GONE:
-		s.freeReplica(r, at)
+		return s.freeReplica(r, o.GetAsOf(), at)
+	case recordv1.ObservationKind_OBSERVATION_KIND_FAILED:
+		if r.Phase != PhaseLoading || r.UpstreamIncarnation != o.GetUpstreamIncarnation() {
+			return "replica is not loading on this incarnation"
+		}
+		return s.freeReplica(r, o.GetAsOf(), at)
+	case recordv1.ObservationKind_OBSERVATION_KIND_UPSTREAM_GONE:
+		if r.UpstreamIncarnation != o.GetUpstreamIncarnation() {
+			return "replica is on another incarnation"
+		}
+		return s.freeReplica(r, o.GetAsOf(), at)
 	default:
 		return "unknown observation"
 	}
@@ -161,21 +174,41 @@
 }
 
 // freeReplica frees the replica's memory, unless a late order could load it
-// again. Then it stays reserved as a ghost until a later observation.
-func (s *State) freeReplica(r Replica, at Position) {
-	u := s.Config.Upstreams[r.Upstream]
-	if !u.GetChecksFencing() && s.shards[r.Shard].mayGetLateOrders(r.Epoch) {
+// again or could have done so after the observer looked. Then the memory stays
+// reserved for a ghost until a later observation. It returns why nothing changed.
+func (s *State) freeReplica(r Replica, asOf uint64, at Position) string {
+	why := s.lateOrder(r, asOf)
+	switch {
+	case why == "" || s.off.has(checkLateOrders):
+		s.removeReplica(r)
+	case r.Phase == PhaseGhost:
+		return why
+	default:
 		r.Adapters = nil
 		s.setReplica(r.WithPhase(PhaseGhost, at))
-		return
 	}
-	s.removeReplica(r)
+	return ""
+}
+
+// lateOrder returns why an order of an earlier holder may have loaded the
+// replica again, or still may, if the observer's state ended before asOf.
+func (s *State) lateOrder(r Replica, asOf uint64) string {
+	sh := &s.shards[r.Shard]
+	switch {
+	case s.Config.Upstreams[r.Upstream].GetChecksFencing():
+		return ""
+	case sh.mayGetLateOrders(r.Epoch):
+		return "an earlier holder is not settled"
+	case sh.SettledAt > r.Decided && asOf <= sh.SettledAt.Offset():
+		return "observed before an earlier holder was settled"
+	}
+	return ""
 }
 
 func (s *State) addReplica(r Replica) {
 	put(&s.replicas, r.ID, r)
 	put(&s.byModel, r.Model, append(slices.Clone(s.byModel[r.Model]), r.ID))
-	put(&s.reserved, r.Upstream, s.reserved[r.Upstream]+r.Bytes)
+	put(&s.reserved, r.Address, s.reserved[r.Address]+r.Bytes)
 	used := s.usage[r.Customer]
 	put(&s.usage, r.Customer, Usage{used.Replicas + 1, used.Bytes + r.Bytes})
 	s.countLoads(r, 1)
@@ -196,9 +229,14 @@
 	} else {
 		s.byModel[r.Model] = ids
 	}
-	s.reserved[r.Upstream] -= r.Bytes
+	if s.reserved[r.Address] -= r.Bytes; s.reserved[r.Address] == 0 {
+		delete(s.reserved, r.Address)
+	}
 	used := s.usage[r.Customer]
 	s.usage[r.Customer] = Usage{used.Replicas - 1, used.Bytes - r.Bytes}
+	if used.Replicas == 1 {
+		delete(s.usage, r.Customer)
+	}
 }
 
 // countLoads adds the replica's loads in flight to the totals, sign times.
--- a/internal/folder/poison.go
+++ b/internal/folder/poison.go
@@ -21,6 +21,7 @@
 type Poison struct {
 	suspects map[uint64]suspect
 	order    []uint64
+	recent   recentIDs
 }
 
 type suspect struct {
--- a/internal/folder/replica.go
+++ b/internal/folder/replica.go
@@ -34,7 +34,10 @@
 	Customer            string
 	Upstream            string
 	UpstreamIncarnation string
-	Shard               uint32
+	// Address is that of the upstream when the load was decided. The memory
+	// is reserved there, whatever becomes of the upstream's name.
+	Address string
+	Shard   uint32
 	// Epoch is the claim under which the load was decided.
 	Epoch Position
 	// Decided is the position of the load decision, Changed that of the
@@ -71,6 +74,9 @@
 func (r Replica) WithoutAdapter(name string, at Position) Replica {
 	m := maps.Clone(r.Adapters)
 	delete(m, name)
+	if len(m) == 0 {
+		m = nil
+	}
 	r.Adapters = m
 	r.Changed = at
 	return r
--- a/internal/folder/state.go
+++ b/internal/folder/state.go
@@ -1,14 +1,19 @@
 package folder
 
 import (
+	"math"
+
 	"google.golang.org/protobuf/proto"
 
 	recordv1 "github.com/primrosedrift/primrosedrift/pkg/api/record/v1"
 )
 
-// Version is the version of the fold's rules.
+// Version is the newest version of the rules that this program knows.
 const Version = 1
 
+// firstRules is the version of the rules that is active before any Activate.
+const firstRules = 1
+
 // DefaultAdapterLoads bounds adapter loads in flight if no policy is in force.
 const DefaultAdapterLoads = 32
 
@@ -18,8 +23,9 @@
 	Records     uint64
 	Counted     uint64
 	Undecodable uint64
-	Newer       uint64
-	Unknown     uint64
+	// Inactive counts batches that need rules which were not active.
+	Inactive uint64
+	Unknown  uint64
 }
 
 // Event is the fate of one record.
@@ -42,13 +48,16 @@
 	Poison  Poison
 	Stats   Stats
 
+	rules     uint32 // active version, 0 for the first
 	shards    [ShardCount]Shard
 	replicas  map[string]Replica
 	byModel   map[string][]string
-	reserved  map[string]uint64 // bytes by upstream
+	reserved  map[string]uint64 // bytes by address
 	usage     map[string]Usage  // by customer
 	adapters  int               // adapter loads in flight
 	fromStore int               // loads in flight from the weight store
+
+	off check // checks that tests switch off
 }
 
 // Usage is what a customer's replicas take.
@@ -57,10 +66,21 @@
 	Bytes    uint64
 }
 
-// Apply folds the batch at offset. Offsets that the state already includes
-// change nothing.
+// Rules returns the active version of the rules.
+func (s *State) Rules() uint32 {
+	return max(s.rules, firstRules)
+}
+
+// IsHalted reports whether the log has activated rules that this program does
+// not know. The state then stays as it was before the first record under them.
+func (s *State) IsHalted() bool {
+	return s.Rules() > Version
+}
+
+// Apply folds the batch at offset. It changes nothing at an offset that the
+// state already includes or that is not the next one.
 func (s *State) Apply(offset uint64, payload []byte) []Event {
-	if offset < s.Next {
+	if offset != s.Next || s.IsHalted() {
 		return nil
 	}
 	s.Next = offset + 1
@@ -70,14 +90,18 @@
 		s.Stats.Undecodable++
 		return nil
 	}
-	if b.GetVersion() > Version {
-		s.Stats.Newer++
+	if b.GetVersion() > s.Rules() {
+		s.Stats.Inactive++
 		return nil
 	}
 	events := make([]Event, 0, len(b.GetRecords()))
 	for i, r := range b.GetRecords() {
 		at := PositionOf(offset, i)
-		why := s.applyRecord(r, at)
+		if s.IsHalted() {
+			s.Stats.Inactive++
+			break
+		}
+		why := s.applyRecord(r, b.GetWriter(), at)
 		s.Stats.Records++
 		if why == "" {
 			s.Stats.Counted++
@@ -88,33 +112,77 @@
 }
 
 // applyRecord applies one record and returns why it does not count, if so.
-func (s *State) applyRecord(r *recordv1.Record, at Position) string {
+func (s *State) applyRecord(r *recordv1.Record, writer string, at Position) string {
+	if r.GetId() == "" {
+		return "record has no id"
+	}
 	switch k := r.GetKind().(type) {
 	case *recordv1.Record_ConfigChange:
 		return s.Config.apply(k.ConfigChange, at)
 	case *recordv1.Record_Claim:
-		return s.onShard(k.Claim.GetShard(), func(sh *Shard) string { return sh.claim(k.Claim, at) })
+		return s.onShard(k.Claim.GetShard(), func(sh *Shard) string {
+			sh.dropUnsettled(s.oldestEpoch(k.Claim.GetShard()))
+			return sh.claim(k.Claim, at, s.off)
+		})
 	case *recordv1.Record_Release:
 		return s.onShard(k.Release.GetShard(), func(sh *Shard) string { return sh.release(Position(k.Release.GetClaim())) })
 	case *recordv1.Record_Settle:
-		return s.onShard(k.Settle.GetShard(), func(sh *Shard) string { return sh.settle(Position(k.Settle.GetClaim())) })
+		return s.onShard(k.Settle.GetShard(), func(sh *Shard) string { return sh.settle(k.Settle, writer, at) })
 	case *recordv1.Record_Decision:
-		return s.decide(k.Decision, at)
+		return s.onShard(k.Decision.GetShard(), func(sh *Shard) string {
+			return s.once(&sh.recent, r.GetId(), func() string { return s.decide(k.Decision, at) })
+		})
 	case *recordv1.Record_Observation:
-		return s.observe(k.Observation, at)
+		return s.onShard(k.Observation.GetShard(), func(sh *Shard) string {
+			return s.once(&sh.recent, r.GetId(), func() string { return s.observe(k.Observation, at) })
+		})
 	case *recordv1.Record_Intent:
 		return s.Intents.begin(r.GetId(), k.Intent, at)
 	case *recordv1.Record_Outcome:
-		return s.Intents.end(k.Outcome)
+		return s.Intents.end(k.Outcome, at)
 	case *recordv1.Record_Suspicion:
-		return s.Poison.suspect(k.Suspicion)
+		return s.once(&s.Poison.recent, r.GetId(), func() string { return s.Poison.suspect(k.Suspicion) })
 	case *recordv1.Record_CheckpointChunk:
-		return ""
+		return "a checkpoint changes no state"
+	case *recordv1.Record_Activate:
+		return s.activate(k.Activate.GetVersion())
 	}
 	s.Stats.Unknown++
 	return "unknown kind"
 }
 
+// activate makes the next version of the rules the active one.
+func (s *State) activate(version uint32) string {
+	if version != s.Rules()+1 {
+		return "version is not the next one"
+	}
+	s.rules = version
+	return ""
+}
+
+// once applies a record unless it has counted before.
+func (s *State) once(recent *recentIDs, id string, f func() string) string {
+	if why := recent.check(id); why != "" && !s.off.has(checkDuplicates) {
+		return why
+	}
+	why := f()
+	if why == "" {
+		recent.add(id)
+	}
+	return why
+}
+
+// oldestEpoch returns the smallest epoch of the shard's replicas.
+func (s *State) oldestEpoch(shard uint32) Position {
+	oldest := Position(math.MaxUint64)
+	for _, r := range s.replicas {
+		if r.Shard == shard {
+			oldest = min(oldest, r.Epoch)
+		}
+	}
+	return oldest
+}
+
 func (s *State) onShard(id uint32, f func(*Shard) string) string {
 	if id >= ShardCount {
 		return "no such shard"
@@ -147,9 +215,11 @@
 	}
 }
 
-// ReservedBytes returns the memory reserved on an upstream.
+// ReservedBytes returns the memory reserved on an upstream that is in force.
+// The memory belongs to the address: a new name for it starts with what is
+// loaded there.
 func (s *State) ReservedBytes(upstream string) uint64 {
-	return s.reserved[upstream]
+	return s.reserved[s.Config.Upstreams[upstream].GetAddress()]
 }
 
 // UsageOf returns what a customer's replicas take.
--- /dev/null
+++ b/internal/folder/state_test.go
@@ -0,0 +1,158 @@
+package folder
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"google.golang.org/protobuf/proto"
+	"pgregory.net/rapid"
+
+	recordv1 "github.com/primrosedrift/primrosedrift/pkg/api/record/v1"
+)
+
+// Whatever writers write, in any order, with duplicates, lost replies and junk:
+// the invariants hold after every record, and no record counts twice.
+func TestInvariants(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		if s := drawSession(t, 0); s.fault != "" {
+			t.Fatal(s.fault)
+		}
+	})
+}
+
+// Each check of the fold is needed: without it the same sessions find a fault.
+func TestInvariantsNegative(t *testing.T) {
+	for name, off := range map[string]check{
+		"duplicates": checkDuplicates, "memory": checkMemory, "contract": checkContract,
+		"adapter loads": checkAdapterLoads, "claims": checkClaims, "late orders": checkLateOrders,
+	} {
+		t.Run(name, func(t *testing.T) {
+			sessions := rapid.Custom(func(t *rapid.T) string { return drawSession(t, off).fault })
+			for seed := range 2000 {
+				if sessions.Example(seed) != "" {
+					return
+				}
+			}
+			t.Fatal("no session found a fault")
+		})
+	}
+}
+
+// Readers that start anywhere from a marshalled state, and that get entries
+// again, come to the same bytes as one that read everything.
+func TestReadersAgree(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := drawSession(t, 0)
+		want, err := s.state.Marshal()
+		if err != nil {
+			t.Fatal(err)
+		}
+		cut := rapid.IntRange(0, len(s.log)).Draw(t, "cut")
+		var first State
+		first.Intents.Limit = s.state.Intents.Limit
+		for i, data := range s.log[:cut] {
+			first.Apply(uint64(i), data)
+		}
+		data, err := first.Marshal()
+		if err != nil {
+			t.Fatal(err)
+		}
+		second, err := Unmarshal(data)
+		if err != nil {
+			t.Fatal(err)
+		}
+		second.Intents.Limit = s.state.Intents.Limit
+		for i := max(0, cut-rapid.IntRange(0, 5).Draw(t, "again")); i < len(s.log); i++ {
+			second.Apply(uint64(i), s.log[i])
+		}
+		got, err := second.Marshal()
+		if err != nil {
+			t.Fatal(err)
+		}
+		if string(got) != string(want) {
+			t.Fatal("the readers differ")
+		}
+	})
+}
+
+// Any bytes leave a state that is valid and says what it counted.
+func FuzzApply(f *testing.F) {
+	record := configRecord(testKey(1), upsert(contractObject("tolwerk", 1, 1)))
+	seed, err := proto.Marshal(&recordv1.Batch{Version: 1, Writer: "run-1", Records: []*recordv1.Record{record, record, {}}})
+	require.NoError(f, err)
+	f.Add(seed)
+	f.Add(seed[:len(seed)/2])
+	f.Add([]byte{})
+	f.Fuzz(func(t *testing.T, data []byte) {
+		s := newSession(0)
+		for range 2 {
+			s.add(data)
+		}
+		require.Empty(t, s.fault)
+		st := s.state.Stats
+		require.EqualValues(t, 2, st.Batches)
+		require.LessOrEqual(t, st.Counted+st.Unknown, st.Records)
+		bytes, err := s.state.Marshal()
+		require.NoError(t, err)
+		if s.state.IsHalted() {
+			return
+		}
+		again, err := Unmarshal(bytes)
+		require.NoError(t, err)
+		same, err := again.Marshal()
+		require.NoError(t, err)
+		require.Equal(t, bytes, same)
+	})
+}
+
+// Any bytes are a valid state or an error.
+func FuzzUnmarshal(f *testing.F) {
+	s := newSession(0)
+	s.write(&recordv1.Batch{Records: []*recordv1.Record{configRecord(s.id(), upsert(contractObject("tolwerk", 1, 1)))}})
+	data, err := s.state.Marshal()
+	require.NoError(f, err)
+	f.Add(data)
+	f.Fuzz(func(t *testing.T, data []byte) {
+		s, err := Unmarshal(data)
+		if err != nil {
+			return
+		}
+		s.Apply(s.Next, nil)
+		_, err = s.Marshal()
+		require.NoError(t, err)
+	})
+}
+
+// Records need rules that are active. A program that does not know the active
+// rules stops where it is and so never disagrees.
+func TestActivate(t *testing.T) {
+	batch := func(version uint32, records ...*recordv1.Record) []byte {
+		data, err := proto.Marshal(&recordv1.Batch{Version: version, Records: records})
+		require.NoError(t, err)
+		return data
+	}
+	activate := func(version uint32) *recordv1.Record {
+		return &recordv1.Record{Id: testKey(int(version)), Kind: &recordv1.Record_Activate{Activate: &recordv1.Activate{Version: version}}}
+	}
+	change := configRecord(testKey(9), upsert(contractObject("tolwerk", 1, 1)))
+	var s State
+	s.Apply(0, batch(Version+1, change))
+	require.EqualValues(t, 1, s.Stats.Inactive)
+	require.False(t, s.Apply(1, batch(1, activate(Version+2)))[0].Counted)
+	require.True(t, s.Apply(2, batch(1, activate(Version+1)))[0].Counted)
+	require.True(t, s.IsHalted())
+	next := s.Next
+	require.Empty(t, s.Apply(3, batch(1, change)))
+	require.Equal(t, next, s.Next)
+	require.Empty(t, s.Config.Contracts)
+}
+
+// An entry that is not the next one changes nothing: a gap would let readers differ.
+func TestApplyInOrder(t *testing.T) {
+	var s State
+	s.Apply(1, nil)
+	require.Zero(t, s.Next)
+	s.Apply(0, nil)
+	s.Apply(0, nil)
+	require.EqualValues(t, 1, s.Next)
+}
--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -64,6 +64,13 @@
 	return k.changed
 }
 
+// IsHalted reports whether the state stopped at rules that this program does not know.
+func (k *Keeper) IsHalted() bool {
+	k.mu.RLock()
+	defer k.mu.RUnlock()
+	return k.state.IsHalted()
+}
+
 // Next returns the first offset that the state does not include.
 func (k *Keeper) Next() uint64 {
 	k.mu.RLock()
--- a/internal/orderer/orderer.go
+++ b/internal/orderer/orderer.go
@@ -50,6 +50,8 @@
 	HTTP *http.Client
 	// MaySend reports whether the task's claim is still current.
 	MaySend func(Task) bool
+	// AsOf, if set, returns the first offset that the own state does not include.
+	AsOf func() uint64
 	// Submit writes an observation and waits until it is read back.
 	Submit func(ctx context.Context, rec *recordv1.Record) (folder.Event, error)
 	// OnResult, if set, hears the result of every order sent.
@@ -102,8 +104,12 @@
 func (o *Orderer) run(ctx context.Context, t Task) {
 	backoff := minBackoff
 	for ctx.Err() == nil && o.MaySend(t) {
+		asOf := uint64(0)
+		if o.AsOf != nil {
+			asOf = o.AsOf()
+		}
 		kind, detail, known := o.send(ctx, t)
-		if known && o.record(ctx, t, kind, detail) {
+		if known && o.record(ctx, t, kind, detail, asOf) {
 			return
 		}
 		select {
@@ -145,13 +151,13 @@
 }
 
 // record logs the outcome and reports whether its fate is known.
-func (o *Orderer) record(ctx context.Context, t Task, kind recordv1.ObservationKind, detail string) bool {
+func (o *Orderer) record(ctx context.Context, t Task, kind recordv1.ObservationKind, detail string, asOf uint64) bool {
 	ctx, cancel := context.WithTimeout(ctx, DefaultTimeout)
 	defer cancel()
 	_, err := o.Submit(ctx, &recordv1.Record{Kind: &recordv1.Record_Observation{Observation: &recordv1.Observation{
 		Shard: t.Order.GetShard(), Epoch: t.Order.GetEpoch(), Kind: kind,
 		Replica: t.Order.GetReplica(), Adapter: t.Order.GetAdapter(),
-		UpstreamIncarnation: t.Order.GetUpstreamIncarnation(), Detail: detail,
+		UpstreamIncarnation: t.Order.GetUpstreamIncarnation(), Detail: detail, AsOf: asOf,
 	}}})
 	return err == nil
 }
