recorder: bound abandoned records, refuse at once during an outage

Records that were given up after a failed append filled the table for ever; one that was given up during a pause was written all the same; one that could not be marshalled stopped all records behind it; and during an outage a caller in every second waited for its deadline, since it was the one to try the log.

The log is now out after two failed appends in a row or one time-out. Submit then refuses at once, also those that wait and were in no append; Post queues. The recorder tries the log with empty batches at jittered pauses of up to two seconds. Ruled out: real records as probes, since their submitters would wait. A probe is counted as such in primrosedrift_appends_total.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -86,7 +86,7 @@
 func (e *Entry) wirePlatform(client *http.Client) {
 	logCommands := platformv1connect.NewLogCommandsClient(client, e.Settings.Platform.Log)
 	e.recorder = &recorder.Recorder{
-		Incarnation: e.Incarnation, MaxPending: e.Settings.Limits.PendingRecords, OnAppend: e.metrics.onAppend,
+		Incarnation: e.Incarnation, MaxPending: e.Settings.Limits.PendingRecords, OnAppend: e.metrics.onAppend, Rules: e.keeper.Rules,
 		Append: func(ctx context.Context, payload []byte) error {
 			_, err := logCommands.Append(ctx, connect.NewRequest(&platformv1.AppendRequest{Payload: payload}))
 			return errors.Wrap(err, "append")
--- a/internal/entry/metrics.go
+++ b/internal/entry/metrics.go
@@ -43,6 +43,10 @@
 		m.appends.WithLabelValues("failed").Inc()
 		return
 	}
+	if len(records) == 0 {
+		m.appends.WithLabelValues("probe").Inc()
+		return
+	}
 	m.appends.WithLabelValues("written").Inc()
 	for _, r := range records {
 		m.records.WithLabelValues(recordKind(r)).Inc()
--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -71,6 +71,13 @@
 	return k.state.IsHalted()
 }
 
+// Rules returns the active version of the fold's rules.
+func (k *Keeper) Rules() uint32 {
+	k.mu.RLock()
+	defer k.mu.RUnlock()
+	return k.state.Rules()
+}
+
 // Next returns the first offset that the state does not include.
 func (k *Keeper) Next() uint64 {
 	k.mu.RLock()
--- a/internal/recorder/doc.go
+++ b/internal/recorder/doc.go
@@ -8,9 +8,14 @@
 //
 // The rules:
 //
-//   - The queue is bounded. A full queue or an outage refuses at once.
+//   - The queue is bounded. A full queue refuses at once.
+//   - The log is out after two failed appends in a row, or one that timed out.
+//     Then Submit refuses at once, Post queues, and the recorder tries the log
+//     with empty batches until one succeeds. Its pauses grow and are spread at
+//     random, and it has one append under way, so that instances catch up
+//     without a stampede.
 //   - A caller that stops waiting for a record that was never part of an
 //     append gets ErrNotWritten: the record is in no log, now or later.
 //   - In every other case it gets ErrUnknown, and Abandoned is called if the
-//     record is read back after all.
+//     record is read back after all. An abandoned record is not written again.
 package recorder
--- a/internal/recorder/recorder.go
+++ b/internal/recorder/recorder.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -21,14 +22,22 @@
 	ErrUnknown = errors.New("record may have been written")
 )
 
-// Defaults of a Recorder's bounds.
+// Bounds of a Recorder.
 const (
 	DefaultMaxPending    = 8192
 	DefaultAppendTimeout = 2 * time.Second
 	DefaultBackoff       = 100 * time.Millisecond
-	maxBatch             = 1024
-	maxBackoff           = 2 * time.Second
-	failureMemory        = time.Second
+	// MaxRecordBytes is the largest record.
+	MaxRecordBytes = 1 << 20
+	maxBatch       = 1024
+	maxBatchBytes  = MaxRecordBytes
+	maxBackoff     = 2 * time.Second
+	// maxAbandoned bounds the records that are remembered after their
+	// submitters stopped waiting.
+	maxAbandoned = 4096
+	// failuresToFail is how many appends in a row fail before the log is
+	// taken as out. One lost reply alone is no outage.
+	failuresToFail = 2
 )
 
 // Recorder appends records. Append and Incarnation must be set before Run.
@@ -37,27 +46,45 @@
 	Append func(ctx context.Context, payload []byte) error
 	// Incarnation names the writer in every batch.
 	Incarnation string
+	// Rules, if set, returns the active version of the fold's rules.
+	Rules func() uint32
 	// Abandoned, if set, hears of records that are read back after their
 	// submitter stopped waiting.
 	Abandoned func(folder.Event)
-	// OnAppend, if set, hears the result of every append and the kinds written.
+	// OnAppend, if set, hears the result of every append and the records
+	// written. A probe has no records.
 	OnAppend func(records []*recordv1.Record, err error)
 	// MaxPending bounds the records that are queued or under way.
 	MaxPending    int
 	AppendTimeout time.Duration
+	// Jitter, if set, replaces the random spread of a pause.
+	Jitter func(time.Duration) time.Duration
 
-	mu       sync.Mutex
-	queue    []*pending
-	byID     map[string]*pending
-	failedAt time.Time // zero if the last append succeeded
-	wake     chan struct{}
+	mu        sync.Mutex
+	queue     []*pending
+	byID      map[string]*pending
+	abandoned abandonedRecords
+	failures  int // appends in a row that failed
+	failing   bool
+	wake      chan struct{}
+
+	// forgetful makes Submit take every record that it stops waiting for as
+	// not written. Tests show with it that the answer would be false.
+	forgetful bool
+}
+
+// fate is what became of a record.
+type fate struct {
+	event folder.Event
+	err   error
 }
 
 type pending struct {
-	rec       *recordv1.Record
-	done      chan folder.Event // nil if nobody waits
-	tried     bool
-	abandoned bool
+	rec    *recordv1.Record
+	size   int
+	done   chan fate // nil if nobody waits
+	queued bool
+	tried  bool
 }
 
 // NewID returns a new record id.
@@ -72,12 +99,12 @@
 	return r.wake
 }
 
-// IsFailing reports whether the last append failed a short while ago. After
-// that while the next record tries the log again.
+// IsFailing reports whether the log is out. The recorder tries it again by
+// itself, and Submit refuses at once until it answers.
 func (r *Recorder) IsFailing() bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return !r.failedAt.IsZero() && time.Since(r.failedAt) < failureMemory
+	return r.failing
 }
 
 // Pending returns the number of records that were not read back yet.
@@ -90,32 +117,32 @@
 // Submit writes a record and returns its fate once it has been read back.
 // It sets the record's id if that is empty.
 func (r *Recorder) Submit(ctx context.Context, rec *recordv1.Record) (folder.Event, error) {
-	p := &pending{rec: rec, done: make(chan folder.Event, 1)}
+	p := &pending{rec: rec, done: make(chan fate, 1)}
 	if err := r.enqueue(p); err != nil {
 		return folder.Event{}, err
 	}
 	select {
-	case e := <-p.done:
-		return e, nil
+	case f := <-p.done:
+		return f.event, f.err
 	case <-ctx.Done():
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	select {
-	case e := <-p.done:
-		return e, nil
+	case f := <-p.done:
+		return f.event, f.err
 	default:
 	}
-	if !p.tried {
-		r.removeLocked(p)
+	r.removeLocked(p)
+	if !p.tried || r.forgetful {
 		return folder.Event{}, errors.Wrapf(ErrNotWritten, "%v", ctx.Err())
 	}
-	p.abandoned = true
+	r.abandoned.add(rec.GetId())
 	return folder.Event{}, errors.Wrapf(ErrUnknown, "%v", ctx.Err())
 }
 
-// Post writes a record without waiting for it. It reports whether the record
-// was queued.
+// Post writes a record without waiting for it, after an outage if there is
+// one. It reports whether the record was queued.
 func (r *Recorder) Post(rec *recordv1.Record) bool {
 	return r.enqueue(&pending{rec: rec}) == nil
 }
@@ -124,34 +151,49 @@
 	if p.rec.GetId() == "" {
 		p.rec.Id = NewID()
 	}
+	data, err := proto.Marshal(p.rec)
+	if err != nil {
+		return errors.Wrapf(ErrNotWritten, "%v", err)
+	}
+	if p.size = len(data); p.size > MaxRecordBytes {
+		return errors.Wrapf(ErrNotWritten, "a record of %d bytes is too large", p.size)
+	}
 	limit := r.MaxPending
 	if limit == 0 {
 		limit = DefaultMaxPending
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if len(r.byID) >= limit {
+	switch {
+	case len(r.byID) >= limit:
 		return errors.Wrap(ErrNotWritten, "too many records are waiting for the log")
+	case r.failing && p.done != nil:
+		return errors.Wrap(ErrNotWritten, "the log does not answer")
+	case r.byID[p.rec.GetId()] != nil:
+		return errors.Wrap(ErrUnknown, "the record waits already")
 	}
 	if r.byID == nil {
 		r.byID = make(map[string]*pending)
 	}
 	r.byID[p.rec.GetId()] = p
+	p.queued = true
 	r.queue = append(r.queue, p)
+	r.signalLocked()
+	return nil
+}
+
+func (r *Recorder) signalLocked() {
 	select {
 	case r.wakeLocked() <- struct{}{}:
 	default:
 	}
-	return nil
 }
 
 func (r *Recorder) removeLocked(p *pending) {
 	delete(r.byID, p.rec.GetId())
-	for i, q := range r.queue {
-		if q == p {
-			r.queue = append(r.queue[:i], r.queue[i+1:]...)
-			return
-		}
+	if p.queued {
+		r.queue = slices.DeleteFunc(r.queue, func(q *pending) bool { return q == p })
+		p.queued = false
 	}
 }
 
@@ -160,13 +202,13 @@
 	for _, e := range events {
 		r.mu.Lock()
 		p := r.byID[e.Record.GetId()]
+		abandoned := r.abandoned.take(e.Record.GetId())
 		if p != nil {
 			r.removeLocked(p)
 			if p.done != nil {
-				p.done <- e
+				p.done <- fate{event: e}
 			}
 		}
-		abandoned := p != nil && p.abandoned
 		r.mu.Unlock()
 		if abandoned && r.Abandoned != nil {
 			r.Abandoned(e)
@@ -174,88 +216,43 @@
 	}
 }
 
-// Run appends until ctx ends.
-func (r *Recorder) Run(ctx context.Context) {
+// Reset forgets the records that may be in a part of the log that is not read
+// record by record, since the state was taken over as a whole.
+func (r *Recorder) Reset() {
 	r.mu.Lock()
-	wake := r.wakeLocked()
-	r.mu.Unlock()
-	backoff := DefaultBackoff
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-wake:
+	defer r.mu.Unlock()
+	for _, p := range r.byID {
+		if !p.tried {
+			continue
 		}
-		for {
-			batch := r.take()
-			if len(batch) == 0 {
-				break
-			}
-			if err := r.append(ctx, batch); err == nil {
-				backoff = DefaultBackoff
-				continue
-			}
-			r.requeue(batch)
-			select {
-			case <-ctx.Done():
-				return
-			case <-time.After(backoff):
-			}
-			backoff = min(2*backoff, maxBackoff)
+		r.removeLocked(p)
+		if p.done != nil {
+			r.abandoned.add(p.rec.GetId())
+			p.done <- fate{err: errors.Wrap(ErrUnknown, "the log was not read record by record")}
 		}
 	}
 }
 
-func (r *Recorder) take() []*pending {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	n := min(len(r.queue), maxBatch)
-	batch := r.queue[:n:n]
-	r.queue = r.queue[n:]
-	for _, p := range batch {
-		p.tried = true
-	}
-	return batch
+// abandonedRecords remembers the newest records that nobody waits for any more.
+type abandonedRecords struct {
+	ids   map[string]struct{}
+	order []string
 }
 
-// requeue puts back what was not read back, but for records that nobody waits
-// for any more: writing those again could only do late what was given up.
-func (r *Recorder) requeue(batch []*pending) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	var again []*pending
-	for _, p := range batch {
-		if r.byID[p.rec.GetId()] == p && !p.abandoned {
-			again = append(again, p)
-		}
+func (a *abandonedRecords) add(id string) {
+	if a.ids == nil {
+		a.ids = make(map[string]struct{})
+	}
+	a.ids[id] = struct{}{}
+	a.order = append(a.order, id)
+	if len(a.order) > maxAbandoned {
+		delete(a.ids, a.order[0])
+		a.order = slices.Delete(a.order, 0, 1)
 	}
-	r.queue = append(again, r.queue...)
 }
 
-func (r *Recorder) append(ctx context.Context, batch []*pending) error {
-	recs := make([]*recordv1.Record, len(batch))
-	for i, p := range batch {
-		recs[i] = p.rec
-	}
-	payload, err := proto.Marshal(&recordv1.Batch{Version: folder.Version, Writer: r.Incarnation, Records: recs})
-	if err != nil {
-		return errors.Wrap(err, "marshal batch")
-	}
-	timeout := r.AppendTimeout
-	if timeout == 0 {
-		timeout = DefaultAppendTimeout
-	}
-	actx, cancel := context.WithTimeout(ctx, timeout)
-	defer cancel()
-	err = r.Append(actx, payload)
-	r.mu.Lock()
-	r.failedAt = time.Time{}
-	if err != nil {
-		r.failedAt = time.Now()
-	}
-	r.mu.Unlock()
-	if r.OnAppend != nil {
-		r.OnAppend(recs, err)
-	}
-	return err
+func (a *abandonedRecords) take(id string) bool {
+	_, ok := a.ids[id]
+	delete(a.ids, id)
+	return ok
 }
