--- a/internal/dispatcher/call.go
+++ b/internal/dispatcher/call.go
@@ -5,8 +5,11 @@
 	"slices"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/oklog/ulid/v2"
 
+	"github.com/primrosedrift/primrosedrift/internal/admitter"
+	"github.com/primrosedrift/primrosedrift/internal/attempter"
 	"github.com/primrosedrift/primrosedrift/internal/folder"
 	"github.com/primrosedrift/primrosedrift/internal/recorder"
 	"github.com/primrosedrift/primrosedrift/internal/router"
@@ -45,46 +48,64 @@
 	until := deadline(time.Now(), req.GetDeadlineMs(), contract.GetWaitingTimeMs())
 	ctx, cancel := context.WithDeadline(ctx, until)
 	defer cancel()
+	adm := admitter.Request{
+		ID: req.GetRequestId(), Customer: req.GetCustomer(), Class: contract.GetClass(), Weight: contract.GetWeight(),
+		Target: "service " + req.GetService(), Deadline: until,
+	}
 	if slices.Contains(contract.GetNeverTwice(), req.GetMethod()) {
-		return d.callOnce(ctx, req, until)
+		return d.callOnce(ctx, req, adm)
 	}
-	return d.callRepeatable(ctx, req, until)
+	return d.callRepeatable(ctx, req, adm)
 }
 
-func (d *Dispatcher) callRepeatable(ctx context.Context, req *callerv1.CallRequest, until time.Time) (Answer, error) {
+func (d *Dispatcher) callRepeatable(ctx context.Context, req *callerv1.CallRequest, adm admitter.Request) (Answer, error) {
 	tried := make(map[string]bool)
-	var last verdict.Refusal
-	for range maxTries {
-		c, err := d.await(ctx, until, tried, func(now time.Time) []router.Candidate { return d.services(req.GetService(), now) })
+	last := verdict.Refusal{Ran: verdict.NotRun}
+	d.Retries.First()
+	for try := range maxTries {
+		if try > 0 && !d.Retries.Retry() {
+			break
+		}
+		c, err := d.await(ctx, adm, tried, func(now time.Time) []router.Candidate { return d.services(req.GetService(), now) })
 		if err != nil {
-			if len(tried) > 0 {
-				return Answer{}, last
-			}
-			return Answer{}, err
+			return Answer{}, verdict.Of(err).After(last.Ran)
 		}
 		body, err := d.attemptCall(ctx, c, req)
 		if err == nil {
 			return Answer{Body: body}, nil
 		}
-		last = verdict.Of(err)
+		last = verdict.Of(err).After(last.Ran)
 		if ctx.Err() != nil {
+			last.Reason = verdict.ReasonDeadline
 			break
 		}
 		tried[c.Upstream] = true
-		d.Monitor.Fail(c.Upstream)
 	}
 	return Answer{}, last.WithComeBack(comeBackSoon)
 }
 
-func (d *Dispatcher) attemptCall(ctx context.Context, c router.Candidate, req *callerv1.CallRequest) ([]byte, error) {
-	defer d.Monitor.Begin(c.Upstream)()
-	return d.Attempter.Call(ctx, c.Address, &upstreamv1.CallRequest{
+func (d *Dispatcher) attemptCall(ctx context.Context, c admitter.Grant, req *callerv1.CallRequest) ([]byte, error) {
+	defer c.Done()
+	began := time.Now()
+	body, err := d.Attempter.Call(ctx, c.Address, &upstreamv1.CallRequest{
 		Method: req.GetMethod(), Body: req.GetBody(), Key: req.GetKey(),
 	})
+	var f attempter.Failure
+	switch {
+	case err == nil:
+		d.Monitor.Succeed(c.Upstream, time.Since(began))
+	case errors.As(err, &f) && f.Kind == attempter.KindUnreachable:
+		d.Monitor.Unreachable(c.Upstream)
+	case errors.As(err, &f) && f.Kind == attempter.KindLeaving:
+		d.Monitor.Refused(c.Upstream)
+	case errors.As(err, &f) && f.Kind != attempter.KindRefused && ctx.Err() == nil:
+		d.Monitor.Fail(c.Upstream, began)
+	}
+	return body, err
 }
 
 // callOnce sends a request that may not be repeated at most once.
-func (d *Dispatcher) callOnce(ctx context.Context, req *callerv1.CallRequest, until time.Time) (Answer, error) {
+func (d *Dispatcher) callOnce(ctx context.Context, req *callerv1.CallRequest, adm admitter.Request) (Answer, error) {
 	if err := checkKey(req.GetKey(), time.Now()); err != nil {
 		return Answer{}, err
 	}
@@ -95,10 +116,11 @@
 	if !d.CanAgree() {
 		return Answer{}, verdict.Refuse(verdict.ReasonLogDown, comeBackLater, "the log does not answer")
 	}
-	c, err := d.await(ctx, until, nil, func(now time.Time) []router.Candidate { return d.services(req.GetService(), now) })
+	c, err := d.await(ctx, adm, nil, func(now time.Time) []router.Candidate { return d.services(req.GetService(), now) })
 	if err != nil {
 		return Answer{}, err
 	}
+	defer c.Done()
 	rec := &recordv1.Record{Id: recorder.NewID(), Kind: &recordv1.Record_Intent{Intent: &recordv1.Intent{
 		Customer: k.Customer, Key: k.Key, Instance: d.Instance, Incarnation: d.Incarnation,
 		Upstream: c.Upstream, Method: req.GetMethod(),
@@ -120,7 +142,7 @@
 }
 
 // sendOnce sends after the intent won, and logs the outcome.
-func (d *Dispatcher) sendOnce(ctx context.Context, c router.Candidate, req *callerv1.CallRequest, k folder.IntentKey, intent string) (Answer, error) {
+func (d *Dispatcher) sendOnce(ctx context.Context, c admitter.Grant, req *callerv1.CallRequest, k folder.IntentKey, intent string) (Answer, error) {
 	body, err := d.attemptCall(ctx, c, req)
 	o := &recordv1.Outcome{Customer: k.Customer, Key: k.Key, IntentId: intent}
 	switch r := verdict.Of(err); {
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -8,15 +8,19 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"go.uber.org/zap"
 
+	"github.com/primrosedrift/primrosedrift/internal/admitter"
 	"github.com/primrosedrift/primrosedrift/internal/attempter"
 	"github.com/primrosedrift/primrosedrift/internal/folder"
 	"github.com/primrosedrift/primrosedrift/internal/keeper"
 	"github.com/primrosedrift/primrosedrift/internal/monitor"
+	"github.com/primrosedrift/primrosedrift/internal/quarantiner"
 	"github.com/primrosedrift/primrosedrift/internal/recorder"
+	"github.com/primrosedrift/primrosedrift/internal/retrier"
 	"github.com/primrosedrift/primrosedrift/internal/tallier"
 	callerv1 "github.com/primrosedrift/primrosedrift/pkg/api/caller/v1"
 	recordv1 "github.com/primrosedrift/primrosedrift/pkg/api/record/v1"
@@ -25,25 +29,31 @@
 
 // Bounds of the dispatcher.
 const (
-	maxTries       = 4
-	defaultWait    = 2 * time.Second
-	comeBackSoon   = 500 * time.Millisecond
-	comeBackLater  = 2 * time.Second
-	attemptTimeout = 60 * time.Second
+	maxTries      = 4
+	defaultWait   = 2 * time.Second
+	comeBackSoon  = 500 * time.Millisecond
+	comeBackLater = 2 * time.Second
 )
 
 // Dispatcher dispatches requests. Its fields must be set before use.
 type Dispatcher struct {
 	Instance    string
 	Incarnation string
+	DataCentre  string
 	Keeper      *keeper.Keeper
 	Recorder    *recorder.Recorder
 	Monitor     *monitor.Monitor
 	Tallier     *tallier.Tallier
 	Attempter   *attempter.Attempter
+	Retries     *retrier.Budget
+	Quarantiner *quarantiner.Quarantiner
 	Log         *zap.Logger
 	// CanAgree reports whether the log answers, so that something can be agreed.
 	CanAgree func() bool
+	// Admitter queues the requests that wait for an upstream.
+	Admitter admitter.Admitter
+
+	admit sync.Once
 }
 
 // deadline returns when the request must have its first byte or its refusal.
@@ -84,5 +94,9 @@
 	until := deadline(time.Now(), req.GetDeadlineMs(), contract.GetWaitingTimeMs())
 	ticket := d.Tallier.Wait(tallier.Target{Model: req.GetModel(), Adapter: req.GetAdapter()}, class, until)
 	defer ticket.Done()
-	return d.generate(ctx, req, class, until, ticket, emit)
+	adm := admitter.Request{
+		ID: req.GetRequestId(), Customer: req.GetCustomer(), Class: class, Weight: contract.GetWeight(),
+		Target: req.GetModel() + "/" + req.GetAdapter(), Deadline: until,
+	}
+	return d.generate(ctx, req, adm, ticket, emit)
 }
