--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -93,7 +93,7 @@
 func (e *Entry) wirePlatform(client *http.Client) {
 	logCommands := platformv1connect.NewLogCommandsClient(client, e.Settings.Platform.Log)
 	e.recorder = &recorder.Recorder{
-		Incarnation: e.Incarnation, MaxPending: e.Settings.Limits.PendingRecords, OnAppend: e.metrics.onAppend,
+		Incarnation: e.Incarnation, MaxPending: e.Settings.Limits.PendingRecords, OnAppend: e.metrics.onAppend, Rules: e.keeper.Rules,
 		Append: func(ctx context.Context, payload []byte) error {
 			_, err := logCommands.Append(ctx, connect.NewRequest(&platformv1.AppendRequest{Payload: payload}))
 			return errors.Wrap(err, "append")
@@ -133,6 +133,7 @@
 		HTTP:    client,
 		MaySend: func(t orderer.Task) bool { return controller.MaySend(e.keeper.View, t) },
 		Submit:  e.recorder.Submit,
+		AsOf:    e.keeper.Next,
 		OnResult: func(t orderer.Task, err error) {
 			orderLog.Info("order sent", zap.Stringer("action", t.Order.GetAction()), zap.String("replica", t.Order.GetReplica()),
 				zap.String("model", t.Order.GetModel()), zap.Error(err))
@@ -149,7 +150,7 @@
 
 // canAgree reports whether the log answers, as far as known.
 func (e *Entry) canAgree() bool {
-	return e.tailer.HasCaughtUp() && time.Since(e.tailer.Heard()) < logSilence && !e.recorder.IsFailing()
+	return e.tailer.HasCaughtUp() && !e.keeper.IsHalted() && time.Since(e.tailer.Heard()) < logSilence && !e.recorder.IsFailing()
 }
 
 // upstreams returns the upstreams in force. The messages are never changed in place.
--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -64,6 +64,20 @@
 	return k.changed
 }
 
+// IsHalted reports whether the state stopped at rules that this program does not know.
+func (k *Keeper) IsHalted() bool {
+	k.mu.RLock()
+	defer k.mu.RUnlock()
+	return k.state.IsHalted()
+}
+
+// Rules returns the active version of the fold's rules.
+func (k *Keeper) Rules() uint32 {
+	k.mu.RLock()
+	defer k.mu.RUnlock()
+	return k.state.Rules()
+}
+
 // Next returns the first offset that the state does not include.
 func (k *Keeper) Next() uint64 {
 	k.mu.RLock()
