internal/burner, cmd: report burn, from the counters of all entry instances

An entry instance keeps about 170 buckets per series and at most 1024 series. Counts add up (TestMerge), and each event is counted at one instance.

Neither is built: counts end with their instance, and the report says how far back each one remembers, which could not be asked, and that it is not whole (TestReportSaysWhatIsMissing).

--- /dev/null
+++ b/cmd/primrosedrift/report.go
@@ -0,0 +1,71 @@
+package main
+
+import (
+	"context"
+	"net/http"
+	"os"
+
+	"connectrpc.com/connect"
+	"github.com/cockroachdb/errors"
+	"github.com/urfave/cli/v3"
+
+	"github.com/primrosedrift/primrosedrift/internal/burner"
+	operatorv1 "github.com/primrosedrift/primrosedrift/pkg/api/operator/v1"
+	"github.com/primrosedrift/primrosedrift/pkg/api/operator/v1/operatorv1connect"
+)
+
+func reportCommand() *cli.Command {
+	return &cli.Command{
+		Name: "report", Usage: "report on the service",
+		Commands: []*cli.Command{{
+			Name: "burn", Usage: "show how fast the error budgets of the service-level objectives burn, and what burns them",
+			Flags: []cli.Flag{
+				operatorsFlag(), outputFlag(),
+				&cli.StringFlag{Name: "plot", Usage: "file for an SVG plot"},
+			},
+			Action: reportBurn,
+		}},
+	}
+}
+
+func reportBurn(ctx context.Context, c *cli.Command) error {
+	rep, err := askBurn(ctx, c.StringSlice("entry"))
+	if err != nil {
+		return err
+	}
+	if file := c.String("plot"); file != "" {
+		f, err := os.Create(file)
+		if err != nil {
+			return errors.Wrap(err, "plot")
+		}
+		defer f.Close()
+		if err := rep.WriteSVG(f); err != nil {
+			return err
+		}
+	}
+	if c.String("output") == "json" {
+		return printJSON(rep)
+	}
+	return rep.WriteText(os.Stdout)
+}
+
+// askBurn asks every entry instance and adds up what they tell.
+func askBurn(ctx context.Context, entries []string) (burner.Report, error) {
+	var snapshots []burner.Snapshot
+	var silent []burner.Silent
+	for _, a := range entries {
+		actx, cancel := context.WithTimeout(ctx, askTimeout)
+		resp, err := operatorv1connect.NewOperatorQueriesClient(http.DefaultClient, operatorScheme+a).
+			Burn(actx, connect.NewRequest(&operatorv1.BurnRequest{}))
+		cancel()
+		if err != nil {
+			silent = append(silent, burner.Silent{Entry: a, Why: err.Error()})
+			continue
+		}
+		snapshots = append(snapshots, burner.FromMessage(resp.Msg))
+	}
+	if len(snapshots) == 0 {
+		return burner.Report{}, errors.Newf("no entry instance could be asked: %s; are they up, and are these operator addresses?", silent[0].Why)
+	}
+	return burner.NewReport(snapshots, silent), nil
+}
--- a/internal/entry/caller.go
+++ b/internal/entry/caller.go
@@ -55,9 +55,11 @@
 	}
 	start := time.Now()
 	first := true
+	var took time.Duration
 	n, err := c.e.dispatcher.Generate(ctx, m, func(i uint32, token string) error {
 		if first {
-			c.e.metrics.wait.WithLabelValues("generate").Observe(time.Since(start).Seconds())
+			took = time.Since(start)
+			c.e.metrics.wait.WithLabelValues("generate").Observe(took.Seconds())
 			first = false
 		}
 		return stream.Send(&callerv1.GenerateResponse{RequestId: m.GetRequestId(), Index: i, Token: token})
@@ -65,6 +67,7 @@
 	if err != nil {
 		return c.e.refuse("generate", m.GetRequestId(), m.GetCustomer(), m.GetModel(), err)
 	}
+	c.e.burn.answered(m.GetCustomer(), m.GetModel(), took)
 	c.e.answered("generate", m.GetRequestId(), m.GetCustomer(), m.GetModel())
 	return stream.Send(&callerv1.GenerateResponse{RequestId: m.GetRequestId(), Index: n, End: true, Count: n})
 }
@@ -84,6 +87,7 @@
 		return nil, c.e.refuse("call", m.GetRequestId(), m.GetCustomer(), m.GetService(), err)
 	}
 	c.e.metrics.wait.WithLabelValues("call").Observe(time.Since(start).Seconds())
+	c.e.burn.answered(m.GetCustomer(), m.GetService(), time.Since(start))
 	c.e.answered("call", m.GetRequestId(), m.GetCustomer(), m.GetService())
 	return connect.NewResponse(&callerv1.CallResponse{RequestId: m.GetRequestId(), Body: a.Body, Earlier: a.Earlier}), nil
 }
@@ -99,6 +103,7 @@
 // refuse counts, explains and returns the caller's error.
 func (e *Entry) refuse(kind, requestID, customer, target string, err error) error {
 	r := verdict.Of(err)
+	e.burn.refused(customer, target, r.Reason)
 	e.metrics.requests.WithLabelValues(kind, r.Ran.String(), string(r.Reason)).Inc()
 	e.Log.Named("caller").Info("request refused", zap.String("request-id", requestID), zap.String("customer", customer),
 		zap.String("target", target), zap.String("reason", string(r.Reason)), zap.Stringer("ran", r.Ran))
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -61,6 +61,7 @@
 	dispatcher *dispatcher.Dispatcher
 	explainer  *explainer.Explainer
 	membership explainer.Membership
+	burn       *burnCounter
 	metrics    *metrics
 }
 
@@ -86,6 +87,8 @@
 	e.keeper.Subscribe(e.recorder.OnEvents)
 	e.keeper.Subscribe(e.dispatcher.OnEvents)
 	e.keeper.Subscribe(e.explainer.OnEvents)
+	e.burn = newBurnCounter(&e.keeper, e.Incarnation)
+	e.keeper.Subscribe(e.burn.OnEvents)
 	return e
 }
 
--- a/internal/entry/operator.go
+++ b/internal/entry/operator.go
@@ -25,6 +25,7 @@
 	m := req.Msg
 	ctx, cancel := context.WithTimeout(ctx, publishTimeout)
 	defer cancel()
+	start := time.Now()
 	e, err := c.e.recorder.Submit(ctx, &recordv1.Record{Kind: &recordv1.Record_ConfigChange{ConfigChange: &recordv1.ConfigChange{
 		BaseVersion: m.GetBaseVersion(), Upserts: m.GetUpserts(), Deletes: m.GetDeletes(), Operator: m.GetOperator(),
 	}}})
@@ -35,6 +36,7 @@
 	case err != nil:
 		resp.Result, resp.Detail = operatorv1.PublishResult_PUBLISH_RESULT_UNKNOWN, err.Error()
 	case e.Counted:
+		c.e.burn.published(time.Since(start))
 		resp.Result = operatorv1.PublishResult_PUBLISH_RESULT_ACCEPTED
 	default:
 		resp.Result, resp.Detail = operatorv1.PublishResult_PUBLISH_RESULT_LOST_RACE, e.Why
--- a/pkg/api/operator/v1/operatorv1connect/operator.connect.go
+++ b/pkg/api/operator/v1/operatorv1connect/operator.connect.go
@@ -43,6 +43,8 @@
 	OperatorQueriesGetProcedure = "/primrosedrift.operator.v1.OperatorQueries/Get"
 	// OperatorQueriesExplainProcedure is the fully-qualified name of the OperatorQueries's Explain RPC.
 	OperatorQueriesExplainProcedure = "/primrosedrift.operator.v1.OperatorQueries/Explain"
+	// OperatorQueriesBurnProcedure is the fully-qualified name of the OperatorQueries's Burn RPC.
+	OperatorQueriesBurnProcedure = "/primrosedrift.operator.v1.OperatorQueries/Burn"
 )
 
 // OperatorCommandsClient is a client for the primrosedrift.operator.v1.OperatorCommands service.
@@ -120,6 +122,8 @@
 type OperatorQueriesClient interface {
 	Get(context.Context, *connect.Request[v1.GetRequest]) (*connect.Response[v1.GetResponse], error)
 	Explain(context.Context, *connect.Request[v1.ExplainRequest]) (*connect.Response[v1.ExplainResponse], error)
+	// Burn tells how this instance kept the service-level objectives.
+	Burn(context.Context, *connect.Request[v1.BurnRequest]) (*connect.Response[v1.BurnResponse], error)
 }
 
 // NewOperatorQueriesClient constructs a client for the primrosedrift.operator.v1.OperatorQueries
@@ -145,6 +149,12 @@
 			connect.WithSchema(operatorQueriesMethods.ByName("Explain")),
 			connect.WithClientOptions(opts...),
 		),
+		burn: connect.NewClient[v1.BurnRequest, v1.BurnResponse](
+			httpClient,
+			baseURL+OperatorQueriesBurnProcedure,
+			connect.WithSchema(operatorQueriesMethods.ByName("Burn")),
+			connect.WithClientOptions(opts...),
+		),
 	}
 }
 
@@ -152,6 +162,7 @@
 type operatorQueriesClient struct {
 	get     *connect.Client[v1.GetRequest, v1.GetResponse]
 	explain *connect.Client[v1.ExplainRequest, v1.ExplainResponse]
+	burn    *connect.Client[v1.BurnRequest, v1.BurnResponse]
 }
 
 // Get calls primrosedrift.operator.v1.OperatorQueries.Get.
@@ -164,11 +175,18 @@
 	return c.explain.CallUnary(ctx, req)
 }
 
+// Burn calls primrosedrift.operator.v1.OperatorQueries.Burn.
+func (c *operatorQueriesClient) Burn(ctx context.Context, req *connect.Request[v1.BurnRequest]) (*connect.Response[v1.BurnResponse], error) {
+	return c.burn.CallUnary(ctx, req)
+}
+
 // OperatorQueriesHandler is an implementation of the primrosedrift.operator.v1.OperatorQueries
 // service.
 type OperatorQueriesHandler interface {
 	Get(context.Context, *connect.Request[v1.GetRequest]) (*connect.Response[v1.GetResponse], error)
 	Explain(context.Context, *connect.Request[v1.ExplainRequest]) (*connect.Response[v1.ExplainResponse], error)
+	// Burn tells how this instance kept the service-level objectives.
+	Burn(context.Context, *connect.Request[v1.BurnRequest]) (*connect.Response[v1.BurnResponse], error)
 }
 
 // NewOperatorQueriesHandler builds an HTTP handler from the service implementation. It returns the
@@ -190,12 +208,20 @@
 		connect.WithSchema(operatorQueriesMethods.ByName("Explain")),
 		connect.WithHandlerOptions(opts...),
 	)
+	operatorQueriesBurnHandler := connect.NewUnaryHandler(
+		OperatorQueriesBurnProcedure,
+		svc.Burn,
+		connect.WithSchema(operatorQueriesMethods.ByName("Burn")),
+		connect.WithHandlerOptions(opts...),
+	)
 	return "/primrosedrift.operator.v1.OperatorQueries/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case OperatorQueriesGetProcedure:
 			operatorQueriesGetHandler.ServeHTTP(w, r)
 		case OperatorQueriesExplainProcedure:
 			operatorQueriesExplainHandler.ServeHTTP(w, r)
+		case OperatorQueriesBurnProcedure:
+			operatorQueriesBurnHandler.ServeHTTP(w, r)
 		default:
 			http.NotFound(w, r)
 		}
@@ -212,3 +238,7 @@
 func (UnimplementedOperatorQueriesHandler) Explain(context.Context, *connect.Request[v1.ExplainRequest]) (*connect.Response[v1.ExplainResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("primrosedrift.operator.v1.OperatorQueries.Explain is not implemented"))
 }
+
+func (UnimplementedOperatorQueriesHandler) Burn(context.Context, *connect.Request[v1.BurnRequest]) (*connect.Response[v1.BurnResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("primrosedrift.operator.v1.OperatorQueries.Burn is not implemented"))
+}
