internal/keyring, settings, entry, cmd: TLS from files, with a trust of its own for callers, peers and operators

Peers and operators must show a certificate (mutual TLS). TestTLS runs two entry instances with three authorities: the peers see each other, and the keys of one kind of client do not open the address of another. TLS towards the platform follows its URL; towards upstreams it is not there yet.

--- a/cmd/primrosedrift/bench_load.go
+++ b/cmd/primrosedrift/bench_load.go
@@ -2,11 +2,7 @@
 
 import (
 	"context"
-	"math"
-	"net"
-	"net/http"
 	"os"
-	"time"
 
 	"connectrpc.com/connect"
 	"github.com/cockroachdb/errors"
@@ -70,15 +66,15 @@
 }
 
 func newLoader(c *cli.Command, plan loader.Plan) *loader.Loader {
-	client := loadClient()
+	client := httpClient(c)
 	clients := make(map[string]loader.Sender)
 	for _, t := range plan.Targets {
-		p := &caller.Client{Entries: c.StringSlice("entry"), Customer: t.Customer, HTTP: client}
+		p := &caller.Client{Entries: c.StringSlice("entry"), Customer: t.Customer, HTTP: client, TLS: usesTLS(c)}
 		if _, ok := clients[t.Customer]; !ok {
 			clients[t.Customer] = loader.Sender{Generate: p.Generate, Call: p.Call}
 		}
 	}
-	operator := operatorv1connect.NewOperatorQueriesClient(client, operatorScheme+c.String("operator"))
+	operator := operatorv1connect.NewOperatorQueriesClient(client, scheme(c)+c.String("operator"))
 	straight := &loader.Straight{HTTP: client, InForce: func(ctx context.Context) (*operatorv1.GetResponse, error) {
 		resp, err := operator.Get(ctx, connect.NewRequest(&operatorv1.GetRequest{}))
 		if err != nil {
@@ -97,14 +93,6 @@
 	return l
 }
 
-// loadClient returns a client that keeps as many connections as the load needs.
-func loadClient() *http.Client {
-	return &http.Client{Transport: &http.Transport{
-		MaxIdleConnsPerHost: math.MaxInt16, IdleConnTimeout: 90 * time.Second,
-		DialContext: (&net.Dialer{Timeout: time.Second}).DialContext,
-	}}
-}
-
 func writeLoadReport(c *cli.Command, rep loader.Report) error {
 	if file := c.String("plot"); file != "" {
 		f, err := os.Create(file)
--- a/cmd/primrosedrift/call.go
+++ b/cmd/primrosedrift/call.go
@@ -33,7 +33,7 @@
 }
 
 func call(ctx context.Context, c *cli.Command) error {
-	client := &caller.Client{Entries: c.StringSlice("entry"), Customer: c.String("customer")}
+	client := &caller.Client{Entries: c.StringSlice("entry"), Customer: c.String("customer"), HTTP: httpClient(c), TLS: usesTLS(c)}
 	start := time.Now()
 	err := callOnce(ctx, c, client)
 	if err == nil {
--- a/cmd/primrosedrift/explain.go
+++ b/cmd/primrosedrift/explain.go
@@ -4,7 +4,6 @@
 	"cmp"
 	"context"
 	"fmt"
-	"net/http"
 	"slices"
 	"time"
 
@@ -91,7 +90,7 @@
 	entries := c.StringSlice("entry")
 	for _, a := range entries {
 		actx, cancel := context.WithTimeout(ctx, askTimeout)
-		resp, err := operatorv1connect.NewOperatorQueriesClient(http.DefaultClient, operatorScheme+a).
+		resp, err := operatorv1connect.NewOperatorQueriesClient(httpClient(c), scheme(c)+a).
 			Explain(actx, connect.NewRequest(&operatorv1.ExplainRequest{Subject: v.Subject, Limit: uint32(c.Int("limit"))}))
 		cancel()
 		if err != nil {
--- a/cmd/primrosedrift/main.go
+++ b/cmd/primrosedrift/main.go
@@ -50,6 +50,7 @@
 	return &cli.Command{
 		Name:  "primrosedrift",
 		Usage: "serves rarely used models",
+		Flags: tlsFlags(),
 		Commands: []*cli.Command{
 			serveCommand(), checkCommand(), publishCommand(), getCommand(), explainCommand(), callCommand(), benchCommand(), reportCommand(), versionCommand(),
 		},
--- a/cmd/primrosedrift/operate.go
+++ b/cmd/primrosedrift/operate.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"net/http"
 	"os"
 
 	"connectrpc.com/connect"
@@ -24,10 +23,8 @@
 	return &cli.StringFlag{Name: "output", Usage: "text or json", Value: "text"}
 }
 
-const operatorScheme = "http://"
-
 func operatorURL(c *cli.Command) string {
-	return operatorScheme + c.String("entry")
+	return scheme(c) + c.String("entry")
 }
 
 func publishCommand() *cli.Command {
@@ -48,7 +45,7 @@
 	if err != nil {
 		return exitError{exitUsage, err}
 	}
-	got, err := operatorv1connect.NewOperatorQueriesClient(http.DefaultClient, operatorURL(c)).
+	got, err := operatorv1connect.NewOperatorQueriesClient(httpClient(c), operatorURL(c)).
 		Get(ctx, connect.NewRequest(&operatorv1.GetRequest{}))
 	if err != nil {
 		return errors.Wrap(err, "ask what is in force; is the entry instance up?")
@@ -65,7 +62,7 @@
 		fmt.Printf("dry run against version %d: nothing was published\n", got.Msg.GetVersion())
 		return nil
 	}
-	resp, err := operatorv1connect.NewOperatorCommandsClient(http.DefaultClient, operatorURL(c)).
+	resp, err := operatorv1connect.NewOperatorCommandsClient(httpClient(c), operatorURL(c)).
 		Publish(ctx, connect.NewRequest(&operatorv1.PublishRequest{
 			BaseVersion: got.Msg.GetVersion(), Upserts: change.Upserts, Deletes: change.Deletes, Operator: c.String("operator"),
 		}))
@@ -94,7 +91,7 @@
 		Name: "get", Usage: "show what is in force, and which replica is where",
 		Flags: []cli.Flag{operatorFlag(), outputFlag()},
 		Action: func(ctx context.Context, c *cli.Command) error {
-			resp, err := operatorv1connect.NewOperatorQueriesClient(http.DefaultClient, operatorURL(c)).
+			resp, err := operatorv1connect.NewOperatorQueriesClient(httpClient(c), operatorURL(c)).
 				Get(ctx, connect.NewRequest(&operatorv1.GetRequest{}))
 			if err != nil {
 				return errors.Wrap(err, "get; is the entry instance up?")
--- a/cmd/primrosedrift/report.go
+++ b/cmd/primrosedrift/report.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net/http"
 	"os"
 
 	"connectrpc.com/connect"
@@ -29,7 +28,7 @@
 }
 
 func reportBurn(ctx context.Context, c *cli.Command) error {
-	rep, err := askBurn(ctx, c.StringSlice("entry"))
+	rep, err := askBurn(ctx, c)
 	if err != nil {
 		return err
 	}
@@ -50,12 +49,12 @@
 }
 
 // askBurn asks every entry instance and adds up what they tell.
-func askBurn(ctx context.Context, entries []string) (burner.Report, error) {
+func askBurn(ctx context.Context, c *cli.Command) (burner.Report, error) {
 	var snapshots []burner.Snapshot
 	var silent []burner.Silent
-	for _, a := range entries {
+	for _, a := range c.StringSlice("entry") {
 		actx, cancel := context.WithTimeout(ctx, askTimeout)
-		resp, err := operatorv1connect.NewOperatorQueriesClient(http.DefaultClient, operatorScheme+a).
+		resp, err := operatorv1connect.NewOperatorQueriesClient(httpClient(c), scheme(c)+a).
 			Burn(actx, connect.NewRequest(&operatorv1.BurnRequest{}))
 		cancel()
 		if err != nil {
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -113,8 +113,8 @@
 			Name: e.Settings.Instance, Incarnation: e.Incarnation, DataCentre: e.Settings.DataCentre,
 			Address: e.Settings.Listen.Peer, CallerAddress: e.Settings.Listen.Caller,
 		},
-		List:     platformv1connect.NewInstanceListQueriesClient(client, e.Settings.Platform.InstanceList),
-		HTTP:     client,
+		List: platformv1connect.NewInstanceListQueriesClient(client, e.Settings.Platform.InstanceList),
+		HTTP: e.peerClient(client), PeerScheme: e.peerScheme(),
 		OnStatus: func(st *peerv1.StatusResponse) { e.monitor.PeerSays(st.GetLeavingUpstreams()) },
 		OnChange: func(ms []watcher.Member) {
 			watchLog.Info("membership changed", zap.Int("members", len(ms)))
--- a/internal/entry/listen.go
+++ b/internal/entry/listen.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"crypto/tls"
 	"net"
 	"net/http"
 	"net/http/pprof"
@@ -11,6 +12,7 @@
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 	"go.uber.org/zap"
 
+	"github.com/primrosedrift/primrosedrift/internal/keyring"
 	"github.com/primrosedrift/primrosedrift/pkg/api/caller/v1/callerv1connect"
 	"github.com/primrosedrift/primrosedrift/pkg/api/operator/v1/operatorv1connect"
 	peerv1 "github.com/primrosedrift/primrosedrift/pkg/api/peer/v1"
@@ -41,16 +43,17 @@
 	for _, l := range []struct {
 		address string
 		handler http.Handler
+		keys    keyring.Files
 	}{
-		{e.Settings.Listen.Caller, callers},
-		{e.Settings.Listen.Operator, operators},
-		{e.Settings.Listen.Peer, peers},
-		{e.Settings.Listen.Debug, e.debug()},
+		{e.Settings.Listen.Caller, callers, e.Settings.TLS.Caller},
+		{e.Settings.Listen.Operator, operators, e.Settings.TLS.Operator},
+		{e.Settings.Listen.Peer, peers, e.Settings.TLS.Peer},
+		{e.Settings.Listen.Debug, e.debug(), keyring.Files{}},
 	} {
 		if l.address == "" {
 			continue
 		}
-		s, err := e.serve(l.address, l.handler)
+		s, err := e.serve(l.address, l.handler, l.keys)
 		if err != nil {
 			for _, other := range servers {
 				_ = other.Close()
@@ -62,7 +65,11 @@
 	return servers, nil
 }
 
-func (e *Entry) serve(address string, h http.Handler) (*http.Server, error) {
+func (e *Entry) serve(address string, h http.Handler, files keyring.Files) (*http.Server, error) {
+	keys, err := e.keyring(files)
+	if err != nil {
+		return nil, err
+	}
 	ln, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, errors.Wrapf(err, "listen on %s", address)
@@ -71,6 +78,9 @@
 	protocols.SetHTTP1(true)
 	protocols.SetUnencryptedHTTP2(true)
 	s := &http.Server{Handler: h, ReadHeaderTimeout: readHeaderTimeout, Protocols: &protocols}
+	if keys != nil {
+		ln = tls.NewListener(ln, keys.Server())
+	}
 	go func() {
 		if err := s.Serve(ln); !errors.Is(err, http.ErrServerClosed) {
 			e.Log.Error("server ended", zap.String("address", address), zap.Error(err))
@@ -79,6 +89,37 @@
 	return s, nil
 }
 
+// keyring returns the loaded keys of the files, nil if none are named.
+func (e *Entry) keyring(files keyring.Files) (*keyring.Keyring, error) {
+	if files.IsZero() {
+		return nil, nil
+	}
+	log := e.Log.Named("keyring")
+	k := &keyring.Keyring{Files: files, OnError: func(err error) {
+		log.Warn("changed keys were not taken over", zap.Error(err))
+	}}
+	return k, k.Load()
+}
+
+// peerScheme returns the scheme that peers serve, which is this instance's own.
+func (e *Entry) peerScheme() string {
+	if e.Settings.TLS.Peer.IsZero() {
+		return "http"
+	}
+	return "https"
+}
+
+// peerClient returns the client for peers: plain, or one with the peers' keys.
+func (e *Entry) peerClient(plain *http.Client) *http.Client {
+	if e.Settings.TLS.Peer.IsZero() {
+		return plain
+	}
+	keys := &keyring.Keyring{Files: e.Settings.TLS.Peer} // listen reports faults
+	return &http.Client{Transport: &http.Transport{
+		DialTLSContext: keys.Dial, MaxIdleConnsPerHost: idleConnsPerHost, IdleConnTimeout: 90 * time.Second,
+	}}
+}
+
 func (e *Entry) debug() http.Handler {
 	mux := http.NewServeMux()
 	mux.Handle("/metrics", promhttp.HandlerFor(e.metrics.registry, promhttp.HandlerOpts{}))
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -13,6 +13,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/primrosedrift/primrosedrift/internal/keyring"
 )
 
 // Settings are the settings of one entry instance.
@@ -25,6 +27,15 @@
 	Limits     Limits   `toml:"limits"`
 	Timing     Timing   `toml:"timing"`
 	Log        Log      `toml:"log"`
+	TLS        TLS      `toml:"tls"`
+}
+
+// TLS names the keys for each kind of client. A kind without files uses plain
+// TCP. Peers and operators need a trust file, so that both ends are known.
+type TLS struct {
+	Caller   keyring.Files `toml:"caller"`
+	Peer     keyring.Files `toml:"peer"`
+	Operator keyring.Files `toml:"operator"`
 }
 
 // Listen holds the addresses that the instance serves on, as host:port.
@@ -178,6 +189,7 @@
 			add(key, "must not be negative")
 		}
 	}
+	s.TLS.check(add)
 	switch s.Log.Level {
 	case "", "debug", "info", "warn", "error":
 	default:
@@ -185,6 +197,27 @@
 	}
 }
 
+func (t TLS) check(add func(key, text string)) {
+	for _, v := range []struct {
+		key    string
+		files  keyring.Files
+		mutual bool
+	}{{"tls.caller", t.Caller, false}, {"tls.peer", t.Peer, true}, {"tls.operator", t.Operator, true}} {
+		if v.files.IsZero() {
+			continue
+		}
+		if v.files.Certificate == "" {
+			add(v.key+".certificate", "is missing")
+		}
+		if v.files.Key == "" {
+			add(v.key+".key", "is missing")
+		}
+		if v.mutual && v.files.Trust == "" {
+			add(v.key+".trust", "is missing; peers and operators must show a certificate")
+		}
+	}
+}
+
 func (s Settings) withDefaults() Settings {
 	setInt(&s.Limits.QueuedRequests, DefaultQueuedRequests)
 	setInt(&s.Limits.PendingRecords, DefaultPendingRecords)
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -39,6 +39,7 @@
 		{"negative", `keep-warm = "5m"`, `keep-warm = "-5m"`, []string{"f.toml:11: timing.keep-warm: must not be negative"}},
 		{"syntax", `[timing]`, `[timing`, []string{"f.toml:10: "}},
 		{"log level", `[timing]`, "[log]\nlevel = 'loud'\n[timing]", []string{"f.toml:11: log.level: must be"}},
+		{"tls", "[timing]", "[tls.peer]\ncertificate = 'c'\n[timing]", []string{"f.toml:10: tls.peer.key: is missing", "f.toml:10: tls.peer.trust: is missing"}},
 		{
 			"all at once", `caller = "127.0.0.1:7001"`, "caller = 7001\npear = ''\n[limits]\nqueued-requests = \"many\"\npending-records = -1\n[listen2]",
 			[]string{":3: listen.peer", ":3: listen.operator", ":4: listen.caller", ":5: listen.pear", ":7: limits.queued-requests", ":8: limits.pending-records: must not be negative"},
--- a/pkg/caller/caller.go
+++ b/pkg/caller/caller.go
@@ -34,6 +34,8 @@
 	DataCentre string
 	// HTTP is http.DefaultClient unless set.
 	HTTP *http.Client
+	// TLS makes the client use https; HTTP must then hold the trust.
+	TLS bool
 
 	mu    sync.Mutex
 	cache map[string]located
@@ -51,6 +53,13 @@
 	return http.DefaultClient
 }
 
+func (c *Client) scheme() string {
+	if c.TLS {
+		return "https://"
+	}
+	return "http://"
+}
+
 // Locate returns the addresses for a target, best first.
 func (c *Client) Locate(ctx context.Context, target string) ([]string, error) {
 	c.mu.Lock()
@@ -82,7 +91,7 @@
 func (c *Client) locate(ctx context.Context, address, target string) (*callerv1.LocateResponse, error) {
 	ctx, cancel := context.WithTimeout(ctx, locateTimeout)
 	defer cancel()
-	resp, err := callerv1connect.NewCallerQueriesClient(c.http(), "http://"+address).
+	resp, err := callerv1connect.NewCallerQueriesClient(c.http(), c.scheme()+address).
 		Locate(ctx, connect.NewRequest(&callerv1.LocateRequest{Customer: c.Customer, Target: target, DataCentre: c.DataCentre}))
 	if err != nil {
 		return nil, errors.Wrap(err, "locate")
@@ -152,7 +161,7 @@
 	req.Customer = c.Customer
 	var out *callerv1.CallResponse
 	err := c.each(ctx, req.GetService(), func(ctx context.Context, address string) error {
-		resp, err := callerv1connect.NewCallerCommandsClient(c.http(), "http://"+address).Call(ctx, connect.NewRequest(req))
+		resp, err := callerv1connect.NewCallerCommandsClient(c.http(), c.scheme()+address).Call(ctx, connect.NewRequest(req))
 		if err == nil {
 			out = resp.Msg
 		}
@@ -169,7 +178,7 @@
 	return c.each(ctx, req.GetModel(), func(ctx context.Context, address string) error {
 		ctx, cancel := context.WithCancel(ctx)
 		defer cancel()
-		stream, err := callerv1connect.NewCallerCommandsClient(c.http(), "http://"+address).Generate(ctx, connect.NewRequest(req))
+		stream, err := callerv1connect.NewCallerCommandsClient(c.http(), c.scheme()+address).Generate(ctx, connect.NewRequest(req))
 		if err != nil {
 			return err
 		}
--- /dev/null
+++ b/test/tls_test.go
@@ -0,0 +1,107 @@
+package test
+
+import (
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/x509"
+	"crypto/x509/pkix"
+	"encoding/pem"
+	"fmt"
+	"math/big"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// writeKeys writes an authority's certificate, and a certificate with its key
+// that the authority vouches for. It returns the directory.
+func writeKeys(t *testing.T) string {
+	dir := t.TempDir()
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	require.NoError(t, err)
+	template := &x509.Certificate{
+		SerialNumber: big.NewInt(1), Subject: pkix.Name{CommonName: "test"}, IsCA: true, BasicConstraintsValid: true,
+		NotBefore: time.Now().Add(-time.Hour), NotAfter: time.Now().Add(time.Hour),
+		KeyUsage:    x509.KeyUsageCertSign | x509.KeyUsageDigitalSignature,
+		ExtKeyUsage: []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth},
+		IPAddresses: []net.IP{net.IPv4(127, 0, 0, 1)},
+	}
+	der, err := x509.CreateCertificate(rand.Reader, template, template, &key.PublicKey, key)
+	require.NoError(t, err)
+	keyDER, err := x509.MarshalECPrivateKey(key)
+	require.NoError(t, err)
+	for name, block := range map[string]*pem.Block{
+		"cert.pem": {Type: "CERTIFICATE", Bytes: der}, "key.pem": {Type: "EC PRIVATE KEY", Bytes: keyDER},
+	} {
+		require.NoError(t, os.WriteFile(filepath.Join(dir, name), pem.EncodeToMemory(block), 0o600))
+	}
+	return dir
+}
+
+func tlsTable(kind, dir string) string {
+	return fmt.Sprintf("[tls.%s]\ncertificate = %q\nkey = %q\ntrust = %q\n", kind,
+		filepath.Join(dir, "cert.pem"), filepath.Join(dir, "key.pem"), filepath.Join(dir, "cert.pem"))
+}
+
+func tlsArgs(dir string) []string {
+	return []string{
+		"--tls-trust", filepath.Join(dir, "cert.pem"), "--tls-certificate", filepath.Join(dir, "cert.pem"), "--tls-key", filepath.Join(dir, "key.pem"),
+	}
+}
+
+// TestTLS runs two entry instances that know peers, operators and callers by
+// three authorities. The operator of one authority is not that of another.
+func TestTLS(t *testing.T) {
+	f := newFleet(t)
+	peers, operators, callers := writeKeys(t), writeKeys(t), writeKeys(t)
+	var operator, caller []string
+	for _, name := range []string{"entry-1", "entry-2"} {
+		e := &entryProcess{name: name, caller: freeAddress(t), peer: freeAddress(t), operator: freeAddress(t)}
+		e.settings = filepath.Join(t.TempDir(), name+".toml")
+		require.NoError(t, os.WriteFile(e.settings, fmt.Appendf(nil, `instance = %q
+data-centre = "zaal-utr"
+[listen]
+caller = %q
+peer = %q
+operator = %q
+[platform]
+log = "http://%s"
+instance-list = "http://%s"
+%s%s%s`, name, e.caller, e.peer, e.operator, f.log, f.list,
+			tlsTable("peer", peers), tlsTable("operator", operators), tlsTable("caller", callers)), 0o600))
+		e.process = startProcess(t, name, "primrosedrift", "serve", e.settings)
+		f.waitUp(e.caller)
+		f.announce(e, "live", "")
+		operator, caller = append(operator, e.operator), append(caller, e.caller)
+	}
+	run := func(args ...string) (string, error) {
+		out, err := exec.Command(filepath.Join(binDir, "primrosedrift"), args...).CombinedOutput()
+		return string(out), err
+	}
+	// entry-2 is in use at entry-1 only by its own word, so the peers talk.
+	require.Eventually(t, func() bool {
+		out, err := run(append(tlsArgs(operators), "explain", "--entry", operator[0], "entry-2")...)
+		return err == nil && strings.Contains(out, "in use entry-2")
+	}, eventually, 100*time.Millisecond)
+	for _, args := range [][]string{nil, tlsArgs(callers), tlsArgs(peers), tlsArgs(operators)[:2]} {
+		out, err := run(append(args, "get", "--entry", operator[0])...)
+		require.Error(t, err, "%s", out)
+	}
+	for _, tt := range []struct {
+		keys    string
+		through bool
+	}{{callers, true}, {operators, false}} {
+		out, err := run(append(tlsArgs(tt.keys), "call", "--entry", caller[0], "--customer", "nobody", "--model", "m")...)
+		require.Error(t, err)
+		require.Equal(t, tt.through, strings.Contains(out, "no-contract"), out)
+	}
+	out, err := run(append(tlsArgs(operators), "get", "--entry", operator[1])...)
+	require.NoError(t, err, out)
+}
