--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -61,6 +61,7 @@
 	dispatcher *dispatcher.Dispatcher
 	explainer  *explainer.Explainer
 	membership explainer.Membership
+	burn       *burnCounter
 	metrics    *metrics
 }
 
@@ -86,6 +87,8 @@
 	e.keeper.Subscribe(e.recorder.OnEvents)
 	e.keeper.Subscribe(e.dispatcher.OnEvents)
 	e.keeper.Subscribe(e.explainer.OnEvents)
+	e.burn = newBurnCounter(&e.keeper, e.Incarnation)
+	e.keeper.Subscribe(e.burn.OnEvents)
 	return e
 }
 
@@ -110,8 +113,8 @@
 			Name: e.Settings.Instance, Incarnation: e.Incarnation, DataCentre: e.Settings.DataCentre,
 			Address: e.Settings.Listen.Peer, CallerAddress: e.Settings.Listen.Caller,
 		},
-		List:     platformv1connect.NewInstanceListQueriesClient(client, e.Settings.Platform.InstanceList),
-		HTTP:     client,
+		List: platformv1connect.NewInstanceListQueriesClient(client, e.Settings.Platform.InstanceList),
+		HTTP: e.peerClient(client), PeerScheme: e.peerScheme(),
 		OnStatus: func(st *peerv1.StatusResponse) { e.monitor.PeerSays(st.GetLeavingUpstreams()) },
 		OnChange: func(ms []watcher.Member) {
 			watchLog.Info("membership changed", zap.Int("members", len(ms)))
