--- a/internal/dispatcher/once.go
+++ b/internal/dispatcher/once.go
@@ -97,10 +97,10 @@
 // provably did not run, the same intent covers the next one.
 func (d *Dispatcher) sendOnce(ctx context.Context, c router.Candidate, req *callerv1.CallRequest, k folder.IntentKey, intent string, until time.Time) (Answer, error) {
 	tried := make(map[string]bool)
+	d.Retries.First()
 	body, err := d.attemptCall(ctx, c, req)
-	for n := 1; n < maxTries && err != nil && verdict.Of(err).Ran == verdict.NotRun && ctx.Err() == nil; n++ {
+	for n := 1; n < maxTries && err != nil && verdict.Of(err).Ran == verdict.NotRun && ctx.Err() == nil && d.Retries.Retry(); n++ {
 		tried[c.Upstream] = true
-		d.Monitor.Fail(c.Upstream)
 		next, awaitErr := d.awaitService(ctx, req, tried, until)
 		if awaitErr != nil {
 			break
--- a/internal/watcher/watcher.go
+++ b/internal/watcher/watcher.go
@@ -70,6 +70,8 @@
 	LostAfter  time.Duration
 	// OnChange, if set, is called after a round that changed who is usable.
 	OnChange func([]Member)
+	// OnStatus, if set, hears every status of a peer.
+	OnStatus func(*peerv1.StatusResponse)
 
 	// Now is time.Now unless set.
 	Now func() time.Time
@@ -297,6 +299,9 @@
 		wg.Go(func() {
 			st, err := w.client(m).Status(ctx, &peerv1.StatusRequest{Instance: w.Self.Name, Incarnation: w.Self.Incarnation})
 			w.applyStatus(m.Name, st, err)
+			if err == nil && w.OnStatus != nil {
+				w.OnStatus(st)
+			}
 		})
 	}
 	wg.Wait()
