--- /dev/null
+++ b/test/check_test.go
@@ -0,0 +1,130 @@
+package test
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/stretchr/testify/require"
+
+	"github.com/primrosedrift/primrosedrift/internal/folder"
+	"github.com/primrosedrift/primrosedrift/internal/standin/checker"
+	callerv1 "github.com/primrosedrift/primrosedrift/pkg/api/caller/v1"
+	platformv1 "github.com/primrosedrift/primrosedrift/pkg/api/platform/v1"
+	"github.com/primrosedrift/primrosedrift/pkg/api/platform/v1/platformv1connect"
+	recordv1 "github.com/primrosedrift/primrosedrift/pkg/api/record/v1"
+	"github.com/primrosedrift/primrosedrift/pkg/caller"
+	"github.com/primrosedrift/primrosedrift/pkg/verdict"
+)
+
+// nextOffset returns the offset of the log's next append.
+func (f *fleet) nextOffset() uint64 {
+	f.t.Helper()
+	resp, err := platformv1connect.NewLogQueriesClient(http.DefaultClient, "http://"+f.log).
+		Bounds(context.Background(), connect.NewRequest(&platformv1.BoundsRequest{}))
+	require.NoError(f.t, err)
+	return resp.Msg.GetNextOffset()
+}
+
+// state returns the fold of the whole log.
+func (f *fleet) state() *folder.State {
+	f.t.Helper()
+	next := f.nextOffset()
+	ctx, cancel := context.WithTimeout(context.Background(), eventually)
+	defer cancel()
+	stream, err := platformv1connect.NewLogQueriesClient(http.DefaultClient, "http://"+f.log).
+		Tail(ctx, connect.NewRequest(&platformv1.TailRequest{}))
+	require.NoError(f.t, err)
+	s := new(folder.State)
+	for s.Next < next && stream.Receive() {
+		for _, e := range stream.Msg().GetEntries() {
+			s.Apply(e.GetOffset(), e.GetPayload())
+		}
+	}
+	require.GreaterOrEqual(f.t, s.Next, next, "%v", stream.Err())
+	return s
+}
+
+// held returns what the engines hold.
+func (f *fleet) held() []checker.Held {
+	f.t.Helper()
+	var out []checker.Held
+	for name := range f.procs {
+		if !strings.HasPrefix(name, "taalmodellen") {
+			continue
+		}
+		resp, err := http.Get("http://" + f.addresses[name] + "/held")
+		require.NoError(f.t, err)
+		h := checker.Held{}
+		require.NoError(f.t, json.NewDecoder(resp.Body).Decode(&h))
+		require.NoError(f.t, resp.Body.Close())
+		h.Upstream = name
+		out = append(out, h)
+	}
+	return out
+}
+
+// checkEngines fails the test if an engine holds what was not decided.
+func (f *fleet) checkEngines() {
+	f.t.Helper()
+	before := f.held()
+	s := f.state()
+	require.Empty(f.t, checker.Engines(before, s, f.held()))
+}
+
+// isEnded reports whether the outcome of the key is in the log.
+func (f *fleet) isEnded(key string) bool {
+	f.t.Helper()
+	in, ok := f.state().Intents.Get(folder.IntentKey{Customer: "tolwerk", Key: key})
+	return ok && in.Outcome != recordv1.OutcomeKind_OUTCOME_KIND_UNSPECIFIED
+}
+
+// told collects what callers were told of requests with a key.
+type told struct {
+	mu   sync.Mutex
+	list []checker.Told
+}
+
+// call sends a debit with the key to one entry instance only.
+func (f *fleet) call(to *told, e *entryProcess, key string, deadlineMs uint32) (*callerv1.CallResponse, error) {
+	c := &caller.Client{Customer: "tolwerk", Entries: []string{e.caller}, HTTP: pinned(e.caller)}
+	resp, err := c.Call(context.Background(), &callerv1.CallRequest{Service: "kernheffing", Method: "debit", Key: key, DeadlineMs: deadlineMs})
+	to.mu.Lock()
+	defer to.mu.Unlock()
+	to.list = append(to.list, checker.Told{Key: key, Err: err})
+	return resp, err
+}
+
+// callUntilKnown sends the key again for as long as it is refused as not run.
+func (f *fleet) callUntilKnown(to *told, e *entryProcess, key string) {
+	for end := time.Now().Add(eventually); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+		if _, err := f.call(to, e, key, 20_000); err == nil || verdict.Of(err).Ran != verdict.NotRun {
+			return
+		}
+	}
+}
+
+// pinned returns a client whose every request goes to one address.
+func pinned(address string) *http.Client {
+	return &http.Client{Transport: pin{address}}
+}
+
+type pin struct{ address string }
+
+func (p pin) RoundTrip(r *http.Request) (*http.Response, error) {
+	r = r.Clone(r.Context())
+	r.URL.Host = p.address
+	return http.DefaultTransport.RoundTrip(r)
+}
+
+// checkCalls fails the test if a key ran twice or otherwise than callers were told.
+func (f *fleet) checkCalls(to *told) {
+	f.t.Helper()
+	to.mu.Lock()
+	defer to.mu.Unlock()
+	require.Empty(f.t, checker.Calls(f.ran("kernheffing-1"), to.list))
+}
