--- a/internal/dispatcher/call.go
+++ b/internal/dispatcher/call.go
@@ -7,6 +7,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/primrosedrift/primrosedrift/internal/admitter"
 	"github.com/primrosedrift/primrosedrift/internal/attempter"
 	"github.com/primrosedrift/primrosedrift/internal/folder"
 	"github.com/primrosedrift/primrosedrift/internal/router"
@@ -42,13 +43,17 @@
 	until := deadline(time.Now(), req.GetDeadlineMs(), contract.GetWaitingTimeMs())
 	ctx, cancel := context.WithDeadline(ctx, until)
 	defer cancel()
+	adm := admitter.Request{
+		ID: req.GetRequestId(), Customer: req.GetCustomer(), Class: contract.GetClass(), Weight: contract.GetWeight(),
+		Target: "service " + req.GetService(), Deadline: until,
+	}
 	if slices.Contains(contract.GetNeverTwice(), req.GetMethod()) {
-		return d.callOnce(ctx, req, until)
+		return d.callOnce(ctx, req, adm)
 	}
-	return d.callRepeatable(ctx, req, until)
+	return d.callRepeatable(ctx, req, adm)
 }
 
-func (d *Dispatcher) callRepeatable(ctx context.Context, req *callerv1.CallRequest, until time.Time) (Answer, error) {
+func (d *Dispatcher) callRepeatable(ctx context.Context, req *callerv1.CallRequest, adm admitter.Request) (Answer, error) {
 	tried := make(map[string]bool)
 	last := verdict.Refusal{Ran: verdict.NotRun}
 	d.Retries.First()
@@ -56,7 +61,7 @@
 		if try > 0 && !d.Retries.Retry() {
 			break
 		}
-		c, err := d.await(ctx, until, tried, func(now time.Time) []router.Candidate { return d.services(req.GetService(), now) })
+		c, err := d.await(ctx, adm, tried, func(now time.Time) []router.Candidate { return d.services(req.GetService(), now) })
 		if err != nil {
 			return Answer{}, verdict.Of(err).After(last.Ran)
 		}
@@ -74,8 +79,8 @@
 	return Answer{}, last.WithComeBack(comeBackSoon)
 }
 
-func (d *Dispatcher) attemptCall(ctx context.Context, c router.Candidate, req *callerv1.CallRequest) ([]byte, error) {
-	defer d.Monitor.Begin(c.Upstream)()
+func (d *Dispatcher) attemptCall(ctx context.Context, c admitter.Grant, req *callerv1.CallRequest) ([]byte, error) {
+	defer c.Done()
 	began := time.Now()
 	body, err := d.Attempter.Call(ctx, c.Address, &upstreamv1.CallRequest{
 		Method: req.GetMethod(), Body: req.GetBody(), Key: req.GetKey(),
--- a/internal/dispatcher/once.go
+++ b/internal/dispatcher/once.go
@@ -6,6 +6,7 @@
 
 	"github.com/oklog/ulid/v2"
 
+	"github.com/primrosedrift/primrosedrift/internal/admitter"
 	"github.com/primrosedrift/primrosedrift/internal/folder"
 	"github.com/primrosedrift/primrosedrift/internal/recorder"
 	"github.com/primrosedrift/primrosedrift/internal/router"
@@ -26,7 +27,7 @@
 // has read its intent back. A request that finds an earlier intent waits for
 // its outcome, and gets the answer that was kept or a refusal in doubt. A
 // refusal as not run speaks of this attempt; it ends no doubt of another.
-func (d *Dispatcher) callOnce(ctx context.Context, req *callerv1.CallRequest, until time.Time) (Answer, error) {
+func (d *Dispatcher) callOnce(ctx context.Context, req *callerv1.CallRequest, adm admitter.Request) (Answer, error) {
 	if err := checkKey(req.GetKey(), time.Now()); err != nil {
 		return Answer{}, err
 	}
@@ -37,10 +38,11 @@
 	if !d.CanAgree() {
 		return Answer{}, verdict.Refuse(verdict.ReasonLogDown, comeBackLater, "the log does not answer")
 	}
-	c, err := d.awaitService(ctx, req, nil, until)
+	c, err := d.awaitService(ctx, req, nil, adm)
 	if err != nil {
 		return Answer{}, err
 	}
+	defer c.Done() // also if the intent is not agreed
 	rec := &recordv1.Record{Id: recorder.NewID(), Kind: &recordv1.Record_Intent{Intent: &recordv1.Intent{
 		Customer: k.Customer, Key: k.Key, Instance: d.Instance, Incarnation: d.Incarnation,
 		Upstream: c.Upstream, Method: req.GetMethod(),
@@ -52,8 +54,9 @@
 		return Answer{}, verdict.Refuse(verdict.ReasonLogDown, comeBackLater, "intent could not be agreed: %v", err)
 	}
 	if d.wins(e) {
-		return d.sendOnce(ctx, c, req, k, rec.GetId(), until)
+		return d.sendOnce(ctx, c, req, k, rec.GetId(), adm)
 	}
+	c.Done() // waiting for another's outcome needs no room
 	a, found, err := d.earlier(ctx, k)
 	if !found {
 		err = verdict.Doubt(verdict.ReasonEarlierAttempt, comeBackSoon, "%s", e.Why)
@@ -68,8 +71,8 @@
 	return e.Counted
 }
 
-func (d *Dispatcher) awaitService(ctx context.Context, req *callerv1.CallRequest, tried map[string]bool, until time.Time) (router.Candidate, error) {
-	return d.await(ctx, until, tried, func(now time.Time) []router.Candidate { return d.services(req.GetService(), now) })
+func (d *Dispatcher) awaitService(ctx context.Context, req *callerv1.CallRequest, tried map[string]bool, adm admitter.Request) (admitter.Grant, error) {
+	return d.await(ctx, adm, tried, func(now time.Time) []router.Candidate { return d.services(req.GetService(), now) })
 }
 
 // submitWhileAgreeing submits a record and gives up once the log does not answer.
@@ -95,13 +98,13 @@
 
 // sendOnce sends after the intent won, and logs the outcome. While an attempt
 // provably did not run, the same intent covers the next one.
-func (d *Dispatcher) sendOnce(ctx context.Context, c router.Candidate, req *callerv1.CallRequest, k folder.IntentKey, intent string, until time.Time) (Answer, error) {
+func (d *Dispatcher) sendOnce(ctx context.Context, c admitter.Grant, req *callerv1.CallRequest, k folder.IntentKey, intent string, adm admitter.Request) (Answer, error) {
 	tried := make(map[string]bool)
 	d.Retries.First()
 	body, err := d.attemptCall(ctx, c, req)
 	for n := 1; n < maxTries && err != nil && verdict.Of(err).Ran == verdict.NotRun && ctx.Err() == nil && d.Retries.Retry(); n++ {
 		tried[c.Upstream] = true
-		next, awaitErr := d.awaitService(ctx, req, tried, until)
+		next, awaitErr := d.awaitService(ctx, req, tried, adm)
 		if awaitErr != nil {
 			break
 		}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -60,6 +60,7 @@
 	controller *controller.Controller
 	dispatcher *dispatcher.Dispatcher
 	explainer  *explainer.Explainer
+	membership explainer.Membership
 	metrics    *metrics
 }
 
@@ -78,8 +79,10 @@
 		Attempter: &attempter.Attempter{HTTP: client}, Retries: &retrier.Budget{}, Quarantiner: &quarantiner.Quarantiner{},
 		Log: log.Named("dispatcher"), CanAgree: e.canAgree, IsGone: e.watcher.IsGone,
 	}
+	e.dispatcher.Admitter.Table.MaxWaiting = s.Limits.QueuedRequests
 	e.recorder.Abandoned = e.dispatcher.Voided
 	e.explainer = &explainer.Explainer{}
+	e.membership = explainer.Membership{Explainer: e.explainer, Instance: s.Instance}
 	e.keeper.Subscribe(e.recorder.OnEvents)
 	e.keeper.Subscribe(e.dispatcher.OnEvents)
 	e.keeper.Subscribe(e.explainer.OnEvents)
@@ -112,6 +115,7 @@
 		OnStatus: func(st *peerv1.StatusResponse) { e.monitor.PeerSays(st.GetLeavingUpstreams()) },
 		OnChange: func(ms []watcher.Member) {
 			watchLog.Info("membership changed", zap.Int("members", len(ms)))
+			e.membership.Update(explainedMembers(ms))
 			e.controller.Wake()
 		},
 	}
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -134,8 +134,8 @@
 func (e *Engine) Handler() http.Handler {
 	e.init()
 	mux := http.NewServeMux()
-	mux.Handle(upstreamv1connect.NewEngineCommandsHandler(e))
-	mux.Handle(upstreamv1connect.NewEngineQueriesHandler(e))
+	mux.Handle(upstreamv1connect.NewEngineCommandsHandler(e, connect.WithCompressMinBytes(1024)))
+	mux.Handle(upstreamv1connect.NewEngineQueriesHandler(e, connect.WithCompressMinBytes(1024)))
 	mux.HandleFunc("GET /held", func(w http.ResponseWriter, _ *http.Request) {
 		w.Header().Set("Content-Type", "application/json")
 		_ = json.NewEncoder(w).Encode(e.Held())
