checkpointer: write the state to the log, and start from there or from a peer

A new instance could only start from the first record, so a log that keeps its entries for a limited time lost the configuration when all instances restarted.

A reader that starts, or that retention has passed, takes the newest whole checkpoint; if the log does not answer, the newest state of its peers. It serves from a peer's state and agrees to nothing until it has read the log to its end. A state replaces another only if it includes more of the log. Records whose place was passed over have an unknown fate.

Ruled out: folding chunks into the state, since a reader would then differ by where it started; a lease for the writer, since two writers do no harm.

--- a/internal/entry/caller.go
+++ b/internal/entry/caller.go
@@ -90,7 +90,7 @@
 
 // checkReady refuses while the state has not caught up with the log once.
 func (e *Entry) checkReady(requestID string) error {
-	if e.tailer.HasCaughtUp() {
+	if e.tailer.HasState() {
 		return nil
 	}
 	return verdict.Refuse(verdict.ReasonNotReady, time.Second, "this entry instance has not read the log yet").ToConnect(requestID)
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -18,6 +18,7 @@
 	"go.uber.org/zap"
 
 	"github.com/primrosedrift/primrosedrift/internal/attempter"
+	"github.com/primrosedrift/primrosedrift/internal/checkpointer"
 	"github.com/primrosedrift/primrosedrift/internal/controller"
 	"github.com/primrosedrift/primrosedrift/internal/dispatcher"
 	"github.com/primrosedrift/primrosedrift/internal/explainer"
@@ -61,6 +62,7 @@
 	dispatcher *dispatcher.Dispatcher
 	explainer  *explainer.Explainer
 	membership explainer.Membership
+	checkpoint *checkpointer.Writer
 	metrics    *metrics
 }
 
@@ -85,6 +87,8 @@
 	e.membership = explainer.Membership{Explainer: e.explainer, Instance: s.Instance}
 	e.keeper.Subscribe(e.recorder.OnEvents)
 	e.keeper.Subscribe(e.explainer.OnEvents)
+	e.wireCheckpoints()
+	e.keeper.Subscribe(e.checkpoint.OnEvents)
 	return e
 }
 
@@ -191,6 +195,7 @@
 	var parts sync.WaitGroup
 	for _, run := range []func(context.Context){
 		e.recorder.Run, e.tailer.Run, e.watcher.Run, e.monitor.Run, e.tallier.Run, e.controller.Run,
+		e.checkpoint.Run,
 	} {
 		parts.Go(func() { run(work) })
 	}
--- a/internal/entry/listen.go
+++ b/internal/entry/listen.go
@@ -84,7 +84,7 @@
 	mux.Handle("/metrics", promhttp.HandlerFor(e.metrics.registry, promhttp.HandlerOpts{}))
 	mux.HandleFunc("/health", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
 	mux.HandleFunc("/ready", func(w http.ResponseWriter, _ *http.Request) {
-		if !e.tailer.HasCaughtUp() || e.watcher.IsLeaving() {
+		if !e.tailer.HasState() || e.watcher.IsLeaving() {
 			w.WriteHeader(http.StatusServiceUnavailable)
 		}
 	})
--- a/internal/entry/peer.go
+++ b/internal/entry/peer.go
@@ -4,6 +4,9 @@
 	"context"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
+	"github.com/primrosedrift/primrosedrift/internal/checkpointer"
 	"github.com/primrosedrift/primrosedrift/internal/controller"
 	"github.com/primrosedrift/primrosedrift/internal/folder"
 	peerv1 "github.com/primrosedrift/primrosedrift/pkg/api/peer/v1"
@@ -49,7 +52,14 @@
 	}, nil
 }
 
-// State is not given yet: a newcomer reads the log.
+// State gives the folded state to a newcomer.
 func (q *peerQueries) State(context.Context, *peerv1.StateRequest) (*peerv1.StateResponse, error) {
-	return &peerv1.StateResponse{}, nil
+	if !q.e.tailer.HasState() {
+		return &peerv1.StateResponse{}, nil
+	}
+	data, next, err := checkpointer.Snapshot(&q.e.keeper)
+	if err != nil {
+		return nil, errors.Wrap(err, "state")
+	}
+	return &peerv1.StateResponse{NextOffset: next, State: data}, nil
 }
--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -16,6 +16,8 @@
 	mu      sync.RWMutex
 	state   folder.State
 	changed chan struct{}
+	// replaced says that the state was once taken over as a whole.
+	replaced bool
 
 	subMu sync.Mutex
 	subs  []func([]folder.Event)
@@ -46,6 +48,31 @@
 	}
 }
 
+// Replace takes over a state that includes more of the log and reports whether
+// it did. Subscribers hear nothing of the records that were passed over. Apply
+// must not run meanwhile.
+func (k *Keeper) Replace(s *folder.State) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if s.Next <= k.state.Next {
+		return false
+	}
+	k.state = *s
+	k.replaced = true
+	if k.changed != nil {
+		close(k.changed)
+		k.changed = nil
+	}
+	return true
+}
+
+// IsReplaced reports whether the state was once taken over as a whole.
+func (k *Keeper) IsReplaced() bool {
+	k.mu.RLock()
+	defer k.mu.RUnlock()
+	return k.replaced
+}
+
 // View calls f with the state. f must not keep it or change it, and must not
 // call the keeper again.
 func (k *Keeper) View(f func(*folder.State)) {
--- a/internal/recorder/recorder_test.go
+++ b/internal/recorder/recorder_test.go
@@ -275,3 +275,20 @@
 	require.False(t, a.take("0"))
 	require.True(t, a.take(fmt.Sprint(3*maxAbandoned-1)))
 }
+
+// A record whose place in the log was passed over has an unknown fate.
+func TestReset(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := &Recorder{Append: func(context.Context, []byte) error { return nil }}
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		go r.Run(ctx)
+		go func() {
+			synctest.Wait()
+			r.Reset()
+		}()
+		_, err := r.Submit(ctx, &recordv1.Record{})
+		require.ErrorIs(t, err, ErrUnknown)
+		require.Zero(t, r.Pending())
+	})
+}
--- a/internal/tailer/tailer.go
+++ b/internal/tailer/tailer.go
@@ -33,18 +33,32 @@
 	Silence time.Duration
 	// OnError, if set, hears why a connection ended.
 	OnError func(error)
-	// Passed, if set, is called if retention has passed the offset.
-	Passed func(ctx context.Context) error
+	// Find, if set, looks for a newer state to read on from. It is called at the
+	// start and if retention has passed the offset.
+	Find func(ctx context.Context) error
 
 	caughtUp  atomic.Bool
+	earliest  atomic.Uint64
 	lastHeard atomic.Int64 // unix nanoseconds
 }
 
-// HasCaughtUp reports whether the state has included the end of the log once.
+// HasCaughtUp reports whether the state has included the end of the log, and
+// retention has not passed it since.
 func (t *Tailer) HasCaughtUp() bool {
 	return t.caughtUp.Load()
 }
 
+// HasState reports whether there is a state to serve from: the log's, or one
+// that was taken over. What needs agreement has to wait for HasCaughtUp.
+func (t *Tailer) HasState() bool {
+	return t.caughtUp.Load() || t.Keeper.Next() > 0 && t.Keeper.IsReplaced()
+}
+
+// Earliest returns the first offset that the log had when it was last heard.
+func (t *Tailer) Earliest() uint64 {
+	return t.earliest.Load()
+}
+
 // Heard returns when the log was last heard.
 func (t *Tailer) Heard() time.Time {
 	n := t.lastHeard.Load()
@@ -57,9 +71,13 @@
 // Run tails until ctx ends.
 func (t *Tailer) Run(ctx context.Context) {
 	for ctx.Err() == nil {
+		if t.Keeper.Next() == 0 {
+			t.find(ctx)
+		}
 		err := t.tail(ctx)
-		if connect.CodeOf(err) == connect.CodeOutOfRange && t.Passed != nil {
-			err = t.Passed(ctx)
+		if connect.CodeOf(err) == connect.CodeOutOfRange {
+			t.caughtUp.Store(false)
+			t.find(ctx)
 		}
 		if err != nil && ctx.Err() == nil && t.OnError != nil {
 			t.OnError(err)
@@ -71,6 +89,15 @@
 	}
 }
 
+func (t *Tailer) find(ctx context.Context) {
+	if t.Find == nil {
+		return
+	}
+	if err := t.Find(ctx); err != nil && ctx.Err() == nil && t.OnError != nil {
+		t.OnError(errors.Wrap(err, "find a state to start from"))
+	}
+}
+
 func (t *Tailer) tail(ctx context.Context) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -92,6 +119,7 @@
 		for _, e := range m.GetEntries() {
 			t.Keeper.Apply(e.GetOffset(), e.GetPayload())
 		}
+		t.earliest.Store(m.GetEarliestOffset())
 		t.lastHeard.Store(time.Now().UnixNano())
 		if t.Keeper.Next() >= m.GetNextOffset() {
 			t.caughtUp.Store(true)
