--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -18,6 +18,7 @@
 	"go.uber.org/zap"
 
 	"github.com/primrosedrift/primrosedrift/internal/attempter"
+	"github.com/primrosedrift/primrosedrift/internal/checkpointer"
 	"github.com/primrosedrift/primrosedrift/internal/controller"
 	"github.com/primrosedrift/primrosedrift/internal/dispatcher"
 	"github.com/primrosedrift/primrosedrift/internal/explainer"
@@ -62,6 +63,7 @@
 	explainer  *explainer.Explainer
 	membership explainer.Membership
 	burn       *burnCounter
+	checkpoint *checkpointer.Writer
 	metrics    *metrics
 }
 
@@ -89,6 +91,8 @@
 	e.keeper.Subscribe(e.explainer.OnEvents)
 	e.burn = newBurnCounter(&e.keeper, e.Incarnation)
 	e.keeper.Subscribe(e.burn.OnEvents)
+	e.wireCheckpoints()
+	e.keeper.Subscribe(e.checkpoint.OnEvents)
 	return e
 }
 
@@ -195,6 +199,7 @@
 	var parts sync.WaitGroup
 	for _, run := range []func(context.Context){
 		e.recorder.Run, e.tailer.Run, e.watcher.Run, e.monitor.Run, e.tallier.Run, e.controller.Run,
+		e.checkpoint.Run,
 	} {
 		parts.Go(func() { run(work) })
 	}
