sharer, admitter, entry: hold contracts in sum over all entries by leases

Cause: nothing bounded a customer's concurrency and request rate; Lease granted nothing. Now an attempt takes a unit of the contract when it gets its slot. An instance has a base share that needs nobody; the rest of the limit is lent by the customer's home in leases of 2 s. The home lends only while it has read the end of the log at most 2 s ago, and a new home waits until all that the old one may have lent has ended: 4.1 s for the rate, 65 s for the concurrency, since an attempt runs for up to 60 s.

Ruled out: base shares of the whole limit by max-entries. Ruled out too: forwarding to the home for contracts smaller than max-entries; their base share is zero and they are used by leases only.

--- a/internal/admitter/admitter.go
+++ b/internal/admitter/admitter.go
@@ -19,14 +19,27 @@
 	Begin func(upstream string) func()
 	// Changed returns channels of which one is closed when candidates change.
 	Changed func() (state, load <-chan struct{})
+	// Units, if set, bounds what runs for each customer.
+	Units Units
 
 	mu      sync.Mutex
 	cands   map[string]func(time.Time) []router.Candidate // by target, of those that wait
 	last    map[string][]router.Candidate                 // what cands last returned
+	short   map[string]bool                               // customers without a unit, as last seen
 	pumping bool
 	kick    chan struct{}
 }
 
+// Units counts what runs for each customer.
+type Units interface {
+	// HasUnit reports whether the customer may run one more request.
+	HasUnit(customer string) bool
+	// Take takes a unit until the returned function is called.
+	Take(customer string) (give func())
+	// Want says how many requests of the customer wait for a unit.
+	Want(customer string, n int)
+}
+
 // Source is where a request may get its slot.
 type Source struct {
 	// Candidates returns the upstreams of the target. It is the same for all
@@ -77,7 +90,12 @@
 			return &Refused{w, verdict.Refuse(verdict.ReasonCanceled, 0, "caller went away")}
 		})
 	case <-timer.C:
-		return a.leave(w, func(now time.Time) *Refused { return a.Table.Expire(w, now) })
+		return a.leave(w, func(now time.Time) *Refused {
+			if a.short[w.Customer] {
+				return a.Table.Expire(w, now, verdict.ReasonContractLimit)
+			}
+			return a.Table.Expire(w, now, verdict.ReasonDeadline)
+		})
 	}
 }
 
@@ -102,8 +120,8 @@
 	defer a.mu.Unlock()
 	list := src.Candidates(now)
 	if !a.isWanted(req.Target, list) {
-		if i := src.Choose(list); i >= 0 && req.Deadline.After(now) {
-			return nil, answer{grant: a.grantLocked(req.Target, list[i])}
+		if i := src.Choose(list); i >= 0 && req.Deadline.After(now) && a.hasUnit(req.Customer) {
+			return nil, answer{grant: a.grantLocked(req, list[i])}
 		}
 	}
 	w, out := a.Table.Join(req, slots(list), now)
@@ -159,7 +177,17 @@
 	return answer{refused: out}.result()
 }
 
+// Wake makes the pump look again, after a customer got more units.
+func (a *Admitter) Wake() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.kickLocked()
+}
+
 func (a *Admitter) kickLocked() {
+	if a.kick == nil {
+		return
+	}
 	select {
 	case a.kick <- struct{}{}:
 	default:
@@ -187,13 +215,14 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	for target, cands := range a.cands {
-		if l := a.Table.lines[target]; l == nil || l.waiting == 0 {
+		l := a.Table.busy[target]
+		if l == nil {
 			delete(a.cands, target)
 			delete(a.last, target)
 			continue
 		}
 		a.last[target] = cands(now)
-		a.Table.lines[target].slots = slots(a.last[target])
+		l.slots = slots(a.last[target])
 	}
 	a.grantAllLocked()
 	a.pumping = a.Table.Waiting() > 0
@@ -201,26 +230,39 @@
 }
 
 func (a *Admitter) grantAllLocked() {
-	skip := make(map[string]bool) // targets whose first request takes none of its candidates
+	skip := make(map[*Waiter]bool)
+	short := make(map[string]bool)
 	for _, up := range a.free() {
-		serves := func(target string) bool { return !skip[target] && hasRoom(a.last[target], up) }
+		room := Room{Skip: skip, Serves: func(target, customer string) bool {
+			return !short[customer] && hasRoom(a.last[target], up)
+		}}
 		for {
-			w := a.Table.Pick(up, serves)
+			w := a.Table.Pick(up, room)
 			if w == nil {
 				break
 			}
 			list := a.last[w.Target]
 			i := w.choose(list)
-			if i < 0 {
-				skip[w.Target] = true
-				continue
+			switch {
+			case !a.hasUnit(w.Customer):
+				short[w.Customer] = true
+			case i < 0:
+				skip[w] = true
+			default:
+				a.Table.Grant(w, list[i].Upstream)
+				w.answer <- answer{grant: a.grantLocked(w.Request, list[i])}
+				a.addLoad(list[i].Upstream)
 			}
-			c := list[i]
-			a.Table.Grant(w, c.Upstream)
-			w.answer <- answer{grant: a.grantLocked(w.Target, c)}
-			a.addLoad(c.Upstream)
 		}
 	}
+	a.short = short
+	for customer := range short {
+		a.Units.Want(customer, a.Table.WaitingOf(customer))
+	}
+}
+
+func (a *Admitter) hasUnit(customer string) bool {
+	return a.Units == nil || a.Units.HasUnit(customer)
 }
 
 // free returns the upstreams with room, those with most room first.
@@ -254,14 +296,19 @@
 	}
 }
 
-func (a *Admitter) grantLocked(target string, c router.Candidate) Grant {
+func (a *Admitter) grantLocked(req Request, c router.Candidate) Grant {
 	end := a.Begin(c.Upstream)
+	give := func() {}
+	if a.Units != nil {
+		give = a.Units.Take(req.Customer)
+	}
 	start := time.Now()
 	var once sync.Once
 	return Grant{Candidate: c, done: func() {
 		once.Do(func() {
 			a.mu.Lock()
-			a.Table.Ended(target, time.Since(start))
+			a.Table.Ended(req.Target, time.Since(start))
+			give()
 			a.mu.Unlock()
 			end()
 		})
--- a/internal/admitter/admitter_test.go
+++ b/internal/admitter/admitter_test.go
@@ -210,3 +210,53 @@
 		require.Equal(t, []string{"waiting", "newcomer"}, order)
 	})
 }
+
+// units gives every customer but "a" all it wants, and "a" what free says.
+type units struct {
+	free   atomic.Int64
+	wanted atomic.Int64
+}
+
+func (u *units) HasUnit(customer string) bool { return customer != "a" || u.free.Load() > 0 }
+
+func (u *units) Take(customer string) func() {
+	if customer != "a" {
+		return func() {}
+	}
+	u.free.Add(-1)
+	return func() { u.free.Add(1) }
+}
+
+func (u *units) Want(_ string, n int) { u.wanted.Store(int64(n)) }
+
+// TestContractLimit checks that a customer at its limit waits without holding
+// up others, is refused for that reason, and goes on when it gets a unit.
+func TestContractLimit(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		u := &upstream{slots: 4}
+		a := u.admitter()
+		var n units
+		a.Units = &n
+		admit := func(customer string) (Grant, error) {
+			return a.Admit(t.Context(), Request{ID: "1", Customer: customer, Target: "x", Deadline: time.Now().Add(time.Second)}, u.source())
+		}
+		_, err := admit("a")
+		require.Equal(t, verdict.ReasonContractLimit, verdict.Of(err).Reason)
+		require.EqualValues(t, 1, n.wanted.Load())
+		done := make(chan error, 1)
+		go func() {
+			g, err := admit("a")
+			g.Done()
+			done <- err
+		}()
+		synctest.Wait()
+		g, err := admit("b")
+		require.NoError(t, err)
+		defer g.Done()
+		require.Equal(t, 1, a.Waiting())
+		n.free.Store(1)
+		a.Wake()
+		require.NoError(t, <-done)
+		require.EqualValues(t, 1, n.free.Load())
+	})
+}
--- a/internal/admitter/doc.go
+++ b/internal/admitter/doc.go
@@ -23,6 +23,7 @@
 //   - A waiting request that is not served is refused at its deadline.
 //   - Every refusal says when to come back. The times are booked one after the
 //     other, so that those who were refused together do not return together.
+//   - A request gets no slot while its customer runs all that its contract allows.
 //
-// Lock order: Admitter.mu, then the locks of the keeper and of the monitor.
+// Lock order: Admitter.mu, then the locks of the keeper, the monitor and the Units.
 package admitter
--- a/internal/admitter/refuse.go
+++ b/internal/admitter/refuse.go
@@ -3,8 +3,6 @@
 import (
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/primrosedrift/primrosedrift/pkg/verdict"
 )
 
@@ -25,11 +23,15 @@
 
 // Expire removes a request whose deadline has come, and returns its refusal.
 // It returns nil if the request no longer waits.
-func (t *Table) Expire(w *Waiter, now time.Time) *Refused {
+func (t *Table) Expire(w *Waiter, now time.Time, reason verdict.Reason) *Refused {
 	if !t.Leave(w) {
 		return nil
 	}
-	return t.refuse(t.line(w.Target), w, now, verdict.ReasonDeadline, "no upstream had room in time")
+	detail := "no upstream had room in time"
+	if reason == verdict.ReasonContractLimit {
+		detail = "all that the contract allows was in use"
+	}
+	return t.refuse(t.line(w.Target), w, now, reason, detail)
 }
 
 // comeBack books a time to come back.
@@ -43,15 +45,8 @@
 	}
 	last := now.Add(mostComeBack / 2)
 	if l.booked.After(last) {
-		return Spread(id, mostComeBack/2)
+		return verdict.Spread(id, mostComeBack/2)
 	}
 	l.booked = l.booked.Add(gap)
 	return l.booked.Sub(now)
 }
-
-// Spread returns a time between base and twice base. The same id always gets
-// the same time.
-func Spread(id string, base time.Duration) time.Duration {
-	const parts = 1 << 16
-	return base + time.Duration(int64(base)/parts*int64(xxhash.Sum64String(id)%parts))
-}
--- a/internal/admitter/table.go
+++ b/internal/admitter/table.go
@@ -1,6 +1,7 @@
 package admitter
 
 import (
+	"slices"
 	"time"
 
 	recordv1 "github.com/primrosedrift/primrosedrift/pkg/api/record/v1"
@@ -62,6 +63,7 @@
 	MaxPerTarget int
 
 	lines   map[string]*line
+	busy    map[string]*line  // those where requests wait
 	shares  map[string]*share // by upstream
 	waiting int
 	seq     uint64
@@ -72,6 +74,19 @@
 	return t.waiting
 }
 
+// WaitingOf returns how many requests of the customer wait.
+func (t *Table) WaitingOf(customer string) int {
+	n := 0
+	for _, l := range t.busy {
+		for _, f := range l.flows {
+			if f.customer == customer {
+				n += len(f.waiters)
+			}
+		}
+	}
+	return n
+}
+
 // Refused is a request that the Table refused.
 type Refused struct {
 	Waiter  *Waiter
@@ -139,6 +154,10 @@
 	f.add(w)
 	l.waiting++
 	t.waiting++
+	if t.busy == nil {
+		t.busy = make(map[string]*line)
+	}
+	t.busy[l.target] = l
 }
 
 // Leave removes a request and reports whether it waited.
@@ -156,6 +175,9 @@
 	}
 	l.waiting--
 	t.waiting--
+	if l.waiting == 0 {
+		delete(t.busy, l.target)
+	}
 	if t.waiting == 0 {
 		t.shares = nil // without waiting requests nobody has had more than a share
 	}
@@ -176,7 +198,7 @@
 	case l.waiting > perTarget:
 		most = l.fullest(nil)
 	case t.waiting > total:
-		for _, other := range t.lines {
+		for _, other := range t.busy {
 			most = other.fullest(most)
 		}
 	}
@@ -197,18 +219,31 @@
 	return f.waiters[len(f.waiters)-1]
 }
 
+// Room says who may get a slot of an upstream.
+type Room struct {
+	// Serves reports whether the target has room there and the customer may run more.
+	Serves func(target, customer string) bool
+	// Skip holds requests that take no slot now.
+	Skip map[*Waiter]bool
+}
+
+func (r Room) takes(w *Waiter) bool {
+	return !r.Skip[w]
+}
+
 // Pick returns the request that gets the next free slot of the upstream, of
-// those whose target it can serve. It returns nil if there is none.
-func (t *Table) Pick(upstream string, serves func(target string) bool) *Waiter {
+// those that there is room for. It returns nil if there is none.
+func (t *Table) Pick(upstream string, room Room) *Waiter {
 	s := t.share(upstream)
 	var best *Waiter
-	for target, l := range t.lines {
-		if l.waiting == 0 || !serves(target) {
-			continue
-		}
+	for target, l := range t.busy {
 		for _, f := range l.flows {
-			if w := f.waiters[0]; best == nil || s.isBefore(w, best) {
-				best = w
+			if !room.Serves(target, f.customer) {
+				continue
+			}
+			i := slices.IndexFunc(f.waiters, room.takes)
+			if i >= 0 && (best == nil || s.isBefore(f.waiters[i], best)) {
+				best = f.waiters[i]
 			}
 		}
 	}
--- a/internal/admitter/table_test.go
+++ b/internal/admitter/table_test.go
@@ -20,7 +20,7 @@
 
 var epoch = time.Unix(0, 0)
 
-func anyTarget(string) bool { return true }
+var anyTarget = Room{Serves: func(string, string) bool { return true }}
 
 // TestTableProperties checks bounds, order, and that every request gets
 // exactly one verdict, over random sessions.
@@ -84,9 +84,9 @@
 			},
 			"expire": func(t *rapid.T) {
 				w := pickLive(t)
-				require.NotNil(t, table.Expire(w, now))
+				require.NotNil(t, table.Expire(w, now, verdict.ReasonDeadline))
 				end(w)
-				require.Nil(t, table.Expire(w, now))
+				require.Nil(t, table.Expire(w, now, verdict.ReasonDeadline))
 			},
 			"leave": func(t *rapid.T) {
 				w := pickLive(t)
@@ -235,5 +235,5 @@
 	for slice, n := range perSlice {
 		require.LessOrEqual(t, n, refused/20, "slice %d", slice)
 	}
-	require.Equal(t, Spread("same", time.Second), Spread("same", time.Second))
+	require.Equal(t, verdict.Spread("same", time.Second), verdict.Spread("same", time.Second))
 }
--- a/internal/dispatcher/call.go
+++ b/internal/dispatcher/call.go
@@ -83,6 +83,8 @@
 
 func (d *Dispatcher) attemptCall(ctx context.Context, c admitter.Grant, req *callerv1.CallRequest) ([]byte, error) {
 	defer c.Done()
+	ctx, cancel := context.WithTimeout(ctx, attemptTimeout)
+	defer cancel()
 	return d.Attempter.Call(ctx, c.Address, &upstreamv1.CallRequest{
 		Method: req.GetMethod(), Body: req.GetBody(), Key: req.GetKey(),
 	})
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -27,6 +27,7 @@
 	"github.com/primrosedrift/primrosedrift/internal/orderer"
 	"github.com/primrosedrift/primrosedrift/internal/recorder"
 	"github.com/primrosedrift/primrosedrift/internal/settings"
+	"github.com/primrosedrift/primrosedrift/internal/sharer"
 	"github.com/primrosedrift/primrosedrift/internal/tailer"
 	"github.com/primrosedrift/primrosedrift/internal/tallier"
 	"github.com/primrosedrift/primrosedrift/internal/watcher"
@@ -57,6 +58,7 @@
 	orderer    *orderer.Orderer
 	controller *controller.Controller
 	dispatcher *dispatcher.Dispatcher
+	sharer     *sharer.Sharer
 	explainer  *explainer.Explainer
 	metrics    *metrics
 }
@@ -76,6 +78,7 @@
 		Log: log.Named("dispatcher"), CanAgree: e.canAgree,
 	}
 	e.dispatcher.Admitter.Table.MaxWaiting = s.Limits.QueuedRequests
+	e.wireShares(platformv1connect.NewLogQueriesClient(client, s.Platform.Log))
 	e.recorder.Abandoned = e.dispatcher.Voided
 	e.explainer = &explainer.Explainer{}
 	e.keeper.Subscribe(e.recorder.OnEvents)
@@ -182,7 +185,7 @@
 	}
 	var parts sync.WaitGroup
 	for _, run := range []func(context.Context){
-		e.recorder.Run, e.tailer.Run, e.watcher.Run, e.monitor.Run, e.tallier.Run, e.controller.Run,
+		e.recorder.Run, e.tailer.Run, e.watcher.Run, e.monitor.Run, e.tallier.Run, e.controller.Run, e.sharer.Run,
 	} {
 		parts.Go(func() { run(work) })
 	}
--- a/internal/entry/peer.go
+++ b/internal/entry/peer.go
@@ -28,11 +28,6 @@
 	return &peerv1.WantResponse{Holds: holds}, nil
 }
 
-// Lease gives no share yet: every instance keeps to its own safe share.
-func (c *peerCommands) Lease(context.Context, *peerv1.LeaseRequest) (*peerv1.LeaseResponse, error) {
-	return &peerv1.LeaseResponse{}, nil
-}
-
 // Evict is refused: holders unload by their own plan only.
 func (c *peerCommands) Evict(context.Context, *peerv1.EvictRequest) (*peerv1.EvictResponse, error) {
 	return &peerv1.EvictResponse{}, nil
