--- a/internal/admitter/admitter.go
+++ b/internal/admitter/admitter.go
@@ -7,6 +7,8 @@
 	"sync"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/primrosedrift/primrosedrift/internal/router"
 	"github.com/primrosedrift/primrosedrift/pkg/verdict"
 )
@@ -34,8 +36,9 @@
 type Units interface {
 	// HasUnit reports whether the customer may run one more request.
 	HasUnit(customer string) bool
-	// Take takes a unit until the returned function is called.
-	Take(customer string) (give func())
+	// Take takes a unit until the returned function is called. It closes the
+	// channel if the request must end before.
+	Take(customer string, cut chan<- struct{}) (give func())
 	// Want says how many requests of the customer wait for a unit.
 	Want(customer string, n int)
 }
@@ -54,6 +57,26 @@
 	router.Candidate
 
 	done func()
+	cut  <-chan struct{}
+}
+
+// ErrCut ends an attempt that the contract no longer covers.
+var ErrCut = errors.New("the contract no longer covers the request")
+
+// OnCut calls f if the attempt must end, until the returned function is called.
+func (g Grant) OnCut(f func()) (stop func()) {
+	if g.cut == nil {
+		return func() {}
+	}
+	done := make(chan struct{})
+	go func() {
+		select {
+		case <-g.cut:
+			f()
+		case <-done:
+		}
+	}()
+	return func() { close(done) }
 }
 
 // Done gives the slot back. Calls after the first do nothing.
@@ -299,12 +322,14 @@
 func (a *Admitter) grantLocked(req Request, c router.Candidate) Grant {
 	end := a.Begin(c.Upstream)
 	give := func() {}
+	var cut chan struct{}
 	if a.Units != nil {
-		give = a.Units.Take(req.Customer)
+		cut = make(chan struct{})
+		give = a.Units.Take(req.Customer, cut)
 	}
 	start := time.Now()
 	var once sync.Once
-	return Grant{Candidate: c, done: func() {
+	return Grant{Candidate: c, cut: cut, done: func() {
 		once.Do(func() {
 			a.mu.Lock()
 			a.Table.Ended(req.Target, time.Since(start))
--- a/internal/admitter/admitter_test.go
+++ b/internal/admitter/admitter_test.go
@@ -219,7 +219,7 @@
 
 func (u *units) HasUnit(customer string) bool { return customer != "a" || u.free.Load() > 0 }
 
-func (u *units) Take(customer string) func() {
+func (u *units) Take(customer string, _ chan<- struct{}) func() {
 	if customer != "a" {
 		return func() {}
 	}
--- a/internal/dispatcher/call.go
+++ b/internal/dispatcher/call.go
@@ -5,9 +5,11 @@
 	"slices"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/oklog/ulid/v2"
 
 	"github.com/primrosedrift/primrosedrift/internal/admitter"
+	"github.com/primrosedrift/primrosedrift/internal/attempter"
 	"github.com/primrosedrift/primrosedrift/internal/folder"
 	"github.com/primrosedrift/primrosedrift/internal/recorder"
 	"github.com/primrosedrift/primrosedrift/internal/router"
@@ -58,36 +60,51 @@
 
 func (d *Dispatcher) callRepeatable(ctx context.Context, req *callerv1.CallRequest, adm admitter.Request) (Answer, error) {
 	tried := make(map[string]bool)
-	var last verdict.Refusal
-	for range maxTries {
-		c, err := d.await(ctx, adm, tried, func(now time.Time) []router.Candidate { return d.services(req.GetService(), now) })
+	last := verdict.Refusal{Ran: verdict.NotRun}
+	d.Retries.First()
+	for try := range maxTries {
+		if try > 0 && !d.Retries.Retry() {
+			break
+		}
+		c, err := d.await(ctx, adm, tried, func(now time.Time) []router.Candidate { return d.services(req.GetService(), now) }, nil)
 		if err != nil {
-			if len(tried) > 0 {
-				return Answer{}, last
-			}
-			return Answer{}, err
+			return Answer{}, verdict.Of(err).After(last.Ran)
 		}
 		body, err := d.attemptCall(ctx, c, req)
 		if err == nil {
 			return Answer{Body: body}, nil
 		}
-		last = verdict.Of(err)
+		last = verdict.Of(err).After(last.Ran)
 		if ctx.Err() != nil {
+			last.Reason = verdict.ReasonDeadline
 			break
 		}
 		tried[c.Upstream] = true
-		d.Monitor.Fail(c.Upstream)
 	}
 	return Answer{}, last.WithComeBack(comeBackSoon)
 }
 
 func (d *Dispatcher) attemptCall(ctx context.Context, c admitter.Grant, req *callerv1.CallRequest) ([]byte, error) {
 	defer c.Done()
-	ctx, cancel := context.WithTimeout(ctx, attemptTimeout)
-	defer cancel()
-	return d.Attempter.Call(ctx, c.Address, &upstreamv1.CallRequest{
+	actx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	defer c.OnCut(func() { cancel(admitter.ErrCut) })()
+	began := time.Now()
+	body, err := d.Attempter.Call(actx, c.Address, &upstreamv1.CallRequest{
 		Method: req.GetMethod(), Body: req.GetBody(), Key: req.GetKey(),
 	})
+	var f attempter.Failure
+	switch {
+	case err == nil:
+		d.Monitor.Succeed(c.Upstream, time.Since(began))
+	case errors.As(err, &f) && f.Kind == attempter.KindUnreachable:
+		d.Monitor.Unreachable(c.Upstream)
+	case errors.As(err, &f) && f.Kind == attempter.KindLeaving:
+		d.Monitor.Refused(c.Upstream)
+	case errors.As(err, &f) && f.Kind != attempter.KindRefused && ctx.Err() == nil:
+		d.Monitor.Fail(c.Upstream, began)
+	}
+	return body, err
 }
 
 // callOnce sends a request that may not be repeated at most once.
@@ -102,7 +119,7 @@
 	if !d.CanAgree() {
 		return Answer{}, verdict.Refuse(verdict.ReasonLogDown, comeBackLater, "the log does not answer")
 	}
-	c, err := d.await(ctx, adm, nil, func(now time.Time) []router.Candidate { return d.services(req.GetService(), now) })
+	c, err := d.await(ctx, adm, nil, func(now time.Time) []router.Candidate { return d.services(req.GetService(), now) }, nil)
 	if err != nil {
 		return Answer{}, err
 	}
--- a/internal/sharer/borrower.go
+++ b/internal/sharer/borrower.go
@@ -18,6 +18,7 @@
 	asked    Amount
 	sent     time.Time
 	inUse    int
+	covered  time.Time // when the share last covered what runs
 	limiter  *rate.Limiter
 }
 
@@ -64,6 +65,21 @@
 	}
 }
 
+// Excess returns how many requests must end now: those that the share has not
+// covered for the longest time that it may be exceeded. It must be called
+// several times in that time.
+func (b *Borrower) Excess(now time.Time, hold time.Duration) int {
+	over := b.inUse - b.Share(now).Concurrency
+	if b.Limits.Concurrency == 0 || over <= 0 || b.covered.IsZero() {
+		b.covered = now
+		return 0
+	}
+	if now.Sub(b.covered) < hold {
+		return 0
+	}
+	return over
+}
+
 // Give counts the end of a request.
 func (b *Borrower) Give() {
 	b.inUse--
--- a/internal/sharer/doc.go
+++ b/internal/sharer/doc.go
@@ -10,8 +10,8 @@
 // Clocks measure durations only. A lease is valid at the borrower from before
 // its request was sent, and at the lender from after the request arrived, with
 // a margin for clocks that run at different rates. What the borrower still
-// runs when its lease ends is counted at the lender for the longest time that
-// an attempt may run.
+// runs when its lease ends may run on for Terms.Hold. It is counted at the lender
+// for as long, and what has not ended by then is cut.
 //
 // The rules that keep the sum:
 //
--- a/internal/sharer/limits.go
+++ b/internal/sharer/limits.go
@@ -19,14 +19,13 @@
 	Lease time.Duration
 	// Fresh is how long a lender trusts that its claim is the current one.
 	Fresh time.Duration
-	// Hold is the longest time that an attempt runs.
+	// Hold is the longest time that a request runs on after its lease has ended.
 	Hold time.Duration
 	// Drift is how much faster one clock may run than another, as a part of one.
 	Drift float64
 }
 
-// DefaultTerms are the terms in use. Hold must be no less than the time limit
-// of attempts.
+// DefaultTerms are the terms in use.
 var DefaultTerms = Terms{Lease: 2 * time.Second, Fresh: 2 * time.Second, Hold: 60 * time.Second, Drift: 0.02}
 
 // stretch returns a duration that is over here only after d is over elsewhere.
--- a/internal/sharer/sharer.go
+++ b/internal/sharer/sharer.go
@@ -69,6 +69,7 @@
 	rate     float64
 	asking   bool
 	waking   bool
+	running  map[chan<- struct{}]bool // false once it is cut
 	lastAsk  time.Time
 	lastUsed time.Time
 }
@@ -119,18 +120,24 @@
 	})
 }
 
-// Take takes a unit until the returned function is called.
-func (s *Sharer) Take(customer string) (give func()) {
+// Take takes a unit until the returned function is called. It closes the
+// channel if the request must end before, since the share does not cover it.
+func (s *Sharer) Take(customer string, cut chan<- struct{}) (give func()) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := time.Now()
 	a := s.account(customer, now)
 	a.Take(now)
 	a.taken++
+	if a.running == nil {
+		a.running = make(map[chan<- struct{}]bool)
+	}
+	a.running[cut] = true
 	return func() {
 		s.mu.Lock()
 		defer s.mu.Unlock()
 		a.Give()
+		delete(a.running, cut)
 	}
 }
 
@@ -194,6 +201,7 @@
 			delete(s.accounts, customer)
 			continue
 		}
+		a.cut(a.Excess(now, s.Terms.Hold))
 		isShort := a.waiting > 0
 		if a.asking || now.Sub(a.lastAsk) < leastAskPause || !isShort && now.Sub(a.lastAsk) < s.renewEvery() {
 			continue
@@ -206,6 +214,25 @@
 	return out
 }
 
+// cut makes n requests end, counting those that were cut before.
+func (a *account) cut(n int) {
+	for _, runs := range a.running {
+		if !runs {
+			n--
+		}
+	}
+	for c, runs := range a.running {
+		if n <= 0 {
+			return
+		}
+		if runs {
+			close(c)
+			a.running[c] = false
+			n--
+		}
+	}
+}
+
 // want returns what the instance wants of the contract from now on. It reports
 // false if it needs no lease and has none.
 func (a *account) want(now time.Time) (Amount, bool) {
--- a/internal/sharer/sharer_test.go
+++ b/internal/sharer/sharer_test.go
@@ -51,10 +51,24 @@
 	return r
 }
 
+// cutCount returns how many running requests of an instance were cut.
+func (r *ring) cutCount(i int) int {
+	s := r.all[i]
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	n := 0
+	for _, runs := range s.accounts["c"].running {
+		if !runs {
+			n++
+		}
+	}
+	return n
+}
+
 // fill takes all the units that the instance gets, and returns their number.
 func fill(s *Sharer, gives *[]func()) int {
 	for s.HasUnit("c") {
-		*gives = append(*gives, s.Take("c"))
+		*gives = append(*gives, s.Take("c", make(chan struct{})))
 	}
 	s.Want("c", 1000)
 	return len(*gives)
@@ -91,8 +105,24 @@
 			time.Sleep(100 * time.Millisecond)
 		}
 		require.Len(t, gives[2], 52)
+		cut := make(chan struct{})
+		gives[2][0]() // make room for one that can be cut
+		gives[2][0] = r.all[2].Take("c", cut)
 		r.cut.Store(true)
 		time.Sleep(2 * DefaultTerms.Lease)
+		select {
+		case <-cut:
+			require.Fail(t, "cut at the end of the lease")
+		default:
+		}
+		for _, g := range gives[2][5:] { // five run on, one more than the base share
+			g()
+		}
+		gives[2] = gives[2][:5]
+		time.Sleep(DefaultTerms.Hold - 4*DefaultTerms.Lease)
+		require.Zero(t, r.cutCount(2))
+		time.Sleep(4 * DefaultTerms.Lease)
+		require.Equal(t, 1, r.cutCount(2))
 		for _, g := range gives[2] {
 			g()
 		}
@@ -131,7 +161,7 @@
 				if ran == n {
 					return ran
 				}
-				r.all[1].Take("c")()
+				r.all[1].Take("c", make(chan struct{}))()
 			}
 		}
 		require.Equal(t, 200, run(200, time.Second))
