--- a/internal/admitter/queue.go
+++ b/internal/admitter/queue.go
@@ -91,7 +91,8 @@
 	waiting int
 	slots   int           // slots of the target's upstreams, as last seen
 	service time.Duration // mean time that a request holds a slot, 0 for unknown
-	booked  time.Time     // the last time to come back that was given out
+	// booked is the next time to come back, dropped when nothing waits.
+	booked map[flowKey]time.Time
 }
 
 func (l *line) ended(took time.Duration) {
--- a/internal/admitter/refuse.go
+++ b/internal/admitter/refuse.go
@@ -9,16 +9,16 @@
 // Times to come back.
 const (
 	leastComeBack = 250 * time.Millisecond
-	mostComeBack  = 10 * time.Second
+	mostComeBack  = 30 * time.Minute
 	// defaultGap is the time between two returns if the service time is unknown.
 	defaultGap = 10 * time.Millisecond
 	// returnShare is the share of the target's grants that returns may take.
-	returnShare = 0.5
+	returnShare = 0.25
 )
 
 // refuse returns the refusal of a request that never got a slot.
 func (t *Table) refuse(l *line, w *Waiter, now time.Time, reason verdict.Reason, detail string) *Refused {
-	return &Refused{w, verdict.Refuse(reason, l.comeBack(w.ID, now), "%s", detail)}
+	return &Refused{w, verdict.Refuse(reason, l.comeBack(w, now), "%s", detail)}
 }
 
 // Expire removes a request whose deadline has come, and returns its refusal.
@@ -34,19 +34,24 @@
 	return t.refuse(t.line(w.Target), w, now, reason, detail)
 }
 
-// comeBack books a time to come back.
-func (l *line) comeBack(id string, now time.Time) time.Duration {
+// comeBack books a time to come back. Each customer and class has its own
+// bookings, so that a flood does not send the others far away.
+func (l *line) comeBack(w *Waiter, now time.Time) time.Duration {
 	gap := defaultGap
 	if per := l.perGrant(); per > 0 {
 		gap = time.Duration(float64(per) / returnShare)
 	}
-	if first := now.Add(leastComeBack); l.booked.Before(first) {
-		l.booked = first
+	k := flowKey{w.Class, w.Customer}
+	next := l.booked[k]
+	if first := now.Add(leastComeBack); next.Before(first) {
+		next = first
 	}
-	last := now.Add(mostComeBack / 2)
-	if l.booked.After(last) {
-		return verdict.Spread(id, mostComeBack/2)
+	if next.Sub(now) > mostComeBack/2 {
+		return verdict.Spread(w.ID, mostComeBack/2)
 	}
-	l.booked = l.booked.Add(gap)
-	return l.booked.Sub(now)
+	if l.booked == nil {
+		l.booked = make(map[flowKey]time.Time)
+	}
+	l.booked[k] = next.Add(gap)
+	return next.Sub(now)
 }
--- a/internal/admitter/table.go
+++ b/internal/admitter/table.go
@@ -177,6 +177,7 @@
 	t.waiting--
 	if l.waiting == 0 {
 		delete(t.busy, l.target)
+		l.booked = nil
 	}
 	if t.waiting == 0 {
 		t.shares = nil // without waiting requests nobody has had more than a share
