--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -79,7 +79,7 @@
 		Instance: s.Instance, Incarnation: e.Incarnation, DataCentre: s.DataCentre,
 		Keeper: &e.keeper, Recorder: e.recorder, Monitor: e.monitor, Tallier: e.tallier,
 		Attempter: &attempter.Attempter{HTTP: client}, Retries: &retrier.Budget{}, Quarantiner: &quarantiner.Quarantiner{},
-		Log: log.Named("dispatcher"), CanAgree: e.canAgree,
+		Log: log.Named("dispatcher"), CanAgree: e.canAgree, IsGone: e.watcher.IsGone,
 	}
 	e.dispatcher.Admitter.Table.MaxWaiting = s.Limits.QueuedRequests
 	e.wireShares(platformv1connect.NewLogQueriesClient(client, s.Platform.Log))
@@ -87,6 +87,7 @@
 	e.explainer = &explainer.Explainer{}
 	e.membership = explainer.Membership{Explainer: e.explainer, Instance: s.Instance}
 	e.keeper.Subscribe(e.recorder.OnEvents)
+	e.keeper.Subscribe(e.dispatcher.OnEvents)
 	e.keeper.Subscribe(e.explainer.OnEvents)
 	return e
 }
@@ -142,7 +143,7 @@
 	}
 	e.controller = &controller.Controller{
 		Instance: e.Settings.Instance, Incarnation: e.Incarnation, Keeper: &e.keeper, Recorder: e.recorder,
-		Watcher: e.watcher, Monitor: e.monitor, Tallier: e.tallier, Orderer: e.orderer,
+		Membership: controller.MembershipOf(e.watcher), Monitor: e.monitor, Tallier: e.tallier, Orderer: e.orderer,
 		Log: e.Log.Named("controller"), IsReady: e.tailer.HasCaughtUp,
 		KeepWarm: e.Settings.Timing.KeepWarm.Duration, TakeoverAfter: e.Settings.Timing.TakeoverAfter.Duration,
 	}
