locator, tallier, entry: answers of few entries that spread on heat, and one forward

Cause: an answer named every entry, whatever the heat, data centre or queue, and an instance reached by an old answer served the request itself. Now an answer names those that share the target and two more; 64 requests at once to a target bring in another instance; overloaded ones are left out. An instance that no answer names sends the request on once, marked, and serves it itself if there is no connection. Ruled out: sending on from the two named as fallbacks, since a caller goes there when the first one does not answer.

The tally kept the most urgent class for good, looked through all deadlines for each message, slept past the end of its context, forgot nothing, and sent to a silent holder without bound: TestSilentHolder had 106 messages on their way before, 1 after (go test ./internal/tallier).

--- a/internal/entry/caller.go
+++ b/internal/entry/caller.go
@@ -5,11 +5,10 @@
 	"time"
 
 	"connectrpc.com/connect"
+	"github.com/cockroachdb/errors"
 	"github.com/oklog/ulid/v2"
 	"go.uber.org/zap"
 
-	"github.com/primrosedrift/primrosedrift/internal/folder"
-	"github.com/primrosedrift/primrosedrift/internal/locator"
 	callerv1 "github.com/primrosedrift/primrosedrift/pkg/api/caller/v1"
 	operatorv1 "github.com/primrosedrift/primrosedrift/pkg/api/operator/v1"
 	"github.com/primrosedrift/primrosedrift/pkg/verdict"
@@ -17,31 +16,6 @@
 
 type callerQueries struct{ e *Entry }
 
-// Locate names the entry instances for a target. The holder of the model's
-// shard ranks first, since the same hashing chooses both.
-func (q *callerQueries) Locate(_ context.Context, req *connect.Request[callerv1.LocateRequest]) (*connect.Response[callerv1.LocateResponse], error) {
-	resp := &callerv1.LocateResponse{KeepMs: uint32(q.e.Settings.Timing.LocateKeep.Milliseconds())}
-	addresses := make(map[string]string)
-	var cands []locator.Candidate
-	for _, m := range q.e.watcher.Members() {
-		if m.IsUsable() && m.CallerAddress != "" {
-			cands = append(cands, locator.Candidate{Name: m.Name, DataCentre: m.DataCentre})
-			addresses[m.Name] = m.CallerAddress
-		}
-	}
-	for _, c := range locator.Rank(locateKey(req.Msg.GetTarget()), cands) {
-		resp.Addresses = append(resp.Addresses, addresses[c.Name])
-	}
-	if len(resp.GetAddresses()) == 0 {
-		return nil, verdict.Refuse(verdict.ReasonStopping, time.Second, "no entry instance is in use").ToConnect("")
-	}
-	return connect.NewResponse(resp), nil
-}
-
-func locateKey(target string) string {
-	return shardKey(folder.ShardOf(target))
-}
-
 type callerCommands struct{ e *Entry }
 
 // Generate serves one request to a model.
@@ -53,6 +27,12 @@
 	if err := c.e.checkReady(m.GetRequestId()); err != nil {
 		return err
 	}
+	if address, ok := c.e.forwardTo(m.GetModel(), m.GetForwarded()); ok {
+		err := c.e.forwarder.generate(ctx, address, m, c.e.forwardLimit(m.GetCustomer(), m.GetDeadlineMs()), stream.Send)
+		if !errors.Is(err, errNotForwarded) {
+			return c.e.forwarded("generate", m.GetRequestId(), m.GetCustomer(), m.GetModel(), err)
+		}
+	}
 	start := time.Now()
 	first := true
 	n, err := c.e.dispatcher.Generate(ctx, m, func(i uint32, token string) error {
@@ -78,6 +58,12 @@
 	if err := c.e.checkReady(m.GetRequestId()); err != nil {
 		return nil, err
 	}
+	if address, ok := c.e.forwardTo(m.GetService(), m.GetForwarded()); ok {
+		resp, err := c.e.forwarder.call(ctx, address, m, c.e.forwardLimit(m.GetCustomer(), m.GetDeadlineMs()))
+		if !errors.Is(err, errNotForwarded) {
+			return connect.NewResponse(resp), c.e.forwarded("call", m.GetRequestId(), m.GetCustomer(), m.GetService(), err)
+		}
+	}
 	start := time.Now()
 	a, err := c.e.dispatcher.Call(ctx, m)
 	if err != nil {
@@ -96,6 +82,15 @@
 	return verdict.Refuse(verdict.ReasonNotReady, time.Second, "this entry instance has not read the log yet").ToConnect(requestID)
 }
 
+// forwarded counts a request that another instance has decided on.
+func (e *Entry) forwarded(kind, requestID, customer, target string, err error) error {
+	if err != nil {
+		return e.refuse(kind, requestID, customer, target, err)
+	}
+	e.metrics.requests.WithLabelValues(kind, "forwarded", "").Inc()
+	return nil
+}
+
 // refuse counts, explains and returns the caller's error.
 func (e *Entry) refuse(kind, requestID, customer, target string, err error) error {
 	r := verdict.Of(err)
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -61,6 +61,7 @@
 	controller *controller.Controller
 	dispatcher *dispatcher.Dispatcher
 	sharer     *sharer.Sharer
+	forwarder  forwarder
 	explainer  *explainer.Explainer
 	membership explainer.Membership
 	metrics    *metrics
@@ -82,6 +83,7 @@
 		Log: log.Named("dispatcher"), CanAgree: e.canAgree, IsGone: e.watcher.IsGone,
 	}
 	e.dispatcher.Admitter.Table.MaxWaiting = s.Limits.QueuedRequests
+	e.forwarder.HTTP = client
 	e.wireShares(platformv1connect.NewLogQueriesClient(client, s.Platform.Log))
 	e.recorder.Abandoned = e.dispatcher.Voided
 	e.explainer = &explainer.Explainer{}
--- a/internal/entry/peer.go
+++ b/internal/entry/peer.go
@@ -41,6 +41,7 @@
 	return &peerv1.StatusResponse{
 		Instance: q.e.Settings.Instance, Incarnation: q.e.Incarnation, Leaving: q.e.watcher.IsLeaving(),
 		NextOffset: q.e.keeper.Next(), CallerAddress: q.e.Settings.Listen.Caller,
+		Queued:           uint32(q.e.dispatcher.Admitter.Waiting()),
 		LeavingUpstreams: q.e.monitor.Leaving(),
 	}, nil
 }
--- a/internal/locator/locator.go
+++ b/internal/locator/locator.go
@@ -16,6 +16,8 @@
 type Candidate struct {
 	Name       string
 	DataCentre string
+	// Overloaded says that the instance should get no more work.
+	Overloaded bool
 }
 
 // Rank orders the candidates for a key, best first. The order depends on the
--- a/internal/tallier/tallier.go
+++ b/internal/tallier/tallier.go
@@ -7,6 +7,7 @@
 package tallier
 
 import (
+	"container/heap"
 	"context"
 	"sync"
 	"time"
@@ -23,6 +24,8 @@
 	DefaultCoalesce = 5 * time.Millisecond
 	expiry          = 3 * time.Second
 	sendTimeout     = time.Second
+	// forgetAfter is how long an unused target is remembered.
+	forgetAfter = time.Hour
 )
 
 // Target is a model, or an adapter on its model.
@@ -59,13 +62,17 @@
 	local map[Target]*local
 	remot map[string]map[Target]remote
 	wake  chan struct{}
+	// sending holds the holders to which a message is on its way.
+	sending map[string]bool
+	// heat counts what waits and runs, by model.
+	heat map[string]int
 }
 
 type local struct {
 	waiting, running, arrived int
-	deadlines                 map[*Ticket]time.Time
-	class                     recordv1.RequestClass
-	sent                      bool // the last count was sent
+	deadlines                 deadlines
+	classes                   map[recordv1.RequestClass]int // of those that wait
+	sent                      bool                          // the last count was sent
 	lastUsed                  time.Time
 }
 
@@ -82,6 +89,10 @@
 	t       *Tallier
 	target  Target
 	running bool
+
+	class    recordv1.RequestClass
+	deadline time.Time
+	index    int // in the heap of deadlines
 }
 
 // Wait adds a waiting request.
@@ -89,13 +100,12 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	l := t.localLocked(target)
-	k := &Ticket{t: t, target: target}
+	k := &Ticket{t: t, target: target, class: class, deadline: deadline}
+	t.addHeatLocked(target.Model, 1)
 	l.waiting++
 	l.arrived++
-	if l.class == 0 || class < l.class {
-		l.class = class
-	}
-	l.deadlines[k] = deadline
+	l.classes[class]++
+	heap.Push(&l.deadlines, k)
 	l.sent = false
 	l.lastUsed = time.Now()
 	t.wakeLocked()
@@ -111,9 +121,8 @@
 	}
 	l := k.t.localLocked(k.target)
 	k.running = true
-	l.waiting--
 	l.running++
-	delete(l.deadlines, k)
+	l.leave(k)
 	l.sent = false
 }
 
@@ -122,11 +131,11 @@
 	k.t.mu.Lock()
 	defer k.t.mu.Unlock()
 	l := k.t.localLocked(k.target)
+	k.t.addHeatLocked(k.target.Model, -1)
 	if k.running {
 		l.running--
 	} else {
-		l.waiting--
-		delete(l.deadlines, k)
+		l.leave(k)
 	}
 	l.sent = false
 	l.lastUsed = time.Now()
@@ -138,12 +147,58 @@
 	}
 	l := t.local[target]
 	if l == nil {
-		l = &local{deadlines: make(map[*Ticket]time.Time)}
+		l = &local{classes: make(map[recordv1.RequestClass]int)}
 		t.local[target] = l
 	}
 	return l
 }
 
+// leave takes a ticket out of those that wait.
+func (l *local) leave(k *Ticket) {
+	l.waiting--
+	heap.Remove(&l.deadlines, k.index)
+	l.classes[k.class]--
+	if l.classes[k.class] == 0 {
+		delete(l.classes, k.class)
+	}
+}
+
+// class returns the most urgent class of those that wait.
+func (l *local) class() recordv1.RequestClass {
+	var most recordv1.RequestClass
+	for c := range l.classes {
+		if most == 0 || c < most {
+			most = c
+		}
+	}
+	return most
+}
+
+// Heat returns how many requests to the model wait and run, as far as this
+// instance knows: its own, and those of its peers if it holds the model's shard.
+func (t *Tallier) Heat(model string) int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.heat[model]
+}
+
+func (t *Tallier) addHeatLocked(model string, n int) {
+	if t.heat == nil {
+		t.heat = make(map[string]int)
+	}
+	t.heat[model] += n
+	if t.heat[model] == 0 {
+		delete(t.heat, model)
+	}
+}
+
+// setRemoteLocked takes over what a peer wants of a target.
+func (t *Tallier) setRemoteLocked(m map[Target]remote, target Target, r remote) {
+	old := m[target]
+	t.addHeatLocked(target.Model, r.waiting+r.running-old.waiting-old.running)
+	m[target] = r
+}
+
 func (t *Tallier) wakeLocked() {
 	if t.wake == nil {
 		t.wake = make(chan struct{}, 1)
@@ -175,7 +230,7 @@
 		if r.waiting > 0 {
 			r.deadline = now.Add(time.Duration(d.GetSlackMs()) * time.Millisecond)
 		}
-		m[target] = r
+		t.setRemoteLocked(m, target, r)
 	}
 	t.mu.Unlock()
 	if t.OnWant != nil {
@@ -205,18 +260,16 @@
 			}
 			out[target] = out[target].plus(r)
 			r.arrived = 0
-			m[target] = r
+			t.setRemoteLocked(m, target, r)
 		}
 	}
 	return out
 }
 
 func (l *local) demand() Demand {
-	d := Demand{Waiting: l.waiting, Running: l.running, Arrived: l.arrived, Class: l.class, LastUsed: l.lastUsed}
-	for _, at := range l.deadlines {
-		if d.Deadline.IsZero() || at.Before(d.Deadline) {
-			d.Deadline = at
-		}
+	d := Demand{Waiting: l.waiting, Running: l.running, Arrived: l.arrived, Class: l.class(), LastUsed: l.lastUsed}
+	if len(l.deadlines) > 0 {
+		d.Deadline = l.deadlines[0].deadline
 	}
 	return d
 }
@@ -237,112 +290,6 @@
 	return d
 }
 
-// Run brings the counts to the holders until ctx ends.
-func (t *Tallier) Run(ctx context.Context) {
-	t.mu.Lock()
-	if t.wake == nil {
-		t.wake = make(chan struct{}, 1)
-	}
-	wake := t.wake
-	t.mu.Unlock()
-	tick := time.NewTicker(DefaultInterval)
-	defer tick.Stop()
-	for {
-		all := false
-		select {
-		case <-ctx.Done():
-			return
-		case <-tick.C:
-			all = true
-		case <-wake:
-			time.Sleep(DefaultCoalesce)
-		}
-		t.send(ctx, all)
-	}
-}
-
-// send brings new demands to the holders, or all that are not idle.
-func (t *Tallier) send(ctx context.Context, all bool) {
-	own := false
-	byHolder := make(map[string]*peerv1.WantRequest)
-	now := time.Now()
-	holders := t.holders(all)
-	t.mu.Lock()
-	for target, holder := range holders {
-		l := t.localLocked(target)
-		l.sent = true
-		if holder == t.Instance {
-			own = true
-			continue
-		}
-		req := byHolder[holder]
-		if req == nil {
-			req = &peerv1.WantRequest{Instance: t.Instance}
-			byHolder[holder] = req
-		}
-		req.Demands = append(req.Demands, l.message(target, now))
-		l.arrived = 0
-	}
-	t.mu.Unlock()
-	if own && t.OnWant != nil {
-		t.OnWant()
-	}
-	for holder, req := range byHolder {
-		go func() {
-			sctx, cancel := context.WithTimeout(ctx, sendTimeout)
-			defer cancel()
-			if err := t.Send(sctx, holder, req); err != nil {
-				t.unsend(req)
-			}
-		}()
-	}
-}
-
-// holders returns the holder of every target that has something to send. It
-// asks without the lock, since those who view the state take the tally.
-func (t *Tallier) holders(all bool) map[Target]string {
-	t.mu.Lock()
-	due := make(map[Target]string)
-	for target, l := range t.local {
-		if !l.sent || all && l.waiting+l.running > 0 {
-			due[target] = ""
-		}
-	}
-	t.mu.Unlock()
-	for target := range due {
-		holder := t.Holder(target.Model)
-		if holder == "" {
-			delete(due, target)
-			continue
-		}
-		due[target] = holder
-	}
-	return due
-}
-
-// unsend makes the next round send the demands again.
-func (t *Tallier) unsend(req *peerv1.WantRequest) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	for _, d := range req.GetDemands() {
-		l := t.localLocked(Target{d.GetModel(), d.GetAdapter()})
-		l.sent = false
-		l.arrived += int(d.GetArrived())
-	}
-}
-
-func (l *local) message(target Target, now time.Time) *peerv1.Demand {
-	d := l.demand()
-	m := &peerv1.Demand{
-		Model: target.Model, Adapter: target.Adapter, Waiting: uint32(d.Waiting),
-		Running: uint32(d.Running), Arrived: uint32(d.Arrived), Class: uint32(d.Class),
-	}
-	if !d.Deadline.IsZero() {
-		m.SlackMs = uint32(max(0, d.Deadline.Sub(now).Milliseconds()))
-	}
-	return m
-}
-
 // HolderOf returns a Holder function over folded state.
 func HolderOf(view func(func(*folder.State))) func(string) string {
 	return func(model string) string {
