tallier, dispatcher: a request whose attempt broke off waits again

Cause: a ticket that had run once counted as running until its end, so that no replica was loaded for a request whose only upstream had left. Ruled out: a second ticket, which would count the arrival twice.

--- a/internal/dispatcher/generate.go
+++ b/internal/dispatcher/generate.go
@@ -74,6 +74,7 @@
 		if g.began {
 			g.adm.Deadline = time.Now().Add(wait) // an answer that broke off has as long again to go on
 		}
+		g.ticket.Again(g.adm.Deadline)
 		c, a, err := g.begin(ctx, losses > 0)
 		if err != nil {
 			return 0, g.refuse(verdict.Of(err))
--- /dev/null
+++ b/internal/tallier/again_test.go
@@ -0,0 +1,27 @@
+package tallier
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// A request whose attempt broke off wants a replica again. Before, it counted
+// as running for ever, and nothing was loaded for it.
+func TestAgain(t *testing.T) {
+	now := time.Now()
+	tl := &Tallier{Instance: "a", Holder: func(string) string { return "a" }}
+	k := tl.Wait(Target{Model: "m"}, 1, now.Add(time.Second))
+	demand := func() Demand { return tl.Take(now, func(string) bool { return true })[Target{Model: "m"}] }
+	k.Run()
+	require.Equal(t, 0, demand().Waiting)
+	require.Equal(t, 1, demand().Running)
+	k.Again(now.Add(2 * time.Second))
+	require.Equal(t, 1, demand().Waiting)
+	require.Equal(t, 0, demand().Running)
+	require.Equal(t, now.Add(2*time.Second), demand().Deadline)
+	k.Run()
+	k.Done()
+	require.Equal(t, 0, demand().Waiting+demand().Running)
+}
--- a/internal/tallier/tallier.go
+++ b/internal/tallier/tallier.go
@@ -126,6 +126,24 @@
 	l.sent = false
 }
 
+// Again says that the attempt broke off and the request waits once more.
+func (k *Ticket) Again(deadline time.Time) {
+	k.t.mu.Lock()
+	defer k.t.mu.Unlock()
+	if !k.running {
+		return
+	}
+	l := k.t.localLocked(k.target)
+	k.running = false
+	k.deadline = deadline
+	l.running--
+	l.waiting++
+	l.classes[k.class]++
+	heap.Push(&l.deadlines, k)
+	l.sent = false
+	k.t.wakeLocked()
+}
+
 // Done takes the request out of the tally.
 func (k *Ticket) Done() {
 	k.t.mu.Lock()
