--- a/cmd/primrosedrift/main.go
+++ b/cmd/primrosedrift/main.go
@@ -23,6 +23,16 @@
 	exitMayRun  = 6 // a request was refused and may have run
 )
 
+// exitCodes is the help on exit codes.
+const exitCodes = `Exit codes:
+  0  done
+  1  the command failed; the message says what to do
+  2  the command line, the settings or the operators' file is at fault
+  3  publish lost a race to another version; look at what is in force and publish again
+  4  unknown whether the change was published; run publish again
+  5  call: the request was refused and did not run
+  6  call: the request was refused and may have run`
+
 // exitError ends the program with a code.
 type exitError struct {
 	code int
@@ -39,20 +49,38 @@
 		return
 	}
 	fmt.Fprintln(os.Stderr, "primrosedrift:", err)
+	os.Exit(exitCode(err))
+}
+
+// exitCode returns the exit code of a command's error.
+func exitCode(err error) int {
 	var e exitError
 	if errors.As(err, &e) {
-		os.Exit(e.code)
+		return e.code
 	}
-	os.Exit(exitFailed)
+	return exitFailed
 }
 
 func command() *cli.Command {
-	return &cli.Command{
-		Name:  "primrosedrift",
-		Usage: "serves rarely used models",
-		Flags: tlsFlags(),
+	root := &cli.Command{
+		Name:        "primrosedrift",
+		Usage:       "serves rarely used models",
+		Flags:       tlsFlags(),
+		Description: exitCodes,
 		Commands: []*cli.Command{
 			serveCommand(), checkCommand(), publishCommand(), getCommand(), explainCommand(), callCommand(), benchCommand(), reportCommand(), versionCommand(),
 		},
 	}
+	reportUsage(root)
+	return root
+}
+
+// reportUsage gives faults of the command line their exit code, in all commands.
+func reportUsage(c *cli.Command) {
+	c.OnUsageError = func(_ context.Context, _ *cli.Command, err error, _ bool) error {
+		return exitError{exitUsage, err}
+	}
+	for _, sub := range c.Commands {
+		reportUsage(sub)
+	}
 }
--- a/cmd/primrosedrift/operate.go
+++ b/cmd/primrosedrift/operate.go
@@ -41,6 +41,9 @@
 }
 
 func publish(ctx context.Context, c *cli.Command) error {
+	if c.Args().Len() != 1 {
+		return exitError{exitUsage, errors.New("publish needs one operators' file")}
+	}
 	f, err := publisher.Load(c.Args().First())
 	if err != nil {
 		return exitError{exitUsage, err}
@@ -86,56 +89,6 @@
 	return exitError{exitUnknown, errors.Newf("unknown whether the change was published (%s); run publish again", m.GetDetail())}
 }
 
-func getCommand() *cli.Command {
-	return &cli.Command{
-		Name: "get", Usage: "show what is in force, and which replica is where",
-		Flags: []cli.Flag{operatorFlag(), outputFlag()},
-		Action: func(ctx context.Context, c *cli.Command) error {
-			resp, err := operatorv1connect.NewOperatorQueriesClient(httpClient(c), operatorURL(c)).
-				Get(ctx, connect.NewRequest(&operatorv1.GetRequest{}))
-			if err != nil {
-				return errors.Wrap(err, "get; is the entry instance up?")
-			}
-			m := resp.Msg
-			if c.String("output") == "json" {
-				return printJSON(newGetView(m))
-			}
-			fmt.Printf("version %d, %d objects, log offset %d\n", m.GetVersion(), len(m.GetObjects()), m.GetNextOffset())
-			for _, r := range m.GetReplicas() {
-				fmt.Printf("%-10s %-24s %-16s %s %v\n", r.GetState(), r.GetModel(), r.GetUpstream(), r.GetId(), r.GetAdapters())
-			}
-			return nil
-		},
-	}
-}
-
-type getView struct {
-	Version  uint64        `json:"version"`
-	Offset   uint64        `json:"next-offset"`
-	Objects  int           `json:"objects"`
-	Replicas []replicaView `json:"replicas"`
-}
-
-type replicaView struct {
-	ID       string   `json:"id"`
-	Model    string   `json:"model"`
-	Upstream string   `json:"upstream"`
-	State    string   `json:"state"`
-	Bytes    uint64   `json:"memory-bytes"`
-	Adapters []string `json:"adapters"`
-	Reason   string   `json:"reason"`
-}
-
-func newGetView(m *operatorv1.GetResponse) getView {
-	v := getView{Version: m.GetVersion(), Offset: m.GetNextOffset(), Objects: len(m.GetObjects())}
-	for _, r := range m.GetReplicas() {
-		v.Replicas = append(v.Replicas, replicaView{
-			r.GetId(), r.GetModel(), r.GetUpstream(), r.GetState(), r.GetMemoryBytes(), r.GetAdapters(), r.GetReason(),
-		})
-	}
-	return v
-}
-
 func printJSON(v any) error {
 	enc := json.NewEncoder(os.Stdout)
 	enc.SetIndent("", "  ")
--- a/internal/publisher/publisher.go
+++ b/internal/publisher/publisher.go
@@ -187,6 +187,8 @@
 
 // Change is what a file changes of what is in force.
 type Change struct {
+	// Before holds the objects in force that an upsert replaces, by kind and name.
+	Before  map[string]*recordv1.ConfigObject
 	Upserts []*recordv1.ConfigObject
 	Deletes []*recordv1.ConfigKey
 }
@@ -200,7 +202,7 @@
 func (c Change) Lines() []string {
 	var out []string
 	for _, o := range c.Upserts {
-		out = append(out, "set "+keyText(folder.ObjectKey(o)))
+		out = append(out, changeLine(c.Before[keyText(folder.ObjectKey(o))], o))
 	}
 	for _, k := range c.Deletes {
 		out = append(out, "delete "+keyText(k))
@@ -224,7 +226,7 @@
 // Diff returns what the wanted objects change of those in force. Objects that
 // are not wanted are deleted if prune is set.
 func Diff(inForce, wanted []*recordv1.ConfigObject, prune bool) Change {
-	var c Change
+	c := Change{Before: make(map[string]*recordv1.ConfigObject)}
 	have := make(map[string]*recordv1.ConfigObject)
 	for _, o := range inForce {
 		have[keyText(folder.ObjectKey(o))] = o
@@ -233,6 +235,7 @@
 		k := keyText(folder.ObjectKey(o))
 		if !proto.Equal(have[k], o) {
 			c.Upserts = append(c.Upserts, o)
+			c.Before[k] = have[k]
 		}
 		delete(have, k)
 	}
--- a/internal/publisher/publisher_test.go
+++ b/internal/publisher/publisher_test.go
@@ -138,3 +138,19 @@
 		require.True(t, Diff(file.Objects(), file.Objects(), true).IsEmpty())
 	})
 }
+
+// TestLines checks that a change is told with its old and new values.
+func TestLines(t *testing.T) {
+	was, err := Parse("f.toml", []byte(whole))
+	require.NoError(t, err)
+	text := strings.NewReplacer("concurrency = 64", "concurrency = 128", `"urgent"`, `"batch"`, "requests-per-second = 500.0\n", "",
+		"levy-status-nl", "levy-status-de").Replace(whole)
+	is, err := Parse("f.toml", []byte(text))
+	require.NoError(t, err)
+	require.Equal(t, []string{
+		"add adapter levy-status-de: customer hauliers, model levy-status, name levy-status-de",
+		"change contract hauliers: class urgent → batch, concurrency 64 → 128, requests-per-second 500 → none",
+		"delete adapter levy-status-nl",
+	}, Diff(was.Objects(), is.Objects(), true).Lines())
+	require.Empty(t, Diff(was.Objects(), was.Objects(), true).Lines())
+}
