publisher, entry: refuse objects with bad values at the entry instance too

The command exits with 2. The test of the burn counter begins its log at offset 0, since the fold now takes only the next offset.

--- a/cmd/primrosedrift/operate.go
+++ b/cmd/primrosedrift/operate.go
@@ -83,6 +83,8 @@
 	case operatorv1.PublishResult_PUBLISH_RESULT_ACCEPTED:
 		fmt.Printf("accepted at version %d\n", m.GetVersion())
 		return nil
+	case operatorv1.PublishResult_PUBLISH_RESULT_INVALID:
+		return exitError{exitUsage, errors.Newf("nothing was published, version %d stays in force: %s", m.GetVersion(), m.GetDetail())}
 	case operatorv1.PublishResult_PUBLISH_RESULT_LOST_RACE:
 		return exitError{exitLost, errors.Newf("lost a race to version %d; look at what is in force and publish again", m.GetVersion())}
 	}
--- a/internal/entry/burn_test.go
+++ b/internal/entry/burn_test.go
@@ -16,14 +16,14 @@
 
 func burnKeeper(t *testing.T) *keeper.Keeper {
 	var k keeper.Keeper
-	payload, err := proto.Marshal(&recordv1.Batch{Version: 1, Writer: "w", Records: []*recordv1.Record{{
+	payload, err := proto.Marshal(&recordv1.Batch{Version: folder.Version, Writer: "w", Records: []*recordv1.Record{{
 		Id: "1", Kind: &recordv1.Record_ConfigChange{ConfigChange: &recordv1.ConfigChange{Upserts: []*recordv1.ConfigObject{
 			{Object: &recordv1.ConfigObject_Contract{Contract: &recordv1.Contract{Customer: "roadside", WaitingTimeMs: 2000, Class: 2}}},
 			{Object: &recordv1.ConfigObject_Model{Model: &recordv1.Model{Name: "levy-status", Customer: "roadside", Class: 1}}},
 		}}},
 	}}})
 	require.NoError(t, err)
-	k.Apply(1, payload)
+	k.Apply(0, payload)
 	return &k
 }
 
--- a/internal/entry/operator.go
+++ b/internal/entry/operator.go
@@ -9,6 +9,7 @@
 
 	"github.com/primrosedrift/primrosedrift/internal/explainer"
 	"github.com/primrosedrift/primrosedrift/internal/folder"
+	"github.com/primrosedrift/primrosedrift/internal/publisher"
 	"github.com/primrosedrift/primrosedrift/internal/recorder"
 	"github.com/primrosedrift/primrosedrift/internal/watcher"
 	operatorv1 "github.com/primrosedrift/primrosedrift/pkg/api/operator/v1"
@@ -23,6 +24,11 @@
 // means that the change was read back from the log.
 func (c *operatorCommands) Publish(ctx context.Context, req *connect.Request[operatorv1.PublishRequest]) (*connect.Response[operatorv1.PublishResponse], error) {
 	m := req.Msg
+	if err := publisher.CheckObjects(m.GetUpserts()); err != nil {
+		return connect.NewResponse(&operatorv1.PublishResponse{
+			Result: operatorv1.PublishResult_PUBLISH_RESULT_INVALID, Version: c.e.version(), Detail: err.Error(),
+		}), nil
+	}
 	ctx, cancel := context.WithTimeout(ctx, publishTimeout)
 	defer cancel()
 	start := time.Now()
@@ -41,13 +47,20 @@
 	default:
 		resp.Result, resp.Detail = operatorv1.PublishResult_PUBLISH_RESULT_LOST_RACE, e.Why
 	}
-	c.e.keeper.View(func(s *folder.State) { resp.Version = s.Config.Version })
+	resp.Version = c.e.version()
 	if e.Counted {
 		resp.Version = uint64(e.Position)
 	}
 	return connect.NewResponse(resp), nil
 }
 
+// version returns the version in force.
+func (e *Entry) version() uint64 {
+	var v uint64
+	e.keeper.View(func(s *folder.State) { v = s.Config.Version })
+	return v
+}
+
 type operatorQueries struct{ e *Entry }
 
 // Get returns what is in force.
--- a/internal/publisher/check.go
+++ b/internal/publisher/check.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"math"
 	"net"
 	"time"
 )
@@ -53,7 +52,7 @@
 
 // number checks that a number is finite and not negative.
 func (c *checker) number(key string, v float64) {
-	if math.IsNaN(v) || math.IsInf(v, 0) || v < 0 {
+	if !isFinite(v) {
 		c.add(key, "must be a finite number that is not negative")
 	}
 }
--- a/internal/publisher/publisher_test.go
+++ b/internal/publisher/publisher_test.go
@@ -1,6 +1,7 @@
 package publisher
 
 import (
+	"math"
 	"os"
 	"strings"
 	"testing"
@@ -8,6 +9,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/primrosedrift/primrosedrift/internal/settings"
+	recordv1 "github.com/primrosedrift/primrosedrift/pkg/api/record/v1"
 )
 
 const whole = `[policy]
@@ -154,3 +156,33 @@
 	}, Diff(was.Objects(), is.Objects(), true).Lines())
 	require.Empty(t, Diff(was.Objects(), was.Objects(), true).Lines())
 }
+
+// TestCheckObjects checks that what a good file publishes passes, and that
+// each object with one value spoilt does not.
+func TestCheckObjects(t *testing.T) {
+	tests := []struct {
+		name  string
+		spoil func(o *recordv1.ConfigObject)
+	}{
+		{"contract", func(o *recordv1.ConfigObject) { o.GetContract().WaitingTimeMs = 0 }},
+		{"contract", func(o *recordv1.ConfigObject) { o.GetContract().Weight = math.NaN() }},
+		{"contract", func(o *recordv1.ConfigObject) { o.GetContract().Customer = "" }},
+		{"model", func(o *recordv1.ConfigObject) { o.GetModel().MemoryBytes = 0 }},
+		{"adapter", func(o *recordv1.ConfigObject) { o.GetAdapter().Model = "" }},
+		{"upstream", func(o *recordv1.ConfigObject) { o.GetUpstream().Address = "here" }},
+		{"upstream", func(o *recordv1.ConfigObject) { o.GetUpstream().MemoryBytes = 0 }},
+		{"policy", func(o *recordv1.ConfigObject) { o.GetPolicy().IdleWeight = -1 }},
+	}
+	for _, tt := range tests {
+		f, err := Parse("f.toml", []byte(whole))
+		require.NoError(t, err)
+		objects := f.Objects()
+		require.NoError(t, CheckObjects(objects))
+		for _, o := range objects {
+			if KindName(o) == tt.name {
+				tt.spoil(o)
+			}
+		}
+		require.ErrorContains(t, CheckObjects(objects), tt.name)
+	}
+}
