--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -30,6 +30,7 @@
 	"github.com/primrosedrift/primrosedrift/internal/recorder"
 	"github.com/primrosedrift/primrosedrift/internal/retrier"
 	"github.com/primrosedrift/primrosedrift/internal/settings"
+	"github.com/primrosedrift/primrosedrift/internal/sharer"
 	"github.com/primrosedrift/primrosedrift/internal/tailer"
 	"github.com/primrosedrift/primrosedrift/internal/tallier"
 	"github.com/primrosedrift/primrosedrift/internal/watcher"
@@ -60,6 +61,8 @@
 	orderer    *orderer.Orderer
 	controller *controller.Controller
 	dispatcher *dispatcher.Dispatcher
+	sharer     *sharer.Sharer
+	forwarder  forwarder
 	explainer  *explainer.Explainer
 	membership explainer.Membership
 	burn       *burnCounter
@@ -83,6 +86,8 @@
 		Log: log.Named("dispatcher"), CanAgree: e.canAgree, IsGone: e.watcher.IsGone,
 	}
 	e.dispatcher.Admitter.Table.MaxWaiting = s.Limits.QueuedRequests
+	e.forwarder.HTTP = client
+	e.wireShares(platformv1connect.NewLogQueriesClient(client, s.Platform.Log))
 	e.recorder.Abandoned = e.dispatcher.Voided
 	e.explainer = &explainer.Explainer{}
 	e.membership = explainer.Membership{Explainer: e.explainer, Instance: s.Instance}
@@ -199,7 +204,7 @@
 	var parts sync.WaitGroup
 	for _, run := range []func(context.Context){
 		e.recorder.Run, e.tailer.Run, e.watcher.Run, e.monitor.Run, e.tallier.Run, e.controller.Run,
-		e.checkpoint.Run,
+		e.checkpoint.Run, e.sharer.Run,
 	} {
 		parts.Go(func() { run(work) })
 	}
