--- a/internal/controller/controller_test.go
+++ b/internal/controller/controller_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -242,6 +243,29 @@
 	}
 }
 
+// If the new process's report alone freed the replica, a load that was repeated
+// to that process would leave one that the log does not know.
+func TestUpstreamRestartsMidLoadNegative(t *testing.T) {
+	r := newRig(t, false, "entry-1")
+	for _, u := range r.upstreams {
+		u.current().Faults.Change(func(f *faulter.Faults) { f.LoadMs = 1000 })
+	}
+	r.firstHolder()
+	r.demand(1)
+	r.until("engine loads", func(*folder.State) bool { return r.loads() > 0 })
+	v := r.replicas(r.fold())[0]
+	r.endDemand()
+	u := r.upstreams[v.Upstream]
+	u.restart()
+	u.server.CloseClientConnections()
+	require.Eventually(t, func() bool { return u.current().Replicas()[v.ID] != "" }, generous, time.Millisecond)
+	r.append(t.Context(), &recordv1.Record{Id: "gone", Kind: &recordv1.Record_Observation{Observation: &recordv1.Observation{
+		Shard: v.Shard, Epoch: uint64(v.Epoch), Kind: recordv1.ObservationKind_OBSERVATION_KIND_UPSTREAM_GONE, Replica: v.ID,
+	}}})
+	r.steps(3)
+	require.NotEmpty(t, r.broken)
+}
+
 // The platform's word that the process ended frees the replica without orders.
 func TestUpstreamEnds(t *testing.T) {
 	r := warm(t, false, "entry-1")
--- a/internal/dispatcher/once_test.go
+++ b/internal/dispatcher/once_test.go
@@ -280,3 +280,31 @@
 	inDoubt(t, Answer{}, err)
 	require.Positive(t, verdict.Of(err).ComeBack, "the outcome may still come")
 }
+
+// A key that may have been forgotten is in doubt, never refused as not run.
+func TestForgottenKeys(t *testing.T) {
+	p := newPair(t, 1)
+	at := time.Now().Add(-time.Hour)
+	var first string
+	var recs []*recordv1.Record
+	for i := range folder.MaxIntents + 1 {
+		key := ulid.MustNew(ulid.Timestamp(at.Add(time.Duration(i)*time.Millisecond)), ulid.DefaultEntropy()).String()
+		if first == "" {
+			first = key
+		}
+		recs = append(recs, &recordv1.Record{Id: key, Kind: &recordv1.Record_Intent{Intent: &recordv1.Intent{Customer: "thottam", Key: key}}})
+		if len(recs) < folder.MaxBatchRecords && i < folder.MaxIntents {
+			continue
+		}
+		payload, err := proto.Marshal(&recordv1.Batch{Version: folder.Version, Records: recs})
+		require.NoError(t, err)
+		require.NoError(t, p.log.append(t.Context(), payload))
+		recs = nil
+	}
+	_, err := p.call(p.all[0], first, time.Second)
+	require.Equal(t, verdict.ReasonKeyTooOld, verdict.Of(err).Reason)
+	require.Equal(t, verdict.MayHaveRun, verdict.Of(err).Ran)
+	_, err = p.call(p.all[0], ulid.Make().String(), 10*time.Second)
+	require.NoError(t, err)
+	require.Empty(t, p.broken())
+}
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -110,6 +110,7 @@
 
 // Replicas returns the model of each replica that the engine has.
 func (e *Engine) Replicas() map[string]string {
+	e.init()
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	out := make(map[string]string)
--- a/test/ownership_test.go
+++ b/test/ownership_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 	"syscall"
 	"testing"
 	"time"
@@ -98,6 +99,41 @@
 	}
 }
 
+// A planned stop of a shard's holder cuts no stream, and the shard passes on
+// with nothing to settle.
+func TestPlannedStopOfHolder(t *testing.T) {
+	f := newSmallFleet(t)
+	c := f.client("tolwerk")
+	generate := func(tokens uint32) error {
+		return c.Generate(context.Background(), &callerv1.GenerateRequest{Model: coldModel, Prompt: "p", MaxTokens: tokens}, func(string) {})
+	}
+	require.NoError(t, generate(1))
+	for name := range f.procs {
+		if strings.HasPrefix(name, "taalmodellen") {
+			f.faults(name, faulter.Faults{TokenMs: 20})
+		}
+	}
+	sh, old := f.holder()
+	require.NotNil(t, old)
+	streams := make(chan error, 8)
+	for range cap(streams) {
+		go func() { streams <- generate(100) }()
+	}
+	old.signal(syscall.SIGTERM)
+	for range cap(streams) {
+		require.NoError(t, <-streams)
+	}
+	require.Eventually(t, func() bool {
+		next, e := f.holder()
+		return e != nil && next.Current.Incarnation != sh.Current.Incarnation
+	}, eventually, 20*time.Millisecond)
+	require.Empty(t, f.state().Shard(folder.ShardOf(coldModel)).Unsettled)
+	<-old.done
+	require.NoError(t, generate(1))
+	require.Equal(t, 1, f.loads())
+	f.checkEngines()
+}
+
 // The log goes out twice, flaps and is slow, and an entry instance restarts
 // meanwhile. Warm models are served throughout, what needs agreement is refused
 // truly with when to come back, and little is appended afterwards.
