controller: say as of when an upstream's end was seen, and order by the replica's address

An observation that an upstream ended carried no offset, so after a settlement the fold never freed the ghost, and the holder wrote the observation again and again. Orders go to the address that the fold keeps with the replica, so that an instance that starts after an upstream left the configuration can empty it. TestUpstreamEndsBeforeSettlement covers the first.

--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -101,7 +101,6 @@
 	taken     map[uint32]int             // how often a shard was taken from this instance
 	releasing map[folder.Position]bool   // own claims that are being released
 
-	addresses  map[string]string   // last known address by upstream
 	mismatches map[string]mismatch // by replica
 }
 
@@ -123,7 +122,6 @@
 	c.held = make(map[uint32]folder.Position)
 	c.taken = make(map[uint32]int)
 	c.releasing = make(map[folder.Position]bool)
-	c.addresses = make(map[string]string)
 }
 
 // Run steps until ctx ends.
--- a/internal/controller/controller_test.go
+++ b/internal/controller/controller_test.go
@@ -261,6 +261,7 @@
 	require.Eventually(t, func() bool { return u.current().Replicas()[v.ID] != "" }, generous, time.Millisecond)
 	r.append(t.Context(), &recordv1.Record{Id: "gone", Kind: &recordv1.Record_Observation{Observation: &recordv1.Observation{
 		Shard: v.Shard, Epoch: uint64(v.Epoch), Kind: recordv1.ObservationKind_OBSERVATION_KIND_UPSTREAM_GONE, Replica: v.ID,
+		UpstreamIncarnation: v.UpstreamIncarnation,
 	}}})
 	r.steps(3)
 	require.NotEmpty(t, r.broken)
@@ -279,6 +280,30 @@
 	require.Empty(t, r.broken)
 }
 
+// An upstream ends while a holder that was superseded is not settled: the ghost
+// is freed by the platform's word after the settlement.
+func TestUpstreamEndsBeforeSettlement(t *testing.T) {
+	r := warm(t, false, "entry-1", "entry-2")
+	old := r.holder()
+	old.frozen = true
+	r.lose(old)
+	r.until("another instance holds the shard", func(*folder.State) bool { return r.holder() != old && r.holder() != nil })
+	v := r.replicas(r.fold())[0]
+	r.upstreams[v.Upstream].mu.Lock()
+	r.upstreams[v.Upstream].engine = nil
+	r.upstreams[v.Upstream].mu.Unlock()
+	delete(r.upstreams, v.Upstream)
+	r.mu.Lock()
+	r.ended[v.Upstream] = &platformv1.Instance{Name: v.Upstream, State: platformv1.InstanceState_INSTANCE_STATE_GONE, Incarnation: v.UpstreamIncarnation}
+	r.mu.Unlock()
+	r.until("ghost", func(s *folder.State) bool { return r.replicas(s)[0].Phase == folder.PhaseGhost })
+	r.mu.Lock()
+	r.gone[old.Incarnation] = true
+	r.mu.Unlock()
+	r.until("ghost is gone", none(r))
+	require.Empty(t, r.broken)
+}
+
 // An upstream leaves the configuration with a replica on it: the replica is
 // unloaded there before its memory is free.
 func TestUpstreamRemovedFromConfiguration(t *testing.T) {
--- a/internal/controller/order.go
+++ b/internal/controller/order.go
@@ -69,9 +69,6 @@
 	var out []replicaWork
 	known := make(map[string]mismatch)
 	c.Keeper.View(func(s *folder.State) {
-		for name, u := range s.Config.Upstreams {
-			c.addresses[name] = u.GetAddress()
-		}
 		s.EachReplica(func(r folder.Replica) bool {
 			sh := s.Shard(r.Shard)
 			if !c.holds(sh) {
@@ -82,7 +79,7 @@
 			known[r.ID] = m
 			w.fate = c.fateOf(s, r, m)
 			if w.fate == fateOpen {
-				w.tasks = c.replicaTasks(s, r, w.epoch)
+				w.tasks = replicaTasks(s, r, w.epoch)
 			}
 			out = append(out, w)
 			return true
@@ -136,6 +133,7 @@
 	c.submit(ctx, "ended "+r.ID, &recordv1.Record{Kind: &recordv1.Record_Observation{Observation: &recordv1.Observation{
 		Shard: r.Shard, Epoch: uint64(w.epoch), Kind: recordv1.ObservationKind_OBSERVATION_KIND_UPSTREAM_GONE,
 		Replica: r.ID, UpstreamIncarnation: r.UpstreamIncarnation, Detail: "the platform names the upstream's process as ended",
+		AsOf: c.Keeper.Next(),
 	}}})
 }
 
@@ -154,11 +152,7 @@
 }
 
 // replicaTasks returns the orders whose outcome is open.
-func (c *Controller) replicaTasks(s *folder.State, r folder.Replica, epoch folder.Position) []orderer.Task {
-	address := c.addresses[r.Upstream]
-	if address == "" {
-		return nil
-	}
+func replicaTasks(s *folder.State, r folder.Replica, epoch folder.Position) []orderer.Task {
 	order := func(a recordv1.DecisionAction, adapter string) orderer.Task {
 		o := &upstreamv1.OrderRequest{
 			Action: a, Replica: r.ID, Model: r.Model, Adapter: adapter, Checkpoint: s.Config.Models[r.Model].GetCheckpoint(),
@@ -168,7 +162,7 @@
 			o.UpstreamIncarnation = "" // whatever runs there now
 		}
 		return orderer.Task{
-			Address: address, Upstream: r.Upstream, Order: o,
+			Address: r.Address, Upstream: r.Upstream, Order: o,
 			Doubted: r.Epoch != epoch && !s.Config.Upstreams[r.Upstream].GetChecksFencing(),
 		}
 	}
