--- a/internal/folder/decide.go
+++ b/internal/folder/decide.go
@@ -143,17 +143,19 @@
 		if r.Phase != PhaseUnloading && r.Phase != PhaseGhost {
 			return "replica is not decided to go"
 		}
-		return s.freeReplica(r, o.GetAsOf(), at)
+		return s.freeReplica(r, s.checksFencing(r), o.GetAsOf(), at)
 	case recordv1.ObservationKind_OBSERVATION_KIND_FAILED:
 		if r.Phase != PhaseLoading || r.UpstreamIncarnation != o.GetUpstreamIncarnation() {
 			return "replica is not loading on this incarnation"
 		}
-		return s.freeReplica(r, o.GetAsOf(), at)
+		return s.freeReplica(r, s.checksFencing(r), o.GetAsOf(), at)
 	case recordv1.ObservationKind_OBSERVATION_KIND_UPSTREAM_GONE:
 		if r.UpstreamIncarnation != o.GetUpstreamIncarnation() {
 			return "replica is on another incarnation"
 		}
-		return s.freeReplica(r, o.GetAsOf(), at)
+		// The upstream's next process knows no fencing number yet, so checking
+		// them does not keep late orders from it.
+		return s.freeReplica(r, false, o.GetAsOf(), at)
 	default:
 		return "unknown observation"
 	}
@@ -176,10 +178,10 @@
 // freeReplica frees the replica's memory, unless a late order could load it
 // again or could have done so after the observer looked. Then the memory stays
 // reserved for a ghost until a later observation. It returns why nothing changed.
-func (s *State) freeReplica(r Replica, asOf uint64, at Position) string {
+func (s *State) freeReplica(r Replica, fencing bool, asOf uint64, at Position) string {
 	why := s.lateOrder(r, asOf)
 	switch {
-	case why == "" || s.off.has(checkLateOrders):
+	case why == "" || fencing || s.off.has(checkLateOrders):
 		s.removeReplica(r)
 	case r.Phase == PhaseGhost:
 		return why
@@ -190,13 +192,16 @@
 	return ""
 }
 
+// checksFencing reports whether the replica's upstream refuses late orders by itself.
+func (s *State) checksFencing(r Replica) bool {
+	return s.Config.Upstreams[r.Upstream].GetChecksFencing()
+}
+
 // lateOrder returns why an order of an earlier holder may have loaded the
 // replica again, or still may, if the observer's state ended before asOf.
 func (s *State) lateOrder(r Replica, asOf uint64) string {
 	sh := &s.shards[r.Shard]
 	switch {
-	case s.Config.Upstreams[r.Upstream].GetChecksFencing():
-		return ""
 	case sh.mayGetLateOrders(r.Epoch):
 		return "an earlier holder is not settled"
 	case sh.SettledAt > r.Decided && asOf <= sh.SettledAt.Offset():
--- a/internal/recorder/run.go
+++ b/internal/recorder/run.go
@@ -36,19 +36,25 @@
 		return len(batch) > 0 && ctx.Err() == nil
 	}
 	r.requeue(batch)
+	r.pause(ctx, DefaultBackoff)
 	backoff := DefaultBackoff
-	for r.IsFailing() {
-		select {
-		case <-ctx.Done():
-			return false
-		case <-time.After(r.jitter(backoff)):
+	for r.IsFailing() && ctx.Err() == nil {
+		if r.append(ctx, nil) == nil {
+			break
 		}
-		_ = r.append(ctx, nil)
 		backoff = min(2*backoff, maxBackoff)
+		r.pause(ctx, backoff)
 	}
 	return ctx.Err() == nil
 }
 
+func (r *Recorder) pause(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(r.jitter(d)):
+	}
+}
+
 // jitter spreads a pause over half to one and a half of its length, so that
 // instances do not come back to the log at the same moment.
 func (r *Recorder) jitter(d time.Duration) time.Duration {
@@ -130,8 +136,10 @@
 		r.failures, r.failing = 0, false
 		return
 	}
-	r.failures++
-	r.failing = r.failing || timedOut || r.failures >= failuresToFail
+	if r.failures++; r.failures == 1 {
+		r.failedAt = time.Now()
+	}
+	r.failing = r.failing || timedOut || time.Since(r.failedAt) >= failAfter
 	if !r.failing {
 		return
 	}
