--- a/internal/folder/intent.go
+++ b/internal/folder/intent.go
@@ -12,8 +12,9 @@
 
 // Bounds of what the state remembers of intents.
 const (
-	// MaxIntents bounds the intents. The one with the oldest key is forgotten first.
-	MaxIntents = 200_000
+	// MaxIntents bounds the intents, to about 30 MB. The one with the oldest key is
+	// forgotten first.
+	MaxIntents = 65_536
 	// MaxKeptAnswerBytes is the largest answer that an outcome may carry.
 	MaxKeptAnswerBytes = 512
 	// MaxAnswerBytes bounds all answers together. The oldest is forgotten first.
