entry, publisher: check a change before it is written

An instance wrote whatever an operator's client sent. It now checks what would be in force after the change, at the base version that the change names, and refuses with PUBLISH_RESULT_INVALID and one line for each fault. An instance that has not read the base version yet waits for it, so that no change passes unchecked. A change of an older version is left to the log, which refuses it.

--- a/cmd/primrosedrift/operate.go
+++ b/cmd/primrosedrift/operate.go
@@ -85,6 +85,8 @@
 		return nil
 	case operatorv1.PublishResult_PUBLISH_RESULT_LOST_RACE:
 		return exitError{exitLost, errors.Newf("lost a race to version %d; look at what is in force and publish again", m.GetVersion())}
+	case operatorv1.PublishResult_PUBLISH_RESULT_INVALID:
+		return exitError{exitUsage, errors.Newf("nothing was published, version %d stays in force:\n%s", m.GetVersion(), m.GetDetail())}
 	}
 	return exitError{exitUnknown, errors.Newf("unknown whether the change was published (%s); run publish again", m.GetDetail())}
 }
--- a/internal/entry/operator.go
+++ b/internal/entry/operator.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 	"time"
 
 	"connectrpc.com/connect"
@@ -9,6 +10,7 @@
 
 	"github.com/primrosedrift/primrosedrift/internal/explainer"
 	"github.com/primrosedrift/primrosedrift/internal/folder"
+	"github.com/primrosedrift/primrosedrift/internal/publisher"
 	"github.com/primrosedrift/primrosedrift/internal/recorder"
 	"github.com/primrosedrift/primrosedrift/internal/watcher"
 	operatorv1 "github.com/primrosedrift/primrosedrift/pkg/api/operator/v1"
@@ -25,6 +27,11 @@
 	m := req.Msg
 	ctx, cancel := context.WithTimeout(ctx, publishTimeout)
 	defer cancel()
+	if faults := c.check(ctx, m); len(faults) > 0 {
+		resp := &operatorv1.PublishResponse{Result: operatorv1.PublishResult_PUBLISH_RESULT_INVALID, Detail: strings.Join(faults, "\n")}
+		c.e.keeper.View(func(s *folder.State) { resp.Version = s.Config.Version })
+		return connect.NewResponse(resp), nil
+	}
 	e, err := c.e.recorder.Submit(ctx, &recordv1.Record{Kind: &recordv1.Record_ConfigChange{ConfigChange: &recordv1.ConfigChange{
 		BaseVersion: m.GetBaseVersion(), Upserts: m.GetUpserts(), Deletes: m.GetDeletes(), Operator: m.GetOperator(),
 	}}})
@@ -46,6 +53,32 @@
 	return connect.NewResponse(resp), nil
 }
 
+// check returns what is wrong with a change of the version in force. It waits
+// until this instance has read the base version. A change of an older version
+// is left to the log, which refuses it.
+func (c *operatorCommands) check(ctx context.Context, m *operatorv1.PublishRequest) []string {
+	for {
+		changed := c.e.keeper.Changed()
+		var version uint64
+		var objects []*recordv1.ConfigObject
+		c.e.keeper.View(func(s *folder.State) {
+			version = s.Config.Version
+			objects = s.Config.Objects()
+		})
+		if version == m.GetBaseVersion() {
+			return publisher.Check(publisher.Apply(objects, publisher.Change{Upserts: m.GetUpserts(), Deletes: m.GetDeletes()}))
+		}
+		if version > m.GetBaseVersion() {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return []string{"this instance has not read the base version"}
+		case <-changed:
+		}
+	}
+}
+
 type operatorQueries struct{ e *Entry }
 
 // Get returns what is in force.
--- a/test/config_test.go
+++ b/test/config_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"sync"
 	"syscall"
 	"testing"
 	"time"
@@ -99,3 +100,50 @@
 		return err == nil
 	}, eventually, 100*time.Millisecond)
 }
+
+// Of operators that race through different instances, also with a reply of the
+// log lost, one wins and the others are told; a bad change is refused, and what
+// is in force stays.
+func TestPublishRaces(t *testing.T) {
+	f := newFleet(t)
+	for _, name := range []string{"entry-1", "entry-2", "entry-3"} {
+		f.entry(name)
+	}
+	f.publish(operatorsFile)
+	publish := func(e *entryProcess, base uint64, c *recordv1.Contract) *operatorv1.PublishResponse {
+		resp, err := operatorv1connect.NewOperatorCommandsClient(http.DefaultClient, "http://"+e.operator).
+			Publish(context.Background(), connect.NewRequest(&operatorv1.PublishRequest{
+				BaseVersion: base, Upserts: []*recordv1.ConfigObject{{Object: &recordv1.ConfigObject_Contract{Contract: c}}},
+			}))
+		require.NoError(t, err)
+		return resp.Msg
+	}
+	for round := range uint32(10) {
+		base := f.entries[0].version()
+		f.faults("log", faulter.Faults{LoseReplies: int(round % 3)})
+		results := make([]*operatorv1.PublishResponse, 9)
+		var operators sync.WaitGroup
+		for i := range results {
+			operators.Go(func() {
+				results[i] = publish(f.entries[i%3], base, &recordv1.Contract{
+					Customer: "thottam", WaitingTimeMs: 1000, Concurrency: 1, Replicas: 1 + round*9 + uint32(i),
+				})
+			})
+		}
+		operators.Wait()
+		accepted := 0
+		for _, r := range results {
+			if r.GetResult() == operatorv1.PublishResult_PUBLISH_RESULT_ACCEPTED {
+				accepted++
+				continue
+			}
+			require.Equal(t, operatorv1.PublishResult_PUBLISH_RESULT_LOST_RACE, r.GetResult(), r.GetDetail())
+		}
+		require.Equal(t, 1, accepted)
+	}
+	want := f.entries[0].version()
+	bad := publish(f.entries[0], want, &recordv1.Contract{Customer: "thottam"})
+	require.Equal(t, operatorv1.PublishResult_PUBLISH_RESULT_INVALID, bad.GetResult())
+	require.Contains(t, bad.GetDetail(), "contract thottam: needs a waiting-time above zero")
+	require.Equal(t, want, f.entries[0].version())
+}
