--- a/cmd/primrosedrift/main.go
+++ b/cmd/primrosedrift/main.go
@@ -50,8 +50,9 @@
 	return &cli.Command{
 		Name:  "primrosedrift",
 		Usage: "serves rarely used models",
+		Flags: tlsFlags(),
 		Commands: []*cli.Command{
-			serveCommand(), checkCommand(), publishCommand(), getCommand(), explainCommand(), callCommand(), benchCommand(), versionCommand(),
+			serveCommand(), checkCommand(), publishCommand(), getCommand(), explainCommand(), callCommand(), benchCommand(), reportCommand(), versionCommand(),
 		},
 	}
 }
--- a/internal/controller/rig_test.go
+++ b/internal/controller/rig_test.go
@@ -241,7 +241,7 @@
 		TakeoverAfter: time.Second, RebalanceAfter: time.Second,
 	}
 	n.Orderer = &orderer.Orderer{
-		HTTP: &http.Client{Transport: n.post}, Timeout: time.Second, LateAfter: lateAfter, Submit: n.recorder.Submit,
+		HTTP: &http.Client{Transport: n.post}, Timeout: time.Second, LateAfter: lateAfter, Submit: n.recorder.Submit, AsOf: n.keeper.Next,
 		OnResult: func(t orderer.Task, err error) {
 			if err == nil && t.Order.GetAction() == recordv1.DecisionAction_DECISION_ACTION_UNLOAD {
 				n.unloads.Add(1)
--- a/internal/dispatcher/once.go
+++ b/internal/dispatcher/once.go
@@ -56,6 +56,7 @@
 	if d.wins(e) {
 		return d.sendOnce(ctx, c, req, k, rec.GetId(), adm)
 	}
+	c.Done() // waiting for another's outcome needs no room
 	a, found, err := d.earlier(ctx, k)
 	if !found {
 		err = verdict.Doubt(verdict.ReasonEarlierAttempt, comeBackSoon, "%s", e.Why)
@@ -99,8 +100,9 @@
 // provably did not run, the same intent covers the next one.
 func (d *Dispatcher) sendOnce(ctx context.Context, c admitter.Grant, req *callerv1.CallRequest, k folder.IntentKey, intent string, adm admitter.Request) (Answer, error) {
 	tried := make(map[string]bool)
+	d.Retries.First()
 	body, err := d.attemptCall(ctx, c, req)
-	for n := 1; n < maxTries && err != nil && verdict.Of(err).Ran == verdict.NotRun && ctx.Err() == nil; n++ {
+	for n := 1; n < maxTries && err != nil && verdict.Of(err).Ran == verdict.NotRun && ctx.Err() == nil && d.Retries.Retry(); n++ {
 		tried[c.Upstream] = true
 		next, awaitErr := d.awaitService(ctx, req, tried, adm)
 		if awaitErr != nil {
--- a/internal/dispatcher/once_test.go
+++ b/internal/dispatcher/once_test.go
@@ -21,7 +21,9 @@
 	"github.com/primrosedrift/primrosedrift/internal/folder"
 	"github.com/primrosedrift/primrosedrift/internal/keeper"
 	"github.com/primrosedrift/primrosedrift/internal/monitor"
+	"github.com/primrosedrift/primrosedrift/internal/quarantiner"
 	"github.com/primrosedrift/primrosedrift/internal/recorder"
+	"github.com/primrosedrift/primrosedrift/internal/retrier"
 	"github.com/primrosedrift/primrosedrift/internal/standin/checker"
 	"github.com/primrosedrift/primrosedrift/internal/standin/faulter"
 	"github.com/primrosedrift/primrosedrift/internal/standin/service"
@@ -117,7 +119,7 @@
 	inc := recorder.NewID()
 	rec := &recorder.Recorder{Incarnation: inc, Append: p.log.append}
 	in := &instance{recorder: rec, Dispatcher: &Dispatcher{
-		Instance: inc, Incarnation: inc, Keeper: k, Recorder: rec, Tallier: &tallier.Tallier{}, Log: zap.NewNop(),
+		Instance: inc, Incarnation: inc, Keeper: k, Recorder: rec, Tallier: &tallier.Tallier{}, Retries: &retrier.Budget{}, Quarantiner: &quarantiner.Quarantiner{}, Log: zap.NewNop(),
 		Attempter: &attempter.Attempter{HTTP: http.DefaultClient}, CanAgree: p.agreeing.Load,
 		Monitor: &monitor.Monitor{HTTP: http.DefaultClient, Interval: 20 * time.Millisecond, Upstreams: func() map[string]*recordv1.Upstream {
 			out := make(map[string]*recordv1.Upstream)
--- a/internal/folder/decide.go
+++ b/internal/folder/decide.go
@@ -143,19 +143,17 @@
 		if r.Phase != PhaseUnloading && r.Phase != PhaseGhost {
 			return "replica is not decided to go"
 		}
-		return s.freeReplica(r, s.checksFencing(r), o.GetAsOf(), at)
+		return s.freeReplica(r, o.GetAsOf(), at)
 	case recordv1.ObservationKind_OBSERVATION_KIND_FAILED:
 		if r.Phase != PhaseLoading || r.UpstreamIncarnation != o.GetUpstreamIncarnation() {
 			return "replica is not loading on this incarnation"
 		}
-		return s.freeReplica(r, s.checksFencing(r), o.GetAsOf(), at)
+		return s.freeReplica(r, o.GetAsOf(), at)
 	case recordv1.ObservationKind_OBSERVATION_KIND_UPSTREAM_GONE:
 		if r.UpstreamIncarnation != o.GetUpstreamIncarnation() {
 			return "replica is on another incarnation"
 		}
-		// The upstream's next process knows no fencing number yet, so checking
-		// them does not keep late orders from it.
-		return s.freeReplica(r, false, o.GetAsOf(), at)
+		return s.freeEnded(r, o.GetAsOf(), at)
 	default:
 		return "unknown observation"
 	}
@@ -178,10 +176,21 @@
 // freeReplica frees the replica's memory, unless a late order could load it
 // again or could have done so after the observer looked. Then the memory stays
 // reserved for a ghost until a later observation. It returns why nothing changed.
-func (s *State) freeReplica(r Replica, fencing bool, asOf uint64, at Position) string {
+func (s *State) freeReplica(r Replica, asOf uint64, at Position) string {
+	if s.Config.Upstreams[r.Upstream].GetChecksFencing() {
+		s.removeReplica(r)
+		return ""
+	}
+	return s.freeEnded(r, asOf, at)
+}
+
+// freeEnded frees the memory of a replica whose upstream's process has ended.
+// The upstream's next process knows no fencing number yet, so checking them
+// does not keep late orders from it.
+func (s *State) freeEnded(r Replica, asOf uint64, at Position) string {
 	why := s.lateOrder(r, asOf)
 	switch {
-	case why == "" || fencing || s.off.has(checkLateOrders):
+	case why == "" || s.off.has(checkLateOrders):
 		s.removeReplica(r)
 	case r.Phase == PhaseGhost:
 		return why
@@ -192,11 +201,6 @@
 	return ""
 }
 
-// checksFencing reports whether the replica's upstream refuses late orders by itself.
-func (s *State) checksFencing(r Replica) bool {
-	return s.Config.Upstreams[r.Upstream].GetChecksFencing()
-}
-
 // lateOrder returns why an order of an earlier holder may have loaded the
 // replica again, or still may, if the observer's state ended before asOf.
 func (s *State) lateOrder(r Replica, asOf uint64) string {
--- a/internal/recorder/recorder.go
+++ b/internal/recorder/recorder.go
@@ -86,6 +86,8 @@
 	done   chan fate // nil if nobody waits
 	queued bool
 	tried  bool
+	// readBack says that the record was read back, not that it was given up.
+	readBack bool
 }
 
 // NewID returns a new record id.
@@ -205,6 +207,9 @@
 		p := r.byID[e.Record.GetId()]
 		abandoned := r.abandoned.take(e.Record.GetId())
 		if p != nil {
+			// What is read back was written: only its reply may have been lost.
+			r.failures, r.failing = 0, false
+			p.readBack = true
 			r.removeLocked(p)
 			if p.done != nil {
 				p.done <- fate{event: e}
--- a/internal/recorder/run.go
+++ b/internal/recorder/run.go
@@ -120,19 +120,29 @@
 	actx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	err = r.Append(actx, payload)
-	r.noteResult(err, actx.Err() != nil)
+	r.noteResult(batch, err, actx.Err() != nil)
 	if r.OnAppend != nil {
 		r.OnAppend(recs, err)
 	}
 	return err
 }
 
+// isReadBackLocked reports whether the whole batch was read back.
+func (r *Recorder) isReadBackLocked(batch []*pending) bool {
+	for _, p := range batch {
+		if !p.readBack {
+			return false
+		}
+	}
+	return len(batch) > 0
+}
+
 // noteResult learns whether the log is out. Then records that were part of no
 // append are refused at once.
-func (r *Recorder) noteResult(err error, timedOut bool) {
+func (r *Recorder) noteResult(batch []*pending, err error, timedOut bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if err == nil {
+	if err == nil || r.isReadBackLocked(batch) {
 		r.failures, r.failing = 0, false
 		return
 	}
