--- a/internal/dispatcher/call.go
+++ b/internal/dispatcher/call.go
@@ -61,7 +61,7 @@
 		if try > 0 && !d.Retries.Retry() {
 			break
 		}
-		c, err := d.await(ctx, adm, tried, func(now time.Time) []router.Candidate { return d.services(req.GetService(), now) })
+		c, err := d.await(ctx, adm, tried, func(now time.Time) []router.Candidate { return d.services(req.GetService(), now) }, nil)
 		if err != nil {
 			return Answer{}, verdict.Of(err).After(last.Ran)
 		}
@@ -81,8 +81,11 @@
 
 func (d *Dispatcher) attemptCall(ctx context.Context, c admitter.Grant, req *callerv1.CallRequest) ([]byte, error) {
 	defer c.Done()
+	actx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	defer c.OnCut(func() { cancel(admitter.ErrCut) })()
 	began := time.Now()
-	body, err := d.Attempter.Call(ctx, c.Address, &upstreamv1.CallRequest{
+	body, err := d.Attempter.Call(actx, c.Address, &upstreamv1.CallRequest{
 		Method: req.GetMethod(), Body: req.GetBody(), Key: req.GetKey(),
 	})
 	var f attempter.Failure
--- a/internal/dispatcher/generate.go
+++ b/internal/dispatcher/generate.go
@@ -74,6 +74,7 @@
 		if g.began {
 			g.adm.Deadline = time.Now().Add(wait) // an answer that broke off has as long again to go on
 		}
+		g.ticket.Again(g.adm.Deadline)
 		c, a, err := g.begin(ctx, losses > 0)
 		if err != nil {
 			return 0, g.refuse(verdict.Of(err))
@@ -110,8 +111,8 @@
 func (g *generation) begin(ctx context.Context, suspect bool) (admitter.Grant, *quarantiner.Attempt, error) {
 	for {
 		c, err := g.d.await(ctx, g.adm, g.tried, func(now time.Time) []router.Candidate {
-			return g.candidates(now, suspect)
-		})
+			return g.d.replicas(g.req, now)
+		}, g.refine(suspect))
 		if err != nil {
 			return c, nil, err
 		}
@@ -122,17 +123,11 @@
 	}
 }
 
-func (g *generation) candidates(now time.Time, suspect bool) []router.Candidate {
-	list := g.d.replicas(g.req, now)
-	kept := list[:0]
-	for _, c := range list {
-		if suspect && !g.d.Quarantiner.IsLaneFree(c.Upstream) {
-			continue
-		}
+func (g *generation) refine(suspect bool) refiner {
+	return func(c router.Candidate) (router.Candidate, bool) {
 		c.HasPrefix = g.d.Monitor.HasPrefix(c.Upstream, g.prefix)
-		kept = append(kept, c)
+		return c, !suspect || g.d.Quarantiner.IsLaneFree(c.Upstream)
 	}
-	return kept
 }
 
 // attempt makes one attempt. The first one may use half of the time that is
@@ -147,6 +142,7 @@
 	watchdog := time.AfterFunc(silence, func() { cancel(errSilent) })
 	defer watchdog.Stop()
 	defer c.Done()
+	defer c.OnCut(func() { cancel(admitter.ErrCut) })()
 
 	g.ticket.Run()
 	g.attempted = true
@@ -165,6 +161,9 @@
 		g.next = i + 1
 		return g.emit(i, tok)
 	})
+	if err != nil && errors.Is(context.Cause(ctx), admitter.ErrCut) {
+		err = attempter.Failure{Refusal: verdict.Doubt(verdict.ReasonContractLimit, comeBackLater, "%s", admitter.ErrCut), Kind: attempter.KindRefused}
+	}
 	if err != nil && errors.Is(context.Cause(ctx), errSilent) {
 		err = attempter.Failure{Refusal: verdict.Doubt(verdict.ReasonUpstreamFailed, 0, "%s", errSilent), Kind: attempter.KindBroken}
 	}
