--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -145,7 +145,6 @@
 		HTTP:    client,
 		MaySend: func(t orderer.Task) bool { return controller.MaySend(e.keeper.View, t) },
 		Submit:  e.recorder.Submit,
-		AsOf:    e.keeper.Next,
 		OnResult: func(t orderer.Task, err error) {
 			orderLog.Info("order sent", zap.Stringer("action", t.Order.GetAction()), zap.String("replica", t.Order.GetReplica()),
 				zap.String("model", t.Order.GetModel()), zap.Error(err))
--- a/internal/entry/operator.go
+++ b/internal/entry/operator.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 	"time"
 
 	"connectrpc.com/connect"
@@ -24,13 +25,13 @@
 // means that the change was read back from the log.
 func (c *operatorCommands) Publish(ctx context.Context, req *connect.Request[operatorv1.PublishRequest]) (*connect.Response[operatorv1.PublishResponse], error) {
 	m := req.Msg
-	if err := publisher.CheckObjects(m.GetUpserts()); err != nil {
-		return connect.NewResponse(&operatorv1.PublishResponse{
-			Result: operatorv1.PublishResult_PUBLISH_RESULT_INVALID, Version: c.e.version(), Detail: err.Error(),
-		}), nil
-	}
 	ctx, cancel := context.WithTimeout(ctx, publishTimeout)
 	defer cancel()
+	if faults := c.check(ctx, m); len(faults) > 0 {
+		resp := &operatorv1.PublishResponse{Result: operatorv1.PublishResult_PUBLISH_RESULT_INVALID, Detail: strings.Join(faults, "\n")}
+		resp.Version = c.e.version()
+		return connect.NewResponse(resp), nil
+	}
 	start := time.Now()
 	e, err := c.e.recorder.Submit(ctx, &recordv1.Record{Kind: &recordv1.Record_ConfigChange{ConfigChange: &recordv1.ConfigChange{
 		BaseVersion: m.GetBaseVersion(), Upserts: m.GetUpserts(), Deletes: m.GetDeletes(), Operator: m.GetOperator(),
@@ -54,6 +55,32 @@
 	return connect.NewResponse(resp), nil
 }
 
+// check returns what is wrong with a change of the version in force. It waits
+// until this instance has read the base version. A change of an older version
+// is left to the log, which refuses it.
+func (c *operatorCommands) check(ctx context.Context, m *operatorv1.PublishRequest) []string {
+	for {
+		changed := c.e.keeper.Changed()
+		var version uint64
+		var objects []*recordv1.ConfigObject
+		c.e.keeper.View(func(s *folder.State) {
+			version = s.Config.Version
+			objects = s.Config.Objects()
+		})
+		if version == m.GetBaseVersion() {
+			return publisher.Check(publisher.Apply(objects, publisher.Change{Upserts: m.GetUpserts(), Deletes: m.GetDeletes()}))
+		}
+		if version > m.GetBaseVersion() {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return []string{"this instance has not read the base version"}
+		case <-changed:
+		}
+	}
+}
+
 // version returns the version in force.
 func (e *Entry) version() uint64 {
 	var v uint64
--- a/internal/publisher/check.go
+++ b/internal/publisher/check.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"net"
 	"time"
 )
@@ -116,3 +117,8 @@
 		c.add(key+".memory", "must be above zero, unless the upstream gives a service")
 	}
 }
+
+// isFinite reports whether a number is finite and not negative.
+func isFinite(n float64) bool {
+	return !math.IsNaN(n) && !math.IsInf(n, 0) && n >= 0
+}
--- a/internal/recorder/doc.go
+++ b/internal/recorder/doc.go
@@ -9,7 +9,7 @@
 // The rules:
 //
 //   - The queue is bounded. A full queue refuses at once.
-//   - The log is out after two failed appends in a row, or one that timed out.
+//   - The log is out after a second of failed appends, or one that timed out.
 //     Then Submit refuses at once, Post queues, and the recorder tries the log
 //     with empty batches until one succeeds. Its pauses grow and are spread at
 //     random, and it has one append under way, so that instances catch up
--- a/internal/recorder/recorder.go
+++ b/internal/recorder/recorder.go
@@ -35,9 +35,9 @@
 	// maxAbandoned bounds the records that are remembered after their
 	// submitters stopped waiting.
 	maxAbandoned = 4096
-	// failuresToFail is how many appends in a row fail before the log is
-	// taken as out. One lost reply alone is no outage.
-	failuresToFail = 2
+	// failAfter is how long all appends fail before the log is taken as out.
+	// A few lost replies are no outage.
+	failAfter = time.Second
 )
 
 // Recorder appends records. Append and Incarnation must be set before Run.
@@ -64,7 +64,8 @@
 	queue     []*pending
 	byID      map[string]*pending
 	abandoned abandonedRecords
-	failures  int // appends in a row that failed
+	failures  int       // appends in a row that failed
+	failedAt  time.Time // first of them
 	failing   bool
 	wake      chan struct{}
 
@@ -85,6 +86,8 @@
 	done   chan fate // nil if nobody waits
 	queued bool
 	tried  bool
+	// readBack says that the record was read back, not that it was given up.
+	readBack bool
 }
 
 // NewID returns a new record id.
@@ -206,6 +209,7 @@
 		if p != nil {
 			// What is read back was written: only its reply may have been lost.
 			r.failures, r.failing = 0, false
+			p.readBack = true
 			r.removeLocked(p)
 			if p.done != nil {
 				p.done <- fate{event: e}
--- a/internal/recorder/run.go
+++ b/internal/recorder/run.go
@@ -36,19 +36,25 @@
 		return len(batch) > 0 && ctx.Err() == nil
 	}
 	r.requeue(batch)
+	r.pause(ctx, DefaultBackoff)
 	backoff := DefaultBackoff
-	for r.IsFailing() {
-		select {
-		case <-ctx.Done():
-			return false
-		case <-time.After(r.jitter(backoff)):
+	for r.IsFailing() && ctx.Err() == nil {
+		if r.append(ctx, nil) == nil {
+			break
 		}
-		_ = r.append(ctx, nil)
 		backoff = min(2*backoff, maxBackoff)
+		r.pause(ctx, backoff)
 	}
 	return ctx.Err() == nil
 }
 
+func (r *Recorder) pause(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(r.jitter(d)):
+	}
+}
+
 // jitter spreads a pause over half to one and a half of its length, so that
 // instances do not come back to the log at the same moment.
 func (r *Recorder) jitter(d time.Duration) time.Duration {
@@ -124,7 +130,7 @@
 // isReadBackLocked reports whether the whole batch was read back.
 func (r *Recorder) isReadBackLocked(batch []*pending) bool {
 	for _, p := range batch {
-		if r.byID[p.rec.GetId()] == p {
+		if !p.readBack {
 			return false
 		}
 	}
@@ -140,8 +146,10 @@
 		r.failures, r.failing = 0, false
 		return
 	}
-	r.failures++
-	r.failing = r.failing || timedOut || r.failures >= failuresToFail
+	if r.failures++; r.failures == 1 {
+		r.failedAt = time.Now()
+	}
+	r.failing = r.failing || timedOut || time.Since(r.failedAt) >= failAfter
 	if !r.failing {
 		return
 	}
