admitter, test: leave time for the whole answer of a call

Cause: TestFlood, with 150 callers of a service of 32 slots and a waiting time of 400 ms, saw calls start just before their deadline and get cut: they ran for nothing and could not be said to be not run. Calls whose context ended at the deadline were refused as if the caller had gone. Now a call that has to be whole by its deadline waits until two mean service times before it.

--- a/internal/admitter/admitter.go
+++ b/internal/admitter/admitter.go
@@ -100,12 +100,15 @@
 	if w == nil {
 		return early.result()
 	}
-	timer := time.NewTimer(time.Until(req.Deadline))
+	timer := time.NewTimer(time.Until(w.Deadline))
 	defer timer.Stop()
 	select {
 	case ans := <-w.answer:
 		return ans.result()
 	case <-ctx.Done():
+		if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+			return a.leave(w, func(now time.Time) *Refused { return a.expireLocked(w, now) })
+		}
 		return a.leave(w, func(time.Time) *Refused {
 			if !a.Table.Leave(w) {
 				return nil
@@ -113,13 +116,15 @@
 			return &Refused{w, verdict.Refuse(verdict.ReasonCanceled, 0, "caller went away")}
 		})
 	case <-timer.C:
-		return a.leave(w, func(now time.Time) *Refused {
-			if a.short[w.Customer] {
-				return a.Table.Expire(w, now, verdict.ReasonContractLimit)
-			}
-			return a.Table.Expire(w, now, verdict.ReasonDeadline)
-		})
+		return a.leave(w, func(now time.Time) *Refused { return a.expireLocked(w, now) })
+	}
+}
+
+func (a *Admitter) expireLocked(w *Waiter, now time.Time) *Refused {
+	if a.short[w.Customer] {
+		return a.Table.Expire(w, now, verdict.ReasonContractLimit)
 	}
+	return a.Table.Expire(w, now, verdict.ReasonDeadline)
 }
 
 func (s answer) result() (Grant, error) {
--- a/internal/admitter/admitter_test.go
+++ b/internal/admitter/admitter_test.go
@@ -180,6 +180,29 @@
 	})
 }
 
+// TestWholeAnswer checks that a request that needs its whole answer in time is
+// refused while there is still time to serve it, and that the end of its
+// context at its deadline does not count as the caller's.
+func TestWholeAnswer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		u := &upstream{}
+		a := u.admitter()
+		a.Table.Ended("x", 100*time.Millisecond)
+		for _, tc := range []struct {
+			whole bool
+			waits time.Duration
+		}{{false, time.Second}, {true, 800 * time.Millisecond}} {
+			start := time.Now()
+			ctx, cancel := context.WithDeadline(t.Context(), start.Add(time.Second))
+			_, err := a.Admit(ctx, Request{ID: "1", Customer: "a", Target: "x", Deadline: start.Add(time.Second), Whole: tc.whole}, u.source())
+			cancel()
+			require.Equal(t, verdict.ReasonDeadline, verdict.Of(err).Reason)
+			require.Equal(t, tc.waits, time.Since(start))
+		}
+		require.Equal(t, epoch.Add(50*time.Millisecond), a.Table.line("x").lastStart(epoch.Add(100*time.Millisecond), epoch))
+	})
+}
+
 // TestNewcomerWaits checks that a new request does not take a freed slot that
 // a waiting request should get.
 func TestNewcomerWaits(t *testing.T) {
--- a/internal/admitter/queue.go
+++ b/internal/admitter/queue.go
@@ -20,9 +20,12 @@
 	// Target is what the request needs, such as a model with an adapter.
 	Target   string
 	Deadline time.Time
+	// Whole says that the whole answer must come before the deadline, and not
+	// just its beginning.
+	Whole bool
 }
 
-// Waiter is a request in a Table.
+// Waiter is a request in a Table. Its deadline is that of its grant.
 type Waiter struct {
 	Request
 
@@ -81,6 +84,9 @@
 	return float64(len(f.waiters)) / (f.weight * classWeight(f.class))
 }
 
+// serviceMargin is how many mean service times are left for a whole answer.
+const serviceMargin = 2
+
 // serviceShare is the share of the newest sample in the mean service time.
 const serviceShare = 0.1
 
@@ -104,6 +110,13 @@
 	l.service += time.Duration(serviceShare * float64(took-l.service))
 }
 
+// lastStart returns when a request that must be served whole has to start. It
+// leaves at least half of the time for the wait, so that a service time that
+// grew too long is measured again.
+func (l *line) lastStart(deadline, now time.Time) time.Time {
+	return deadline.Add(-min(serviceMargin*l.service, max(0, deadline.Sub(now)/2)))
+}
+
 // perGrant returns the mean time between two grants, 0 if it is unknown.
 func (l *line) perGrant() time.Duration {
 	if l.slots == 0 {
--- a/internal/admitter/table.go
+++ b/internal/admitter/table.go
@@ -101,8 +101,11 @@
 		req.Weight = 1
 	}
 	t.seq++
-	w := &Waiter{Request: req, seq: t.seq}
 	l := t.line(req.Target)
+	if req.Whole {
+		req.Deadline = l.lastStart(req.Deadline, now)
+	}
+	w := &Waiter{Request: req, seq: t.seq}
 	l.slots = slots
 	if !req.Deadline.After(now) {
 		return w, t.refuse(l, w, now, verdict.ReasonDeadline, "the deadline has passed")
--- a/internal/dispatcher/call.go
+++ b/internal/dispatcher/call.go
@@ -45,7 +45,7 @@
 	defer cancel()
 	adm := admitter.Request{
 		ID: req.GetRequestId(), Customer: req.GetCustomer(), Class: contract.GetClass(), Weight: contract.GetWeight(),
-		Target: "service " + req.GetService(), Deadline: until,
+		Target: "service " + req.GetService(), Deadline: until, Whole: true,
 	}
 	if slices.Contains(contract.GetNeverTwice(), req.GetMethod()) {
 		return d.callOnce(ctx, req, adm)
