--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -18,6 +18,7 @@
 	"go.uber.org/zap"
 
 	"github.com/primrosedrift/primrosedrift/internal/attempter"
+	"github.com/primrosedrift/primrosedrift/internal/checkpointer"
 	"github.com/primrosedrift/primrosedrift/internal/controller"
 	"github.com/primrosedrift/primrosedrift/internal/dispatcher"
 	"github.com/primrosedrift/primrosedrift/internal/explainer"
@@ -64,6 +65,8 @@
 	forwarder  forwarder
 	explainer  *explainer.Explainer
 	membership explainer.Membership
+	burn       *burnCounter
+	checkpoint *checkpointer.Writer
 	metrics    *metrics
 }
 
@@ -91,6 +94,10 @@
 	e.keeper.Subscribe(e.recorder.OnEvents)
 	e.keeper.Subscribe(e.dispatcher.OnEvents)
 	e.keeper.Subscribe(e.explainer.OnEvents)
+	e.burn = newBurnCounter(&e.keeper, e.Incarnation)
+	e.keeper.Subscribe(e.burn.OnEvents)
+	e.wireCheckpoints()
+	e.keeper.Subscribe(e.checkpoint.OnEvents)
 	return e
 }
 
@@ -98,7 +105,7 @@
 func (e *Entry) wirePlatform(client *http.Client) {
 	logCommands := platformv1connect.NewLogCommandsClient(client, e.Settings.Platform.Log)
 	e.recorder = &recorder.Recorder{
-		Incarnation: e.Incarnation, MaxPending: e.Settings.Limits.PendingRecords, OnAppend: e.metrics.onAppend,
+		Incarnation: e.Incarnation, MaxPending: e.Settings.Limits.PendingRecords, OnAppend: e.metrics.onAppend, Rules: e.keeper.Rules,
 		Append: func(ctx context.Context, payload []byte) error {
 			_, err := logCommands.Append(ctx, connect.NewRequest(&platformv1.AppendRequest{Payload: payload}))
 			return errors.Wrap(err, "append")
@@ -115,8 +122,8 @@
 			Name: e.Settings.Instance, Incarnation: e.Incarnation, DataCentre: e.Settings.DataCentre,
 			Address: e.Settings.Listen.Peer, CallerAddress: e.Settings.Listen.Caller,
 		},
-		List:     platformv1connect.NewInstanceListQueriesClient(client, e.Settings.Platform.InstanceList),
-		HTTP:     client,
+		List: platformv1connect.NewInstanceListQueriesClient(client, e.Settings.Platform.InstanceList),
+		HTTP: e.peerClient(client), PeerScheme: e.peerScheme(),
 		OnStatus: func(st *peerv1.StatusResponse) { e.monitor.PeerSays(st.GetLeavingUpstreams()) },
 		OnChange: func(ms []watcher.Member) {
 			watchLog.Info("membership changed", zap.Int("members", len(ms)))
@@ -138,6 +145,7 @@
 		HTTP:    client,
 		MaySend: func(t orderer.Task) bool { return controller.MaySend(e.keeper.View, t) },
 		Submit:  e.recorder.Submit,
+		AsOf:    e.keeper.Next,
 		OnResult: func(t orderer.Task, err error) {
 			orderLog.Info("order sent", zap.Stringer("action", t.Order.GetAction()), zap.String("replica", t.Order.GetReplica()),
 				zap.String("model", t.Order.GetModel()), zap.Error(err))
@@ -154,7 +162,7 @@
 
 // canAgree reports whether the log answers, as far as known.
 func (e *Entry) canAgree() bool {
-	return e.tailer.HasCaughtUp() && time.Since(e.tailer.Heard()) < logSilence && !e.recorder.IsFailing()
+	return e.tailer.HasCaughtUp() && !e.keeper.IsHalted() && time.Since(e.tailer.Heard()) < logSilence && !e.recorder.IsFailing()
 }
 
 // upstreams returns the upstreams in force. The messages are never changed in place.
@@ -195,7 +203,8 @@
 	}
 	var parts sync.WaitGroup
 	for _, run := range []func(context.Context){
-		e.recorder.Run, e.tailer.Run, e.watcher.Run, e.monitor.Run, e.tallier.Run, e.controller.Run, e.sharer.Run,
+		e.recorder.Run, e.tailer.Run, e.watcher.Run, e.monitor.Run, e.tallier.Run, e.controller.Run,
+		e.checkpoint.Run, e.sharer.Run,
 	} {
 		parts.Go(func() { run(work) })
 	}
