--- a/internal/entry/caller.go
+++ b/internal/entry/caller.go
@@ -30,7 +30,7 @@
 	if address, ok := c.e.forwardTo(m.GetModel(), m.GetForwarded()); ok {
 		err := c.e.forwarder.generate(ctx, address, m, c.e.forwardLimit(m.GetCustomer(), m.GetDeadlineMs()), stream.Send)
 		if !errors.Is(err, errNotForwarded) {
-			return c.e.forwarded("generate", m.GetRequestId(), m.GetCustomer(), m.GetModel(), err)
+			return c.e.forwarded("generate", m.GetRequestId(), err)
 		}
 	}
 	start := time.Now()
@@ -64,7 +64,7 @@
 	if address, ok := c.e.forwardTo(m.GetService(), m.GetForwarded()); ok {
 		resp, err := c.e.forwarder.call(ctx, address, m, c.e.forwardLimit(m.GetCustomer(), m.GetDeadlineMs()))
 		if !errors.Is(err, errNotForwarded) {
-			return connect.NewResponse(resp), c.e.forwarded("call", m.GetRequestId(), m.GetCustomer(), m.GetService(), err)
+			return connect.NewResponse(resp), c.e.forwarded("call", m.GetRequestId(), err)
 		}
 	}
 	start := time.Now()
@@ -86,12 +86,13 @@
 	return verdict.Refuse(verdict.ReasonNotReady, time.Second, "this entry instance has not read the log yet").ToConnect(requestID)
 }
 
-// forwarded counts a request that another instance has decided on.
-func (e *Entry) forwarded(kind, requestID, customer, target string, err error) error {
+// forwarded counts a request that another instance has decided on, and has
+// counted and explained itself.
+func (e *Entry) forwarded(kind, requestID string, err error) error {
+	e.metrics.requests.WithLabelValues(kind, "forwarded", "").Inc()
 	if err != nil {
-		return e.refuse(kind, requestID, customer, target, err)
+		return verdict.Of(err).ToConnect(requestID)
 	}
-	e.metrics.requests.WithLabelValues(kind, "forwarded", "").Inc()
 	return nil
 }
 
