sharer: cut what a lease no longer covers after 10 s instead of 60 s

Cause: a new home lends no concurrency for as long, so that the loss of any home left its customers a quarter of their concurrency for 65 s, by the terms; now 14.3 s. The price is that an answer that runs for more than 12 s beyond the base share while the home is out of reach is cut, and resumed once it is covered.

--- a/internal/sharer/limits.go
+++ b/internal/sharer/limits.go
@@ -26,7 +26,7 @@
 }
 
 // DefaultTerms are the terms in use.
-var DefaultTerms = Terms{Lease: 2 * time.Second, Fresh: 2 * time.Second, Hold: 60 * time.Second, Drift: 0.02}
+var DefaultTerms = Terms{Lease: 2 * time.Second, Fresh: 2 * time.Second, Hold: 10 * time.Second, Drift: 0.02}
 
 // stretch returns a duration that is over here only after d is over elsewhere.
 func (t Terms) stretch(d time.Duration) time.Duration {
