--- a/cmd/primrosedrift/main.go
+++ b/cmd/primrosedrift/main.go
@@ -51,7 +51,7 @@
 		Name:  "primrosedrift",
 		Usage: "serves rarely used models",
 		Commands: []*cli.Command{
-			serveCommand(), checkCommand(), publishCommand(), getCommand(), explainCommand(), callCommand(), versionCommand(),
+			serveCommand(), checkCommand(), publishCommand(), getCommand(), explainCommand(), callCommand(), benchCommand(), versionCommand(),
 		},
 	}
 }
