placer, forecaster, tracer, replayer: decide by forecasts, and measure in virtual time

Cause: the plan kept every idle replica for one fixed time, whatever its habit. Without weights in the policy the fixed time stays. A replay of seeded traces drives the same plan in virtual time, beside plain baselines and offline bounds.

--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -1,16 +1,35 @@
-// Package placer decides which replicas to load and unload.
+// Package placer decides which replicas and adapters to load and unload.
 //
 // Plan is a pure function of what is known and the time: it does no I/O and
 // reads no clock. It plans the models of one holder's shards; the fold checks
 // every decision again against contracts and memory.
+//
+// A cold start costs its seconds times the cold-start weight and the weight of
+// its class. A loaded and idle replica costs its share of an accelerator times
+// the idle weight for each hour. An idle replica stays while its model's
+// history promises enough saved cold starts for each idle hour, and a model is
+// loaded ahead of a learned hour when the next minutes promise more than that.
+// The two thresholds lie apart, so that no replica is loaded and unloaded in
+// turn at small changes. Without weights an idle replica stays for KeepWarm.
+//
+// The rules:
+//
+//   - A plan never exceeds a contract, an engine's memory, the store's
+//     concurrent loads or the adapter loads in flight.
+//   - Models with waiting requests go first, by class and deadline. The last
+//     store slots are kept for urgent requests.
+//   - An adapter goes onto a loaded replica of its model before a new replica.
+//   - A plan that is applied and made again at the same time adds nothing.
 package placer
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
 	"github.com/primrosedrift/primrosedrift/internal/folder"
+	"github.com/primrosedrift/primrosedrift/internal/forecaster"
 	recordv1 "github.com/primrosedrift/primrosedrift/pkg/api/record/v1"
 )
 
@@ -21,6 +40,8 @@
 	Phase    folder.Phase
 	// Busy says that requests run on the replica or wait for it.
 	Busy bool
+	// Adapters are loaded on the replica or being loaded.
+	Adapters []string
 }
 
 // Model is a model of the holder's shards with what is wanted of it.
@@ -32,23 +53,40 @@
 	// MaxReplicas bounds the model's replicas, 0 for the contract alone.
 	MaxReplicas int
 	Replicas    []Replica
-	Waiting     int
-	Running     int
-	Deadline    time.Time
-	Class       recordv1.RequestClass
-	LastUsed    time.Time
+	// Waiting counts all waiting requests, with those that need an adapter.
+	Waiting  int
+	Running  int
+	Deadline time.Time
+	Class    recordv1.RequestClass
+	LastUsed time.Time
+	Adapters []AdapterDemand
+	// Forecast says what is expected of the idle model; nil knows nothing.
+	Forecast func(now, last time.Time, horizon time.Duration) forecaster.Outlook
+	// Foreign says that another holder plans the model.
+	Foreign bool
 	// Gone says that the model is not in force any more.
 	Gone bool
 }
 
+// AdapterDemand is what waits for one adapter of a model.
+type AdapterDemand struct {
+	Name     string
+	Waiting  int
+	Class    recordv1.RequestClass
+	Deadline time.Time
+}
+
 // Upstream is an engine that may take replicas.
 type Upstream struct {
 	Name        string
 	Incarnation string
+	DataCentre  string
+	MemoryBytes uint64
 	FreeBytes   uint64
 	Load        int
 	Slots       int
 	Usable      bool
+	InMemory    []string // checkpoints in the host's memory
 	OnDisk      []string // checkpoints
 }
 
@@ -64,150 +102,230 @@
 	Models     []Model
 	Upstreams  []Upstream
 	Allowances map[string]Allowance
-	StoreLoads int
-	Policy     Policy
+	// StoreLoads and AdapterLoads count the loads in flight.
+	StoreLoads   int
+	AdapterLoads int
+	Policy       Policy
 }
 
 // Policy holds the settings of the plan.
 type Policy struct {
-	// KeepWarm is how long an idle replica stays loaded.
-	KeepWarm           time.Duration
-	StoreConcurrent    int
-	WaitingPerReplica  int
-	StoreLoadsPerSec   float64
-	ColdStartWeight    float64
-	IdleWeight         float64
-	AdapterLoadsFlight int
+	// KeepWarm is how long an idle replica stays loaded if no weight is set.
+	KeepWarm time.Duration
+	// ColdStartWeight is the cost of a second of cold start, IdleWeight that
+	// of an hour for which an accelerator is loaded and idle.
+	ColdStartWeight float64
+	IdleWeight      float64
+	// StoreConcurrent bounds the store loads at once. UrgentReserve of them
+	// are kept for urgent requests.
+	StoreConcurrent   int
+	UrgentReserve     int
+	StoreLoadsPerSec  float64
+	WaitingPerReplica int
+	AdapterLoads      int
+	// PeerLoads says that engines can load from each other.
+	PeerLoads bool
+	// NoPreload, NoEviction and NoClasses switch mechanisms off.
+	NoPreload  bool
+	NoEviction bool
+	NoClasses  bool
+}
+
+// HasWeights reports whether costs decide what stays loaded.
+func (p Policy) HasWeights() bool {
+	return p.ColdStartWeight > 0 && p.IdleWeight > 0
 }
 
 // Order is one planned change.
 type Order struct {
 	Action      recordv1.DecisionAction
 	Model       string
-	Replica     string // of an unload
+	Replica     string // of an unload or an adapter load
+	Adapter     string
 	Upstream    string
 	Incarnation string
 	Bytes       uint64
 	Source      recordv1.LoadSource
 	Reason      string
+	// Foreign says that the replica's holder must be asked to unload it.
+	Foreign bool
+	// Ahead says that no request waits for the load.
+	Ahead bool
 }
 
 // Defaults of a Policy.
 const (
 	DefaultKeepWarm          = 5 * time.Minute
 	DefaultStoreConcurrent   = 4
+	DefaultUrgentReserve     = 1
+	DefaultStoreLoadsPerSec  = 4
 	DefaultWaitingPerReplica = 16
 )
 
+func (p Policy) withDefaults() Policy {
+	p.KeepWarm = cmp.Or(p.KeepWarm, DefaultKeepWarm)
+	p.StoreConcurrent = cmp.Or(p.StoreConcurrent, DefaultStoreConcurrent)
+	p.UrgentReserve = min(cmp.Or(p.UrgentReserve, DefaultUrgentReserve), p.StoreConcurrent-1)
+	p.StoreLoadsPerSec = cmp.Or(p.StoreLoadsPerSec, DefaultStoreLoadsPerSec)
+	p.WaitingPerReplica = cmp.Or(p.WaitingPerReplica, DefaultWaitingPerReplica)
+	p.AdapterLoads = cmp.Or(p.AdapterLoads, folder.DefaultAdapterLoads)
+	return p
+}
+
 // Plan returns the changes to make now.
 func Plan(in Input) []Order {
-	p := &planner{in: in, free: make(map[string]uint64), storeLoads: in.StoreLoads}
-	for _, u := range in.Upstreams {
-		p.free[u.Name] = u.FreeBytes
-	}
+	p := newPlanner(in)
+	p.adapters()
 	p.unloads()
 	p.loads()
+	p.preloads()
 	return p.out
 }
 
+// planner is the state of one plan. Indexes are into the input.
 type planner struct {
-	in         Input
-	free       map[string]uint64
-	storeLoads int
-	out        []Order
+	Input
+	allowances map[string]Allowance
+	free       []uint64 // by upstream
+	// freeing is the memory that decided unloads will free and no load of this
+	// plan counts on.
+	freeing []uint64
+	// returning is the same for contracts.
+	returning map[string]Allowance
+	index     map[string]int // upstreams by name
+	unloading map[string]bool
+	victims   [][]victim // idle replicas by upstream, filled when first needed
+	out       []Order
 }
 
-func (p *planner) keepWarm() time.Duration {
-	if p.in.Policy.KeepWarm > 0 {
-		return p.in.Policy.KeepWarm
+func newPlanner(in Input) *planner {
+	in.Policy = in.Policy.withDefaults()
+	p := &planner{
+		Input: in, allowances: maps.Clone(in.Allowances), returning: make(map[string]Allowance),
+		free: make([]uint64, len(in.Upstreams)), freeing: make([]uint64, len(in.Upstreams)),
+		index: make(map[string]int, len(in.Upstreams)), unloading: make(map[string]bool),
 	}
-	return DefaultKeepWarm
-}
-
-func (p *planner) unloads() {
-	for _, m := range p.in.Models {
-		idle := m.Waiting == 0 && m.Running == 0 && p.in.Now.Sub(m.LastUsed) > p.keepWarm()
+	if p.allowances == nil {
+		p.allowances = make(map[string]Allowance)
+	}
+	for i, u := range in.Upstreams {
+		p.free[i] = u.FreeBytes
+		p.index[u.Name] = i
+	}
+	for i := range in.Models {
+		m := &in.Models[i]
 		for _, r := range m.Replicas {
-			if r.Phase != folder.PhaseLoaded || r.Busy || !idle && !m.Gone {
-				continue
-			}
-			reason := "idle for longer than the keep-warm time"
-			if m.Gone {
-				reason = "model is not in force any more"
+			if r.Phase == folder.PhaseUnloading {
+				p.addFreeing(m, r.Upstream)
 			}
-			p.out = append(p.out, Order{
-				Action: recordv1.DecisionAction_DECISION_ACTION_UNLOAD,
-				Model:  m.Name, Replica: r.ID, Upstream: r.Upstream, Reason: reason,
-			})
 		}
 	}
+	return p
+}
+
+// addFreeing counts memory and contract that an unload will free.
+func (p *planner) addFreeing(m *Model, upstream string) {
+	if i, ok := p.index[upstream]; ok {
+		p.freeing[i] += m.Bytes
+	}
+	a := p.returning[m.Customer]
+	p.returning[m.Customer] = Allowance{a.Replicas + 1, a.Bytes + m.Bytes}
+}
+
+func (p *planner) unload(m *Model, r Replica, reason string) {
+	p.unloading[r.ID] = true
+	p.addFreeing(m, r.Upstream)
+	p.out = append(p.out, Order{
+		Action: recordv1.DecisionAction_DECISION_ACTION_UNLOAD,
+		Model:  m.Name, Replica: r.ID, Upstream: r.Upstream, Reason: reason, Foreign: m.Foreign,
+	})
+}
+
+// isIdle reports whether the replica may be unloaded without cutting a request.
+func (p *planner) isIdle(r Replica) bool {
+	return r.Phase == folder.PhaseLoaded && !r.Busy && !p.unloading[r.ID]
+}
+
+// active counts the replicas that are loaded or being loaded.
+func (p *planner) active(m *Model) int {
+	n := 0
+	for _, r := range m.Replicas {
+		if (r.Phase == folder.PhaseLoading || r.Phase == folder.PhaseLoaded) && !p.unloading[r.ID] {
+			n++
+		}
+	}
+	return n
 }
 
+// loads plans replicas for models whose requests wait.
 func (p *planner) loads() {
-	wanted := slices.DeleteFunc(slices.Clone(p.in.Models), func(m Model) bool { return m.Gone || !p.wantsReplica(m) })
-	slices.SortFunc(wanted, func(a, b Model) int {
-		if a.Class != b.Class {
+	var wanted []*Model
+	for i := range p.Models {
+		if m := &p.Models[i]; !m.Gone && !m.Foreign && p.wantsReplica(m) {
+			wanted = append(wanted, m)
+		}
+	}
+	slices.SortFunc(wanted, func(a, b *Model) int {
+		if a.Class != b.Class && !p.Policy.NoClasses {
 			return cmp.Compare(a.Class, b.Class)
 		}
-		return a.Deadline.Compare(b.Deadline)
+		return cmp.Or(a.Deadline.Compare(b.Deadline), cmp.Compare(a.Name, b.Name))
 	})
-	limit := cmp.Or(p.in.Policy.StoreConcurrent, DefaultStoreConcurrent)
 	for _, m := range wanted {
-		if p.storeLoads >= limit {
-			return
-		}
-		if u, ok := p.place(m); ok {
-			p.load(m, u)
-		}
+		p.loadWaiting(m)
 	}
 }
 
-func (p *planner) wantsReplica(m Model) bool {
-	per := cmp.Or(p.in.Policy.WaitingPerReplica, DefaultWaitingPerReplica)
-	n := 0
-	for _, r := range m.Replicas {
-		if r.Phase == folder.PhaseLoading || r.Phase == folder.PhaseLoaded {
-			n++
-		}
+func (p *planner) loadWaiting(m *Model) {
+	slots := p.Policy.StoreConcurrent - p.StoreLoads
+	if m.Class != recordv1.RequestClass_REQUEST_CLASS_URGENT && !p.Policy.NoClasses {
+		slots -= p.Policy.UrgentReserve
 	}
-	if m.MaxReplicas > 0 && n >= m.MaxReplicas {
-		return false
+	if !p.hasContract(m) {
+		p.makeContractRoom(m)
+		return
+	}
+	if c, ok := p.place(m, slots > 0); ok {
+		p.load(m, c, "requests wait and no replica has room")
+		return
 	}
-	return m.Waiting > 0 && n*per < m.Waiting
+	if p.fits(m) {
+		return // a store slot is missing, not memory
+	}
+	p.makeRoom(m, mustLoad)
 }
 
-// place returns the usable upstream with most room that fits.
-func (p *planner) place(m Model) (Upstream, bool) {
-	a := p.in.Allowances[m.Customer]
-	if a.Replicas <= 0 || a.Bytes < m.Bytes {
-		return Upstream{}, false
+// wantsReplica reports whether one more replica is wanted. Requests that wait
+// for an adapter on a loaded replica want none.
+func (p *planner) wantsReplica(m *Model) bool {
+	n := p.active(m)
+	if m.MaxReplicas > 0 && len(m.Replicas) >= m.MaxReplicas {
+		return false
 	}
-	var best Upstream
-	for _, u := range p.in.Upstreams {
-		if !u.Usable || p.free[u.Name] < m.Bytes {
-			continue
-		}
-		onDisk, bestOnDisk := slices.Contains(u.OnDisk, m.Checkpoint), slices.Contains(best.OnDisk, m.Checkpoint)
-		if best.Name == "" || onDisk && !bestOnDisk || onDisk == bestOnDisk && p.free[u.Name] > p.free[best.Name] {
-			best = u
+	waiting := m.Waiting
+	if hasLoaded(m) {
+		for _, a := range m.Adapters {
+			waiting -= a.Waiting
 		}
 	}
-	return best, best.Name != ""
+	return waiting > 0 && n*p.Policy.WaitingPerReplica < waiting
+}
+
+func hasLoaded(m *Model) bool {
+	return slices.ContainsFunc(m.Replicas, func(r Replica) bool { return r.Phase == folder.PhaseLoaded })
 }
 
-func (p *planner) load(m Model, u Upstream) {
-	source := recordv1.LoadSource_LOAD_SOURCE_STORE
-	if slices.Contains(u.OnDisk, m.Checkpoint) {
-		source = recordv1.LoadSource_LOAD_SOURCE_DISK
-	} else {
-		p.storeLoads++
+func (p *planner) load(m *Model, c choice, reason string) {
+	u := p.Upstreams[c.upstream]
+	if c.source == recordv1.LoadSource_LOAD_SOURCE_STORE {
+		p.StoreLoads++
 	}
-	p.free[u.Name] -= m.Bytes
-	a := p.in.Allowances[m.Customer]
-	p.in.Allowances[m.Customer] = Allowance{a.Replicas - 1, a.Bytes - m.Bytes}
+	p.free[c.upstream] -= m.Bytes
+	a := p.allowances[m.Customer]
+	p.allowances[m.Customer] = Allowance{a.Replicas - 1, a.Bytes - m.Bytes}
 	p.out = append(p.out, Order{
 		Action: recordv1.DecisionAction_DECISION_ACTION_LOAD,
-		Model:  m.Name, Upstream: u.Name, Incarnation: u.Incarnation, Bytes: m.Bytes, Source: source,
-		Reason: "requests wait and no replica has room",
+		Model:  m.Name, Upstream: u.Name, Incarnation: u.Incarnation, Bytes: m.Bytes, Source: c.source,
+		Reason: reason + ", loaded from " + sourceNames[c.source],
 	})
 }
--- /dev/null
+++ b/internal/replayer/apply.go
@@ -0,0 +1,232 @@
+package replayer
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/primrosedrift/primrosedrift/internal/folder"
+	"github.com/primrosedrift/primrosedrift/internal/forecaster"
+	"github.com/primrosedrift/primrosedrift/internal/placer"
+	recordv1 "github.com/primrosedrift/primrosedrift/pkg/api/record/v1"
+)
+
+func engineName(i int) string   { return fmt.Sprintf("engine-%02d", i) }
+func adapterName(i int) string  { return fmt.Sprintf("adapter-%d", i) }
+func engineOf(name string) int  { return number(name, "engine-%d") }
+func adapterOf(name string) int { return number(name, "adapter-%d") }
+
+func number(name, format string) int {
+	n := 0
+	if _, err := fmt.Sscanf(name, format, &n); err != nil {
+		panic(err)
+	}
+	return n
+}
+
+// plan makes a plan and applies its orders.
+func (r *replay) plan() {
+	for _, o := range placer.Plan(r.input()) {
+		r.apply(o)
+	}
+}
+
+func (r *replay) input() placer.Input {
+	p := r.setup.Policy
+	p.StoreLoadsPerSec = r.trace.Deployment.StoreLoadsPerSec
+	in := placer.Input{
+		Now: r.now, StoreLoads: r.storeLoads, AdapterLoads: r.adapterLoads, Policy: p,
+		Allowances: make(map[string]placer.Allowance, len(r.trace.Contracts)),
+		Models:     r.modelInputs[:0], Upstreams: r.upstreamInputs[:0],
+	}
+	for i := range r.models {
+		in.Models = append(in.Models, r.modelInput(i))
+	}
+	for i := range r.engines {
+		in.Upstreams = append(in.Upstreams, r.engines[i].Upstream)
+	}
+	r.modelInputs, r.upstreamInputs = in.Models, in.Upstreams
+	for name, c := range r.trace.Contracts {
+		used := r.usage[name]
+		in.Allowances[name] = placer.Allowance{Replicas: c.Replicas - used.Replicas, Bytes: c.Bytes - used.Bytes}
+	}
+	return in
+}
+
+func (r *replay) modelInput(i int) placer.Model {
+	m := &r.models[i]
+	out := placer.Model{
+		Name: m.Name, Customer: m.Customer, Checkpoint: m.Name, Bytes: m.Bytes, Class: m.Class,
+		Waiting: len(m.waiting), Running: m.running, LastUsed: m.lastUsed, Forecast: m.history.Outlook,
+	}
+	if r.setup.Foresight {
+		out.Forecast = func(now, _ time.Time, _ time.Duration) forecaster.Outlook { return m.foresee(now) }
+	}
+	for _, p := range m.replicas {
+		q := placer.Replica{ID: p.id, Upstream: engineName(p.engine), Phase: p.phase, Busy: p.running > 0}
+		for a := range p.adapters {
+			q.Adapters = append(q.Adapters, adapterName(a))
+		}
+		out.Replicas = append(out.Replicas, q)
+	}
+	if len(m.waiting) == 0 {
+		return out
+	}
+	byAdapter := make(map[int]int)
+	for _, w := range m.waiting {
+		if out.Deadline.IsZero() {
+			out.Deadline = w.req.At.Add(waitingTimes[m.Class])
+		}
+		if a := w.req.Adapter; a >= 0 {
+			byAdapter[a]++
+		}
+	}
+	for a := range m.Adapters {
+		if n := byAdapter[a]; n > 0 {
+			out.Adapters = append(out.Adapters, placer.AdapterDemand{
+				Name: adapterName(a), Waiting: n, Class: m.Class, Deadline: out.Deadline,
+			})
+		}
+	}
+	return out
+}
+
+// foresee returns the outlook of one who knows the trace.
+func (m *model) foresee(now time.Time) forecaster.Outlook {
+	if m.arrived == len(m.arrivals) {
+		return forecaster.Outlook{}
+	}
+	gap := max(m.arrivals[m.arrived].Sub(now).Hours(), 1e-6)
+	out := forecaster.Outlook{NeedsPerHour: 1 / gap, Chance: 1 / gap}
+	if gap < foresightAhead.Hours() {
+		out.SoonPerHour = 1 / gap
+	}
+	return out
+}
+
+// foresightAhead is how long before a use one who knows it loads the model.
+const foresightAhead = time.Minute
+
+func (r *replay) modelIndex(name string) int {
+	return slices.IndexFunc(r.models, func(m model) bool { return m.Name == name })
+}
+
+func (r *replay) apply(o placer.Order) {
+	i := r.modelIndex(o.Model)
+	m := &r.models[i]
+	switch o.Action {
+	case recordv1.DecisionAction_DECISION_ACTION_LOAD:
+		r.load(i, o)
+	case recordv1.DecisionAction_DECISION_ACTION_UNLOAD:
+		p := m.replica(o.Replica)
+		r.measureIdle(p)
+		p.phase = folder.PhaseUnloading
+		r.after(unloadTime, func() {
+			if r.remove(p) {
+				r.remember(p)
+				r.plan()
+			}
+		})
+	case recordv1.DecisionAction_DECISION_ACTION_LOAD_ADAPTER:
+		r.loadAdapter(i, m.replica(o.Replica), adapterOf(o.Adapter))
+	}
+}
+
+func (m *model) replica(id string) *replica {
+	i := slices.IndexFunc(m.replicas, func(p *replica) bool { return p.id == id })
+	return m.replicas[i]
+}
+
+func (r *replay) load(i int, o placer.Order) {
+	r.nextID++
+	m, e := &r.models[i], engineOf(o.Upstream)
+	p := &replica{id: fmt.Sprint(r.nextID), model: i, engine: e, phase: folder.PhaseLoading, source: o.Source, adapters: make(map[int]folder.Phase)}
+	m.replicas = append(m.replicas, p)
+	r.engines[e].replicas = append(r.engines[e].replicas, p)
+	r.engines[e].FreeBytes -= m.Bytes
+	used := r.usage[m.Customer]
+	r.usage[m.Customer] = placer.Allowance{Replicas: used.Replicas + 1, Bytes: used.Bytes + m.Bytes}
+	if o.Source == recordv1.LoadSource_LOAD_SOURCE_STORE {
+		r.storeLoads++
+	}
+	r.measureLoad(o)
+	r.checkInvariants(i, e)
+	r.after(r.loadTime(m, o.Source), func() { r.loaded(p) })
+}
+
+// loadTime is the time of a load. The store gives its full speed to a bounded
+// number of loads, which the plan never exceeds.
+func (r *replay) loadTime(m *model, source recordv1.LoadSource) time.Duration {
+	full := placer.DefaultStoreConcurrent / r.trace.Deployment.StoreLoadsPerSec
+	seconds := full * float64(m.Bytes) / meanLoadBytes * placer.SourceCost(source)
+	if source == recordv1.LoadSource_LOAD_SOURCE_STORE {
+		seconds /= r.store
+	}
+	return time.Duration(seconds * float64(time.Second))
+}
+
+func (r *replay) loaded(p *replica) {
+	if p.phase != folder.PhaseLoading {
+		return // its engine is gone
+	}
+	r.endLoad(p)
+	p.phase = folder.PhaseLoaded
+	p.idleSince = r.now
+	u := &r.engines[p.engine].Upstream
+	u.OnDisk = remembered(u.OnDisk, r.models[p.model].Name, diskSlots)
+	r.start(p.model)
+	r.plan()
+}
+
+func (r *replay) endLoad(p *replica) {
+	if p.phase == folder.PhaseLoading && p.source == recordv1.LoadSource_LOAD_SOURCE_STORE {
+		r.storeLoads--
+	}
+}
+
+// remember keeps the checkpoint of an unloaded replica in the host's memory.
+func (r *replay) remember(p *replica) {
+	u := &r.engines[p.engine].Upstream
+	u.InMemory = remembered(u.InMemory, r.models[p.model].Name, memorySlots)
+}
+
+// remembered returns the list with the name at its end, without the oldest.
+// Earlier lists are not changed.
+func remembered(list []string, name string, most int) []string {
+	out := slices.DeleteFunc(slices.Clone(list), func(s string) bool { return s == name })
+	out = append(out, name)
+	return out[max(0, len(out)-most):]
+}
+
+// remove takes a replica away and reports whether it was there.
+func (r *replay) remove(p *replica) bool {
+	m, e := &r.models[p.model], &r.engines[p.engine]
+	j := slices.Index(m.replicas, p)
+	if j < 0 {
+		return false
+	}
+	m.replicas = slices.Delete(m.replicas, j, j+1)
+	k := slices.Index(e.replicas, p)
+	e.replicas = slices.Delete(e.replicas, k, k+1)
+	e.FreeBytes += m.Bytes
+	used := r.usage[m.Customer]
+	r.usage[m.Customer] = placer.Allowance{Replicas: used.Replicas - 1, Bytes: used.Bytes - m.Bytes}
+	return true
+}
+
+func (r *replay) loadAdapter(i int, p *replica, adapter int) {
+	p.adapters[adapter] = folder.PhaseLoading
+	r.adapterLoads++
+	r.counts.AdapterLoads += r.measured()
+	if r.adapterLoads > adapterLimit {
+		r.violations++
+	}
+	r.after(r.trace.Deployment.AdapterLoad, func() {
+		r.adapterLoads--
+		p.adapters[adapter] = folder.PhaseLoaded
+		if p.phase == folder.PhaseLoaded {
+			r.start(i)
+		}
+		r.plan()
+	})
+}
--- /dev/null
+++ b/internal/replayer/bench.go
@@ -0,0 +1,80 @@
+package replayer
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/primrosedrift/primrosedrift/internal/tracer"
+)
+
+// Bench replays seeds of a deployment through setups.
+type Bench struct {
+	Deployment tracer.Deployment
+	Options    tracer.Options
+	Seeds      []uint64
+	Setups     []NamedSetup
+	// Workers is how many replays run at once; 1 unless set.
+	Workers int
+}
+
+// Row is what one setup measured over all seeds.
+type Row struct {
+	Setup string `json:"setup"`
+	// Results are in the order of the seeds.
+	Results []Result `json:"results"`
+}
+
+// Run returns one row for each setup.
+func (b Bench) Run(ctx context.Context) ([]Row, error) {
+	rows := make([]Row, len(b.Setups))
+	for i, s := range b.Setups {
+		rows[i] = Row{s.Name, make([]Result, len(b.Seeds))}
+	}
+	seeds := make(chan int)
+	var wg sync.WaitGroup
+	for range max(1, b.Workers) {
+		wg.Go(func() {
+			for j := range seeds {
+				t := tracer.Write(b.Deployment, b.Seeds[j], b.Options)
+				for i, s := range b.Setups {
+					if ctx.Err() != nil {
+						break
+					}
+					rows[i].Results[j] = Replay(t, s.Setup)
+				}
+			}
+		})
+	}
+	for j := range b.Seeds {
+		seeds <- j
+	}
+	close(seeds)
+	wg.Wait()
+	return rows, ctx.Err()
+}
+
+// Spread is the median, least and greatest value over seeds.
+type Spread struct {
+	Median, Least, Greatest float64
+}
+
+// Over returns the spread of a value over the row's seeds.
+func (r Row) Over(value func(Result) float64) Spread {
+	list := make([]float64, 0, len(r.Results))
+	for _, v := range r.Results {
+		list = append(list, value(v))
+	}
+	slices.Sort(list)
+	n := len(list)
+	if n == 0 {
+		return Spread{}
+	}
+	return Spread{(list[(n-1)/2] + list[n/2]) / 2, list[0], list[n-1]}
+}
+
+// Seconds returns a value for Over from a duration.
+func Seconds(f func(Result) time.Duration) func(Result) float64 {
+	return func(r Result) float64 { return f(r).Seconds() }
+}
