placer: let the cost of a cold start grow with the model's memory

Cause: every cold start had the same cost, though a load takes as long as its memory is large, so the largest models made the tail. The cost now grows with the power 1.5 of the memory.

--- a/internal/placer/keep.go
+++ b/internal/placer/keep.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"fmt"
+	"math"
 	"slices"
 	"time"
 
@@ -13,6 +14,8 @@
 const (
 	// hysteresis lies between the thresholds of loading ahead and of keeping.
 	hysteresis = 1.25
+	// tailExponent is how fast the cost of a cold start grows with its length.
+	tailExponent = 1.5
 	// minKeep is how long a replica stays after its last use, whatever it costs.
 	minKeep = 10 * time.Second
 	// surplusKeep is how long a replica beyond the first stays idle.
@@ -37,13 +40,15 @@
 	return m.Forecast(p.Now, m.LastUsed, horizon)
 }
 
-// coldCost is the cost of a cold start of the model.
+// coldCost is the cost of a cold start of the model. The load time grows with
+// its memory, and a long wait costs more than its length, for the tail's sake.
 func (p *planner) coldCost(m *Model) float64 {
 	class := 1.0
 	if int(m.Class) < len(classWeights) {
 		class = classWeights[m.Class]
 	}
-	return p.Policy.ColdStartWeight * class * p.Policy.loadTime().Seconds()
+	return p.Policy.ColdStartWeight * class * p.Policy.loadTime().Seconds() *
+		math.Pow(float64(m.Bytes)/p.meanBytes, tailExponent)
 }
 
 // idleCost is the cost of an hour for which a replica is loaded and idle.
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -193,6 +193,7 @@
 	// returning is the same for contracts.
 	returning map[string]Allowance
 	index     map[string]int // upstreams by name
+	meanBytes float64        // of a model
 	unloading map[string]bool
 	victims   [][]victim // idle replicas by upstream, filled when first needed
 	out       []Order
@@ -214,6 +215,7 @@
 	}
 	for i := range in.Models {
 		m := &in.Models[i]
+		p.meanBytes += float64(m.Bytes) / float64(len(in.Models))
 		for _, r := range m.Replicas {
 			if r.Phase == folder.PhaseUnloading {
 				p.addFreeing(m, r.Upstream)
