placer: spread checkpoints over the engines' memories and disks

Cause: best fit put loads on few engines, whose disks and host memories keep few checkpoints, so that later loads came from the store. Among equal sources the engine that keeps fewest checkpoints is taken now. The baselines take the engine with most room, as the plan did before.

--- a/internal/placer/place.go
+++ b/internal/placer/place.go
@@ -51,7 +51,8 @@
 
 // place returns the upstream that loads the model soonest. Among equals it
 // takes one in another data centre than the model's replicas, then the one
-// whose memory is left least in pieces, then the least loaded.
+// that keeps fewest checkpoints, so that a later load finds more copies, then
+// the one whose memory is left least in pieces, then the least loaded.
 func (p *planner) place(m *Model, fromStore bool) (choice, bool) {
 	best := choice{upstream: -1}
 	peer := p.Policy.PeerLoads && hasLoaded(m)
@@ -87,15 +88,26 @@
 	if x, y := sourceCosts[a.source], sourceCosts[b.source]; x != y {
 		return x < y
 	}
+	if p.Policy.PlainPlacement {
+		return p.free[a.upstream] > p.free[b.upstream]
+	}
 	if x, y := p.isNear(m, a.upstream), p.isNear(m, b.upstream); x != y {
 		return y
 	}
+	if x, y := p.copies(a.upstream), p.copies(b.upstream); x != y {
+		return x < y
+	}
 	if x, y := p.free[a.upstream], p.free[b.upstream]; x != y {
 		return x < y
 	}
 	return p.Upstreams[a.upstream].Load < p.Upstreams[b.upstream].Load
 }
 
+// copies counts the checkpoints that an engine keeps outside its accelerators.
+func (p *planner) copies(i int) int {
+	return len(p.Upstreams[i].InMemory) + len(p.Upstreams[i].OnDisk)
+}
+
 // isNear reports whether the model has a replica in the upstream's data centre.
 func (p *planner) isNear(m *Model, i int) bool {
 	return slices.ContainsFunc(m.Replicas, func(r Replica) bool {
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -125,10 +125,12 @@
 	AdapterLoads      int
 	// PeerLoads says that engines can load from each other.
 	PeerLoads bool
-	// NoPreload, NoEviction and NoClasses switch mechanisms off.
-	NoPreload  bool
-	NoEviction bool
-	NoClasses  bool
+	// NoPreload, NoEviction and NoClasses switch mechanisms off, and
+	// PlainPlacement takes the engine with most room.
+	NoPreload      bool
+	NoEviction     bool
+	NoClasses      bool
+	PlainPlacement bool
 }
 
 // HasWeights reports whether costs decide what stays loaded.
--- a/internal/replayer/setups.go
+++ b/internal/replayer/setups.go
@@ -47,7 +47,8 @@
 
 // Baselines returns the plain policies: a fixed time with least-recently-used
 // eviction, never unload, and unload at once. They serve in order of deadlines
-// without regard to classes, and learn nothing.
+// without regard to classes, take the soonest source and then the engine with
+// most room, and learn nothing.
 func Baselines() []NamedSetup {
 	out := []NamedSetup{baseline("unload at once", time.Nanosecond)}
 	for _, k := range keepWarms {
@@ -57,7 +58,9 @@
 }
 
 func baseline(name string, keep time.Duration) NamedSetup {
-	return NamedSetup{name, Setup{Policy: placer.Policy{KeepWarm: keep, NoClasses: true, PeerLoads: true}}}
+	return NamedSetup{name, Setup{Policy: placer.Policy{
+		KeepWarm: keep, NoClasses: true, PeerLoads: true, PlainPlacement: true,
+	}}}
 }
 
 func shortDuration(d time.Duration) string {
@@ -82,7 +85,11 @@
 	preload, classes := Policy(d), Policy(d)
 	preload.Name, preload.Policy.NoPreload = "policy, no loading ahead", true
 	classes.Name, classes.Policy.NoClasses = "policy, no classes", true
-	return []NamedSetup{preload, classes}
+	plain := Policy(d)
+	plain.Name, plain.Policy.PlainPlacement = "policy, plain placement", true
+	placed := baseline("fixed 1h, the policy's placement", time.Hour)
+	placed.Policy.PlainPlacement = false
+	return []NamedSetup{preload, classes, plain, placed}
 }
 
 // Times of the faults after the start of the measurement.
