placer: load nothing ahead into room for which a request waits

Cause: a waiting model short of its customer's contract unloaded idle replicas, and a load ahead of the same customer took the freed contract before the waiting model could. The two took turns, five times a second, until the request expired.

--- a/internal/placer/keep.go
+++ b/internal/placer/keep.go
@@ -111,7 +111,7 @@
 
 // preloads plans replicas of models that are needed soon.
 func (p *planner) preloads() {
-	if p.Policy.NoPreload || !p.Policy.HasWeights() {
+	if p.Policy.NoPreload || p.shortMemory || !p.Policy.HasWeights() {
 		return
 	}
 	type want struct {
@@ -155,7 +155,7 @@
 }
 
 func (p *planner) preload(m *Model, gain, soon float64) {
-	if !p.hasContract(m) {
+	if !p.hasContract(m) || p.shortContracts[m.Customer] {
 		return
 	}
 	slots := p.Policy.StoreConcurrent - p.Policy.UrgentReserve - p.StoreLoads
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -19,6 +19,7 @@
 //   - Models with waiting requests go first, by class and deadline. The last
 //     store slots are kept for urgent requests.
 //   - An adapter goes onto a loaded replica of its model before a new replica.
+//   - Nothing is loaded ahead into room for which a request waits.
 //   - A plan that is applied and made again at the same time adds nothing.
 package placer
 
@@ -197,8 +198,13 @@
 	index     map[string]int // upstreams by name
 	meanBytes float64        // of a model
 	unloading map[string]bool
-	victims   [][]victim // idle replicas by upstream, filled when first needed
-	out       []Order
+	// shortContracts and shortMemory say who waits for room. Nothing is loaded
+	// ahead into it.
+	shortContracts map[string]bool
+	shortMemory    bool
+
+	victims [][]victim // idle replicas by upstream, filled when first needed
+	out     []Order
 }
 
 func newPlanner(in Input) *planner {
@@ -207,6 +213,7 @@
 		Input: in, allowances: maps.Clone(in.Allowances), returning: make(map[string]Allowance),
 		free: make([]uint64, len(in.Upstreams)), freeing: make([]uint64, len(in.Upstreams)),
 		index: make(map[string]int, len(in.Upstreams)), unloading: make(map[string]bool),
+		shortContracts: make(map[string]bool),
 	}
 	if p.allowances == nil {
 		p.allowances = make(map[string]Allowance)
@@ -286,6 +293,7 @@
 		slots -= p.Policy.UrgentReserve
 	}
 	if !p.hasContract(m) {
+		p.shortContracts[m.Customer] = true
 		p.makeContractRoom(m)
 		return
 	}
@@ -296,6 +304,7 @@
 	if p.fits(m) {
 		return // a store slot is missing, not memory
 	}
+	p.shortMemory = true
 	p.makeRoom(m, mustLoad)
 }
 
--- a/internal/replayer/replayer_test.go
+++ b/internal/replayer/replayer_test.go
@@ -3,10 +3,71 @@
 import (
 	"testing"
 
+	"github.com/stretchr/testify/require"
+
 	"github.com/primrosedrift/primrosedrift/internal/replayer"
 	"github.com/primrosedrift/primrosedrift/internal/tracer"
 )
 
+// shortTrace returns a trace that tests can replay often.
+func shortTrace(d tracer.Deployment, seed uint64) tracer.Trace {
+	return tracer.Write(d, seed, tracer.Options{LearnDays: 3, MeasureDays: 1})
+}
+
+func TestReplayIsDeterministic(t *testing.T) {
+	tr := shortTrace(tracer.Thottam(), 1)
+	s := replayer.Policy(tr.Deployment).Setup
+	require.Equal(t, replayer.Replay(tr, s), replayer.Replay(shortTrace(tracer.Thottam(), 1), s))
+}
+
+func TestReplayBreaksNoBound(t *testing.T) {
+	for _, fault := range []string{"none", "slow-store", "data-centre", "reclaim", "burst", "habits", "forget"} {
+		for _, d := range []tracer.Deployment{tracer.Tolwerk(), tracer.Thottam()} {
+			t.Run(fault+" "+d.Name, func(t *testing.T) {
+				b := replayer.Bench{Deployment: d, Seeds: []uint64{1}, Setups: []replayer.NamedSetup{replayer.Policy(d)}}
+				b.Options = tracer.Options{LearnDays: 2, MeasureDays: 1}
+				require.True(t, b.WithFault(fault))
+				rows, err := b.Run(t.Context())
+				require.NoError(t, err)
+				require.Zero(t, rows[0].Results[0].Violations)
+				require.Positive(t, rows[0].Results[0].ColdRequests)
+			})
+		}
+	}
+}
+
+// TestNoLoadsInTurn replays a trace on which a plan that loads ahead into room
+// for which requests wait loads models thousands of times in turn.
+func TestNoLoadsInTurn(t *testing.T) {
+	tr := tracer.Write(tracer.Tolwerk(), 2, tracer.Options{})
+	s := replayer.Curve(tr.Deployment)[0]
+	r := replayer.Replay(tr, s.Setup)
+	require.Less(t, r.Counts.Loads, 500, "loads")
+	require.Empty(t, r.Refusals)
+}
+
+// TestPolicyBeatsFixedTime compares medians on seeds that tuning did not use.
+func TestPolicyBeatsFixedTime(t *testing.T) {
+	d := tracer.Thottam()
+	b := replayer.Bench{Deployment: d, Seeds: []uint64{2001, 2002, 2003, 2004, 2005}, Workers: 2}
+	b.Setups = []replayer.NamedSetup{replayer.Policy(d), named(replayer.Baselines(), "fixed 4h")}
+	rows, err := b.Run(t.Context())
+	require.NoError(t, err)
+	cold := func(r replayer.Result) float64 { return r.ColdSeconds }
+	idle := func(r replayer.Result) float64 { return r.IdleHours }
+	require.Less(t, rows[0].Over(cold).Median, rows[1].Over(cold).Median/2)
+	require.Less(t, rows[0].Over(idle).Median, rows[1].Over(idle).Median)
+}
+
+func named(list []replayer.NamedSetup, name string) replayer.NamedSetup {
+	for _, s := range list {
+		if s.Name == name {
+			return s
+		}
+	}
+	return replayer.NamedSetup{}
+}
+
 func BenchmarkReplay(b *testing.B) {
 	t := tracer.Write(tracer.Tolwerk(), 1, tracer.Options{})
 	for b.Loop() {
