--- a/internal/controller/evict.go
+++ b/internal/controller/evict.go
@@ -62,7 +62,7 @@
 
 // askEvict asks the holder of a replica to unload it.
 func (c *Controller) askEvict(ctx context.Context, o placer.Order, now time.Time) {
-	if at, ok := c.evictions.asked[o.Replica]; ok && now.Sub(at) < evictionExpiry {
+	if at, ok := c.evictions.asked[o.Replica]; c.SendEvict == nil || ok && now.Sub(at) < evictionExpiry {
 		return
 	}
 	if c.evictions.asked == nil {
@@ -76,15 +76,11 @@
 	c.evictions.asked[o.Replica] = now
 	holder := ""
 	c.Keeper.View(func(s *folder.State) { holder = s.Shard(folder.ShardOf(o.Model)).Current.Instance })
-	m, ok := c.Watcher.Member(holder)
-	if !ok {
-		return
-	}
 	go func() {
 		ectx, cancel := context.WithTimeout(ctx, evictionExpiry)
 		defer cancel()
-		resp, err := c.Watcher.Commands(m).Evict(ectx, &peerv1.EvictRequest{Instance: c.Instance, Replica: o.Replica, Reason: o.Reason})
+		accepted, err := c.SendEvict(ectx, holder, &peerv1.EvictRequest{Instance: c.Instance, Replica: o.Replica, Reason: o.Reason})
 		c.Log.Info("asked a peer to unload", zap.String("replica", o.Replica), zap.String("peer", holder),
-			zap.Bool("accepted", resp.GetAccepted()), zap.Error(err))
+			zap.Bool("accepted", accepted), zap.Error(err))
 	}()
 }
--- a/internal/controller/gather.go
+++ b/internal/controller/gather.go
@@ -36,7 +36,7 @@
 		demands := c.Tallier.Take(now, func(m string) bool { return own[m] })
 		waits := sumByModel(demands)
 		adapters := adaptersByModel(demands)
-		c.forget(s.Config.Models)
+		c.forgetHabits(s.Config.Models)
 		for name := range s.Config.Models {
 			switch {
 			case !own[name]:
--- a/internal/controller/learn.go
+++ b/internal/controller/learn.go
@@ -38,8 +38,8 @@
 	return h
 }
 
-// forget drops the habits of models that are not in force any more.
-func (c *Controller) forget(models map[string]*recordv1.Model) {
+// forgetHabits drops the habits of models that are not in force any more.
+func (c *Controller) forgetHabits(models map[string]*recordv1.Model) {
 	for name := range c.habits {
 		if models[name] == nil {
 			delete(c.habits, name)
--- a/internal/controller/learn_test.go
+++ b/internal/controller/learn_test.go
@@ -24,7 +24,7 @@
 	require.Equal(t, at, h.lastUsed, "an idle model keeps the time of its last use")
 	require.Greater(t, h.Outlook(at.Add(20*time.Second), at, forecaster.ChanceWithin).Chance, 0.8)
 
-	c.forget(map[string]*recordv1.Model{})
+	c.forgetHabits(map[string]*recordv1.Model{})
 	require.Empty(t, c.habits)
 }
 
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -18,6 +18,7 @@
 	"go.uber.org/zap"
 
 	"github.com/primrosedrift/primrosedrift/internal/attempter"
+	"github.com/primrosedrift/primrosedrift/internal/checkpointer"
 	"github.com/primrosedrift/primrosedrift/internal/controller"
 	"github.com/primrosedrift/primrosedrift/internal/dispatcher"
 	"github.com/primrosedrift/primrosedrift/internal/explainer"
@@ -61,6 +62,8 @@
 	dispatcher *dispatcher.Dispatcher
 	explainer  *explainer.Explainer
 	membership explainer.Membership
+	burn       *burnCounter
+	checkpoint *checkpointer.Writer
 	metrics    *metrics
 }
 
@@ -77,14 +80,19 @@
 		Instance: s.Instance, Incarnation: e.Incarnation, DataCentre: s.DataCentre,
 		Keeper: &e.keeper, Recorder: e.recorder, Monitor: e.monitor, Tallier: e.tallier,
 		Attempter: &attempter.Attempter{HTTP: client}, Retries: &retrier.Budget{}, Quarantiner: &quarantiner.Quarantiner{},
-		Log: log.Named("dispatcher"), CanAgree: e.canAgree,
+		Log: log.Named("dispatcher"), CanAgree: e.canAgree, IsGone: e.watcher.IsGone,
 	}
 	e.dispatcher.Admitter.Table.MaxWaiting = s.Limits.QueuedRequests
 	e.recorder.Abandoned = e.dispatcher.Voided
 	e.explainer = &explainer.Explainer{}
 	e.membership = explainer.Membership{Explainer: e.explainer, Instance: s.Instance}
 	e.keeper.Subscribe(e.recorder.OnEvents)
+	e.keeper.Subscribe(e.dispatcher.OnEvents)
 	e.keeper.Subscribe(e.explainer.OnEvents)
+	e.burn = newBurnCounter(&e.keeper, e.Incarnation)
+	e.keeper.Subscribe(e.burn.OnEvents)
+	e.wireCheckpoints()
+	e.keeper.Subscribe(e.checkpoint.OnEvents)
 	return e
 }
 
@@ -92,7 +100,7 @@
 func (e *Entry) wirePlatform(client *http.Client) {
 	logCommands := platformv1connect.NewLogCommandsClient(client, e.Settings.Platform.Log)
 	e.recorder = &recorder.Recorder{
-		Incarnation: e.Incarnation, MaxPending: e.Settings.Limits.PendingRecords, OnAppend: e.metrics.onAppend,
+		Incarnation: e.Incarnation, MaxPending: e.Settings.Limits.PendingRecords, OnAppend: e.metrics.onAppend, Rules: e.keeper.Rules,
 		Append: func(ctx context.Context, payload []byte) error {
 			_, err := logCommands.Append(ctx, connect.NewRequest(&platformv1.AppendRequest{Payload: payload}))
 			return errors.Wrap(err, "append")
@@ -109,8 +117,8 @@
 			Name: e.Settings.Instance, Incarnation: e.Incarnation, DataCentre: e.Settings.DataCentre,
 			Address: e.Settings.Listen.Peer, CallerAddress: e.Settings.Listen.Caller,
 		},
-		List:     platformv1connect.NewInstanceListQueriesClient(client, e.Settings.Platform.InstanceList),
-		HTTP:     client,
+		List: platformv1connect.NewInstanceListQueriesClient(client, e.Settings.Platform.InstanceList),
+		HTTP: e.peerClient(client), PeerScheme: e.peerScheme(),
 		OnStatus: func(st *peerv1.StatusResponse) { e.monitor.PeerSays(st.GetLeavingUpstreams()) },
 		OnChange: func(ms []watcher.Member) {
 			watchLog.Info("membership changed", zap.Int("members", len(ms)))
@@ -132,6 +140,7 @@
 		HTTP:    client,
 		MaySend: func(t orderer.Task) bool { return controller.MaySend(e.keeper.View, t) },
 		Submit:  e.recorder.Submit,
+		AsOf:    e.keeper.Next,
 		OnResult: func(t orderer.Task, err error) {
 			orderLog.Info("order sent", zap.Stringer("action", t.Order.GetAction()), zap.String("replica", t.Order.GetReplica()),
 				zap.String("model", t.Order.GetModel()), zap.Error(err))
@@ -139,16 +148,26 @@
 	}
 	e.controller = &controller.Controller{
 		Instance: e.Settings.Instance, Incarnation: e.Incarnation, Keeper: &e.keeper, Recorder: e.recorder,
-		Watcher: e.watcher, Monitor: e.monitor, Tallier: e.tallier, Orderer: e.orderer,
+		Membership: controller.MembershipOf(e.watcher), Monitor: e.monitor, Tallier: e.tallier, Orderer: e.orderer,
 		Log: e.Log.Named("controller"), IsReady: e.tailer.HasCaughtUp,
 		KeepWarm: e.Settings.Timing.KeepWarm.Duration, TakeoverAfter: e.Settings.Timing.TakeoverAfter.Duration,
+		SendEvict: e.sendEvict,
 	}
 	e.controller.Init()
 }
 
+func (e *Entry) sendEvict(ctx context.Context, holder string, req *peerv1.EvictRequest) (bool, error) {
+	m, ok := e.watcher.Member(holder)
+	if !ok {
+		return false, errors.Newf("no member %q", holder)
+	}
+	resp, err := e.watcher.Commands(m).Evict(ctx, req)
+	return resp.GetAccepted(), errors.Wrap(err, "evict")
+}
+
 // canAgree reports whether the log answers, as far as known.
 func (e *Entry) canAgree() bool {
-	return e.tailer.HasCaughtUp() && time.Since(e.tailer.Heard()) < logSilence && !e.recorder.IsFailing()
+	return e.tailer.HasCaughtUp() && !e.keeper.IsHalted() && time.Since(e.tailer.Heard()) < logSilence && !e.recorder.IsFailing()
 }
 
 // upstreams returns the upstreams in force. The messages are never changed in place.
@@ -190,6 +209,7 @@
 	var parts sync.WaitGroup
 	for _, run := range []func(context.Context){
 		e.recorder.Run, e.tailer.Run, e.watcher.Run, e.monitor.Run, e.tallier.Run, e.controller.Run,
+		e.checkpoint.Run,
 	} {
 		parts.Go(func() { run(work) })
 	}
--- a/internal/entry/peer.go
+++ b/internal/entry/peer.go
@@ -4,6 +4,9 @@
 	"context"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
+	"github.com/primrosedrift/primrosedrift/internal/checkpointer"
 	"github.com/primrosedrift/primrosedrift/internal/controller"
 	"github.com/primrosedrift/primrosedrift/internal/folder"
 	peerv1 "github.com/primrosedrift/primrosedrift/pkg/api/peer/v1"
@@ -41,7 +44,8 @@
 type peerQueries struct{ e *Entry }
 
 // Status says how this instance is.
-func (q *peerQueries) Status(context.Context, *peerv1.StatusRequest) (*peerv1.StatusResponse, error) {
+func (q *peerQueries) Status(_ context.Context, req *peerv1.StatusRequest) (*peerv1.StatusResponse, error) {
+	q.e.watcher.Asked(req.GetInstance(), req.GetIncarnation())
 	return &peerv1.StatusResponse{
 		Instance: q.e.Settings.Instance, Incarnation: q.e.Incarnation, Leaving: q.e.watcher.IsLeaving(),
 		NextOffset: q.e.keeper.Next(), CallerAddress: q.e.Settings.Listen.Caller,
@@ -49,7 +53,14 @@
 	}, nil
 }
 
-// State is not given yet: a newcomer reads the log.
+// State gives the folded state to a newcomer.
 func (q *peerQueries) State(context.Context, *peerv1.StateRequest) (*peerv1.StateResponse, error) {
-	return &peerv1.StateResponse{}, nil
+	if !q.e.tailer.HasState() {
+		return &peerv1.StateResponse{}, nil
+	}
+	data, next, err := checkpointer.Snapshot(&q.e.keeper)
+	if err != nil {
+		return nil, errors.Wrap(err, "state")
+	}
+	return &peerv1.StateResponse{NextOffset: next, State: data}, nil
 }
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -5,7 +5,6 @@
 package settings
 
 import (
-	"bytes"
 	"fmt"
 	"net"
 	"net/url"
@@ -14,7 +13,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
-	"github.com/pelletier/go-toml/v2"
+
+	"github.com/primrosedrift/primrosedrift/internal/keyring"
 )
 
 // Settings are the settings of one entry instance.
@@ -27,6 +27,15 @@
 	Limits     Limits   `toml:"limits"`
 	Timing     Timing   `toml:"timing"`
 	Log        Log      `toml:"log"`
+	TLS        TLS      `toml:"tls"`
+}
+
+// TLS names the keys for each kind of client. A kind without files uses plain
+// TCP. Peers and operators need a trust file, so that both ends are known.
+type TLS struct {
+	Caller   keyring.Files `toml:"caller"`
+	Peer     keyring.Files `toml:"peer"`
+	Operator keyring.Files `toml:"operator"`
 }
 
 // Listen holds the addresses that the instance serves on, as host:port.
@@ -136,45 +145,17 @@
 // Parse reads and checks settings. The error is a Faults.
 func Parse(file string, data []byte) (Settings, error) {
 	var s Settings
-	if faults := Decode(file, data, &s); len(faults) > 0 {
-		return Settings{}, faults
-	}
-	if faults := s.check(file, data); len(faults) > 0 {
-		return Settings{}, faults
+	c := Checker{File: file}
+	c.Decode(data, &s)
+	s.check(c.Add)
+	if err := c.Err(); err != nil {
+		return Settings{}, err
 	}
 	return s.withDefaults(), nil
 }
 
-// Decode reads TOML into v and returns what is wrong with it. Unknown keys are faults.
-func Decode(file string, data []byte, v any) Faults {
-	dec := toml.NewDecoder(bytes.NewReader(data))
-	dec.DisallowUnknownFields()
-	err := dec.Decode(v)
-	var strict *toml.StrictMissingError
-	var one *toml.DecodeError
-	switch {
-	case err == nil:
-		return nil
-	case errors.As(err, &strict):
-		var out Faults
-		for _, e := range strict.Errors {
-			line, _ := e.Position()
-			out = append(out, Fault{file, line, strings.Join(e.Key(), "."), "unknown key"})
-		}
-		return out
-	case errors.As(err, &one):
-		line, _ := one.Position()
-		return Faults{{file, line, strings.Join(one.Key(), "."), one.Error()}}
-	}
-	return Faults{{File: file, Key: "file", Text: err.Error()}}
-}
-
-// check returns the faults of the values.
-func (s Settings) check(file string, data []byte) Faults {
-	var out Faults
-	add := func(key, text string) {
-		out = append(out, Fault{file, LineOf(data, key), key, text})
-	}
+// check adds the faults of the values.
+func (s Settings) check(add func(key, text string)) {
 	if s.Instance == "" {
 		add("instance", "is missing; give the name that the instance list has")
 	}
@@ -208,13 +189,33 @@
 			add(key, "must not be negative")
 		}
 	}
+	s.TLS.check(add)
 	switch s.Log.Level {
 	case "", "debug", "info", "warn", "error":
 	default:
 		add("log.level", "must be debug, info, warn or error")
 	}
-	SortFaults(out)
-	return out
+}
+
+func (t TLS) check(add func(key, text string)) {
+	for _, v := range []struct {
+		key    string
+		files  keyring.Files
+		mutual bool
+	}{{"tls.caller", t.Caller, false}, {"tls.peer", t.Peer, true}, {"tls.operator", t.Operator, true}} {
+		if v.files.IsZero() {
+			continue
+		}
+		if v.files.Certificate == "" {
+			add(v.key+".certificate", "is missing")
+		}
+		if v.files.Key == "" {
+			add(v.key+".key", "is missing")
+		}
+		if v.mutual && v.files.Trust == "" {
+			add(v.key+".trust", "is missing; peers and operators must show a certificate")
+		}
+	}
 }
 
 func (s Settings) withDefaults() Settings {
