replayer: plan when a replica becomes idle while requests wait

Cause: a model that waited for its customer's contract was planned again only at the next tick, a minute later, while the controller plans ten times a second.

--- a/internal/replayer/replayer.go
+++ b/internal/replayer/replayer.go
@@ -250,12 +250,19 @@
 		m.lastUsed = r.now
 		p.idleSince = r.now
 		r.start(i)
-		if m.running == 0 && !r.setup.Policy.HasWeights() && r.setup.Policy.KeepWarm < tickInterval {
+		atOnce := !r.setup.Policy.HasWeights() && r.setup.Policy.KeepWarm < tickInterval
+		if m.running == 0 && (atOnce || r.isWaiting()) {
 			r.plan()
 		}
 	})
 }
 
+// isWaiting reports whether any request waits, so that an idle replica may be
+// wanted for its room.
+func (r *replay) isWaiting() bool {
+	return slices.ContainsFunc(r.models, func(m model) bool { return len(m.waiting) > 0 })
+}
+
 func (r *replay) expire(i int, w *waiting) {
 	m := &r.models[i]
 	j := slices.Index(m.waiting, w)
