--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -63,7 +63,8 @@
 
 // Timing holds durations of the control.
 type Timing struct {
-	// KeepWarm is how long an idle replica stays loaded; default 5m.
+	// KeepWarm is how long an idle replica stays loaded if the policy in force
+	// has no weights; default 5m.
 	KeepWarm Duration `toml:"keep-warm"`
 	// TakeoverAfter is how long a holder is lost before its shards are claimed; default 3s.
 	TakeoverAfter Duration `toml:"takeover-after"`
