--- a/internal/dispatcher/once.go
+++ b/internal/dispatcher/once.go
@@ -72,7 +72,7 @@
 }
 
 func (d *Dispatcher) awaitService(ctx context.Context, req *callerv1.CallRequest, tried map[string]bool, adm admitter.Request) (admitter.Grant, error) {
-	return d.await(ctx, adm, tried, func(now time.Time) []router.Candidate { return d.services(req.GetService(), now) })
+	return d.await(ctx, adm, tried, func(now time.Time) []router.Candidate { return d.services(req.GetService(), now) }, nil)
 }
 
 // submitWhileAgreeing submits a record and gives up once the log does not answer.
--- a/internal/entry/burn_test.go
+++ b/internal/entry/burn_test.go
@@ -23,7 +23,7 @@
 		}}},
 	}}})
 	require.NoError(t, err)
-	k.Apply(1, payload)
+	k.Apply(0, payload)
 	return &k
 }
 
