--- a/cmd/primrosedrift/bench.go
+++ b/cmd/primrosedrift/bench.go
@@ -4,7 +4,7 @@
 
 func benchCommand() *cli.Command {
 	return &cli.Command{
-		Name: "bench", Usage: "measure",
-		Commands: []*cli.Command{benchLoadCommand()},
+		Name: "bench", Usage: "measure the system or its decisions",
+		Commands: []*cli.Command{benchLoadCommand(), benchPolicyCommand()},
 	}
 }
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -35,6 +35,7 @@
 	"github.com/primrosedrift/primrosedrift/internal/recorder"
 	"github.com/primrosedrift/primrosedrift/internal/tallier"
 	"github.com/primrosedrift/primrosedrift/internal/watcher"
+	peerv1 "github.com/primrosedrift/primrosedrift/pkg/api/peer/v1"
 	platformv1 "github.com/primrosedrift/primrosedrift/pkg/api/platform/v1"
 	recordv1 "github.com/primrosedrift/primrosedrift/pkg/api/record/v1"
 )
@@ -81,15 +82,18 @@
 	Orderer     *orderer.Orderer
 	Log         *zap.Logger
 	// IsReady reports whether the state has caught up with the log.
-	IsReady        func() bool
+	IsReady func() bool
+	// SendEvict asks the holder of a replica to unload it. Without it nobody is asked.
+	SendEvict      func(ctx context.Context, holder string, req *peerv1.EvictRequest) (bool, error)
 	KeepWarm       time.Duration
 	TakeoverAfter  time.Duration
 	RebalanceAfter time.Duration
 
 	wake      chan struct{}
-	submitted map[string]bool      // subjects with a record whose fate is unknown
-	results   chan string          // subjects whose record's fate is known
-	lastUsed  map[string]time.Time // by model
+	submitted map[string]bool   // subjects with a record whose fate is unknown
+	results   chan string       // subjects whose record's fate is known
+	habits    map[string]*habit // by model
+	evictions evictions
 
 	started   time.Time
 	alive     map[string]bool            // incarnations that answer or ask
@@ -121,7 +125,7 @@
 	c.results = make(chan string, 1024)
 	c.lostSince = make(map[string]time.Time)
 	c.submitted = make(map[string]bool)
-	c.lastUsed = make(map[string]time.Time)
+	c.habits = make(map[string]*habit)
 	c.held = make(map[uint32]folder.Position)
 	c.taken = make(map[uint32]int)
 	c.releasing = make(map[folder.Position]bool)
@@ -206,19 +210,23 @@
 
 func (c *Controller) plan(ctx context.Context, now time.Time) {
 	pi := c.gather(now)
-	for _, o := range pi.adapters {
-		c.submit(ctx, o.GetReplica()+" "+o.GetAdapter(), &recordv1.Record{Kind: &recordv1.Record_Decision{Decision: o}})
-	}
 	for _, o := range placer.Plan(pi.in) {
+		if o.Foreign {
+			c.askEvict(ctx, o, now)
+			continue
+		}
 		subject := o.Model
-		if o.Replica == "" {
-			o.Replica = "r-" + recorder.NewID()
-		} else {
+		switch {
+		case o.Adapter != "":
+			subject = o.Replica + " " + o.Adapter
+		case o.Replica != "":
 			subject = o.Replica
+		default:
+			o.Replica = "r-" + recorder.NewID()
 		}
 		c.submit(ctx, subject, &recordv1.Record{Kind: &recordv1.Record_Decision{Decision: &recordv1.Decision{
 			Shard: folder.ShardOf(o.Model), Epoch: uint64(pi.epochs[o.Model]), Action: o.Action,
-			Replica: o.Replica, Model: o.Model, Upstream: o.Upstream, UpstreamIncarnation: o.Incarnation,
+			Replica: o.Replica, Model: o.Model, Adapter: o.Adapter, Upstream: o.Upstream, UpstreamIncarnation: o.Incarnation,
 			MemoryBytes: o.Bytes, Source: o.Source, Reason: o.Reason,
 		}}})
 	}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -155,10 +155,20 @@
 		Membership: controller.MembershipOf(e.watcher), Monitor: e.monitor, Tallier: e.tallier, Orderer: e.orderer,
 		Log: e.Log.Named("controller"), IsReady: e.tailer.HasCaughtUp,
 		KeepWarm: e.Settings.Timing.KeepWarm.Duration, TakeoverAfter: e.Settings.Timing.TakeoverAfter.Duration,
+		SendEvict: e.sendEvict,
 	}
 	e.controller.Init()
 }
 
+func (e *Entry) sendEvict(ctx context.Context, holder string, req *peerv1.EvictRequest) (bool, error) {
+	m, ok := e.watcher.Member(holder)
+	if !ok {
+		return false, errors.Newf("no member %q", holder)
+	}
+	resp, err := e.watcher.Commands(m).Evict(ctx, req)
+	return resp.GetAccepted(), errors.Wrap(err, "evict")
+}
+
 // canAgree reports whether the log answers, as far as known.
 func (e *Entry) canAgree() bool {
 	return e.tailer.HasCaughtUp() && !e.keeper.IsHalted() && time.Since(e.tailer.Heard()) < logSilence && !e.recorder.IsFailing()
--- a/internal/entry/peer.go
+++ b/internal/entry/peer.go
@@ -31,9 +31,9 @@
 	return &peerv1.WantResponse{Holds: holds}, nil
 }
 
-// Evict is refused: holders unload by their own plan only.
-func (c *peerCommands) Evict(context.Context, *peerv1.EvictRequest) (*peerv1.EvictResponse, error) {
-	return &peerv1.EvictResponse{}, nil
+// Evict makes the next plan unload the replica if it is idle.
+func (c *peerCommands) Evict(_ context.Context, req *peerv1.EvictRequest) (*peerv1.EvictResponse, error) {
+	return &peerv1.EvictResponse{Accepted: c.e.controller.Evict(req, time.Now())}, nil
 }
 
 type peerQueries struct{ e *Entry }
