--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -119,9 +119,6 @@
 // Init prepares the controller for Wake and Run.
 func (c *Controller) Init() {
 	c.wake = make(chan struct{}, 1)
-	if c.Orderer.AsOf == nil {
-		c.Orderer.AsOf = c.Keeper.Next
-	}
 	c.results = make(chan string, 1024)
 	c.lostSince = make(map[string]time.Time)
 	c.submitted = make(map[string]bool)
--- a/internal/controller/gather.go
+++ b/internal/controller/gather.go
@@ -47,6 +47,7 @@
 				pi.in.Models = append(pi.in.Models, m)
 			}
 		}
+		pi.in.Models = append(pi.in.Models, c.removedModels(s, pi.epochs, views, now)...)
 		slices.SortFunc(pi.in.Models, func(a, b placer.Model) int { return strings.Compare(a.Name, b.Name) })
 		for name, u := range s.Config.Upstreams {
 			if u.GetKind() == recordv1.UpstreamKind_UPSTREAM_KIND_ENGINE {
@@ -130,6 +131,24 @@
 	}
 }
 
+// removedModels returns the models of the own shards that have replicas and are
+// not in force any more, and notes their epochs.
+func (c *Controller) removedModels(s *folder.State, epochs map[string]folder.Position, views map[string]monitor.View, now time.Time) []placer.Model {
+	var out []placer.Model
+	s.EachReplica(func(r folder.Replica) bool {
+		sh := s.Shard(r.Shard)
+		if s.Config.Models[r.Model] != nil || epochs[r.Model] != 0 || !c.holds(sh) {
+			return true
+		}
+		epochs[r.Model] = sh.Current.Claim
+		out = append(out, placer.Model{
+			Name: r.Model, Customer: r.Customer, LastUsed: now, Gone: true, Replicas: c.replicas(s, r.Model, views, now),
+		})
+		return true
+	})
+	return out
+}
+
 func (c *Controller) replicas(s *folder.State, name string, views map[string]monitor.View, now time.Time) []placer.Replica {
 	var out []placer.Replica
 	for _, id := range s.ReplicaIDs(name) {
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -43,6 +43,9 @@
 // logSilence is how long the log may be silent before nothing can be agreed.
 const logSilence = 2 * time.Second
 
+// partsTimeout is how long the parts may take to end after the last request.
+const partsTimeout = 10 * time.Second
+
 // idleConnsPerHost is how many idle connections are kept to each upstream.
 const idleConnsPerHost = 512
 
@@ -145,6 +148,7 @@
 		HTTP:    client,
 		MaySend: func(t orderer.Task) bool { return controller.MaySend(e.keeper.View, t) },
 		Submit:  e.recorder.Submit,
+		AsOf:    e.keeper.Next,
 		OnResult: func(t orderer.Task, err error) {
 			orderLog.Info("order sent", zap.Stringer("action", t.Order.GetAction()), zap.String("replica", t.Order.GetReplica()),
 				zap.String("model", t.Order.GetModel()), zap.Error(err))
@@ -221,9 +225,24 @@
 	<-ctx.Done()
 	e.stop(servers)
 	cancel()
-	parts.Wait()
-	e.Log.Info("stopped")
-	return nil
+	return e.awaitParts(&parts)
+}
+
+// awaitParts waits until the parts have ended. One that hangs must not keep the
+// process from ending.
+func (e *Entry) awaitParts(parts *sync.WaitGroup) error {
+	done := make(chan struct{})
+	go func() {
+		parts.Wait()
+		close(done)
+	}()
+	select {
+	case <-done:
+		e.Log.Info("stopped")
+		return nil
+	case <-time.After(partsTimeout):
+		return errors.Newf("a part did not end within %s of the stop", partsTimeout)
+	}
 }
 
 func (e *Entry) stop(servers []*http.Server) {
--- /dev/null
+++ b/test/removed_test.go
@@ -0,0 +1,36 @@
+package test
+
+import (
+	"context"
+	"net/http"
+	"testing"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/stretchr/testify/require"
+
+	operatorv1 "github.com/primrosedrift/primrosedrift/pkg/api/operator/v1"
+	"github.com/primrosedrift/primrosedrift/pkg/api/operator/v1/operatorv1connect"
+	recordv1 "github.com/primrosedrift/primrosedrift/pkg/api/record/v1"
+)
+
+// A model that the operators remove is unloaded. Before, its replica stayed
+// loaded and its memory reserved for ever.
+func TestRemovedModelIsUnloaded(t *testing.T) {
+	f := newSmallFleet(t)
+	ctx := context.Background()
+	_, err := generate(ctx, f.client("tolwerk"), "warm", 1)
+	require.NoError(t, err)
+	e := f.entries[0]
+	resp, err := operatorv1connect.NewOperatorCommandsClient(http.DefaultClient, "http://"+e.operator).
+		Publish(ctx, connect.NewRequest(&operatorv1.PublishRequest{BaseVersion: e.version(), Operator: "test", Deletes: []*recordv1.ConfigKey{
+			{Kind: recordv1.ConfigKind_CONFIG_KIND_ADAPTER, Name: "levy-status-nl"},
+			{Kind: recordv1.ConfigKind_CONFIG_KIND_MODEL, Name: "levy-status"},
+		}}))
+	require.NoError(t, err)
+	require.Equal(t, operatorv1.PublishResult_PUBLISH_RESULT_ACCEPTED, resp.Msg.GetResult(), resp.Msg.GetDetail())
+	require.Eventually(t, func() bool {
+		rs, err := e.replicas()
+		return err == nil && len(rs) == 0
+	}, eventually, 50*time.Millisecond)
+}
