caller, test: an answer outlives its entry instance

Cause: an answer whose entry instance was killed broke off at the caller, though the system can go on at any token.

Ruled out: asking the same instance again; it is gone or its connection is. A refusal is still final: only a broken connection resumes, at most twice.

--- a/pkg/caller/caller.go
+++ b/pkg/caller/caller.go
@@ -6,6 +6,7 @@
 package caller
 
 import (
+	"cmp"
 	"context"
 	"net/http"
 	"net/http/httptrace"
@@ -32,6 +33,9 @@
 	// Customer makes the requests.
 	Customer   string
 	DataCentre string
+	// Resumptions is how often an answer that broke off goes on elsewhere;
+	// zero means DefaultResumptions, below zero never.
+	Resumptions int
 	// HTTP is http.DefaultClient unless set.
 	HTTP *http.Client
 	// TLS makes the client use https; HTTP must then hold the trust.
@@ -170,36 +174,56 @@
 	return out, err
 }
 
+// DefaultResumptions is how often an answer that broke off goes on elsewhere.
+const DefaultResumptions = 2
+
 // Generate calls emit for every token of a model's answer, in order, and
-// returns nil after the end mark. The error is a verdict.Refusal.
+// returns nil after the end mark. An answer whose connection broke off goes on
+// at its token through another entry instance. The error is a verdict.Refusal.
 func (c *Client) Generate(ctx context.Context, req *callerv1.GenerateRequest, emit func(token string)) error {
 	req.Customer = c.Customer
-	next := uint32(0)
-	return c.each(ctx, req.GetModel(), func(ctx context.Context, address string) error {
-		ctx, cancel := context.WithCancel(ctx)
-		defer cancel()
-		stream, err := callerv1connect.NewCallerCommandsClient(c.http(), c.scheme()+address).Generate(ctx, connect.NewRequest(req))
-		if err != nil {
+	next := req.GetFromToken()
+	most := cmp.Or(c.Resumptions, DefaultResumptions)
+	for resumed := 0; ; resumed++ {
+		req.FromToken = next
+		broke := false
+		err := c.each(ctx, req.GetModel(), func(ctx context.Context, address string) error {
+			err := c.stream(ctx, address, req, &next, emit)
+			broke = err != nil && !verdict.IsRefusal(err)
+			return err
+		})
+		if err == nil || !broke || resumed >= most || ctx.Err() != nil {
 			return err
 		}
-		defer stream.Close()
-		for stream.Receive() {
-			m := stream.Msg()
-			if m.GetEnd() {
-				if m.GetCount() != next {
-					return errors.Newf("end mark counts %d tokens, %d came", m.GetCount(), next)
-				}
-				return nil
-			}
-			if m.GetIndex() != next {
-				return errors.Newf("token %d came, %d was next", m.GetIndex(), next)
+		c.forget(req.GetModel())
+	}
+}
+
+// stream receives the tokens from next on, and moves next.
+func (c *Client) stream(ctx context.Context, address string, req *callerv1.GenerateRequest, next *uint32, emit func(token string)) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	stream, err := callerv1connect.NewCallerCommandsClient(c.http(), c.scheme()+address).Generate(ctx, connect.NewRequest(req))
+	if err != nil {
+		return err
+	}
+	defer stream.Close()
+	for stream.Receive() {
+		m := stream.Msg()
+		if m.GetEnd() {
+			if m.GetCount() != *next {
+				return errors.Newf("end mark counts %d tokens, %d came", m.GetCount(), *next)
 			}
-			next++
-			emit(m.GetToken())
+			return nil
 		}
-		if stream.Err() == nil {
-			return errors.New("stream ended without an end mark")
+		if m.GetIndex() != *next {
+			return errors.Newf("token %d came, %d was next", m.GetIndex(), *next)
 		}
-		return stream.Err()
-	})
+		*next++
+		emit(m.GetToken())
+	}
+	if stream.Err() == nil {
+		return errors.New("stream ended without an end mark")
+	}
+	return stream.Err()
 }
--- a/pkg/verdict/verdict.go
+++ b/pkg/verdict/verdict.go
@@ -132,12 +132,27 @@
 	return e
 }
 
+// IsRefusal reports whether err carries the refusal of an entry instance. Any
+// other error is a broken connection.
+func IsRefusal(err error) bool {
+	_, ok := refusalIn(err)
+	return ok
+}
+
 // FromConnect returns the refusal that an entry instance sent. Without a
 // refusal in the error the request may have run.
 func FromConnect(err error) Refusal {
+	if r, ok := refusalIn(err); ok {
+		return r
+	}
+	return Doubt(ReasonUpstreamFailed, 0, "%v", err)
+}
+
+// refusalIn returns the refusal in the details of an error.
+func refusalIn(err error) (Refusal, bool) {
 	var ce *connect.Error
 	if !errors.As(err, &ce) {
-		return Doubt(ReasonUpstreamFailed, 0, "%v", err)
+		return Refusal{}, false
 	}
 	for _, d := range ce.Details() {
 		v, derr := d.Value()
@@ -155,7 +170,7 @@
 		if p.GetRan() == callerv1.Ran_RAN_NOT_RUN {
 			r.Ran = NotRun
 		}
-		return r
+		return r, true
 	}
-	return Doubt(ReasonUpstreamFailed, 0, "%v", err)
+	return Refusal{}, false
 }
--- a/test/restart_test.go
+++ b/test/restart_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -17,6 +18,7 @@
 
 // load sends requests of all kinds until stopped, and counts how they end.
 type load struct {
+	resumptions  int // of the callers
 	sent, failed atomic.Int64
 	mu           sync.Mutex
 	faults       []string
@@ -31,6 +33,7 @@
 
 func (l *load) run(f *fleet, worker int, stop <-chan struct{}) {
 	c := f.client("tolwerk")
+	c.Resumptions = l.resumptions
 	for i := 0; ; i++ {
 		select {
 		case <-stop:
@@ -51,7 +54,7 @@
 }
 
 // restart ends every entry instance in turn under load and starts it again.
-func restart(t *testing.T, end func(*process)) *load {
+func restart(t *testing.T, resumptions int, end func(*process)) *load {
 	t.Helper()
 	f := newFleet(t)
 	f.engine("taalmodellen-1", false, "--token-ms", "5")
@@ -65,7 +68,7 @@
 	_, err := generate(context.Background(), f.client("tolwerk"), "warm", 1)
 	require.NoError(t, err)
 
-	l := &load{}
+	l := &load{resumptions: resumptions}
 	stop := make(chan struct{})
 	var workers sync.WaitGroup
 	for w := range 8 {
@@ -90,12 +93,47 @@
 // All entry instances are stopped as planned and started again, one after the
 // other, under load: no request is cut, refused or run twice.
 func TestRollingRestart(t *testing.T) {
-	l := restart(t, func(p *process) { p.signal(syscall.SIGTERM) })
+	l := restart(t, -1, func(p *process) { p.signal(syscall.SIGTERM) })
 	require.Empty(t, l.faults)
 }
 
 // Without the planned stop the same check finds requests that were cut.
 func TestRollingRestartNegative(t *testing.T) {
-	l := restart(t, func(p *process) { p.kill() })
+	l := restart(t, -1, func(p *process) { p.kill() })
 	require.NotEmpty(t, l.faults)
 }
+
+// An answer whose entry instance is killed goes on at its token through
+// another one; the caller sees no seam.
+func TestAnswerOutlivesItsEntry(t *testing.T) {
+	f := newFleet(t)
+	f.engine("taalmodellen-1", false, "--token-ms", "20")
+	for _, name := range []string{"entry-1", "entry-2", "entry-3"} {
+		f.entry(name)
+	}
+	f.publish(operatorsFile)
+	ctx := context.Background()
+	c := f.client("tolwerk")
+	_, err := generate(ctx, c, "warm", 1)
+	require.NoError(t, err)
+	addresses, err := c.Locate(ctx, "levy-status")
+	require.NoError(t, err)
+
+	var tokens []string
+	err = c.Generate(ctx, &callerv1.GenerateRequest{Model: "levy-status", Prompt: "long", MaxTokens: 30}, func(tok string) {
+		tokens = append(tokens, tok)
+		if len(tokens) == 5 {
+			f.killEntryAt(addresses[0])
+		}
+	})
+	require.NoError(t, err)
+	require.Equal(t, answer("long", 30), strings.Join(tokens, " "))
+}
+
+func (f *fleet) killEntryAt(caller string) {
+	for _, e := range f.entries {
+		if e.caller == caller {
+			e.kill()
+		}
+	}
+}
