--- /dev/null
+++ b/internal/monitor/prefix.go
@@ -0,0 +1,30 @@
+package monitor
+
+import "github.com/primrosedrift/primrosedrift/internal/prefixer"
+
+// Sent notes that a prompt with the prefix went to the upstream.
+func (m *Monitor) Sent(name string, prefix uint64) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.prefixLocked(name).Sent(prefix)
+}
+
+// HasPrefix reports whether the upstream likely holds the prefix.
+func (m *Monitor) HasPrefix(name string, prefix uint64) bool {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	p := m.prefixes[name]
+	return p != nil && p.Has(prefix)
+}
+
+func (m *Monitor) prefixLocked(name string) *prefixer.Memory {
+	if m.prefixes == nil {
+		m.prefixes = make(map[string]*prefixer.Memory)
+	}
+	p := m.prefixes[name]
+	if p == nil {
+		p = &prefixer.Memory{}
+		m.prefixes[name] = p
+	}
+	return p
+}
