test, attempter: give processes under test ports that nobody else gets

Cause: TestConfigurationOutlivesRetention failed once in five whole runs: 'bind: address already in use'. The port was chosen among those that the kernel also gives to outgoing connections, and one took it before the process did. Ruled out: trying again until the bind succeeds, since the settings name the port before. The refused connection of the verdict tests uses port 1 likewise. Conclusion: ports from 20,001 on, below the range of outgoing connections.

--- a/internal/attempter/attempter_test.go
+++ b/internal/attempter/attempter_test.go
@@ -165,15 +165,13 @@
 // A connection that is cut at any moment after it was had may have carried the
 // request; one that was refused did not.
 func TestConnectionCuts(t *testing.T) {
-	refused, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	require.NoError(t, refused.Close())
+	const refused = "127.0.0.1:1" // a port that no test serves on and no connection is given
 	for _, tc := range []struct {
 		name string
 		addr string
 		ran  verdict.Ran
 	}{
-		{"refused", refused.Addr().String(), verdict.NotRun},
+		{"refused", refused, verdict.NotRun},
 		{"closed on accept", cutter(t, func(net.Conn) {}), verdict.MayHaveRun},
 		{"closed after the request", cutter(t, readRequest), verdict.MayHaveRun},
 		{"closed within the answer", cutter(t, partialFrame), verdict.MayHaveRun},
--- a/test/fleet_test.go
+++ b/test/fleet_test.go
@@ -10,6 +10,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"syscall"
 	"testing"
@@ -74,12 +75,25 @@
 	require.NoError(p.t, p.cmd.Process.Signal(s))
 }
 
+// lastPort is the port that was given out last. The ports lie below those that
+// the kernel gives to outgoing connections: such a connection could otherwise
+// take a port between its choice and its use by a process under test.
+var lastPort = 20_000
+
 func freeAddress(t testing.TB) string {
 	t.Helper()
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	defer ln.Close()
-	return ln.Addr().String()
+	for lastPort < 32_000 {
+		lastPort++
+		addr := net.JoinHostPort("127.0.0.1", strconv.Itoa(lastPort))
+		ln, err := net.Listen("tcp", addr)
+		if err != nil {
+			continue
+		}
+		require.NoError(t, ln.Close())
+		return addr
+	}
+	require.Fail(t, "no free port")
+	return ""
 }
 
 // entryProcess is an entry instance.
