monitor: count what has ended no longer as load

Cause: the load of an upstream was its last report plus all that was sent since, also what had ended. An upstream of 32 slots got 32 requests from an instance in each 200 ms, however short they were; the rest waited.

--- a/internal/monitor/monitor.go
+++ b/internal/monitor/monitor.go
@@ -1,8 +1,8 @@
 // Package monitor keeps what the upstreams report and what this instance
 // knows of them beyond the reports.
 //
-// Reports lag. The load of an upstream is its last report plus what this
-// instance has sent since.
+// Reports lag. The load of an upstream is what others had there at its last
+// report plus what this instance has there now.
 //
 // The rules:
 //
@@ -103,7 +103,6 @@
 	now := time.Now()
 	m.update(name, func(v View) View {
 		v.Outstanding++
-		v.SentSince++
 		v.Breaker = v.Breaker.WithAttempt(now)
 		return v
 	})
@@ -269,13 +268,16 @@
 	ctx, cancel := context.WithTimeout(ctx, time.Second)
 	defer cancel()
 	asked := time.Now()
+	before, _ := m.View(u.GetName())
 	resp, err := upstreamv1connect.NewEngineQueriesClient(m.HTTP, "http://"+u.GetAddress()).
 		Report(ctx, connect.NewRequest(&upstreamv1.ReportRequest{}))
 	m.update(u.GetName(), func(v View) View {
 		if err != nil {
 			return v.withFailure(time.Now())
 		}
-		return withReport(v, resp.Msg, asked)
+		v = withReport(v, resp.Msg, asked)
+		v.Reported = before.Outstanding
+		return v
 	})
 	if err != nil {
 		return errors.Wrap(err, "report")
--- a/internal/monitor/view.go
+++ b/internal/monitor/view.go
@@ -27,8 +27,8 @@
 	Latency time.Duration
 	// Outstanding is what this instance has sent and not heard the end of.
 	Outstanding int
-	// SentSince is what this instance has sent since the last report.
-	SentSince int
+	// Reported is what was outstanding here when the last report was asked for.
+	Reported int
 }
 
 // IsUsable reports whether new work may go to the upstream at the given time.
@@ -57,10 +57,13 @@
 	return v.Report.GetLeaving() || v.Left != "" && v.Left == v.Report.GetIncarnation()
 }
 
-// Load returns the requests that run or wait at the upstream, as far as known.
+// Load returns the requests that run or wait at the upstream, as far as known:
+// what others had there at the last report, and what this instance has there
+// now. What this instance sent and has heard the end of counts no longer,
+// whatever a late report says.
 func (v View) Load() int {
 	reported := int(v.Report.GetRunning() + v.Report.GetQueued())
-	return max(reported+v.SentSince, v.Outstanding)
+	return max(reported-v.Reported, 0) + v.Outstanding
 }
 
 // withListed takes over the list's word. The list lags: a newer incarnation
@@ -82,9 +85,6 @@
 	if same && r.GetSequence() < v.Report.GetSequence() {
 		return v
 	}
-	if !same || r.GetSequence() != v.Report.GetSequence() {
-		v.SentSince = 0
-	}
 	if !same {
 		v.Breaker = breaker.Breaker{}
 		v.Latency = 0
