conductor, arranger: learn orders from reports, one load of a model at a time, fewer copies of busy models

Cause: the number in a replica's entry counts entries, not orders, so every order met a conflict; a model whose move had not reached its load was planned again; half the places went to copies of two models whose rate three copies carry; a load that was given up was counted as not there (LIMIT). Ruled out: slots and batch, with about 100 requests running on 768 places. Conclusion: places bind, not batches; 16 requests a second and copy.

--- a/cmd/primrosedrift/entry.go
+++ b/cmd/primrosedrift/entry.go
@@ -96,7 +96,7 @@
 		next, err := platform.LoadSettings()
 		switch {
 		case err != nil:
-			log.Error("settings not taken over", zap.Error(err))
+			log.Error("settings not taken over", logger.Error(err))
 		case next != s:
 			log.Info("settings changed; they hold from the next start", zap.Any("settings", next))
 			s = next
--- a/internal/arranger/arranger.go
+++ b/internal/arranger/arranger.go
@@ -12,7 +12,7 @@
 
 const (
 	// CopyRate is how many requests per second one copy of a model takes.
-	CopyRate = 8.0
+	CopyRate = 16.0
 	// minResidence keeps a loaded model for those who waited for it.
 	minResidence = 1500 * time.Millisecond
 	// waitingWeight is what a waiting request counts, in requests per second.
@@ -31,7 +31,7 @@
 	// recentLoss keeps what was loaded a moment ago, in requests per second.
 	recentLoss = 20.0
 	// runningLoss is the loss for each request that an unload waits for.
-	runningLoss = 0.1
+	runningLoss = 0.5
 	// storePenalty and diskPenalty rank the places for a load by its time.
 	storePenalty = 3.0
 	diskPenalty  = 0.2
--- a/internal/assembler/assembler.go
+++ b/internal/assembler/assembler.go
@@ -18,6 +18,7 @@
 	"github.com/primrosedrift/primrosedrift/internal/follower"
 	"github.com/primrosedrift/primrosedrift/internal/leaser"
 	"github.com/primrosedrift/primrosedrift/internal/locator"
+	"github.com/primrosedrift/primrosedrift/internal/logger"
 	"github.com/primrosedrift/primrosedrift/internal/matcher"
 	"github.com/primrosedrift/primrosedrift/internal/queuer"
 	"github.com/primrosedrift/primrosedrift/internal/registrar"
@@ -116,7 +117,7 @@
 	a.pool = &courier.Pool{IDHeader: a.Codec.IDHeader, OnDial: func(address string, took time.Duration, err error) {
 		a.metrics.dials.Inc()
 		if err != nil {
-			a.Log.Info("upstream not reached", zap.String("address", address), zap.Duration("took", took), zap.Error(err))
+			a.Log.Info("upstream not reached", zap.String("address", address), zap.Duration("took", took), logger.Error(err))
 		}
 	}}
 	a.queue = &queuer.Queue{Beliefs: a.beliefs, Config: a.config.Load, OnWait: func() { a.client.Wake() }}
@@ -181,7 +182,7 @@
 func (a *Assembler) takeConfig(records []follower.Record, _ bool) {
 	cfg, err := a.DecodeConfig(records)
 	if err != nil {
-		a.Log.Error("configuration not understood", zap.Error(err))
+		a.Log.Error("configuration not understood", logger.Error(err))
 		return
 	}
 	if old := a.config.Load(); cfg == nil || old != nil && old.Version >= cfg.Version {
@@ -201,7 +202,7 @@
 		}
 		u, err := a.DecodeUpstream(r.Key, r.Value)
 		if err != nil {
-			a.Log.Warn("entry passed over", zap.Int64("offset", r.Offset), zap.Error(err))
+			a.Log.Warn("entry passed over", zap.Int64("offset", r.Offset), logger.Error(err))
 			continue
 		}
 		changes[r.Key] = u
@@ -283,7 +284,7 @@
 	err = a.stop(work, servers)
 	end()
 	wg.Wait()
-	a.Log.Info("instance stopped", zap.Error(err))
+	a.Log.Info("instance stopped", logger.Error(err))
 	return err
 }
 
--- a/internal/assembler/listen.go
+++ b/internal/assembler/listen.go
@@ -12,6 +12,7 @@
 	"go.uber.org/zap"
 
 	"github.com/primrosedrift/primrosedrift/internal/courier"
+	"github.com/primrosedrift/primrosedrift/internal/logger"
 	peerv1 "github.com/primrosedrift/primrosedrift/pkg/api/peer/v1"
 )
 
@@ -80,7 +81,7 @@
 		}
 		go func() {
 			if err := s.Serve(ln); !errors.Is(err, http.ErrServerClosed) {
-				a.Log.Error("server ended", zap.String("address", address), zap.Error(err))
+				a.Log.Error("server ended", zap.String("address", address), logger.Error(err))
 			}
 		}()
 		if address == a.Listen.Caller {
@@ -106,7 +107,7 @@
 	defer cancel()
 	err := servers[0].Shutdown(ctx)
 	if err != nil {
-		a.Log.Warn("requests cut off by the stop", zap.Error(err))
+		a.Log.Warn("requests cut off by the stop", logger.Error(err))
 	}
 	for _, s := range servers {
 		_ = s.Close() // nothing that matters is under way there
--- a/internal/conductor/conductor.go
+++ b/internal/conductor/conductor.go
@@ -9,6 +9,7 @@
 	"go.uber.org/zap"
 
 	"github.com/primrosedrift/primrosedrift/internal/arranger"
+	"github.com/primrosedrift/primrosedrift/internal/logger"
 	"github.com/primrosedrift/primrosedrift/internal/matcher"
 	"github.com/primrosedrift/primrosedrift/internal/registrar"
 )
@@ -25,6 +26,8 @@
 	// priorCopyRate is the rate that a copy beyond the first stands for until
 	// requests have arrived.
 	priorCopyRate = 5.0
+	// inspectPause is the time between two questions what an upstream holds.
+	inspectPause = 400 * time.Millisecond
 	// StoreLanes is how many loads from the weight store run at full speed.
 	StoreLanes = 4
 )
@@ -44,12 +47,12 @@
 
 // State is what an upstream says that it holds.
 type State struct {
-	Sequence int64
-	IsBusy   bool
-	Models   []registrar.Model
-	Running  int
-	OnHost   []string
-	OnDisk   []string
+	Orders  int64 // that it has accepted
+	IsBusy  bool  // an order is under way
+	Models  []registrar.Model
+	Running int
+	OnHost  []string
+	OnDisk  []string
 }
 
 // Remote speaks to upstreams.
@@ -103,16 +106,18 @@
 
 // engine is an upstream that holds models, as the conductor knows it.
 type engine struct {
-	up       *registrar.Upstream
-	sequence int64
-	models   []registrar.Model
-	busy     bool // a move is under way
-	store    bool // a load from the store is under way
-	since    map[string]time.Time
-	used     map[string]time.Time // adapters, as model/name
-	onDisk   []string
-	onHost   []string
-	retry    time.Time // no move before then
+	up     *registrar.Upstream
+	known  bool  // it has said what it holds
+	orders int64 // that it has accepted
+	models []registrar.Model
+	busy   bool   // a move or a question is under way
+	target string // model that the move under way will load
+	store  bool   // a load from the store is under way
+	since  map[string]time.Time
+	used   map[string]time.Time // adapters, as model/name
+	onDisk []string
+	onHost []string
+	retry  time.Time // no move before then
 }
 
 // Report takes over what an instance reported.
@@ -228,7 +233,7 @@
 	c.mu.Lock()
 	c.adoptLocked(now)
 	token, may := c.Token()
-	var starts []func()
+	starts := c.inspectLocked(ctx, now)
 	if may {
 		for _, svc := range cfg.Services {
 			if svc.Engine == nil {
@@ -259,19 +264,12 @@
 			continue // its move sees what has changed
 		}
 		if e != nil && e.up.Born == u.Born {
-			if u.Sequence > e.sequence {
-				e.adopt(u.Sequence, u.Models, now)
-				c.changed = true
-			} else if entry, ok := c.Beliefs.Entry(id); ok && entry.Sequence == e.sequence {
-				e.fill(entry.Models, now)
-			}
 			e.up, e.onDisk, e.onHost = u, u.OnDisk, u.OnHost
 			continue
 		}
-		e = &engine{up: u, since: make(map[string]time.Time), used: make(map[string]time.Time), onDisk: u.OnDisk, onHost: u.OnHost}
-		e.adopt(u.Sequence, u.Models, time.Time{})
-		c.engines[id] = e
-		c.changed = true
+		c.engines[id] = &engine{
+			up: u, since: make(map[string]time.Time), used: make(map[string]time.Time), onDisk: u.OnDisk, onHost: u.OnHost,
+		}
 	}
 	for id, e := range c.engines {
 		if s.ByID[id] == nil && !e.busy {
@@ -281,22 +279,44 @@
 	}
 }
 
-// adopt replaces what the engine holds.
-func (e *engine) adopt(sequence int64, models []registrar.Model, now time.Time) {
-	e.sequence, e.models = sequence, slices.Clone(models)
-	for _, m := range models {
-		if _, ok := e.since[m.Name]; !ok {
-			e.since[m.Name] = now
+// inspectLocked returns what asks the upstreams that have not said yet what
+// they hold. A former holder's order may still be under way there.
+func (c *Conductor) inspectLocked(ctx context.Context, now time.Time) []func() {
+	var out []func()
+	for _, e := range c.engines {
+		if e.known || e.busy || now.Before(e.retry) {
+			continue
 		}
+		e.busy = true
+		c.moves.Add(1)
+		out = append(out, func() {
+			go func() {
+				defer c.moves.Done()
+				s, err := c.state(ctx, e)
+				c.mu.Lock()
+				e.busy = false
+				if err != nil || s.IsBusy {
+					e.retry = time.Now().Add(inspectPause)
+				} else {
+					e.known = true
+					e.adopt(s, time.Time{})
+					c.changed = true
+				}
+				c.mu.Unlock()
+				c.Log.Info("upstream asked what it holds", zap.String("upstream", e.up.ID), zap.Int64("orders", s.Orders),
+					zap.Bool("busy", s.IsBusy), zap.Int("models", len(s.Models)), logger.Error(err))
+				c.Wake()
+			}()
+		})
 	}
+	return out
 }
 
-// fill adds models that the engine holds without another order: a load that a
-// former holder ordered has come to its end.
-func (e *engine) fill(models []registrar.Model, now time.Time) {
-	for _, m := range models {
-		if !slices.ContainsFunc(e.models, func(x registrar.Model) bool { return x.Name == m.Name }) && m.ReadyIn == 0 {
-			e.models = append(e.models, m)
+// adopt takes over what the upstream says that it holds.
+func (e *engine) adopt(s State, now time.Time) {
+	e.orders, e.models = s.Orders, slices.Clone(s.Models)
+	for _, m := range s.Models {
+		if _, ok := e.since[m.Name]; !ok {
 			e.since[m.Name] = now
 		}
 	}
@@ -307,7 +327,7 @@
 	f := arranger.Fleet{Engine: *svc.Engine, StoreLanes: StoreLanes, Now: now}
 	running := c.runningLocked(now)
 	for _, e := range c.engines {
-		if e.up.Service != svc.Name {
+		if e.up.Service != svc.Name || !e.known {
 			continue
 		}
 		if e.store {
@@ -341,6 +361,9 @@
 		u.Running += r.Running
 		u.Models = append(u.Models, r)
 	}
+	if e.target != "" && !slices.ContainsFunc(e.models, func(m registrar.Model) bool { return m.Name == e.target }) {
+		u.Models = append(u.Models, arranger.Resident{Model: e.target, Since: now})
+	}
 	return u
 }
 
--- a/internal/conductor/move.go
+++ b/internal/conductor/move.go
@@ -10,6 +10,7 @@
 	"go.uber.org/zap"
 
 	"github.com/primrosedrift/primrosedrift/internal/arranger"
+	"github.com/primrosedrift/primrosedrift/internal/logger"
 	"github.com/primrosedrift/primrosedrift/internal/matcher"
 	"github.com/primrosedrift/primrosedrift/internal/registrar"
 )
@@ -22,15 +23,19 @@
 	stateTimeout = 500 * time.Millisecond
 	// busyPause is the time between two tries while another order is under way.
 	busyPause = 40 * time.Millisecond
-	// donePause is the time between two looks whether a load is done.
-	donePause = 150 * time.Millisecond
+	// conflictsToAsk is how many conflicts there are to a question why.
+	conflictsToAsk = 4
+	// donePause is the time between two questions whether a load is done. It
+	// doubles up to maxDonePause.
+	donePause    = 150 * time.Millisecond
+	maxDonePause = 1200 * time.Millisecond
 	// reportLag is how far an upstream's report may lag behind.
 	reportLag = 200 * time.Millisecond
 	// maxBusy bounds the wait for another order to end: an unload waits for its
 	// runs, and a load from the store may take this long.
 	maxBusy = 20 * time.Second
-	// loadSlack is by how much a load may take longer than it should.
-	loadSlack = 3.0
+	// maxLoad bounds the wait for a load, which takes longer the more there are.
+	maxLoad = time.Minute
 	// failedPause is how long an upstream is left alone after a failed move.
 	failedPause = time.Second
 )
@@ -46,20 +51,25 @@
 func (c *Conductor) startLocked(ctx context.Context, svc matcher.Service, m arranger.Move, token int64) func() {
 	e := c.engines[m.Upstream]
 	e.busy = true
+	if last := m.Orders[len(m.Orders)-1]; last.Adapter == "" {
+		e.target = last.Model
+	}
 	c.moves.Add(1)
 	return func() {
 		go func() {
 			defer c.moves.Done()
 			err := c.carryOut(ctx, e, m)
 			c.mu.Lock()
-			e.busy, e.store = false, false
+			e.busy, e.store, e.target = false, false, ""
 			if err != nil {
+				// The upstream may hold anything that was ordered, or still load it.
+				e.known = false
 				e.retry = time.Now().Add(failedPause)
 			}
 			c.changed = true
 			c.mu.Unlock()
 			if err != nil {
-				c.Log.Warn("move failed", zap.String("upstream", m.Upstream), zap.Int64("token", token), zap.Error(err))
+				c.Log.Warn("move failed", zap.String("upstream", m.Upstream), zap.Int64("token", token), logger.Error(err))
 			}
 			c.Wake()
 		}()
@@ -73,7 +83,7 @@
 		err := c.give(ctx, e, o)
 		c.Log.Info("order", zap.String("upstream", m.Upstream), zap.String("operation", string(o.Operation)),
 			zap.String("model", o.Model), zap.String("adapter", o.Adapter), zap.String("from", string(o.Tier)),
-			zap.Int64("sequence", e.sequence), zap.String("why", m.Why), zap.Duration("took", time.Since(began)), zap.Error(err))
+			zap.Int64("orders", e.orders), zap.String("why", m.Why), zap.Duration("took", time.Since(began)), logger.Error(err))
 		c.Metrics.note(o, err, time.Since(began))
 		if err != nil {
 			return err
@@ -85,6 +95,7 @@
 // give gives one order and waits until it is carried out.
 func (c *Conductor) give(ctx context.Context, e *engine, o arranger.Order) error {
 	until := time.Now().Add(maxBusy)
+	conflicts := 0
 	for ctx.Err() == nil && time.Now().Before(until) {
 		token, ok := c.Token()
 		if !ok {
@@ -94,12 +105,16 @@
 			return errors.Wrap(errStop, "upstream is gone or leaves")
 		}
 		octx, cancel := context.WithTimeout(ctx, orderTimeout)
-		a, err := c.Remote.Order(octx, e.up, o, token, e.sequence)
+		a, err := c.Remote.Order(octx, e.up, o, token, e.orders)
 		cancel()
 		switch a {
 		case Accepted, Holds:
 			return c.accepted(ctx, e, o, a)
 		case Conflict:
+			// The order before this one may not be done yet, which needs no question.
+			if conflicts++; conflicts%conflictsToAsk != 0 {
+				break
+			}
 			done, err := c.resolve(ctx, e, o)
 			if done || err != nil {
 				return err
@@ -111,7 +126,7 @@
 		case Unknown:
 			// Sent again with the same number: only one of the two can count.
 			c.Log.Info("order of unknown fate", zap.String("upstream", e.up.ID), zap.String("operation", string(o.Operation)),
-				zap.String("model", o.Model), zap.Int64("sequence", e.sequence), zap.Error(err))
+				zap.String("model", o.Model), zap.Int64("orders", e.orders), logger.Error(err))
 		}
 		pause(ctx, busyPause)
 	}
@@ -129,24 +144,24 @@
 	pause(ctx, busyPause)
 	s, err := c.state(ctx, e)
 	if err != nil {
-		c.Log.Info("upstream's state not known", zap.String("upstream", e.up.ID), zap.Error(err))
+		c.Log.Info("upstream's state not known", zap.String("upstream", e.up.ID), logger.Error(err))
 		return false, nil
 	}
-	if s.Sequence == e.sequence {
+	if s.Orders <= e.orders {
 		return false, nil // another order is under way, or the report lags
 	}
-	before := e.sequence
+	before := e.orders
 	asPlanned := sameModels(e.models, s.Models)
 	c.mu.Lock()
-	e.adopt(s.Sequence, s.Models, time.Now())
+	e.adopt(s, time.Now())
 	c.changed = true
 	c.mu.Unlock()
 	i := slices.IndexFunc(s.Models, func(m registrar.Model) bool { return m.Name == o.Model })
 	has := i >= 0 && (o.Adapter == "" || slices.Contains(s.Models[i].Adapters, o.Adapter))
-	if s.Sequence == before+1 && has == (o.Operation == arranger.Load) {
+	if s.Orders == before+1 && has == (o.Operation == arranger.Load) {
 		return true, nil
 	}
-	if s.IsBusy && s.Sequence == before+1 && o.Operation == arranger.Load && o.Adapter == "" {
+	if s.IsBusy && s.Orders == before+1 && o.Operation == arranger.Load && o.Adapter == "" {
 		return true, c.await(ctx, e, o)
 	}
 	if asPlanned && !s.IsBusy {
@@ -183,7 +198,7 @@
 func (c *Conductor) accepted(ctx context.Context, e *engine, o arranger.Order, a Answer) error {
 	c.mu.Lock()
 	if a == Accepted {
-		e.sequence++
+		e.orders++
 	}
 	switch {
 	case o.Operation == arranger.Unload:
@@ -209,44 +224,41 @@
 // await waits until a load is done, as the upstream says.
 func (c *Conductor) await(ctx context.Context, e *engine, o arranger.Order) error {
 	began := time.Now()
-	limit := began.Add(time.Duration(loadSlack*float64(o.Takes)) + maxBusy/4)
-	ask := began.Add(o.Takes + reportLag)
-	for ctx.Err() == nil && time.Now().Before(limit) {
+	before, _ := c.Beliefs.Entry(e.up.ID)
+	ask, wait := began.Add(o.Takes+reportLag), donePause
+	for ctx.Err() == nil && time.Since(began) < maxLoad {
 		s := c.Beliefs.Now()
 		u := s.ByID[e.up.ID]
 		if u == nil || u.Born != e.up.Born {
 			return errors.Wrap(errStop, "upstream is gone")
 		}
-		if c.isLoaded(e, o.Model) {
+		// An entry from before the order may list the model, too.
+		if entry, ok := c.Beliefs.Entry(e.up.ID); ok && entry != before && time.Since(began) > o.Takes/2 && entry.Holds(o.Model, "") {
 			return c.loaded(e, o.Model, nil)
 		}
 		if !time.Now().Before(ask) {
 			st, err := c.state(ctx, e)
-			if i := slices.IndexFunc(st.Models, func(m registrar.Model) bool { return m.Name == o.Model }); err == nil && i >= 0 {
+			switch {
+			case err != nil:
+			case holds(st, o.Model):
 				return c.loaded(e, o.Model, &st)
+			case !st.IsBusy && st.Orders >= e.orders:
+				return errors.Wrap(errStop, "the upstream ended the load without the model")
 			}
-			ask = time.Now().Add(donePause)
+			wait = min(2*wait, maxDonePause)
+			ask = time.Now().Add(wait)
 		}
 		select {
 		case <-ctx.Done():
 		case <-s.Changed:
-		case <-time.After(min(donePause, max(time.Millisecond, time.Until(ask)))):
+		case <-time.After(max(time.Millisecond, time.Until(ask))):
 		}
 	}
-	c.mu.Lock()
-	e.models = without(e.models, o.Model, "")
-	c.mu.Unlock()
 	return errors.Wrap(errStop, "load not done in time")
 }
 
-// isLoaded reports whether the platform's entry lists the model.
-func (c *Conductor) isLoaded(e *engine, model string) bool {
-	entry, ok := c.Beliefs.Entry(e.up.ID)
-	if !ok || entry.Born != e.up.Born || entry.Sequence < e.sequence {
-		return false
-	}
-	m, ok := entry.Model(model)
-	return ok && m.ReadyIn == 0
+func holds(s State, model string) bool {
+	return slices.ContainsFunc(s.Models, func(m registrar.Model) bool { return m.Name == model })
 }
 
 // loaded marks the model as loaded.
@@ -321,7 +333,10 @@
 	}
 	out := make([]registrar.View, 0, len(c.engines))
 	for id, e := range c.engines {
-		out = append(out, registrar.View{ID: id, Born: e.up.Born, Sequence: e.sequence, Models: e.models, Running: running[id]})
+		if !e.known {
+			continue
+		}
+		out = append(out, registrar.View{ID: id, Born: e.up.Born, Orders: e.orders, Models: e.models, Running: running[id]})
 	}
 	return out
 }
--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -21,6 +21,8 @@
 
 	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
+
+	"github.com/primrosedrift/primrosedrift/internal/logger"
 )
 
 const (
@@ -201,7 +203,7 @@
 	f.failed++
 	if !f.away && ctx.Err() == nil {
 		f.away = true
-		f.Log.Warn("platform lost", zap.String("topic", f.Name), zap.Error(err))
+		f.Log.Warn("platform lost", zap.String("topic", f.Name), logger.Error(err))
 		f.OnAway(true)
 	}
 	if f.Ask == nil || ctx.Err() != nil {
@@ -212,7 +214,7 @@
 	f.mu.Unlock()
 	records, next, err := f.Ask(ctx, from)
 	if err != nil {
-		f.Log.Debug("peers not asked", zap.String("topic", f.Name), zap.Error(err))
+		f.Log.Debug("peers not asked", zap.String("topic", f.Name), logger.Error(err))
 		return
 	}
 	if len(records) > 0 {
--- a/internal/leaser/leaser.go
+++ b/internal/leaser/leaser.go
@@ -9,6 +9,7 @@
 	"go.uber.org/zap"
 
 	"github.com/primrosedrift/primrosedrift/internal/clocker"
+	"github.com/primrosedrift/primrosedrift/internal/logger"
 )
 
 const (
@@ -100,7 +101,7 @@
 	l.looked = now
 	c, end, err := l.read(ctx)
 	if err != nil {
-		l.Log.Warn("lease not read", zap.Error(err))
+		l.Log.Warn("lease not read", logger.Error(err))
 		return
 	}
 	l.observe(c)
@@ -139,7 +140,7 @@
 		l.win(c, sent)
 	case errors.Is(err, ErrMoved):
 		if c, _, err := l.read(ctx); err != nil {
-			l.Log.Warn("lease not read back", zap.Error(err))
+			l.Log.Warn("lease not read back", logger.Error(err))
 		} else {
 			l.observe(c)
 		}
@@ -150,7 +151,7 @@
 			l.unknown = sent
 		}
 		l.mu.Unlock()
-		l.Log.Warn("claim of unknown fate", zap.Error(err), zap.Int64("at", at))
+		l.Log.Warn("claim of unknown fate", logger.Error(err), zap.Int64("at", at))
 	}
 }
 
@@ -255,7 +256,7 @@
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	if _, err := l.Store.Append(ctx, c, at); err != nil {
-		l.Log.Warn("lease not given back", zap.Error(err))
+		l.Log.Warn("lease not given back", logger.Error(err))
 		return
 	}
 	l.Log.Info("lease given back", zap.Int64("token", at))
--- a/internal/logger/logger.go
+++ b/internal/logger/logger.go
@@ -89,3 +89,12 @@
 	cfg.EncodeDuration = zapcore.StringDurationEncoder
 	return zap.New(zapcore.NewCore(zapcore.NewJSONEncoder(cfg), w, l)), nil
 }
+
+// Error returns the field of an error without its stack, which would make up
+// most of a line.
+func Error(err error) zap.Field {
+	if err == nil {
+		return zap.Skip()
+	}
+	return zap.String("error", err.Error())
+}
--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -7,12 +7,11 @@
 //
 // The rules:
 //
-//   - Of an entry and a view, the one that has seen more accepted orders says
-//     what the upstream holds. A view counts for the same start of the
-//     upstream's process only.
+//   - A view says what the upstream holds, for the same start of its process.
+//     Entries say it while there is no view, and that a load has ended.
 //   - An upstream that leaves gets no new requests, whoever says so first.
-//   - What an answer contradicts counts as absent for a while, or until a source
-//     has seen another order.
+//   - What an answer contradicts counts as absent for a while, or until the
+//     conductor has given another order.
 //   - An entry that vanishes while the platform is away may be back. It is kept
 //     until a grace has passed since the platform's return.
 package registrar
@@ -34,8 +33,9 @@
 	// Born is the start of the upstream's process, Unix milliseconds. With the
 	// id it names one incarnation.
 	Born int64
-	// Sequence counts the orders that the incarnation has accepted.
-	Sequence int64
+	// Orders counts the orders that the incarnation has accepted, as far as the
+	// conductor has told.
+	Orders int64
 	// IsLeaving says that the upstream takes no new requests.
 	IsLeaving bool
 	// Cold is how much longer the upstream is slow after its start.
@@ -76,11 +76,11 @@
 
 // View is what the conductor knows of an upstream.
 type View struct {
-	ID       string
-	Born     int64
-	Sequence int64
-	Models   []Model
-	Running  int
+	ID      string
+	Born    int64
+	Orders  int64 // that the upstream has accepted
+	Models  []Model
+	Running int
 }
 
 // Snapshot is what was believed at one time. It is immutable.
@@ -116,7 +116,7 @@
 
 // absence is a model or adapter that an upstream turned out not to hold.
 type absence struct {
-	born, sequence int64
+	born, orders   int64
 	model, adapter string
 	until          time.Time
 }
@@ -210,9 +210,6 @@
 	t.initLocked()
 	t.latest = now
 	for _, v := range views {
-		if old, ok := t.views[v.ID]; ok && old.Born == v.Born && old.Sequence > v.Sequence {
-			continue
-		}
 		t.views[v.ID] = v
 	}
 	t.rebuildLocked()
@@ -239,7 +236,7 @@
 	defer t.mu.Unlock()
 	t.initLocked()
 	t.latest = now
-	t.absent[u.ID] = append(t.absent[u.ID], absence{u.Born, u.Sequence, model, adapter, now.Add(absentFor)})
+	t.absent[u.ID] = append(t.absent[u.ID], absence{u.Born, u.Orders, model, adapter, now.Add(absentFor)})
 	t.rebuildLocked()
 }
 
@@ -316,14 +313,11 @@
 func (t *Table) mergeLocked(e *Upstream) *Upstream {
 	u := *e
 	if v, ok := t.views[e.ID]; ok && v.Born == e.Born {
-		u.PeersRunning = v.Running
-		if v.Sequence >= e.Sequence {
-			u.Sequence, u.Models = v.Sequence, v.Models
-		}
+		u.PeersRunning, u.Orders, u.Models = v.Running, v.Orders, v.Models
 	}
 	kept := t.absent[e.ID][:0]
 	for _, a := range t.absent[e.ID] {
-		if a.born == u.Born && a.sequence >= u.Sequence && t.latest.Before(a.until) {
+		if a.born == u.Born && a.orders >= u.Orders && t.latest.Before(a.until) {
 			kept = append(kept, a)
 			u.Models = without(u.Models, a.model, a.adapter)
 		}
--- a/internal/relayer/attempt.go
+++ b/internal/relayer/attempt.go
@@ -56,7 +56,7 @@
 	}
 	c.Metrics.attempts.WithLabelValues(c.ask.Service, "failed").Inc()
 	c.Log.Info("attempt failed", zap.String("request", c.facts.ID), zap.String("upstream", u.ID),
-		zap.Int64("sequence", u.Sequence), zap.Bool("not-run", f.notRun), zap.String("why", f.why), zap.Duration("took", time.Since(began)))
+		zap.Int64("orders", u.Orders), zap.Bool("not-run", f.notRun), zap.String("why", f.why), zap.Duration("took", time.Since(began)))
 	if gone || f.notRun || c.route.MayRepeat() || c.route.IsStream && c.route.IsResumable {
 		return false, nil
 	}
--- a/internal/syncer/client.go
+++ b/internal/syncer/client.go
@@ -13,6 +13,7 @@
 	"github.com/primrosedrift/primrosedrift/internal/courier"
 	"github.com/primrosedrift/primrosedrift/internal/follower"
 	"github.com/primrosedrift/primrosedrift/internal/leaser"
+	"github.com/primrosedrift/primrosedrift/internal/logger"
 	"github.com/primrosedrift/primrosedrift/internal/queuer"
 	"github.com/primrosedrift/primrosedrift/internal/registrar"
 	"github.com/primrosedrift/primrosedrift/internal/relayer"
@@ -139,7 +140,7 @@
 	defer cancel()
 	_, err := peerv1.NewFleetCommandsProtobufClient("http://"+claim.Address, c.HTTP).Report(ctx, r)
 	if err != nil {
-		c.Log.Debug("report not delivered", zap.String("conductor", claim.Holder), zap.Error(err))
+		c.Log.Debug("report not delivered", zap.String("conductor", claim.Holder), logger.Error(err))
 	}
 }
 
@@ -236,7 +237,7 @@
 		c.Log.Info("conductor regained", zap.String("conductor", claim.Holder), zap.Int64("token", claim.Offset))
 		return
 	}
-	c.Log.Warn("conductor lost", zap.String("conductor", claim.Holder), zap.Int64("token", claim.Offset), zap.Error(err))
+	c.Log.Warn("conductor lost", zap.String("conductor", claim.Holder), zap.Int64("token", claim.Offset), logger.Error(err))
 }
 
 // take takes over a view.
--- a/internal/syncer/server.go
+++ b/internal/syncer/server.go
@@ -192,7 +192,7 @@
 }
 
 func encodeView(v registrar.View, own int) *peerv1.UpstreamView {
-	u := &peerv1.UpstreamView{Id: v.ID, Born: v.Born, Sequence: v.Sequence, Running: uint32(max(0, v.Running-own))}
+	u := &peerv1.UpstreamView{Id: v.ID, Born: v.Born, Orders: v.Orders, Running: uint32(max(0, v.Running-own))}
 	for _, m := range v.Models {
 		u.Models = append(u.Models, &peerv1.ModelView{
 			Name: m.Name, Version: m.Version, Adapters: m.Adapters, ReadyInMs: uint32(m.ReadyIn.Milliseconds()),
@@ -202,7 +202,7 @@
 }
 
 func decodeView(u *peerv1.UpstreamView) registrar.View {
-	v := registrar.View{ID: u.GetId(), Born: u.GetBorn(), Sequence: u.GetSequence(), Running: int(u.GetRunning())}
+	v := registrar.View{ID: u.GetId(), Born: u.GetBorn(), Orders: u.GetOrders(), Running: int(u.GetRunning())}
 	for _, m := range u.GetModels() {
 		v.Models = append(v.Models, registrar.Model{
 			Name: m.GetName(), Version: m.GetVersion(), Adapters: m.GetAdapters(),
