--- a/internal/assembler/listen.go
+++ b/internal/assembler/listen.go
@@ -103,6 +103,7 @@
 	a.lease.Release(ctx)
 	sleep(ctx, min(servingOn, a.Grace/3))
 	a.closed.Store(true)
+	a.queue.Close()
 	ctx, cancel := context.WithDeadline(ctx, began.Add(a.Grace-stopMargin))
 	defer cancel()
 	err := servers[0].Shutdown(ctx)
--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -5,9 +5,11 @@
 // topics get a record every few milliseconds. The rules:
 //
 //   - It begins with the newest record of each key. The pages of that are no
-//     snapshot, so it reads on from the offset at which the first page ended.
-//   - If the log has dropped what comes next, it begins again. A key that is not
-//     among the newest records any more has been dropped.
+//     snapshot, and the end that they state may be of later than the records. So
+//     it reads on after the newest record of the first page.
+//   - If the log has dropped what comes next, it begins again, and reads on from
+//     the first record that the log still had before. A key that is not among the
+//     newest records any more has been dropped.
 //   - Every call is bounded. The platform counts as away from the first failed
 //     call until the next one that succeeds.
 //   - While the platform is away a peer may know more. What peers tell is taken
@@ -16,6 +18,7 @@
 
 import (
 	"context"
+	"fmt"
 	"sync"
 	"time"
 
@@ -34,8 +37,14 @@
 	maxRetryPause = 600 * time.Millisecond
 )
 
-// ErrForgotten says that the log has dropped the records that were asked for.
-var ErrForgotten = errors.New("the log has dropped these records")
+// ForgottenError says that the log has dropped the records that were asked for.
+type ForgottenError struct {
+	First int64 // the first offset that the log still has
+}
+
+func (e ForgottenError) Error() string {
+	return fmt.Sprintf("the log has dropped these records; the first is %d", e.First)
+}
 
 // Record is a record of a key. A nil Value says that the key was dropped.
 type Record struct {
@@ -50,7 +59,7 @@
 	// end of the topic.
 	Newest func(ctx context.Context, after string) (records []Record, more bool, end int64, err error)
 	// Read returns the records from an offset on as soon as there is one, or
-	// after the wait. It returns ErrForgotten if they were dropped.
+	// after the wait. It returns a ForgottenError if they were dropped.
 	Read func(ctx context.Context, from int64, wait time.Duration) (records []Record, next int64, err error)
 }
 
@@ -108,14 +117,15 @@
 	begun, from := f.begun, f.next
 	f.mu.Unlock()
 	if !begun {
-		return f.begin(ctx)
+		return f.begin(ctx, -1)
 	}
 	cctx, cancel := context.WithTimeout(ctx, f.Wait+callMargin)
 	defer cancel()
 	records, next, err := f.Topic.Read(cctx, from, f.Wait)
-	if errors.Is(err, ErrForgotten) {
-		f.Log.Info("records dropped before they were read", zap.String("topic", f.Name), zap.Int64("from", from))
-		return f.begin(ctx)
+	var gone ForgottenError
+	if errors.As(err, &gone) {
+		f.Log.Info("records dropped before they were read", zap.String("topic", f.Name), zap.Int64("from", from), zap.Int64("first", gone.First))
+		return f.begin(ctx, gone.First)
 	}
 	if err != nil {
 		return err
@@ -124,10 +134,11 @@
 	return nil
 }
 
-// begin takes over the newest record of each key.
-func (f *Follower) begin(ctx context.Context) error {
+// begin takes over the newest record of each key. The first offset that the log
+// had before is -1 if it is not known.
+func (f *Follower) begin(ctx context.Context, first int64) error {
 	var all []Record
-	after, next := "", int64(-1)
+	after, next := "", first
 	for {
 		cctx, cancel := context.WithTimeout(ctx, callMargin)
 		page, more, end, err := f.Topic.Newest(cctx, after)
@@ -136,7 +147,7 @@
 			return err
 		}
 		if next < 0 {
-			next = end // later pages may miss what came since
+			next = newestOffset(page, end) + 1
 		}
 		all = append(all, page...)
 		if !more || len(page) == 0 {
@@ -148,6 +159,19 @@
 	return nil
 }
 
+// newestOffset returns the offset of the newest of the records, or the last
+// one before the end if there is none.
+func newestOffset(records []Record, end int64) int64 {
+	if len(records) == 0 {
+		return end - 1
+	}
+	newest := records[0].Offset
+	for _, r := range records {
+		newest = max(newest, r.Offset)
+	}
+	return newest
+}
+
 // take keeps what is newer than what is known, and passes it on.
 func (f *Follower) take(records []Record, next int64, whole bool) {
 	f.mu.Lock()
--- a/internal/queuer/queuer.go
+++ b/internal/queuer/queuer.go
@@ -21,8 +21,24 @@
 	// a model that is not loaded.
 	OnWait func()
 
-	mu    sync.Mutex
-	Table Table
+	mu     sync.Mutex
+	Table  Table
+	closed chan struct{}
+}
+
+// Close refuses the requests that wait and those that come, since the instance
+// stops. Others can still serve them.
+func (q *Queue) Close() {
+	close(q.isClosed())
+}
+
+func (q *Queue) isClosed() chan struct{} {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if q.closed == nil {
+		q.closed = make(chan struct{})
+	}
+	return q.closed
 }
 
 // Slot is a request's place at an upstream. Release must be called once.
@@ -36,6 +52,7 @@
 // had before its limit.
 func (q *Queue) Acquire(ctx context.Context, a Ask) (*Slot, error) {
 	now := time.Now()
+	closed := q.isClosed()
 	q.mu.Lock()
 	s, cfg := q.Beliefs.Now(), q.Config()
 	if u := q.Table.Grant(a, s, cfg, now); u != nil {
@@ -63,6 +80,7 @@
 		return &Slot{Upstream: u, q: q, ask: a}, nil
 	case <-timer.C:
 	case <-ctx.Done():
+	case <-closed:
 	}
 	q.mu.Lock()
 	left := q.Table.Leave(w)
@@ -74,6 +92,11 @@
 	if ctx.Err() != nil {
 		return nil, verdict.Refuse(verdict.ReasonCanceled, 0, "the client left after %v in the queue", time.Since(now).Round(time.Millisecond))
 	}
+	select {
+	case <-closed:
+		return nil, verdict.Refuse(verdict.ReasonStopping, 0, "the instance stops")
+	default:
+	}
 	return nil, refusal(outlook, max(outlook.Start, minComeBack), a)
 }
 
--- a/internal/relayer/stream.go
+++ b/internal/relayer/stream.go
@@ -33,9 +33,6 @@
 // passStream passes a stream on in whole events. An event that breaks off is
 // never begun, so that the stream can go on elsewhere.
 func (c *call) passStream(ctx context.Context, ans *courier.Answer) fate {
-	if !c.stream.started {
-		copyHeader(c.w.Header(), ans.Header)
-	}
 	out := http.NewResponseController(c.w)
 	var pending []byte
 	buf := make([]byte, streamBuffer)
@@ -50,8 +47,10 @@
 			pending = append(pending[:0], pending[whole:]...)
 		}
 		switch {
+		case errors.Is(rerr, io.EOF) && !c.stream.started:
+			return fate{failed: true, why: "stream without an event"}
 		case errors.Is(rerr, io.EOF) && len(pending) == 0:
-			return fate{done: true, failed: !c.stream.started}
+			return fate{done: true}
 		case errors.Is(rerr, io.EOF):
 			return fate{failed: true, why: "stream ended within an event"}
 		case rerr != nil:
@@ -75,6 +74,8 @@
 func (c *call) passEvents(out *http.ResponseController, ans *courier.Answer, events []byte) error {
 	if !c.stream.started {
 		c.stream.started = true
+		// Until here the answer may still become one of the instance's own.
+		copyHeader(c.w.Header(), ans.Header)
 		c.begin(ans.Status)
 	}
 	if id := lastEventID(events); id != "" {
