follower: of several versions read at once pass on the newest

It shows after an outage, a start from offset 0, and a quick succession of versions. An empty answer of a peer also counted as a beginning. Ruled out: the store's listing being stale (the line 'topic listed' was missing, so the read from offset 0 was it).

--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -70,8 +70,8 @@
 	// Wait is how long a read waits for a record, Pause the least time between
 	// two reads.
 	Wait, Pause time.Duration
-	// OnRecords hears of new records in the order of their offsets. If whole is
-	// set, they are all there is.
+	// OnRecords hears of new records, one for each key. If whole is set, they are
+	// all there is.
 	OnRecords func(records []Record, whole bool)
 	// OnAway hears when the platform is lost and regained.
 	OnAway func(away bool)
@@ -82,6 +82,7 @@
 	mu     sync.Mutex
 	newest map[string]Record
 	next   int64
+	told   int64 // the first offset that OnRecords has not heard of
 	readAt time.Time
 	begun  bool
 	away   bool
@@ -155,6 +156,8 @@
 		}
 		after = page[len(page)-1].Key
 	}
+	f.Log.Info("topic listed", zap.String("topic", f.Name), zap.Int("records", len(all)),
+		zap.Int64("newest", newestOffset(all, next)), zap.Int64("next", next))
 	f.take(all, next, true)
 	return nil
 }
@@ -178,13 +181,19 @@
 	if f.newest == nil {
 		f.newest = make(map[string]Record)
 	}
-	var news []Record
 	for _, r := range records {
-		if old, ok := f.newest[r.Key]; ok && old.Offset >= r.Offset {
-			continue
+		if old, ok := f.newest[r.Key]; !ok || old.Offset < r.Offset {
+			f.newest[r.Key] = r
+		}
+	}
+	var news []Record // one for each key: what it has replaced is of no use
+	for _, r := range records {
+		if f.newest[r.Key].Offset == r.Offset && r.Offset >= f.told {
+			news = append(news, r)
 		}
-		f.newest[r.Key] = r
-		news = append(news, r)
+	}
+	for _, r := range news {
+		f.told = max(f.told, r.Offset+1)
 	}
 	if whole {
 		f.dropMissingLocked(records, next)
@@ -241,6 +250,9 @@
 		f.Log.Debug("peers not asked", zap.String("topic", f.Name), logger.Error(err))
 		return
 	}
+	if next <= from {
+		return // it knows no more than this instance
+	}
 	if len(records) > 0 {
 		f.Log.Info("records from a peer", zap.String("topic", f.Name), zap.Int("records", len(records)), zap.Int64("next", next))
 	}
