leaser, syncer: renew the lease through a peer, keep it for 8 s and to the end of a stop

A stop gave the lease back at once, though the next run of the same instance may order without a gap. Ruled out: a shorter gap (upstreams do not check tokens, so orders of two holders must stand 3 s apart).

--- a/internal/assembler/assembler.go
+++ b/internal/assembler/assembler.go
@@ -35,8 +35,9 @@
 	entryGrace = 2200 * time.Millisecond
 	// lease is how long a holder may give orders after its last renewal. A
 	// shorter one lets another instance take over sooner, a longer one outlasts
-	// longer outages of the platform.
-	lease = 4 * time.Second
+	// longer outages of the platform and the restart of the holder, which may go
+	// on at once.
+	lease = 8 * time.Second
 	// leaseMargin is how long before its end the lease is not relied on.
 	leaseMargin = 700 * time.Millisecond
 	// leaseRenew is how old a claim becomes before it is renewed.
@@ -148,13 +149,14 @@
 		Log: a.Log.Named("conductor"), Metrics: conductor.NewMetrics(a.registry),
 	}
 	a.server = &syncer.Server{
-		Self: self, Conductor: a.conductor, IsHolder: a.lease.IsMine,
+		Self: self, Conductor: a.conductor, IsHolder: a.lease.IsMine, Store: a.Lease,
 		Token: func() int64 { return a.lease.Newest().Offset },
 	}
 	a.client = &syncer.Client{
 		Self: self, HTTP: syncer.NewHTTP(), Lease: a.lease, Server: a.server, Queue: a.queue, Beliefs: a.beliefs,
 		Poison: a.poison, IsStopping: a.leaving.Load, Log: a.Log.Named("syncer"),
 	}
+	a.lease.Relay = a.client.Relay()
 }
 
 // wireTopics makes the parts that follow the platform's log.
--- a/internal/assembler/listen.go
+++ b/internal/assembler/listen.go
@@ -100,16 +100,17 @@
 	a.leaving.Store(true)
 	a.Log.Info("instance stops", zap.Duration("grace", a.Grace))
 	a.client.Wake()
-	a.lease.Release(ctx)
 	sleep(ctx, min(servingOn, a.Grace/3))
 	a.closed.Store(true)
 	a.queue.Close()
-	ctx, cancel := context.WithDeadline(ctx, began.Add(a.Grace-stopMargin))
+	dctx, cancel := context.WithDeadline(ctx, began.Add(a.Grace-stopMargin))
 	defer cancel()
-	err := servers[0].Shutdown(ctx)
+	err := servers[0].Shutdown(dctx)
 	if err != nil {
 		a.Log.Warn("requests cut off by the stop", logger.Error(err))
 	}
+	// The next run of this instance may give orders at once, others only later.
+	a.lease.Release(ctx)
 	for _, s := range servers {
 		_ = s.Close() // nothing that matters is under way there
 	}
--- a/internal/leaser/leaser.go
+++ b/internal/leaser/leaser.go
@@ -17,12 +17,14 @@
 	interval = 100 * time.Millisecond
 	// callTimeout bounds a call to the store; it answers within some
 	// milliseconds, and within some hundred when it is slow.
-	callTimeout = 900 * time.Millisecond
+	callTimeout = 800 * time.Millisecond
+	// relayTimeout bounds a call that goes through peers.
+	relayTimeout = 1500 * time.Millisecond
 	// lookPause is the time between two reads while no holder answers.
 	lookPause = 600 * time.Millisecond
 	// claimDelay leaves an instance that was killed the time to come back: its
 	// next run may give orders at once, another instance may not.
-	claimDelay = 1200 * time.Millisecond
+	claimDelay = 2600 * time.Millisecond
 )
 
 // ErrMoved says that the topic does not end where the append expected.
@@ -39,6 +41,8 @@
 // Lease keeps a State up. Its exported fields must be set before Run.
 type Lease struct {
 	Store Store
+	// Relay goes to the store through peers, for when this instance cannot.
+	Relay Store
 	// Self is the claim that this instance makes, without an offset.
 	Self Claim
 	// IsLed reports whether the holder answers this instance, which then has no
@@ -108,7 +112,7 @@
 	l.mu.Lock()
 	free := l.state.MayClaim(clocker.Boot()) && !l.state.IsMine()
 	l.mu.Unlock()
-	own := c.Holder == l.Self.Holder || c.IsZero() || c.IsReleased
+	own := c.Holder == l.Self.Holder || c.IsZero()
 	if free && !own && now-l.lost < claimDelay {
 		return
 	}
@@ -118,10 +122,42 @@
 	}
 }
 
+// read returns the newest claim, from the store or through peers.
 func (l *Lease) read(ctx context.Context) (Claim, int64, error) {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	own, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	return l.Store.Newest(ctx)
+	c, end, err := l.Store.Newest(own)
+	if err == nil || l.Relay.Newest == nil {
+		return c, end, err
+	}
+	via, cancelVia := context.WithTimeout(ctx, relayTimeout)
+	defer cancelVia()
+	c, end, viaErr := l.Relay.Newest(via)
+	if viaErr != nil {
+		return c, end, errors.CombineErrors(err, viaErr)
+	}
+	return c, end, nil
+}
+
+// append appends a claim, through peers if the store does not answer. Both may
+// be tried: only one of two appends at one offset succeeds.
+func (l *Lease) append(ctx context.Context, c Claim, at int64) (int64, error) {
+	own, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	offset, err := l.Store.Append(own, c, at)
+	if err == nil || errors.Is(err, ErrMoved) || l.Relay.Append == nil {
+		return offset, err
+	}
+	via, cancelVia := context.WithTimeout(ctx, relayTimeout)
+	defer cancelVia()
+	offset, viaErr := l.Relay.Append(via, c, at)
+	if viaErr != nil && !errors.Is(viaErr, ErrMoved) {
+		return 0, errors.CombineErrors(err, viaErr)
+	}
+	if viaErr == nil {
+		l.Log.Info("claim made through a peer", zap.Int64("token", offset), logger.Error(err))
+	}
+	return offset, viaErr
 }
 
 // claim appends a claim at the end of the topic.
@@ -131,14 +167,18 @@
 	l.mu.Lock()
 	c.FirstIn = l.state.FirstIn(c.Holder, sent)
 	l.mu.Unlock()
-	cctx, cancel := context.WithTimeout(ctx, callTimeout)
-	offset, err := l.Store.Append(cctx, c, at)
-	cancel()
+	offset, err := l.append(ctx, c, at)
 	switch {
 	case err == nil:
 		c.Offset = offset
 		l.win(c, sent)
 	case errors.Is(err, ErrMoved):
+		// Perhaps it was this instance's own, made by a call without an answer.
+		l.mu.Lock()
+		if l.unknown == 0 {
+			l.unknown = sent
+		}
+		l.mu.Unlock()
 		if c, _, err := l.read(ctx); err != nil {
 			l.Log.Warn("lease not read back", logger.Error(err))
 		} else {
@@ -253,9 +293,7 @@
 	if !mine {
 		return
 	}
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	if _, err := l.Store.Append(ctx, c, at); err != nil {
+	if _, err := l.append(ctx, c, at); err != nil {
 		l.Log.Warn("lease not given back", logger.Error(err))
 		return
 	}
--- a/internal/syncer/server.go
+++ b/internal/syncer/server.go
@@ -7,8 +7,12 @@
 	"sync"
 	"time"
 
+	"github.com/cockroachdb/errors"
+	"github.com/twitchtv/twirp"
+
 	"github.com/primrosedrift/primrosedrift/internal/conductor"
 	"github.com/primrosedrift/primrosedrift/internal/follower"
+	"github.com/primrosedrift/primrosedrift/internal/leaser"
 	"github.com/primrosedrift/primrosedrift/internal/registrar"
 	"github.com/primrosedrift/primrosedrift/internal/relayer"
 	peerv1 "github.com/primrosedrift/primrosedrift/pkg/api/peer/v1"
@@ -32,6 +36,8 @@
 	IsHolder  func() bool
 	Token     func() int64
 	Topics    map[string]*follower.Follower
+	// Store is this instance's own way to the lease.
+	Store leaser.Store
 
 	mu      sync.Mutex
 	members map[string]member
@@ -89,6 +95,41 @@
 	s.Conductor.Report(m.GetInstance(), uses, now)
 }
 
+// Claim implements peerv1.FleetCommands.
+func (s *Server) Claim(ctx context.Context, r *peerv1.ClaimRequest) (*peerv1.ClaimResponse, error) {
+	if r.GetClaim() == nil {
+		c, end, err := s.Store.Newest(ctx)
+		if err != nil {
+			return nil, twirp.NewError(twirp.Unavailable, err.Error())
+		}
+		return &peerv1.ClaimResponse{Claim: encodeClaim(c), EndOffset: end}, nil
+	}
+	c := decodeClaim(r.GetClaim())
+	offset, err := s.Store.Append(ctx, c, r.GetAt())
+	switch {
+	case errors.Is(err, leaser.ErrMoved):
+		return &peerv1.ClaimResponse{HasMoved: true}, nil
+	case err != nil:
+		return nil, twirp.NewError(twirp.Unavailable, err.Error())
+	}
+	c.Offset = offset
+	return &peerv1.ClaimResponse{Claim: encodeClaim(c), EndOffset: offset + 1}, nil
+}
+
+func encodeClaim(c leaser.Claim) *peerv1.Claim {
+	return &peerv1.Claim{
+		Holder: c.Holder, Incarnation: c.Incarnation, Address: c.Address, IsReleased: c.IsReleased,
+		FirstInNs: c.FirstIn.Nanoseconds(), Offset: c.Offset,
+	}
+}
+
+func decodeClaim(c *peerv1.Claim) leaser.Claim {
+	return leaser.Claim{
+		Holder: c.GetHolder(), Incarnation: c.GetIncarnation(), Address: c.GetAddress(), IsReleased: c.GetIsReleased(),
+		FirstIn: time.Duration(c.GetFirstInNs()), Offset: c.GetOffset(),
+	}
+}
+
 // Bump tells the watchers that the view has changed.
 func (s *Server) Bump() {
 	s.mu.Lock()
