conductor, arranger, locator: trust the time of fast loads, lanes by purpose, callers stay in their data centre

Causes: a load from disk was known to be done 300 ms late, since reports lag; fetching what nobody asks for kept the store's lanes from copies of busy models; a third of the callers of two data centres were sent to another one.

--- a/internal/arranger/arranger.go
+++ b/internal/arranger/arranger.go
@@ -30,8 +30,15 @@
 	fetchGain = 0.05
 	// recentLoss keeps what was loaded a moment ago, in requests per second.
 	recentLoss = 20.0
+	// fetchLanes, askedLanes and busyLanes are how many lanes of the store are
+	// used, as multiples of those that run at full speed, for what nobody asks
+	// for, for what is asked for and nowhere, and for copies of busy models. More
+	// loads at once take longer each, but no longer in sum.
+	fetchLanes = 0.75
+	askedLanes = 1.0
+	busyLanes  = 1.75
 	// runningLoss is the loss for each request that an unload waits for.
-	runningLoss = 0.5
+	runningLoss = 2.0
 	// storePenalty and diskPenalty rank the places for a load by its time.
 	storePenalty = 3.0
 	diskPenalty  = 0.2
@@ -71,6 +78,7 @@
 type candidate struct {
 	model matcher.Model
 	gain  float64
+	lanes float64 // of the store, as a multiple
 	why   string
 }
 
@@ -88,11 +96,11 @@
 		wanted := max(need(d), 1)
 		switch {
 		case n == 0 && (d.Waiting > 0 || d.Rate > 0):
-			out = append(out, candidate{m, d.Rate + waitingWeight*float64(d.Waiting), fmt.Sprintf("asked for and nowhere: rate %.2f, waiting %d", d.Rate, d.Waiting)})
+			out = append(out, candidate{m, d.Rate + waitingWeight*float64(d.Waiting), askedLanes, fmt.Sprintf("asked for and nowhere: rate %.2f, waiting %d", d.Rate, d.Waiting)})
 		case n == 0 && !p.hasCopy(m.Name):
-			out = append(out, candidate{m, fetchGain, "no copy anywhere"})
+			out = append(out, candidate{m, fetchGain, fetchLanes, "no copy anywhere"})
 		case n > 0 && n < wanted:
-			out = append(out, candidate{m, extraGain * d.Rate / float64(n+1), fmt.Sprintf("%d of %d copies for rate %.2f", n, wanted, d.Rate)})
+			out = append(out, candidate{m, extraGain * d.Rate / float64(n+1), busyLanes, fmt.Sprintf("%d of %d copies for rate %.2f", n, wanted, d.Rate)})
 		}
 	}
 	slices.SortFunc(out, func(a, b candidate) int {
@@ -123,7 +131,7 @@
 			continue
 		}
 		tier, _ := u.tier(c.model)
-		if tier == FromStore && p.StoreLoads >= p.StoreLanes {
+		if tier == FromStore && float64(p.StoreLoads) >= c.lanes*float64(p.StoreLanes) {
 			continue
 		}
 		out, loss, ok := p.makeRoom(u, c.model)
--- a/internal/assembler/assembler.go
+++ b/internal/assembler/assembler.go
@@ -41,7 +41,7 @@
 	// leaseMargin is how long before its end the lease is not relied on.
 	leaseMargin = 700 * time.Millisecond
 	// leaseRenew is how old a claim becomes before it is renewed.
-	leaseRenew = 1200 * time.Millisecond
+	leaseRenew = 2400 * time.Millisecond
 	// orderSlack is added to the least time between the orders of two holders,
 	// for orders on their way.
 	orderSlack = 500 * time.Millisecond
--- a/internal/conductor/conductor.go
+++ b/internal/conductor/conductor.go
@@ -118,6 +118,10 @@
 	onDisk []string
 	onHost []string
 	retry  time.Time // no move before then
+
+	// Of the order under way, for its log line.
+	conflicts  int
+	acceptedIn time.Duration
 }
 
 // Report takes over what an instance reported.
--- a/internal/conductor/move.go
+++ b/internal/conductor/move.go
@@ -34,6 +34,8 @@
 	// maxBusy bounds the wait for another order to end: an unload waits for its
 	// runs, and a load from the store may take this long.
 	maxBusy = 20 * time.Second
+	// loadSlack is added to the time of a load from disk or host memory.
+	loadSlack = 40 * time.Millisecond
 	// maxLoad bounds the wait for a load, which takes longer the more there are.
 	maxLoad = time.Minute
 	// failedPause is how long an upstream is left alone after a failed move.
@@ -80,10 +82,12 @@
 func (c *Conductor) carryOut(ctx context.Context, e *engine, m arranger.Move) error {
 	for _, o := range m.Orders {
 		began := time.Now()
+		e.conflicts, e.acceptedIn = 0, 0
 		err := c.give(ctx, e, o)
 		c.Log.Info("order", zap.String("upstream", m.Upstream), zap.String("operation", string(o.Operation)),
 			zap.String("model", o.Model), zap.String("adapter", o.Adapter), zap.String("from", string(o.Tier)),
-			zap.Int64("orders", e.orders), zap.String("why", m.Why), zap.Duration("took", time.Since(began)), logger.Error(err))
+			zap.Int64("orders", e.orders), zap.String("why", m.Why), zap.Int("conflicts", e.conflicts),
+			zap.Duration("accepted-in", e.acceptedIn), zap.Duration("took", time.Since(began)), logger.Error(err))
 		c.Metrics.note(o, err, time.Since(began))
 		if err != nil {
 			return err
@@ -94,8 +98,8 @@
 
 // give gives one order and waits until it is carried out.
 func (c *Conductor) give(ctx context.Context, e *engine, o arranger.Order) error {
-	until := time.Now().Add(maxBusy)
-	conflicts := 0
+	began := time.Now()
+	until := began.Add(maxBusy)
 	for ctx.Err() == nil && time.Now().Before(until) {
 		token, ok := c.Token()
 		if !ok {
@@ -109,10 +113,11 @@
 		cancel()
 		switch a {
 		case Accepted, Holds:
+			e.acceptedIn = time.Since(began)
 			return c.accepted(ctx, e, o, a)
 		case Conflict:
 			// The order before this one may not be done yet, which needs no question.
-			if conflicts++; conflicts%conflictsToAsk != 0 {
+			if e.conflicts++; e.conflicts%conflictsToAsk != 0 {
 				break
 			}
 			done, err := c.resolve(ctx, e, o)
@@ -226,6 +231,13 @@
 	began := time.Now()
 	before, _ := c.Beliefs.Entry(e.up.ID)
 	ask, wait := began.Add(o.Takes+reportLag), donePause
+	if o.Tier != arranger.FromStore {
+		// A copy at the upstream itself loads in a known time, and the upstream's
+		// own word lags by more than what is left. A request that is too early is
+		// refused as not run.
+		pause(ctx, o.Takes+loadSlack)
+		return c.loaded(e, o.Model, nil)
+	}
 	for ctx.Err() == nil && time.Since(began) < maxLoad {
 		s := c.Beliefs.Now()
 		u := s.ByID[e.up.ID]
--- a/internal/locator/addresses.go
+++ b/internal/locator/addresses.go
@@ -22,7 +22,7 @@
 	if len(places) == 0 {
 		return nil
 	}
-	share := (len(places) + len(sites) - 1) / len(sites)
+	share := len(places) / len(sites)
 	list := slices.Clone(places)
 	rank := Rank(dataCentre, candidatesOf(places))
 	order := make(map[string]int, len(rank))
