--- a/internal/syncer/client.go
+++ b/internal/syncer/client.go
@@ -34,7 +34,9 @@
 	// failPause follows a failed call.
 	failPause = 150 * time.Millisecond
 	// ledFor is how long an answer of the conductor shows that it leads.
-	ledFor = 1200 * time.Millisecond
+	ledFor = 1500 * time.Millisecond
+	// hailPause is the time between two questions whether members are alive.
+	hailPause = 300 * time.Millisecond
 	// peerUserTimeout is how long sent bytes may stay unacknowledged.
 	peerUserTimeout = time.Second
 )
@@ -68,6 +70,7 @@
 	version uint64
 	from    string // incarnation of the conductor that the version is of
 	lost    bool
+	heard   map[string]time.Time // members that answered while there was no conductor
 }
 
 // Wake makes the next report come at once.
@@ -94,11 +97,50 @@
 	return time.Since(c.led) < ledFor
 }
 
-// Members returns the instances in the newest view.
+// Members returns the instances that are alive: those in the newest view or,
+// while no conductor answers, those of them that answer this instance.
 func (c *Client) Members() []*peerv1.Member {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.members
+	if time.Since(c.led) < ledFor {
+		return c.members
+	}
+	var out []*peerv1.Member
+	for _, m := range c.members {
+		if m.GetInstance() == c.Self.GetInstance() || time.Since(c.heard[m.GetInstance()]) < memberLife {
+			out = append(out, m)
+		}
+	}
+	return out
+}
+
+// hail asks the members of the newest view whether they are alive.
+func (c *Client) hail(ctx context.Context) {
+	c.mu.Lock()
+	members := c.members
+	c.mu.Unlock()
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	var wg sync.WaitGroup
+	for _, m := range members {
+		if m.GetInstance() == c.Self.GetInstance() {
+			continue
+		}
+		wg.Go(func() {
+			_, err := peerv1.NewFleetQueriesProtobufClient("http://"+m.GetPeerAddress(), c.HTTP).Watch(ctx, &peerv1.WatchRequest{Instance: c.Self.GetInstance()})
+			if err != nil {
+				c.Log.Debug("member does not answer", zap.String("member", m.GetInstance()), logger.Error(err))
+				return
+			}
+			c.mu.Lock()
+			defer c.mu.Unlock()
+			if c.heard == nil {
+				c.heard = make(map[string]time.Time)
+			}
+			c.heard[m.GetInstance()] = time.Now()
+		})
+	}
+	wg.Wait()
 }
 
 // Run reports and watches until ctx ends.
@@ -106,6 +148,14 @@
 	var wg sync.WaitGroup
 	wg.Go(func() { c.report(ctx) })
 	wg.Go(func() { c.watch(ctx) })
+	wg.Go(func() {
+		for ctx.Err() == nil {
+			if !c.IsLed() {
+				c.hail(ctx)
+			}
+			sleep(ctx, hailPause)
+		}
+	})
 	wg.Wait()
 }
 
