--- a/internal/arranger/arranger.go
+++ b/internal/arranger/arranger.go
@@ -13,6 +13,9 @@
 const (
 	// CopyRate is how many requests per second one copy of a model takes.
 	CopyRate = 16.0
+	// slotShare is the part of a copy's slots that the requests at hand may fill
+	// before another copy is worth having.
+	slotShare = 0.6
 	// minResidence keeps a loaded model for those who waited for it.
 	minResidence = 1500 * time.Millisecond
 	// waitingWeight is what a waiting request counts, in requests per second.
@@ -38,7 +41,12 @@
 	askedLanes = 1.0
 	busyLanes  = 1.75
 	// runningLoss is the loss for each request that an unload waits for.
-	runningLoss = 2.0
+	runningLoss = 0.3
+	// runningCost ranks the places for a load by the requests that an unload
+	// there waits for.
+	runningCost = 5.0
+	// crowdCost ranks them by the copies of the model in the same data centre.
+	crowdCost = 0.3
 	// storePenalty and diskPenalty rank the places for a load by its time.
 	storePenalty = 3.0
 	diskPenalty  = 0.2
@@ -82,9 +90,14 @@
 	why   string
 }
 
-// need returns how many copies a model needs for its rate.
-func need(d Demand) int {
-	return int(math.Ceil(d.Rate / CopyRate))
+// need returns how many copies a model needs: for its rate, which the reading of
+// prompts bounds, and for the requests at hand, which the slots bound.
+func (p *planner) need(d Demand) int {
+	n := d.Rate / CopyRate
+	if p.Engine.Slots > 0 {
+		n = max(n, float64(d.Running+d.Waiting)/(slotShare*float64(p.Engine.Slots)))
+	}
+	return int(math.Ceil(n))
 }
 
 // candidates returns the copies that would gain something, the best first.
@@ -93,7 +106,7 @@
 	for _, m := range p.Engine.Models {
 		d := p.demand[m.Name]
 		n := p.copies[m.Name]
-		wanted := max(need(d), 1)
+		wanted := max(p.need(d), 1)
 		switch {
 		case n == 0 && (d.Waiting > 0 || d.Rate > 0):
 			out = append(out, candidate{m, d.Rate + waitingWeight*float64(d.Waiting), askedLanes, fmt.Sprintf("asked for and nowhere: rate %.2f, waiting %d", d.Rate, d.Waiting)})
@@ -138,7 +151,7 @@
 		if !ok || c.gain < hysteresis*loss {
 			continue
 		}
-		cost := loss + float64(u.Running)*0.001
+		cost := loss + runningCost*float64(u.running(out)) + crowdCost*float64(p.near(c.model.Name, u.DataCentre)) + float64(u.Running)*0.001
 		switch tier {
 		case FromStore:
 			cost += storePenalty
@@ -169,6 +182,17 @@
 	return m, true
 }
 
+// near returns how many copies of a model there are in a data centre.
+func (p *planner) near(model, dataCentre string) int {
+	n := 0
+	for _, u := range p.Upstreams {
+		if u.DataCentre == dataCentre && u.holds(model) {
+			n++
+		}
+	}
+	return n
+}
+
 // makeRoom returns which models to unload for a model, and what that loses.
 func (p *planner) makeRoom(u Upstream, m matcher.Model) (out []string, loss float64, ok bool) {
 	missing := u.usedMB(p.Engine) + m.SizeMB - p.Engine.MemoryMB
@@ -183,10 +207,11 @@
 	for _, r := range u.Models {
 		list = append(list, victim{r, p.loss(r)})
 	}
-	// The cheapest by their size go first.
-	slices.SortFunc(list, func(a, b victim) int {
-		return cmp.Compare(a.loss/p.Engine.Models[a.Model].SizeMB, b.loss/p.Engine.Models[b.Model].SizeMB)
-	})
+	// The cheapest by their size go first, and idle ones before others.
+	price := func(v victim) float64 {
+		return (v.loss + runningCost*float64(v.Running)) / p.Engine.Models[v.Model].SizeMB
+	}
+	slices.SortFunc(list, func(a, b victim) int { return cmp.Compare(price(a), price(b)) })
 	for _, v := range list {
 		size := p.Engine.Models[v.Model].SizeMB
 		if missing <= 0 {
@@ -203,7 +228,7 @@
 func (p *planner) loss(r Resident) float64 {
 	d := p.demand[r.Model]
 	n := p.copies[r.Model]
-	wanted := max(need(d), 1)
+	wanted := max(p.need(d), 1)
 	var loss float64
 	switch {
 	case n > wanted:
--- a/internal/arranger/fleet.go
+++ b/internal/arranger/fleet.go
@@ -23,7 +23,8 @@
 
 // Upstream is an engine as the plan sees it.
 type Upstream struct {
-	ID string
+	ID         string
+	DataCentre string
 	// IsBusy says that an order is under way or that it takes no orders.
 	IsBusy         bool
 	Running        int
@@ -50,8 +51,8 @@
 type Demand struct {
 	Model, Adapter string
 	// Rate is in requests per second.
-	Rate    float64
-	Waiting int
+	Rate             float64
+	Waiting, Running int
 }
 
 // Operation is what an order does.
@@ -93,6 +94,17 @@
 	return slices.ContainsFunc(u.Models, func(r Resident) bool { return r.Model == model })
 }
 
+// running returns how many requests run on some of its models.
+func (u Upstream) running(models []string) int {
+	n := 0
+	for _, r := range u.Models {
+		if slices.Contains(models, r.Model) {
+			n += r.Running
+		}
+	}
+	return n
+}
+
 // adapters returns how many adapters the upstream holds.
 func (u Upstream) adapters() int {
 	n := 0
--- a/internal/assembler/assembler.go
+++ b/internal/assembler/assembler.go
@@ -121,7 +121,7 @@
 			a.Log.Info("upstream not reached", zap.String("address", address), zap.Duration("took", took), logger.Error(err))
 		}
 	}}
-	a.queue = &queuer.Queue{Beliefs: a.beliefs, Config: a.config.Load, OnWait: func() { a.client.Wake() }}
+	a.queue = &queuer.Queue{Beliefs: a.beliefs, Config: a.config.Load, OnWait: func() { a.client.Wake() }, IsLed: func() bool { return a.client.IsLed() }}
 	a.queue.Table.DataCentre = a.DataCentre
 	a.budget = &retrier.Budget{Share: retryShare * a.RetryShare, Reserve: reserveShare * a.RetryReserve / minMembers}
 	a.relayer = &relayer.Relayer{
--- a/internal/conductor/conductor.go
+++ b/internal/conductor/conductor.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"slices"
 	"sync"
 	"time"
@@ -23,6 +24,12 @@
 	reportLife = 3 * time.Second
 	// rateWindow is the time constant of the smoothed rates.
 	rateWindow = 4 * time.Second
+	// quickWindow is the time constant of rates that show a rise early.
+	quickWindow = 1200 * time.Millisecond
+	// minForecast is the rate per second from which a rise is taken for one, and
+	// forecastGain how far it is drawn out.
+	minForecast  = 4.0
+	forecastGain = 1.0
 	// priorCopyRate is the rate that a copy beyond the first stands for until
 	// requests have arrived.
 	priorCopyRate = 5.0
@@ -347,13 +354,13 @@
 		}
 		return 1
 	})
-	f.Demands = c.demandsLocked(svc.Name, now)
+	f.Demands = c.demandsLocked(svc.Name, running, now)
 	return f
 }
 
 func (c *Conductor) viewLocked(e *engine, running map[runKey]int, now time.Time) arranger.Upstream {
 	u := arranger.Upstream{
-		ID: e.up.ID, IsBusy: e.busy || now.Before(e.retry), OnHost: e.onHost, OnDisk: e.onDisk,
+		ID: e.up.ID, DataCentre: e.up.DataCentre, IsBusy: e.busy || now.Before(e.retry), OnHost: e.onHost, OnDisk: e.onDisk,
 	}
 	for _, m := range e.models {
 		r := arranger.Resident{Model: m.Name, Since: e.since[m.Name], Running: running[runKey{e.up.ID, m.Name, ""}]}
@@ -390,8 +397,11 @@
 }
 
 // demandsLocked joins what all instances ask of a service.
-func (c *Conductor) demandsLocked(service string, now time.Time) []arranger.Demand {
-	waiting := make(map[key]int)
+func (c *Conductor) demandsLocked(service string, running map[runKey]int, now time.Time) []arranger.Demand {
+	waiting, runs := make(map[key]int), make(map[key]int)
+	for k, n := range running {
+		runs[key{service, k.model, ""}] += n
+	}
 	for _, r := range c.reports {
 		if now.Sub(r.at) > reportLife {
 			continue
@@ -409,7 +419,7 @@
 		if k.service != service || k.model == "" {
 			continue
 		}
-		out = append(out, arranger.Demand{Model: k.model, Adapter: k.adapter, Rate: r.at(now), Waiting: waiting[k]})
+		out = append(out, arranger.Demand{Model: k.model, Adapter: k.adapter, Rate: r.forecast(now), Waiting: waiting[k], Running: runs[k]})
 	}
 	return out
 }
@@ -434,16 +444,16 @@
 
 // rate is a smoothed rate of arrivals.
 type rate struct {
-	value float64 // per second
-	last  time.Time
-	seen  bool
+	value, quick float64 // per second, over rateWindow and quickWindow
+	last         time.Time
+	seen         bool
 }
 
 func (r *rate) add(n int, now time.Time) {
 	if n == 0 {
 		return
 	}
-	r.value = r.at(now) + float64(n)/rateWindow.Seconds()
+	r.value, r.quick = r.at(now)+float64(n)/rateWindow.Seconds(), r.quickAt(now)+float64(n)/quickWindow.Seconds()
 	r.last, r.seen = now, true
 }
 
@@ -451,5 +461,26 @@
 	if r.last.IsZero() {
 		return 0
 	}
-	return r.value * decay(now.Sub(r.last))
+	return r.value * decay(now.Sub(r.last), rateWindow)
+}
+
+func (r *rate) quickAt(now time.Time) float64 {
+	if r.last.IsZero() {
+		return 0
+	}
+	return r.quick * decay(now.Sub(r.last), quickWindow)
+}
+
+// forecast returns the rate that a model will have when a load is done, if it
+// goes on rising. A load from the store takes several seconds.
+func (r *rate) forecast(now time.Time) float64 {
+	v, q := r.at(now), r.quickAt(now)
+	if q < minForecast || q < v {
+		return v
+	}
+	return q + forecastGain*(q-v)
+}
+
+func decay(d, window time.Duration) float64 {
+	return math.Exp(-d.Seconds() / window.Seconds())
 }
--- a/internal/conductor/move.go
+++ b/internal/conductor/move.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math"
 	"slices"
 	"time"
 
@@ -42,10 +41,6 @@
 	failedPause = time.Second
 )
 
-func decay(d time.Duration) float64 {
-	return math.Exp(-d.Seconds() / rateWindow.Seconds())
-}
-
 // errStop says that a move cannot go on.
 var errStop = errors.New("move given up")
 
@@ -214,7 +209,7 @@
 	case a == Holds:
 		e.setModel(registrar.Model{Name: o.Model})
 	default:
-		e.setModel(registrar.Model{Name: o.Model, ReadyIn: o.Takes})
+		e.setModel(registrar.Model{Name: o.Model, ReadyAt: time.Now().Add(o.Takes)})
 		e.store = o.Tier == arranger.FromStore
 	}
 	c.changed = true
--- a/internal/leaser/leaser.go
+++ b/internal/leaser/leaser.go
@@ -22,6 +22,8 @@
 	relayTimeout = 1500 * time.Millisecond
 	// lookPause is the time between two reads while no holder answers.
 	lookPause = 600 * time.Millisecond
+	// claimPause is the time between two tries to renew.
+	claimPause = 400 * time.Millisecond
 	// claimDelay leaves an instance that was killed the time to come back: its
 	// next run may give orders at once, another instance may not.
 	claimDelay = 2600 * time.Millisecond
@@ -61,6 +63,7 @@
 	// Of the goroutine in Run.
 	lost   time.Duration // when the holder stopped answering, 0 while it answers
 	looked time.Duration
+	tried  time.Duration // the last try to renew
 }
 
 // Run claims and renews the lease until ctx ends.
@@ -87,7 +90,9 @@
 	l.mu.Unlock()
 	switch {
 	case leaving:
+	case mine && due && now-l.tried < claimPause && l.tried != 0:
 	case mine && due:
+		l.tried = now
 		l.claim(ctx, l.Newest().Offset+1)
 	case mine:
 	case l.IsLed():
--- a/internal/queuer/queuer.go
+++ b/internal/queuer/queuer.go
@@ -17,6 +17,8 @@
 type Queue struct {
 	Beliefs *registrar.Table
 	Config  func() *matcher.Config
+	// IsLed reports whether somebody gives orders.
+	IsLed func() bool
 	// OnWait, if set, is called when a request begins to wait or is refused for
 	// a model that is not loaded.
 	OnWait func()
@@ -59,7 +61,8 @@
 		q.mu.Unlock()
 		return &Slot{Upstream: u, q: q, ask: a}, nil
 	}
-	outlook := q.Table.Estimate(a, s, cfg)
+	q.Table.IsLed = q.IsLed()
+	outlook := q.Table.Estimate(a, s, cfg, now)
 	if now.Add(outlook.Start).After(a.Limit) {
 		comeBack := max(outlook.Start, minComeBack)
 		if outlook.IsMissing {
@@ -78,6 +81,9 @@
 	select {
 	case u := <-w.granted:
 		return &Slot{Upstream: u, q: q, ask: a}, nil
+	case o := <-w.refused:
+		q.want(a, o)
+		return nil, refusal(o, max(o.Start, minComeBack), a)
 	case <-timer.C:
 	case <-ctx.Done():
 	case <-closed:
@@ -86,8 +92,11 @@
 	left := q.Table.Leave(w)
 	q.mu.Unlock()
 	if !left {
-		u := <-w.granted
-		return &Slot{Upstream: u, q: q, ask: a}, nil
+		select {
+		case u := <-w.granted:
+			return &Slot{Upstream: u, q: q, ask: a}, nil
+		case outlook = <-w.refused:
+		}
 	}
 	if ctx.Err() != nil {
 		return nil, verdict.Refuse(verdict.ReasonCanceled, 0, "the client left after %v in the queue", time.Since(now).Round(time.Millisecond))
@@ -100,6 +109,14 @@
 	return nil, refusal(outlook, max(outlook.Start, minComeBack), a)
 }
 
+// want notes that a refused request is expected back.
+func (q *Queue) want(a Ask, o Outlook) {
+	now := time.Now()
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.Table.Want(a, now, now.Add(o.Start+time.Second))
+}
+
 func refusal(o Outlook, comeBack time.Duration, a Ask) error {
 	if o.IsMissing {
 		return verdict.Refuse(verdict.ReasonNoUpstream, comeBack, "model %s adapter %q: not loaded, ready in %v", a.Model, a.Adapter, o.Start)
@@ -125,10 +142,23 @@
 			return
 		case <-s.Changed:
 		case <-tick.C: // a breaker may let a trial through
+			q.expire()
 		}
 	}
 }
 
+// expire refuses those whose model will not be loaded in time after all.
+func (q *Queue) expire() {
+	cfg := q.Config()
+	if cfg == nil {
+		return
+	}
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.Table.IsLed = q.IsLed()
+	q.Table.Expire(q.Beliefs.Now(), cfg, time.Now())
+}
+
 func (q *Queue) pump() {
 	cfg := q.Config()
 	if cfg == nil {
--- a/internal/queuer/table.go
+++ b/internal/queuer/table.go
@@ -22,6 +22,11 @@
 	// swapDelay is what a load takes beside the copying: the decision, the order
 	// and the unloading of another model.
 	swapDelay = 400 * time.Millisecond
+	// leaderless is how long it may take until somebody gives orders again.
+	leaderless = 4 * time.Second
+	// localShare is the part of its slots up to which an upstream in the own data
+	// centre is preferred to all others.
+	localShare = 0.7
 	// adapterDelay is how long an adapter takes to be loaded on demand.
 	adapterDelay = 100 * time.Millisecond
 	// plainQueue is how many requests may wait at a plain upstream beyond its
@@ -82,7 +87,9 @@
 // Table holds what runs and what waits. Its zero value is ready to use.
 type Table struct {
 	DataCentre string
-	Rand       *rand.Rand
+	// IsLed says that somebody gives orders to load what is missing.
+	IsLed bool
+	Rand  *rand.Rand
 
 	waiting  []*Waiter // in the order in which they go
 	uses     map[key]*use
@@ -103,6 +110,7 @@
 	Ask     Ask
 	arrived time.Time
 	granted chan *registrar.Upstream
+	refused chan Outlook
 }
 
 // Grant returns the upstream for an ask and counts the request as running
@@ -153,6 +161,9 @@
 		cands = append(cands, c)
 		from = append(from, u)
 	}
+	if i := router.Choose(local(cands), a.Tried, t.Rand); i >= 0 && !a.Tried[cands[i].Upstream] {
+		return from[i]
+	}
 	i := router.Choose(cands, a.Tried, t.Rand)
 	if i < 0 {
 		return nil
@@ -160,6 +171,18 @@
 	return from[i]
 }
 
+// local returns the candidates with those that are elsewhere or rather full
+// left without a slot.
+func local(cands []router.Candidate) []router.Candidate {
+	out := slices.Clone(cands)
+	for i, c := range out {
+		if c.Distance != sameDistance || float64(c.Load) >= localShare*float64(c.Slots) {
+			out[i].Slots = 0
+		}
+	}
+	return out
+}
+
 // Arrive counts the arrival of a request.
 func (t *Table) Arrive(a Ask) {
 	t.init()
@@ -175,7 +198,7 @@
 }
 
 // Estimate returns when the ask could start although nothing takes it now.
-func (t *Table) Estimate(a Ask, s *registrar.Snapshot, cfg *matcher.Config) Outlook {
+func (t *Table) Estimate(a Ask, s *registrar.Snapshot, cfg *matcher.Config, now time.Time) Outlook {
 	svc, ok := cfg.Services[a.Service]
 	if !ok || a.Model == "" || svc.Engine == nil {
 		return Outlook{}
@@ -183,17 +206,22 @@
 	model := svc.Engine.Models[a.Model]
 	best := model.FromStore + swapDelay
 	held := false
+	if !t.IsLed {
+		// Nobody gives orders for now.
+		best += leaderless
+	}
 	for _, u := range s.Services[a.Service] {
 		if m, ok := u.Model(a.Model); ok {
 			if a.Adapter == "" || slices.Contains(m.Adapters, a.Adapter) {
-				held = held || m.ReadyIn == 0
-				best = min(best, m.ReadyIn)
-			} else {
-				best = min(best, m.ReadyIn+adapterDelay)
+				held = held || m.ReadyAt.IsZero()
+				best = min(best, readyIn(m, now))
+			} else if t.IsLed {
+				best = min(best, readyIn(m, now)+adapterDelay)
 			}
 			continue
 		}
 		switch {
+		case !t.IsLed:
 		case slices.Contains(u.OnHost, a.Model):
 			best = min(best, model.FromHost+swapDelay)
 		case slices.Contains(u.OnDisk, a.Model):
@@ -203,9 +231,34 @@
 	return Outlook{Start: best, IsMissing: !held}
 }
 
+// readyIn returns how long a load still takes. One that is overdue may end at
+// any moment.
+func readyIn(m registrar.Model, now time.Time) time.Duration {
+	if m.ReadyAt.IsZero() {
+		return 0
+	}
+	return max(m.ReadyAt.Sub(now), minComeBack)
+}
+
+// Expire removes and returns the waiters that cannot start before their limit
+// any more, with when they could.
+func (t *Table) Expire(s *registrar.Snapshot, cfg *matcher.Config, now time.Time) {
+	kept := t.waiting[:0]
+	for _, w := range t.waiting {
+		o := t.Estimate(w.Ask, s, cfg, now)
+		if o.IsMissing && now.Add(o.Start).After(w.Ask.Limit) {
+			w.refused <- o
+			continue
+		}
+		kept = append(kept, w)
+	}
+	clear(t.waiting[len(kept):])
+	t.waiting = kept
+}
+
 // Wait adds a waiter in its place.
 func (t *Table) Wait(a Ask, now time.Time) *Waiter {
-	w := &Waiter{Ask: a, arrived: now, granted: make(chan *registrar.Upstream, 1)}
+	w := &Waiter{Ask: a, arrived: now, granted: make(chan *registrar.Upstream, 1), refused: make(chan Outlook, 1)}
 	i, _ := slices.BinarySearchFunc(t.waiting, w, func(x, y *Waiter) int {
 		if c := cmp.Compare(x.Ask.Priority, y.Ask.Priority); c != 0 {
 			return c
--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -53,15 +53,15 @@
 	Name     string
 	Version  int64
 	Adapters []string
-	// ReadyIn is how long its load still takes, zero if it is loaded.
-	ReadyIn time.Duration
+	// ReadyAt is when its load should be done, zero if it is loaded.
+	ReadyAt time.Time
 }
 
 // Holds reports whether the upstream can run the model now, with the adapter
 // if one is named.
 func (u *Upstream) Holds(model, adapter string) bool {
 	m, ok := u.Model(model)
-	return ok && m.ReadyIn == 0 && (adapter == "" || slices.Contains(m.Adapters, adapter))
+	return ok && m.ReadyAt.IsZero() && (adapter == "" || slices.Contains(m.Adapters, adapter))
 }
 
 // Model returns what the upstream holds of a model.
--- a/internal/relayer/attempt.go
+++ b/internal/relayer/attempt.go
@@ -26,6 +26,7 @@
 	err    error // the request ends with it
 	failed bool  // says something against the upstream
 	notRun bool  // the upstream provably did not run it
+	unsent bool  // the upstream has seen nothing of it
 	why    string
 }
 
@@ -45,6 +46,7 @@
 	if !f.notRun {
 		c.ran++
 	}
+	c.unsent = f.unsent
 	c.ask.Tried[u.ID] = true
 	if !gone {
 		if slot.Note(queuer.Outcome{Failed: f.failed, First: c.first, Began: began}) {
@@ -78,7 +80,8 @@
 		if errors.As(err, &e) && e.IsDial && ctx.Err() == nil {
 			c.Pool.Forget(u.Address)
 		}
-		return fate{failed: true, notRun: !courier.WasSent(err), why: err.Error()}
+		unsent := !courier.WasSent(err)
+		return fate{failed: true, notRun: unsent, unsent: unsent, why: err.Error()}
 	}
 	defer ans.Body.Close()
 	c.first = time.Since(began)
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -30,6 +30,8 @@
 	// maxSends bounds the upstreams that are tried for a request, those that
 	// say that it did not run included.
 	maxSends = 4
+	// maxUnsent bounds the upstreams that are tried while none is reached.
+	maxUnsent = 8
 	// maxComeBack bounds the time to come back that is sent.
 	maxComeBack = 8 * time.Second
 	// defaultMaxBody bounds bodies while the configuration does not.
@@ -108,6 +110,7 @@
 	w        http.ResponseWriter
 	ran      int // attempts that may have run
 	sends    int
+	unsent   bool // the last attempt did not reach its upstream
 	waited   time.Duration
 	upstream string // that was tried last
 	why      string // how the last attempt ended
@@ -243,9 +246,10 @@
 		return c.refuse(verdict.ReasonCanceled, 0, "the client left")
 	case left < startMargin:
 		return c.refuse(verdict.ReasonDeadline, 0, "no time left after %d attempts: %s", c.sends, c.why)
+	case c.unsent && c.sends < maxUnsent:
 	case c.sends >= maxSends || c.ran >= max(c.route.MaxAttempts, 1):
 		return c.refuse(verdict.ReasonUpstreamFailed, minRetry, "%d attempts: %s", c.sends, c.why)
-	case !c.Budget.Retry():
+	case !c.unsent && !c.Budget.Retry():
 		return c.refuse(verdict.ReasonUpstreamFailed, time.Second, "retry budget used up: %s", c.why)
 	}
 	return nil
--- a/internal/syncer/server.go
+++ b/internal/syncer/server.go
@@ -236,19 +236,28 @@
 	u := &peerv1.UpstreamView{Id: v.ID, Born: v.Born, Orders: v.Orders, Running: uint32(max(0, v.Running-own))}
 	for _, m := range v.Models {
 		u.Models = append(u.Models, &peerv1.ModelView{
-			Name: m.Name, Version: m.Version, Adapters: m.Adapters, ReadyInMs: uint32(m.ReadyIn.Milliseconds()),
+			Name: m.Name, Version: m.Version, Adapters: m.Adapters, ReadyInMs: readyIn(m.ReadyAt),
 		})
 	}
 	return u
 }
 
+// readyIn returns the milliseconds until a load is done, 0 if it is.
+func readyIn(at time.Time) uint32 {
+	if at.IsZero() {
+		return 0
+	}
+	return uint32(max(1, time.Until(at).Milliseconds()))
+}
+
 func decodeView(u *peerv1.UpstreamView) registrar.View {
 	v := registrar.View{ID: u.GetId(), Born: u.GetBorn(), Orders: u.GetOrders(), Running: int(u.GetRunning())}
 	for _, m := range u.GetModels() {
-		v.Models = append(v.Models, registrar.Model{
-			Name: m.GetName(), Version: m.GetVersion(), Adapters: m.GetAdapters(),
-			ReadyIn: time.Duration(m.GetReadyInMs()) * time.Millisecond,
-		})
+		x := registrar.Model{Name: m.GetName(), Version: m.GetVersion(), Adapters: m.GetAdapters()}
+		if ms := m.GetReadyInMs(); ms > 0 {
+			x.ReadyAt = time.Now().Add(time.Duration(ms) * time.Millisecond)
+		}
+		v.Models = append(v.Models, x)
 	}
 	return v
 }
