--- a/internal/arranger/arranger.go
+++ b/internal/arranger/arranger.go
@@ -12,7 +12,7 @@
 
 const (
 	// CopyRate is how many requests per second one copy of a model takes.
-	CopyRate = 16.0
+	CopyRate = 24.0
 	// slotShare is the part of a copy's slots that the requests at hand may fill
 	// before another copy is worth having.
 	slotShare = 0.6
--- a/internal/conductor/conductor.go
+++ b/internal/conductor/conductor.go
@@ -28,7 +28,7 @@
 	quickWindow = 1200 * time.Millisecond
 	// minForecast is the rate per second from which a rise is taken for one, and
 	// forecastGain how far it is drawn out.
-	minForecast  = 4.0
+	minForecast  = 8.0
 	forecastGain = 1.0
 	// priorCopyRate is the rate that a copy beyond the first stands for until
 	// requests have arrived.
