arranger, queuer, relayer: copies by adapters in use, pause after a refusal as not run

Causes: a base with 37 adapters had two copies and 16 places, so adapters that were in use were put out; a request that came while its adapter was loading was refused four times within milliseconds and given up.

--- a/internal/arranger/arranger.go
+++ b/internal/arranger/arranger.go
@@ -16,6 +16,11 @@
 	// slotShare is the part of a copy's slots that the requests at hand may fill
 	// before another copy is worth having.
 	slotShare = 0.6
+	// placeShare is the same for the places of adapters: the rest holds those
+	// that are asked for next.
+	placeShare = 0.7
+	// adapterUse is how long a request uses an adapter.
+	adapterUse = 800 * time.Millisecond
 	// minResidence keeps a loaded model for those who waited for it.
 	minResidence = 1500 * time.Millisecond
 	// waitingWeight is what a waiting request counts, in requests per second.
@@ -57,15 +62,19 @@
 	Fleet
 	demand map[string]Demand // of models
 	copies map[string]int
-	moved  map[string]bool // upstreams that a move was planned for
+	// adapters is how many adapters of each model are in use at once.
+	adapters map[string]float64
+	moved    map[string]bool // upstreams that a move was planned for
 }
 
 // Plan returns the moves that are worth making now.
 func Plan(f Fleet) []Move {
-	p := &planner{Fleet: f, demand: make(map[string]Demand), copies: make(map[string]int), moved: make(map[string]bool)}
+	p := &planner{Fleet: f, demand: make(map[string]Demand), copies: make(map[string]int), adapters: make(map[string]float64), moved: make(map[string]bool)}
 	for _, d := range f.Demands {
 		if d.Adapter == "" {
 			p.demand[d.Model] = d
+		} else {
+			p.adapters[d.Model] += 1 - math.Exp(-d.Rate*adapterUse.Seconds())
 		}
 	}
 	for _, u := range f.Upstreams {
@@ -91,12 +100,16 @@
 }
 
 // need returns how many copies a model needs: for its rate, which the reading of
-// prompts bounds, and for the requests at hand, which the slots bound.
+// prompts bounds, for the requests at hand, which the slots bound, and for the
+// adapters that are in use at once, which the places bound.
 func (p *planner) need(d Demand) int {
 	n := d.Rate / CopyRate
 	if p.Engine.Slots > 0 {
 		n = max(n, float64(d.Running+d.Waiting)/(slotShare*float64(p.Engine.Slots)))
 	}
+	if p.Engine.AdapterPlaces > 0 {
+		n = max(n, p.adapters[d.Model]/(placeShare*float64(p.Engine.AdapterPlaces)))
+	}
 	return int(math.Ceil(n))
 }
 
--- a/internal/conductor/move.go
+++ b/internal/conductor/move.go
@@ -35,6 +35,8 @@
 	maxBusy = 20 * time.Second
 	// loadSlack is added to the time of a load from disk or host memory.
 	loadSlack = 40 * time.Millisecond
+	// adapterLoad is how long an adapter takes to be loaded.
+	adapterLoad = 8 * time.Millisecond
 	// maxLoad bounds the wait for a load, which takes longer the more there are.
 	maxLoad = time.Minute
 	// failedPause is how long an upstream is left alone after a failed move.
@@ -196,6 +198,9 @@
 
 // accepted takes over the effect of an order.
 func (c *Conductor) accepted(ctx context.Context, e *engine, o arranger.Order, a Answer) error {
+	if a == Accepted && o.Operation == arranger.Load && o.Adapter != "" {
+		pause(ctx, adapterLoad) // until then its requests are refused
+	}
 	c.mu.Lock()
 	if a == Accepted {
 		e.orders++
--- a/internal/queuer/queuer.go
+++ b/internal/queuer/queuer.go
@@ -177,6 +177,13 @@
 	s.q.pump()
 }
 
+// Shed notes that the upstream refused the request as not run.
+func (s *Slot) Shed() {
+	s.q.mu.Lock()
+	defer s.q.mu.Unlock()
+	s.q.Table.Shed(s.ask, s.Upstream.ID, time.Now())
+}
+
 // Note takes over the outcome of the slot's attempt. It reports whether the
 // upstream is kept from attempts from now on.
 func (s *Slot) Note(o Outcome) (opened bool) {
--- a/internal/queuer/table.go
+++ b/internal/queuer/table.go
@@ -32,6 +32,11 @@
 	// plainQueue is how many requests may wait at a plain upstream beyond its
 	// slots, so that its slots do not run dry between two requests.
 	plainQueue = 2
+	// shedPause is how long an upstream gets no more requests for what it has
+	// refused; an adapter takes some milliseconds to load, a full queue drains.
+	shedPause = 60 * time.Millisecond
+	// maxShed is how many of such refusals are kept before old ones are dropped.
+	maxShed = 512
 	// latencyWeight is the weight of a new sample in the smoothed latency.
 	latencyWeight = 0.2
 	// rememberedPrefixes is how many prompt prefixes are known by their reader.
@@ -95,9 +100,16 @@
 	uses     map[key]*use
 	running  map[string]int // by upstream
 	health   map[string]health
+	shed     map[shedKey]time.Time // until when an upstream gets none of a key
 	prefixes *simplelru.LRU[string, string] // prefix to the upstream that has read it last
 }
 
+// shedKey is a model or adapter at an upstream.
+type shedKey struct {
+	upstream string
+	key
+}
+
 // health is what outcomes say of one incarnation of an upstream.
 type health struct {
 	born    int64
@@ -144,7 +156,7 @@
 			continue
 		}
 		h := t.healthOf(u)
-		if !h.breaker.Allows(now) {
+		if !h.breaker.Allows(now) || now.Before(t.shed[shedKey{u.ID, a.key()}]) {
 			continue
 		}
 		slots := u.Slots
@@ -316,6 +328,19 @@
 	}
 }
 
+// Shed notes that an upstream refused a request as not run, because it is full
+// or an order for the model is under way.
+func (t *Table) Shed(a Ask, upstream string, now time.Time) {
+	t.shed[shedKey{upstream, a.key()}] = now.Add(shedPause)
+	if len(t.shed) > maxShed {
+		for k, until := range t.shed {
+			if now.After(until) {
+				delete(t.shed, k)
+			}
+		}
+	}
+}
+
 // Outcome is how an attempt went, as far as it says something of the upstream.
 type Outcome struct {
 	Failed bool
@@ -415,6 +440,7 @@
 	t.uses = make(map[key]*use)
 	t.running = make(map[string]int)
 	t.health = make(map[string]health)
+	t.shed = make(map[shedKey]time.Time)
 	t.prefixes, _ = simplelru.NewLRU[string, string](rememberedPrefixes, nil) // fails for a size below one only
 	if t.Rand == nil {
 		t.Rand = rand.New(rand.NewPCG(1, 2)) //nolint:gosec // spreads load, keeps no secret
--- a/internal/relayer/attempt.go
+++ b/internal/relayer/attempt.go
@@ -27,6 +27,7 @@
 	failed bool  // says something against the upstream
 	notRun bool  // the upstream provably did not run it
 	unsent bool  // the upstream has seen nothing of it
+	shed   bool  // the upstream refused it, being full or busy with an order
 	why    string
 }
 
@@ -39,6 +40,9 @@
 	watch := c.Poison.Begin(u, c.print)
 	c.first = 0
 	f := c.exchange(ctx, u, began)
+	if f.shed {
+		slot.Shed()
+	}
 	slot.Release()
 	c.why = f.why
 	gone := ctx.Err() != nil
@@ -47,7 +51,9 @@
 		c.ran++
 	}
 	c.unsent = f.unsent
-	c.ask.Tried[u.ID] = true
+	if !f.shed {
+		c.ask.Tried[u.ID] = true
+	}
 	if !gone {
 		if slot.Note(queuer.Outcome{Failed: f.failed, First: c.first, Began: began}) {
 			c.Log.Warn("upstream kept from requests", zap.String("upstream", u.ID), zap.String("why", f.why))
@@ -91,7 +97,7 @@
 		c.noteMisdirected(u, r)
 		return fate{notRun: true, why: "misdirected"}
 	case r.NotRun && (ans.IsBound || !ans.WasReused):
-		return fate{notRun: true, why: "upstream refused with status " + strconv.Itoa(ans.Status)}
+		return fate{notRun: true, shed: true, why: "upstream refused with status " + strconv.Itoa(ans.Status)}
 	case !ans.IsBound:
 		return fate{failed: true, why: "answer without the request's id"}
 	case ans.Header.Get("Content-Encoding") != "":
