arranger, conductor: one lane to fetch what nobody asks for, priors from the first copies

Causes: after a restart of all instances three of four lanes of the store fetched models that nobody asked for, while those asked for waited up to 14 s; before traffic the last copies of models that start with several were put out.

--- a/internal/arranger/arranger.go
+++ b/internal/arranger/arranger.go
@@ -42,9 +42,11 @@
 	// used, as multiples of those that run at full speed, for what nobody asks
 	// for, for what is asked for and nowhere, and for copies of busy models. More
 	// loads at once take longer each, but no longer in sum.
-	fetchLanes = 0.75
+	fetchLanes = 0.25
 	askedLanes = 1.0
 	busyLanes  = 1.75
+	// idleLanes is used instead of fetchLanes while nothing is asked for at all.
+	idleLanes = 1.0
 	// runningLoss is the loss for each request that an unload waits for.
 	runningLoss = 0.3
 	// runningCost ranks the places for a load by the requests that an unload
@@ -116,6 +118,10 @@
 // candidates returns the copies that would gain something, the best first.
 func (p *planner) candidates() []candidate {
 	var out []candidate
+	lanes := fetchLanes
+	if p.IsIdle {
+		lanes = idleLanes
+	}
 	for _, m := range p.Engine.Models {
 		d := p.demand[m.Name]
 		n := p.copies[m.Name]
@@ -124,7 +130,7 @@
 		case n == 0 && (d.Waiting > 0 || d.Rate > 0):
 			out = append(out, candidate{m, d.Rate + waitingWeight*float64(d.Waiting), askedLanes, fmt.Sprintf("asked for and nowhere: rate %.2f, waiting %d", d.Rate, d.Waiting)})
 		case n == 0 && !p.hasCopy(m.Name):
-			out = append(out, candidate{m, fetchGain, fetchLanes, "no copy anywhere"})
+			out = append(out, candidate{m, fetchGain, lanes, "no copy anywhere"})
 		case n > 0 && n < wanted:
 			out = append(out, candidate{m, extraGain * d.Rate / float64(n+1), busyLanes, fmt.Sprintf("%d of %d copies for rate %.2f", n, wanted, d.Rate)})
 		}
--- a/internal/arranger/fleet.go
+++ b/internal/arranger/fleet.go
@@ -18,7 +18,9 @@
 	StoreLoads int
 	// StoreLanes is how many run at once at full speed.
 	StoreLanes int
-	Now        time.Time
+	// IsIdle says that no request has arrived yet.
+	IsIdle bool
+	Now    time.Time
 }
 
 // Upstream is an engine as the plan sees it.
--- a/internal/conductor/conductor.go
+++ b/internal/conductor/conductor.go
@@ -99,6 +99,8 @@
 	rates   map[key]*rate
 	wake    chan struct{}
 	changed bool
+	seen    bool        // a request has arrived
+	priors  map[key]int // most copies of a model before that
 	moves   sync.WaitGroup
 }
 
@@ -138,6 +140,7 @@
 	c.reports[instance] = report{now, uses}
 	urgent := false
 	for _, u := range uses {
+		c.seen = c.seen || u.Arrived > 0
 		c.rateLocked(u).add(u.Arrived, now)
 		if u.Adapter != "" {
 			c.rateLocked(Use{Service: u.Service, Model: u.Model}).add(u.Arrived, now)
@@ -335,7 +338,7 @@
 
 // fleetLocked returns what a plan for the service is made from.
 func (c *Conductor) fleetLocked(svc matcher.Service, now time.Time) arranger.Fleet {
-	f := arranger.Fleet{Engine: *svc.Engine, StoreLanes: StoreLanes, Now: now}
+	f := arranger.Fleet{Engine: *svc.Engine, StoreLanes: StoreLanes, IsIdle: !c.seen, Now: now}
 	running := c.runningLocked(now)
 	for _, e := range c.engines {
 		if e.up.Service != svc.Name || !e.known {
@@ -424,20 +427,27 @@
 	return out
 }
 
-// priorsLocked lets copies stand for rates that no request has shown yet.
+// priorsLocked lets the copies that the upstreams began with stand for rates
+// that no request has shown yet.
 func (c *Conductor) priorsLocked(service string, now time.Time) {
-	copies := make(map[string]int)
+	if c.seen {
+		return
+	}
+	copies := make(map[key]int)
 	for _, e := range c.engines {
 		if e.up.Service == service {
 			for _, m := range e.models {
-				copies[m.Name]++
+				copies[key{service, m.Name, ""}]++
 			}
 		}
 	}
-	for name, n := range copies {
-		r := c.rateLocked(Use{Service: service, Model: name})
-		if !r.seen && n > 2 {
-			r.value, r.last = priorCopyRate*float64(n-1), now
+	if c.priors == nil {
+		c.priors = make(map[key]int)
+	}
+	for k, n := range copies {
+		if c.priors[k] = max(c.priors[k], n); c.priors[k] > 1 {
+			r := c.rateLocked(Use{Service: service, Model: k.model})
+			r.value, r.last = priorCopyRate*float64(c.priors[k]-1), now
 		}
 	}
 }
