--- /dev/null
+++ b/internal/locator/addresses_test.go
@@ -0,0 +1,28 @@
+package locator
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+func places(dataCentres ...string) []Place {
+	var out []Place
+	for i, d := range dataCentres {
+		out = append(out, Place{Address: string(rune('a' + i)), DataCentre: d})
+	}
+	return out
+}
+
+func TestAddresses(t *testing.T) {
+	all := places("x", "x", "x", "y", "y", "z")
+	require.ElementsMatch(t, []string{"a", "b", "c"}, Addresses(all, "x"))
+	require.ElementsMatch(t, []string{"d", "e"}, Addresses(all, "y"))
+	z := Addresses(all, "z")
+	require.Len(t, z, 2, "filled up to an even share")
+	require.Contains(t, z, "f")
+	require.Subset(t, []string{"a", "b", "c"}, z[1:], "from where there are most")
+	require.Len(t, Addresses(all, "elsewhere"), 2)
+	require.Empty(t, Addresses(nil, "x"))
+	require.Equal(t, []string{"a"}, Addresses(places("x"), "y"))
+}
--- /dev/null
+++ b/internal/logger/logger_test.go
@@ -0,0 +1,36 @@
+package logger
+
+import (
+	"bytes"
+	"errors"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
+)
+
+func TestLinesThatDoNotFitAreCounted(t *testing.T) {
+	var out bytes.Buffer
+	w := &Writer{Out: &out}
+	log, err := New(w, "info")
+	require.NoError(t, err)
+	const lines = 10_000
+	for range lines {
+		log.Info("line", zap.String("filler", strings.Repeat("x", 100)), Error(nil))
+	}
+	require.NoError(t, w.Sync())
+	require.Less(t, out.Len(), maxBuffered+1000)
+	require.Contains(t, out.String(), "log lines dropped")
+
+	out.Reset()
+	log.Info("later", Error(errors.New("why")))
+	require.NoError(t, w.Sync())
+	require.Contains(t, out.String(), `"msg":"later","error":"why"`)
+	require.NotContains(t, out.String(), "dropped")
+}
+
+func TestUnknownLevel(t *testing.T) {
+	_, err := New(&Writer{}, "loud")
+	require.Error(t, err)
+}
