--- a/internal/conductor/conductor.go
+++ b/internal/conductor/conductor.go
@@ -445,9 +445,12 @@
 		c.priors = make(map[key]int)
 	}
 	for k, n := range copies {
-		if c.priors[k] = max(c.priors[k], n); c.priors[k] > 1 {
-			r := c.rateLocked(Use{Service: service, Model: k.model})
-			r.value, r.last = priorCopyRate*float64(c.priors[k]-1), now
+		c.priors[k] = max(c.priors[k], n)
+	}
+	for k, n := range c.priors {
+		if n > 1 {
+			r := c.rateLocked(Use{Service: k.service, Model: k.model})
+			r.value, r.last = priorCopyRate*float64(n-1), now
 		}
 	}
 }
--- a/internal/queuer/queuer_test.go
+++ b/internal/queuer/queuer_test.go
@@ -148,7 +148,7 @@
 	require.Equal(t, 1, uses[0].Arrived)
 	require.Equal(t, 1, uses[0].Waiting)
 	require.Equal(t, 300*time.Millisecond, uses[0].Objective)
-	require.Equal(t, 1, table.Uses(start.Add(2*time.Second))[0].Waiting)
+	require.Equal(t, 1, table.Uses(start.Add(2 * time.Second))[0].Waiting)
 	require.Empty(t, table.Uses(start.Add(4*time.Second)))
 }
 
--- a/internal/queuer/table.go
+++ b/internal/queuer/table.go
@@ -100,7 +100,7 @@
 	uses     map[key]*use
 	running  map[string]int // by upstream
 	health   map[string]health
-	shed     map[shedKey]time.Time // until when an upstream gets none of a key
+	shed     map[shedKey]time.Time          // until when an upstream gets none of a key
 	prefixes *simplelru.LRU[string, string] // prefix to the upstream that has read it last
 }
 
