--- /dev/null
+++ b/cmd/primrosedrift/entry_test.go
@@ -0,0 +1,15 @@
+package main
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/primrosedrift/primrosedrift/platform"
+)
+
+func TestEntryRefusesFaultySettings(t *testing.T) {
+	t.Setenv(platform.SettingsVariable, "")
+	err := command().Run(t.Context(), []string{"primrosedrift", "entry"})
+	require.Equal(t, exitUsage, exitCode(err))
+}
