--- a/internal/queuer/queuer.go
+++ b/internal/queuer/queuer.go
@@ -48,6 +48,16 @@
 	Upstream *registrar.Upstream
 	q        *Queue
 	ask      Ask
+	started  bool
+}
+
+// Start notes that the upstream has read the request's prompt.
+func (s *Slot) Start() {
+	s.q.mu.Lock()
+	s.started = true
+	s.q.Table.Start(s.ask, s.Upstream.ID)
+	s.q.mu.Unlock()
+	s.q.pump()
 }
 
 // Acquire returns a slot for the request, or a verdict.Refusal if none can be
@@ -172,6 +182,9 @@
 // Release gives the slot back.
 func (s *Slot) Release() {
 	s.q.mu.Lock()
+	if !s.started {
+		s.q.Table.Start(s.ask, s.Upstream.ID)
+	}
 	s.q.Table.Release(s.ask, s.Upstream.ID)
 	s.q.mu.Unlock()
 	s.q.pump()
--- a/internal/queuer/table.go
+++ b/internal/queuer/table.go
@@ -24,6 +24,13 @@
 	swapDelay = 400 * time.Millisecond
 	// leaderless is how long it may take until somebody gives orders again.
 	leaderless = 4 * time.Second
+	// maxReading bounds the tokens of prompts that this instance has an upstream
+	// read at once. Reading holds up the streams that run there: 2,048 tokens
+	// take some 60 ms, and their clients expect pauses below 200 ms.
+	maxReading = 2200
+	// readingRate is how many tokens of prompts an upstream reads in a
+	// millisecond, for the order of the candidates.
+	readingRate = 30
 	// localShare is the part of its slots up to which an upstream in the own data
 	// centre is preferred to all others.
 	localShare = 0.7
@@ -55,6 +62,8 @@
 	Limit time.Time
 	// Prefix names the prompt's shared part, empty if there is none.
 	Prefix string
+	// Tokens is the length of the prompt.
+	Tokens int
 	// Tried names upstreams that have failed the request.
 	Tried map[string]bool
 }
@@ -99,6 +108,7 @@
 	waiting  []*Waiter // in the order in which they go
 	uses     map[key]*use
 	running  map[string]int // by upstream
+	reading  map[string]int // tokens of prompts that an upstream has not read yet
 	health   map[string]health
 	shed     map[shedKey]time.Time          // until when an upstream gets none of a key
 	prefixes *simplelru.LRU[string, string] // prefix to the upstream that has read it last
@@ -134,6 +144,7 @@
 	}
 	t.use(a.key()).running[u.ID]++
 	t.running[u.ID]++
+	t.reading[u.ID] += a.Tokens
 	h := t.healthOf(u)
 	h.breaker = h.breaker.WithAttempt(now)
 	t.health[u.ID] = h
@@ -155,6 +166,10 @@
 		if a.Model != "" && !u.Holds(a.Model, a.Adapter) {
 			continue
 		}
+		reading := t.reading[u.ID]
+		if reading > 0 && reading+a.Tokens > maxReading {
+			continue
+		}
 		h := t.healthOf(u)
 		if !h.breaker.Allows(now) || now.Before(t.shed[shedKey{u.ID, a.key()}]) {
 			continue
@@ -170,6 +185,7 @@
 		if u.DataCentre == t.DataCentre {
 			c.Distance = sameDistance
 		}
+		c.Distance += time.Duration(reading) * time.Millisecond / readingRate
 		cands = append(cands, c)
 		from = append(from, u)
 	}
@@ -188,7 +204,7 @@
 func local(cands []router.Candidate) []router.Candidate {
 	out := slices.Clone(cands)
 	for i, c := range out {
-		if c.Distance != sameDistance || float64(c.Load) >= localShare*float64(c.Slots) {
+		if c.Distance >= crossDistance || float64(c.Load) >= localShare*float64(c.Slots) {
 			out[i].Slots = 0
 		}
 	}
@@ -317,6 +333,13 @@
 	t.waiting = kept
 }
 
+// Start notes that an upstream has read a request's prompt.
+func (t *Table) Start(a Ask, upstream string) {
+	if t.reading[upstream] -= a.Tokens; t.reading[upstream] <= 0 {
+		delete(t.reading, upstream)
+	}
+}
+
 // Release ends the run of a request.
 func (t *Table) Release(a Ask, upstream string) {
 	r := t.use(a.key()).running
@@ -439,6 +462,7 @@
 	}
 	t.uses = make(map[key]*use)
 	t.running = make(map[string]int)
+	t.reading = make(map[string]int)
 	t.health = make(map[string]health)
 	t.shed = make(map[shedKey]time.Time)
 	t.prefixes, _ = simplelru.NewLRU[string, string](rememberedPrefixes, nil) // fails for a size below one only
--- a/internal/relayer/attempt.go
+++ b/internal/relayer/attempt.go
@@ -39,7 +39,7 @@
 	began := time.Now()
 	watch := c.Poison.Begin(u, c.print)
 	c.first = 0
-	f := c.exchange(ctx, u, began)
+	f := c.exchange(ctx, slot, began)
 	if f.shed {
 		slot.Shed()
 	}
@@ -72,7 +72,8 @@
 }
 
 // exchange sends the request to the upstream and passes its answer on.
-func (c *call) exchange(ctx context.Context, u *registrar.Upstream, began time.Time) fate {
+func (c *call) exchange(ctx context.Context, slot *queuer.Slot, began time.Time) fate {
+	u := slot.Upstream
 	left := time.Until(c.deadline)
 	actx, cancel := context.WithTimeout(ctx, left+overtime)
 	defer cancel()
@@ -90,6 +91,7 @@
 		return fate{failed: true, notRun: unsent, unsent: unsent, why: err.Error()}
 	}
 	defer ans.Body.Close()
+	slot.Start()
 	c.first = time.Since(began)
 	r := c.Codec.Remarks(ans.Status, ans.Header)
 	switch {
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -44,6 +44,7 @@
 	// Deadline is how long the client waits, zero if it does not say.
 	Deadline       time.Duration
 	Model, Adapter string
+	PromptTokens   int
 	// Prefix names the part of the prompt that it shares with other requests.
 	Prefix      string
 	LastEventID string // of a stream that the client resumes
@@ -204,7 +205,7 @@
 	c.ask = queuer.Ask{
 		Service: c.route.Service(c.facts.ID), Model: c.facts.Model, Adapter: c.facts.Adapter,
 		Priority: c.route.Priority, Objective: c.arrived.Add(c.route.Objective), Limit: limit,
-		Prefix: c.facts.Prefix, Tried: make(map[string]bool),
+		Prefix: c.facts.Prefix, Tokens: c.facts.PromptTokens, Tried: make(map[string]bool),
 	}
 	c.print = fingerprint(c)
 	c.Queue.Arrive(c.ask)
@@ -299,6 +300,9 @@
 		zap.String("adapter", c.facts.Adapter), zap.String("upstream", c.upstream), zap.Int("attempts", c.sends),
 		zap.Duration("waited", c.waited), zap.Duration("first", c.first), zap.Duration("took", took),
 	}
+	if c.stream.started {
+		fields = append(fields, zap.Int("events", c.stream.events), zap.Duration("longest-pause", c.stream.gap))
+	}
 	if c.cfg != nil {
 		fields = append(fields, zap.Int64("config", c.cfg.Version))
 	}
--- a/internal/relayer/stream.go
+++ b/internal/relayer/stream.go
@@ -5,6 +5,7 @@
 	"context"
 	"io"
 	"net/http"
+	"time"
 
 	"github.com/cockroachdb/errors"
 
@@ -24,6 +25,8 @@
 	started bool
 	lastID  string // of the last event that was passed on
 	events  int
+	last    time.Time     // when it was passed on
+	gap     time.Duration // the longest pause between two of them
 }
 
 func doubt(format string, args ...any) verdict.Refusal {
@@ -82,6 +85,11 @@
 		c.stream.lastID = id
 	}
 	c.stream.events += bytes.Count(events, eventEnd)
+	now := time.Now()
+	if !c.stream.last.IsZero() {
+		c.stream.gap = max(c.stream.gap, now.Sub(c.stream.last))
+	}
+	c.stream.last = now
 	if _, err := c.w.Write(events); err != nil {
 		return err
 	}
