--- a/internal/arranger/arranger.go
+++ b/internal/arranger/arranger.go
@@ -43,8 +43,8 @@
 	// for, for what is asked for and nowhere, and for copies of busy models. More
 	// loads at once take longer each, but no longer in sum.
 	fetchLanes = 0.25
-	askedLanes = 0.75
-	busyLanes  = 1.0
+	askedLanes = 0.5
+	busyLanes  = 0.75
 	// idleLanes is used instead of fetchLanes while nothing is asked for at all.
 	idleLanes = 1.0
 	// runningLoss is the loss for each request that an unload waits for.
