--- a/cmd/primrosedrift/report.go
+++ b/cmd/primrosedrift/report.go
@@ -23,7 +23,7 @@
 				&cli.StringFlag{Name: "plot", Usage: "file for an SVG plot"},
 			},
 			Action: reportBurn,
-		}},
+		}, reportDayCommand(), reportRequestCommand()},
 	}
 }
 
--- /dev/null
+++ b/cmd/primrosedrift/report_log.go
@@ -0,0 +1,98 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/urfave/cli/v3"
+
+	"github.com/primrosedrift/primrosedrift/internal/logreader"
+)
+
+// defaultObjective is from when on a served request counts as late.
+const defaultObjective = 300 * time.Millisecond
+
+// defaultAround is how many lines around a request are shown.
+const defaultAround = 20
+
+func reportDayCommand() *cli.Command {
+	return &cli.Command{
+		Name: "day", Usage: "count how the requests in logs of entry instances ended, and why", ArgsUsage: "LOG...",
+		Flags: []cli.Flag{
+			outputFlag(),
+			&cli.DurationFlag{Name: "objective", Value: defaultObjective, Usage: "a served request is late beyond it"},
+			&cli.StringFlag{Name: "plot", Usage: "file for an SVG plot"},
+		},
+		Action: func(_ context.Context, c *cli.Command) error {
+			l, err := readLogs(c.Args().Slice())
+			if err != nil {
+				return err
+			}
+			d := l.Day(c.Duration("objective"))
+			if file := c.String("plot"); file != "" {
+				f, err := os.Create(file)
+				if err != nil {
+					return errors.Wrap(err, "plot")
+				}
+				defer f.Close()
+				if err := d.WriteSVG(f); err != nil {
+					return err
+				}
+			}
+			if c.String("output") == "json" {
+				return printJSON(d)
+			}
+			return d.WriteText(os.Stdout)
+		},
+	}
+}
+
+func reportRequestCommand() *cli.Command {
+	return &cli.Command{
+		Name: "request", Usage: "show the log lines of a request and those that explain it", ArgsUsage: "ID LOG...",
+		Flags: []cli.Flag{&cli.IntFlag{Name: "around", Value: defaultAround, Usage: "most lines around it"}},
+		Action: func(_ context.Context, c *cli.Command) error {
+			if c.Args().Len() < 2 {
+				return exitError{exitUsage, errors.New("needs a request's id and logs")}
+			}
+			l, err := readLogs(c.Args().Tail())
+			if err != nil {
+				return err
+			}
+			t := l.Find(c.Args().First(), c.Int("around"))
+			if len(t.Own) == 0 {
+				return errors.Newf("request %s is not in the logs: was it another instance's, or were lines dropped?", t.Request)
+			}
+			for _, line := range t.Around {
+				fmt.Println(line)
+			}
+			fmt.Println()
+			for _, line := range t.Own {
+				fmt.Println(line)
+			}
+			return nil
+		},
+	}
+}
+
+func readLogs(files []string) (*logreader.Log, error) {
+	if len(files) == 0 {
+		return nil, exitError{exitUsage, errors.New("needs logs")}
+	}
+	l := &logreader.Log{}
+	for _, name := range files {
+		f, err := os.Open(name)
+		if err != nil {
+			return nil, exitError{exitUsage, errors.Wrap(err, "log")}
+		}
+		err = l.Read(f)
+		_ = f.Close() // it was only read
+		if err != nil {
+			return nil, err
+		}
+	}
+	return l, nil
+}
--- /dev/null
+++ b/internal/logreader/logreader_test.go
@@ -0,0 +1,57 @@
+package logreader
+
+import (
+	"bytes"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+const sample = `
+  1.0 edge-1 {"ts":"10:00:01","msg":"upstream found","instance":"edge-1","upstream":"u1"}
+  1.5 edge-2 {"ts":"10:00:01.5","msg":"order","instance":"edge-2","upstream":"u1","operation":"load","model":"m1","adapter":"a1"}
+  2.0 edge-1 {"ts":"10:00:02","msg":"attempt failed","instance":"edge-1","request":"r1","upstream":"u1","why":"upstream refused with status 503"}
+  2.1 edge-1 {"ts":"10:00:02.1","msg":"request ended","instance":"edge-1","request":"r1","route":"r-a","outcome":"not-run","status":503,"model":"m1","adapter":"a1","upstream":"u1","waited":"1.8s","first":"0s","took":"1.8s","why":"no-upstream (not-run): model m1 adapter \"a1\": not loaded, ready in 100ms"}
+  2.2 edge-1 {"ts":"10:00:02.2","msg":"request ended","instance":"edge-1","request":"r2","route":"r-a","outcome":"not-run","status":503,"model":"m2","waited":"1.8s","first":"0s","took":"1.8s","why":"no-upstream (not-run): model m2 adapter \"\": not loaded, ready in 6.4s"}
+  2.3 edge-1 {"ts":"10:00:02.3","msg":"request ended","instance":"edge-1","request":"r3","route":"r-a","outcome":"served","waited":"0s","first":"20ms","took":"1s"}
+  2.4 edge-1 {"ts":"10:00:02.4","msg":"request ended","instance":"edge-1","request":"r4","route":"r-a","outcome":"served","waited":"400ms","first":"20ms","took":"1s"}
+  2.5 edge-1 {"ts":"10:00:02.5","msg":"request ended","instance":"edge-1","request":"r5","route":"r-b","outcome":"served","waited":"0s","first":"400ms","took":"1s"}
+  2.6 edge-1 {"ts":"10:00:02.6","msg":"request ended","insta
+  2.7 edge-1 {"ts":"10:00:02.7","msg":"platform lost","instance":"edge-1","topic":"configs"}
+`
+
+func read(t *testing.T) *Log {
+	t.Helper()
+	var l Log
+	require.NoError(t, l.Read(strings.NewReader(sample)))
+	return &l
+}
+
+func TestDay(t *testing.T) {
+	d := read(t).Day(300 * time.Millisecond)
+	require.Equal(t, Day{
+		Requests: 5, Failed: 1, Skipped: 1,
+		Rows: []Row{
+			{`not-run: no-upstream (not-run): model * adapter *: not loaded, ready in *`, "r-a", 2, "r1"},
+			{"served", "r-a", 1, "r3"},
+			{"served: slow to the first byte", "r-b", 1, "r5"},
+			{"served: waited past the objective", "r-a", 1, "r4"},
+		},
+	}, d)
+	var text, svg bytes.Buffer
+	require.NoError(t, d.WriteText(&text))
+	require.Contains(t, text.String(), "5         requests in all, 1 failed attempts, 1 lines not read")
+	require.NoError(t, d.WriteSVG(&svg))
+	require.Contains(t, svg.String(), "<svg")
+}
+
+func TestFind(t *testing.T) {
+	trace := read(t).Find("r1", 10)
+	require.Len(t, trace.Own, 2)
+	require.Len(t, trace.Around, 2)
+	require.Contains(t, trace.Around[1], `"operation":"load"`)
+	require.Len(t, read(t).Find("r1", 1).Around, 1, "the newest one")
+	require.Empty(t, read(t).Find("unknown", 10).Own)
+}
