--- a/internal/arranger/arranger.go
+++ b/internal/arranger/arranger.go
@@ -33,6 +33,11 @@
 	// extraGain is the part of its share of the rate that another copy of a
 	// model brings that has too few.
 	extraGain = 0.4
+	// blockedLoss is the part of its rate that a model costs that cannot be loaded
+	// while its upstream is held up, and blockedRate what a model counts that
+	// nobody asks for now, in requests per second.
+	blockedLoss = 1.0
+	blockedRate = 0.2
 	// fetchGain is the gain of a copy that nobody asks for yet, in requests per
 	// second.
 	fetchGain = 0.05
@@ -49,14 +54,19 @@
 	idleLanes = 1.0
 	// runningLoss is the loss for each request that an unload waits for.
 	runningLoss = 0.3
-	// runningCost ranks the places for a load by the requests that an unload
-	// there waits for.
-	runningCost = 5.0
+	// lossHorizon is for how long a loss counts against the delay of a load.
+	lossHorizon = 4 * time.Second
+	// An unload waits for its runs: firstRun and eachRun for each of them, up to
+	// longestRun.
+	firstRun   = 600 * time.Millisecond
+	eachRun    = 100 * time.Millisecond
+	longestRun = 2 * time.Second
+	// minBusy is how long an upstream is busy for at least.
+	minBusy = 200 * time.Millisecond
+	// loadCost ranks equal places by what runs there.
+	loadCost = 0.001
 	// crowdCost ranks them by the copies of the model in the same data centre.
 	crowdCost = 0.3
-	// storePenalty and diskPenalty rank the places for a load by its time.
-	storePenalty = 3.0
-	diskPenalty  = 0.2
 )
 
 // planner holds the tables of one plan.
@@ -97,6 +107,7 @@
 type candidate struct {
 	model matcher.Model
 	gain  float64
+	asked float64 // requests per second that a load keeps waiting, those that wait included
 	lanes float64 // of the store, as a multiple
 	why   string
 }
@@ -128,11 +139,17 @@
 		wanted := max(p.need(d), 1)
 		switch {
 		case n == 0 && (d.Waiting > 0 || d.Rate > 0):
-			out = append(out, candidate{m, d.Rate + waitingWeight*float64(d.Waiting), askedLanes, fmt.Sprintf("asked for and nowhere: rate %.2f, waiting %d", d.Rate, d.Waiting)})
+			out = append(out, candidate{
+				model: m, gain: d.Rate + waitingWeight*float64(d.Waiting), asked: d.Rate + float64(d.Waiting), lanes: askedLanes,
+				why: fmt.Sprintf("asked for and nowhere: rate %.2f, waiting %d", d.Rate, d.Waiting),
+			})
 		case n == 0 && !p.hasCopy(m.Name):
-			out = append(out, candidate{m, fetchGain, lanes, "no copy anywhere"})
+			out = append(out, candidate{model: m, gain: fetchGain, asked: fetchGain, lanes: lanes, why: "no copy anywhere"})
 		case n > 0 && n < wanted:
-			out = append(out, candidate{m, extraGain * d.Rate / float64(n+1), busyLanes, fmt.Sprintf("%d of %d copies for rate %.2f", n, wanted, d.Rate)})
+			out = append(out, candidate{
+				model: m, gain: extraGain * d.Rate / float64(n+1), asked: d.Rate/float64(n+1) + float64(d.Waiting), lanes: busyLanes,
+				why: fmt.Sprintf("%d of %d copies for rate %.2f", n, wanted, d.Rate),
+			})
 		}
 	}
 	slices.SortFunc(out, func(a, b candidate) int {
@@ -154,35 +171,35 @@
 	return false
 }
 
-// place returns the move that loads a candidate where least is lost.
+// place returns the move that loads a candidate where it costs least: what is
+// lost there, and what is asked for until the load is done. If it is best to
+// wait for an upstream that is busy, there is no move yet.
 func (p *planner) place(c candidate) (Move, bool) {
 	best, bestCost := -1, math.Inf(1)
 	var bestOut []string
 	for i, u := range p.Upstreams {
-		if u.IsBusy || p.moved[u.ID] || u.holds(c.model.Name) {
+		if u.holds(c.model.Name) {
 			continue
 		}
-		tier, _ := u.tier(c.model)
+		tier, takes := u.tier(c.model)
 		if tier == FromStore && float64(p.StoreLoads) >= c.lanes*float64(p.StoreLanes) {
 			continue
 		}
-		out, loss, ok := p.makeRoom(u, c.model)
+		out, loss, ok := p.makeRoom(u, c)
+		if tier == FromStore {
+			loss += p.blocked(u, out)
+		}
 		if !ok || c.gain < hysteresis*loss {
 			continue
 		}
-		cost := loss + runningCost*float64(u.running(out)) + crowdCost*float64(p.near(c.model.Name, u.DataCentre)) + float64(u.Running)*0.001
-		switch tier {
-		case FromStore:
-			cost += storePenalty
-		case FromDisk:
-			cost += diskPenalty
-		case FromHost:
-		}
+		delay := u.busyFor(p.moved[u.ID]) + takes + runDelay(u.running(out))
+		cost := lossHorizon.Seconds()*loss + c.asked*delay.Seconds() +
+			crowdCost*float64(p.near(c.model.Name, u.DataCentre)) + loadCost*float64(u.Running)
 		if cost < bestCost {
 			best, bestCost, bestOut = i, cost, out
 		}
 	}
-	if best < 0 {
+	if best < 0 || p.Upstreams[best].IsBusy || p.moved[p.Upstreams[best].ID] {
 		return Move{}, false
 	}
 	u := p.Upstreams[best]
@@ -201,6 +218,47 @@
 	return m, true
 }
 
+// busyFor returns how long an upstream takes no order.
+func (u Upstream) busyFor(moved bool) time.Duration {
+	switch {
+	case u.IsBusy:
+		return max(u.BusyFor, minBusy)
+	case moved:
+		return minBusy
+	}
+	return 0
+}
+
+// runDelay returns how long an unload waits for its runs.
+func runDelay(running int) time.Duration {
+	if running == 0 {
+		return 0
+	}
+	return min(firstRun+time.Duration(running)*eachRun, longestRun)
+}
+
+// blocked returns what is lost while an upstream takes no other order, which is
+// as long as a load from the store: the models that only its disk holds, those
+// to be unloaded included, cannot be loaded meanwhile.
+func (p *planner) blocked(u Upstream, out []string) float64 {
+	loss := 0.0
+	for _, m := range u.OnDisk {
+		if n := p.copies[m]; n > 1 || n == 1 && !slices.Contains(out, m) || p.isElsewhere(m, u.ID) {
+			continue
+		}
+		d := p.demand[m]
+		loss += blockedLoss * (d.Rate + blockedRate + waitingWeight*float64(d.Waiting))
+	}
+	return loss
+}
+
+// isElsewhere reports whether another upstream holds the model or has it at hand.
+func (p *planner) isElsewhere(model, id string) bool {
+	return slices.ContainsFunc(p.Upstreams, func(u Upstream) bool {
+		return u.ID != id && (u.holds(model) || slices.Contains(u.OnHost, model) || slices.Contains(u.OnDisk, model))
+	})
+}
+
 // near returns how many copies of a model there are in a data centre.
 func (p *planner) near(model, dataCentre string) int {
 	n := 0
@@ -213,8 +271,8 @@
 }
 
 // makeRoom returns which models to unload for a model, and what that loses.
-func (p *planner) makeRoom(u Upstream, m matcher.Model) (out []string, loss float64, ok bool) {
-	missing := u.usedMB(p.Engine) + m.SizeMB - p.Engine.MemoryMB
+func (p *planner) makeRoom(u Upstream, c candidate) (out []string, loss float64, ok bool) {
+	missing := u.usedMB(p.Engine) + c.model.SizeMB - p.Engine.MemoryMB
 	if missing <= 0 {
 		return nil, 0, true
 	}
@@ -226,9 +284,9 @@
 	for _, r := range u.Models {
 		list = append(list, victim{r, p.loss(r)})
 	}
-	// The cheapest by their size go first, and idle ones before others.
+	// The cheapest by their size go first. An idle one does not keep the load waiting.
 	price := func(v victim) float64 {
-		return (v.loss + runningCost*float64(v.Running)) / p.Engine.Models[v.Model].SizeMB
+		return (lossHorizon.Seconds()*v.loss + c.asked*runDelay(v.Running).Seconds()) / p.Engine.Models[v.Model].SizeMB
 	}
 	slices.SortFunc(list, func(a, b victim) int { return cmp.Compare(price(a), price(b)) })
 	for _, v := range list {
--- a/internal/arranger/fleet.go
+++ b/internal/arranger/fleet.go
@@ -29,6 +29,7 @@
 	DataCentre string
 	// IsBusy says that an order is under way or that it takes no orders.
 	IsBusy         bool
+	BusyFor        time.Duration // for how long, as far as known
 	Running        int
 	Models         []Resident
 	OnHost, OnDisk []string
--- a/internal/conductor/conductor.go
+++ b/internal/conductor/conductor.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math"
 	"slices"
 	"sync"
 	"time"
@@ -12,6 +11,7 @@
 	"github.com/primrosedrift/primrosedrift/internal/arranger"
 	"github.com/primrosedrift/primrosedrift/internal/logger"
 	"github.com/primrosedrift/primrosedrift/internal/matcher"
+	"github.com/primrosedrift/primrosedrift/internal/rater"
 	"github.com/primrosedrift/primrosedrift/internal/registrar"
 )
 
@@ -22,17 +22,9 @@
 	planPause = 5 * time.Millisecond
 	// reportLife is how long an instance's report counts.
 	reportLife = 3 * time.Second
-	// rateWindow is the time constant of the smoothed rates.
-	rateWindow = 4 * time.Second
-	// quickWindow is the time constant of rates that show a rise early.
-	quickWindow = 1200 * time.Millisecond
-	// minForecast is the rate per second from which a rise is taken for one, and
-	// forecastGain how far it is drawn out.
-	minForecast  = 8.0
-	forecastGain = 1.0
 	// priorCopyRate is the rate that a copy beyond the first stands for until
 	// requests have arrived.
-	priorCopyRate = 5.0
+	priorCopyRate = 13.0
 	// inspectPause is the time between two questions what an upstream holds.
 	inspectPause = 400 * time.Millisecond
 	// StoreLanes is how many loads from the weight store run at full speed.
@@ -96,7 +88,7 @@
 	mu      sync.Mutex
 	reports map[string]report
 	engines map[string]*engine
-	rates   map[key]*rate
+	rates   map[key]*rater.Rate
 	wake    chan struct{}
 	changed bool
 	seen    bool        // a request has arrived
@@ -127,6 +119,7 @@
 	onDisk []string
 	onHost []string
 	retry  time.Time // no move before then
+	doneAt time.Time // when the move under way should be done
 
 	// Of the order under way, for its log line.
 	conflicts  int
@@ -141,9 +134,9 @@
 	urgent := false
 	for _, u := range uses {
 		c.seen = c.seen || u.Arrived > 0
-		c.rateLocked(u).add(u.Arrived, now)
+		c.rateLocked(u).Add(u.Arrived, now)
 		if u.Adapter != "" {
-			c.rateLocked(Use{Service: u.Service, Model: u.Model}).add(u.Arrived, now)
+			c.rateLocked(Use{Service: u.Service, Model: u.Model}).Add(u.Arrived, now)
 			c.noteUsedLocked(u, now)
 		}
 		urgent = urgent || u.Waiting > 0
@@ -178,15 +171,15 @@
 	}
 	c.reports = make(map[string]report)
 	c.engines = make(map[string]*engine)
-	c.rates = make(map[key]*rate)
+	c.rates = make(map[key]*rater.Rate)
 	c.wake = make(chan struct{}, 1)
 }
 
-func (c *Conductor) rateLocked(u Use) *rate {
+func (c *Conductor) rateLocked(u Use) *rater.Rate {
 	k := key{u.Service, u.Model, u.Adapter}
 	r := c.rates[k]
 	if r == nil {
-		r = &rate{}
+		r = &rater.Rate{}
 		c.rates[k] = r
 	}
 	return r
@@ -363,7 +356,8 @@
 
 func (c *Conductor) viewLocked(e *engine, running map[runKey]int, now time.Time) arranger.Upstream {
 	u := arranger.Upstream{
-		ID: e.up.ID, DataCentre: e.up.DataCentre, IsBusy: e.busy || now.Before(e.retry), OnHost: e.onHost, OnDisk: e.onDisk,
+		ID: e.up.ID, DataCentre: e.up.DataCentre, IsBusy: e.busy || now.Before(e.retry),
+		BusyFor: max(e.doneAt.Sub(now), e.retry.Sub(now)), OnHost: e.onHost, OnDisk: e.onDisk,
 	}
 	for _, m := range e.models {
 		r := arranger.Resident{Model: m.Name, Since: e.since[m.Name], Running: running[runKey{e.up.ID, m.Name, ""}]}
@@ -422,7 +416,7 @@
 		if k.service != service || k.model == "" {
 			continue
 		}
-		out = append(out, arranger.Demand{Model: k.model, Adapter: k.adapter, Rate: r.forecast(now), Waiting: waiting[k], Running: runs[k]})
+		out = append(out, arranger.Demand{Model: k.model, Adapter: k.adapter, Rate: r.Forecast(now), Waiting: waiting[k], Running: runs[k]})
 	}
 	return out
 }
@@ -450,50 +444,7 @@
 	for k, n := range c.priors {
 		if n > 1 {
 			r := c.rateLocked(Use{Service: k.service, Model: k.model})
-			r.value, r.last = priorCopyRate*float64(n-1), now
+			r.Assume(priorCopyRate*float64(n-1), now)
 		}
 	}
 }
-
-// rate is a smoothed rate of arrivals.
-type rate struct {
-	value, quick float64 // per second, over rateWindow and quickWindow
-	last         time.Time
-	seen         bool
-}
-
-func (r *rate) add(n int, now time.Time) {
-	if n == 0 {
-		return
-	}
-	r.value, r.quick = r.at(now)+float64(n)/rateWindow.Seconds(), r.quickAt(now)+float64(n)/quickWindow.Seconds()
-	r.last, r.seen = now, true
-}
-
-func (r *rate) at(now time.Time) float64 {
-	if r.last.IsZero() {
-		return 0
-	}
-	return r.value * decay(now.Sub(r.last), rateWindow)
-}
-
-func (r *rate) quickAt(now time.Time) float64 {
-	if r.last.IsZero() {
-		return 0
-	}
-	return r.quick * decay(now.Sub(r.last), quickWindow)
-}
-
-// forecast returns the rate that a model will have when a load is done, if it
-// goes on rising. A load from the store takes several seconds.
-func (r *rate) forecast(now time.Time) float64 {
-	v, q := r.at(now), r.quickAt(now)
-	if q < minForecast || q < v {
-		return v
-	}
-	return q + forecastGain*(q-v)
-}
-
-func decay(d, window time.Duration) float64 {
-	return math.Exp(-d.Seconds() / window.Seconds())
-}
--- a/internal/conductor/conductor_test.go
+++ b/internal/conductor/conductor_test.go
@@ -230,19 +230,6 @@
 	require.Equal(t, []string{"unload m0"}, s.got)
 }
 
-func TestRatesShowARiseEarlyAndFade(t *testing.T) {
-	now := time.Unix(1000, 0)
-	var r rate
-	for range 20 {
-		now = now.Add(100 * time.Millisecond)
-		r.add(3, now) // 30 a second
-	}
-	require.Greater(t, r.forecast(now), r.at(now))
-	require.InDelta(t, 30, r.quickAt(now), 8)
-	now = now.Add(20 * time.Second)
-	require.Less(t, r.forecast(now), 1.0)
-}
-
 func TestPriorsStandForRatesUntilRequestsArrive(t *testing.T) {
 	s := &engineStub{models: []string{"m0"}}
 	c, _ := newConductor(t, s)
@@ -253,11 +240,11 @@
 	}
 	now := time.Unix(1000, 0)
 	c.priorsLocked("lm", now)
-	require.InDelta(t, 2*priorCopyRate, c.rates[key{"lm", "m0", ""}].at(now), 0.1)
+	require.InDelta(t, 2*priorCopyRate, c.rates[key{"lm", "m0", ""}].At(now), 0.1)
 	c.engines = map[string]*engine{}
 	c.priorsLocked("lm", now.Add(time.Minute))
-	require.InDelta(t, 2*priorCopyRate, c.rates[key{"lm", "m0", ""}].at(now.Add(time.Minute)), 0.1, "they do not fade before")
+	require.InDelta(t, 2*priorCopyRate, c.rates[key{"lm", "m0", ""}].At(now.Add(time.Minute)), 0.1, "they do not fade before")
 	c.want("m1", 1)
 	c.priorsLocked("lm", now.Add(2*time.Minute))
-	require.Less(t, c.rates[key{"lm", "m0", ""}].at(now.Add(2*time.Minute)), 0.1)
+	require.Less(t, c.rates[key{"lm", "m0", ""}].At(now.Add(2*time.Minute)), 0.1)
 }
--- a/internal/conductor/move.go
+++ b/internal/conductor/move.go
@@ -52,6 +52,7 @@
 	e.busy = true
 	if last := m.Orders[len(m.Orders)-1]; last.Adapter == "" {
 		e.target = last.Model
+		e.doneAt = time.Now().Add(last.Takes + reportLag)
 	}
 	c.moves.Add(1)
 	return func() {
--- a/internal/queuer/table.go
+++ b/internal/queuer/table.go
@@ -135,6 +135,17 @@
 	refused chan Outlook
 }
 
+// Granted returns the upstream that the waiter was granted, nil if it still
+// waits. It returns it once.
+func (w *Waiter) Granted() *registrar.Upstream {
+	select {
+	case u := <-w.granted:
+		return u
+	default:
+		return nil
+	}
+}
+
 // Grant returns the upstream for an ask and counts the request as running
 // there, or nil if it must wait.
 func (t *Table) Grant(a Ask, s *registrar.Snapshot, cfg *matcher.Config, now time.Time) *registrar.Upstream {
