--- a/internal/leaser/state.go
+++ b/internal/leaser/state.go
@@ -97,9 +97,10 @@
 		// An earlier run of this instance's process, which has ended.
 		s.first = s.seen + s.newest.FirstIn
 	case s.ended != 0:
-		s.first = min(s.ended, s.seen+s.Lease) + s.Gap
+		s.first = min(s.ended, s.seen+s.Lease-s.Margin) + s.Gap
 	default:
-		s.first = s.seen + s.Lease + s.Gap
+		// The former holder gave its last order before the margin of its lease.
+		s.first = s.seen + s.Lease - s.Margin + s.Gap
 	}
 	s.newest, s.sent, s.seen, s.ended = c, sent, now, 0
 }
