--- a/internal/assembler/assembler.go
+++ b/internal/assembler/assembler.go
@@ -127,6 +127,7 @@
 	a.relayer = &relayer.Relayer{
 		Codec: a.Codec, Config: a.config.Load, Beliefs: a.beliefs, Queue: a.queue, Pool: a.pool, Budget: a.budget,
 		Poison: a.poison, Log: a.Log.Named("relayer"), Metrics: relayer.NewMetrics(a.registry),
+		ViewAge:   func() time.Duration { return a.client.ViewAge() },
 		IsLeaving: a.leaving.Load, IsClosed: a.closed.Load,
 	}
 }
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -89,6 +89,8 @@
 	Poison  *Poison
 	Log     *zap.Logger
 	Metrics *Metrics
+	// ViewAge returns how old the view of the upstreams is.
+	ViewAge func() time.Duration
 	// IsLeaving reports whether connections are to be closed after an answer,
 	// IsClosed whether the instance takes no new requests.
 	IsLeaving, IsClosed func() bool
@@ -298,7 +300,7 @@
 		zap.String("request", c.facts.ID), zap.String("route", c.route.Name), zap.String("outcome", outcome),
 		zap.Int("status", c.status), zap.String("service", c.ask.Service), zap.String("model", c.facts.Model),
 		zap.String("adapter", c.facts.Adapter), zap.String("upstream", c.upstream), zap.Int("attempts", c.sends),
-		zap.Duration("waited", c.waited), zap.Duration("first", c.first), zap.Duration("took", took),
+		zap.Duration("view-age", c.ViewAge()), zap.Duration("waited", c.waited), zap.Duration("first", c.first), zap.Duration("took", took),
 	}
 	if c.stream.started {
 		fields = append(fields, zap.Int("events", c.stream.events), zap.Duration("longest-pause", c.stream.gap))
--- a/internal/relayer/relayer_test.go
+++ b/internal/relayer/relayer_test.go
@@ -169,8 +169,12 @@
 		Queue:  &queuer.Queue{Beliefs: beliefs, Config: config, IsLed: func() bool { return true }},
 		Pool:   &courier.Pool{IDHeader: hID},
 		Budget: &retrier.Budget{}, Poison: &Poison{}, Log: zap.NewNop(), Metrics: NewMetrics(prometheus.NewRegistry()),
+		ViewAge:   func() time.Duration { return 0 },
 		IsLeaving: func() bool { return g.closing }, IsClosed: func() bool { return g.closing },
 	}
+	ctx, cancel := context.WithCancel(t.Context())
+	t.Cleanup(cancel)
+	go g.Queue.Run(ctx)
 	g.server = httptest.NewServer(g.Relayer)
 	t.Cleanup(g.server.Close)
 	g.client = &http.Client{Transport: &http.Transport{DisableCompression: true}}
--- a/internal/syncer/client.go
+++ b/internal/syncer/client.go
@@ -97,6 +97,16 @@
 	return time.Since(c.led) < ledFor
 }
 
+// ViewAge returns the time since the conductor's last answer, 0 if there was none.
+func (c *Client) ViewAge() time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.led.IsZero() {
+		return 0
+	}
+	return time.Since(c.led)
+}
+
 // Members returns the instances that are alive: those in the newest view or,
 // while no conductor answers, those of them that answer this instance.
 func (c *Client) Members() []*peerv1.Member {
--- /dev/null
+++ b/internal/syncer/server_test.go
@@ -0,0 +1,167 @@
+package syncer
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
+
+	"github.com/primrosedrift/primrosedrift/internal/conductor"
+	"github.com/primrosedrift/primrosedrift/internal/follower"
+	"github.com/primrosedrift/primrosedrift/internal/leaser"
+	"github.com/primrosedrift/primrosedrift/internal/matcher"
+	"github.com/primrosedrift/primrosedrift/internal/registrar"
+	peerv1 "github.com/primrosedrift/primrosedrift/pkg/api/peer/v1"
+)
+
+func newServer() (*Server, *bool) {
+	holder := true
+	return &Server{
+		Self: &peerv1.Member{Instance: "a", Incarnation: "a1"},
+		Conductor: &conductor.Conductor{
+			Beliefs: &registrar.Table{}, Config: func() *matcher.Config { return nil }, Log: zap.NewNop(),
+			Metrics: conductor.NewMetrics(prometheus.NewRegistry()),
+		},
+		IsHolder: func() bool { return holder }, Token: func() int64 { return 4 },
+	}, &holder
+}
+
+func report(name, incarnation string, stopping bool) *peerv1.ReportRequest {
+	return &peerv1.ReportRequest{
+		Member: &peerv1.Member{Instance: name, Incarnation: incarnation, IsStopping: stopping},
+		Uses:   []*peerv1.CopyUse{{Service: "lm", Model: "m1", Runs: []*peerv1.CopyRun{{Upstream: "e1", Running: 2}}}},
+	}
+}
+
+func TestMembersAreThoseThatReport(t *testing.T) {
+	s, _ := newServer()
+	now := time.Now()
+	s.Take(report("b", "b1", false), now)
+	s.Take(report("c", "c1", false), now)
+	require.Len(t, s.View("b", now).GetMembers(), 2)
+	s.Take(report("b", "b1", false), now.Add(memberLife))
+	s.mu.Lock()
+	s.sweepLocked(now.Add(memberLife + time.Millisecond))
+	s.mu.Unlock()
+	members := s.View("b", now).GetMembers()
+	require.Len(t, members, 1)
+	require.Equal(t, "b", members[0].GetInstance())
+}
+
+func TestVersionRisesWithWhatWatchersMustKnow(t *testing.T) {
+	s, _ := newServer()
+	now := time.Now()
+	version := func() uint64 { return s.View("b", now).GetVersion() }
+	s.Take(report("b", "b1", false), now)
+	first := version()
+	s.Take(report("b", "b1", false), now)
+	require.Equal(t, first, version(), "nothing new")
+	s.Take(report("b", "b2", false), now)
+	require.Greater(t, version(), first, "another run of its process")
+	second := version()
+	s.Take(report("b", "b2", true), now)
+	require.Greater(t, version(), second, "it stops")
+}
+
+func TestWatchIsAnsweredOnChange(t *testing.T) {
+	s, _ := newServer()
+	s.Take(report("b", "b1", false), time.Now())
+	v := s.View("b", time.Now())
+	done := make(chan *peerv1.WatchResponse)
+	go func() {
+		r, _ := s.Watch(t.Context(), &peerv1.WatchRequest{Instance: "b", Incarnation: "a1", Version: v.GetVersion(), WaitMs: 1000})
+		done <- r
+	}()
+	s.Bump()
+	require.GreaterOrEqual(t, (<-done).GetVersion(), v.GetVersion())
+}
+
+func TestInstanceThatDoesNotHoldTheLease(t *testing.T) {
+	s, holder := newServer()
+	*holder = false
+	r, err := s.Report(t.Context(), report("b", "b1", false))
+	require.NoError(t, err)
+	require.False(t, r.GetIsConductor())
+	v, err := s.Watch(t.Context(), &peerv1.WatchRequest{Instance: "b", WaitMs: 1000})
+	require.NoError(t, err)
+	require.False(t, v.GetIsConductor())
+	require.Equal(t, "a1", v.GetIncarnation())
+}
+
+func TestLossesAreToldForAWhile(t *testing.T) {
+	s, _ := newServer()
+	now := time.Now()
+	r := report("b", "b1", false)
+	r.Losses = []*peerv1.Loss{{Fingerprint: 7, Incarnation: "e1@1"}, {Fingerprint: 7, Incarnation: "e2@1"}, {Fingerprint: 7, Incarnation: "e1@1"}}
+	s.Take(r, now)
+	require.Len(t, s.View("c", now).GetLosses(), 2)
+	s.mu.Lock()
+	s.sweepLocked(now.Add(lossLife + time.Second))
+	s.mu.Unlock()
+	require.Empty(t, s.View("c", now).GetLosses())
+}
+
+func TestRecordsForAPeer(t *testing.T) {
+	s, _ := newServer()
+	f := &follower.Follower{
+		Name: "t", Log: zap.NewNop(), OnRecords: func([]follower.Record, bool) {}, OnAway: func(bool) {},
+		Topic: follower.Topic{
+			Newest: func(context.Context, string) ([]follower.Record, bool, int64, error) {
+				return []follower.Record{{Key: "k", Value: []byte("v"), Offset: 3}}, false, 4, nil
+			},
+			Read: func(ctx context.Context, from int64, _ time.Duration) ([]follower.Record, int64, error) {
+				<-ctx.Done()
+				return nil, from, ctx.Err()
+			},
+		},
+	}
+	s.Topics = map[string]*follower.Follower{"t": f}
+	ask := func(topic string, from int64) *peerv1.RecordsResponse {
+		r, err := s.Records(t.Context(), &peerv1.RecordsRequest{Topic: topic, From: from})
+		require.NoError(t, err)
+		return r
+	}
+	require.Zero(t, ask("t", 0).GetNextOffset(), "it has read nothing itself")
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan struct{})
+	go func() { f.Run(ctx); close(done) }()
+	for ask("t", 0).GetNextOffset() != 4 {
+		continue
+	}
+	require.Equal(t, "v", string(ask("t", 0).GetRecords()[0].GetValue()))
+	require.Empty(t, ask("t", 4).GetRecords())
+	require.Zero(t, ask("unknown", 0).GetNextOffset())
+	cancel()
+	<-done
+}
+
+func TestClaimForAPeer(t *testing.T) {
+	s, _ := newServer()
+	moved := false
+	s.Store = leaser.Store{
+		Newest: func(context.Context) (leaser.Claim, int64, error) {
+			return leaser.Claim{Offset: 6, Holder: "x", FirstIn: time.Second}, 7, nil
+		},
+		Append: func(_ context.Context, _ leaser.Claim, at int64) (int64, error) {
+			if moved {
+				return 0, leaser.ErrMoved
+			}
+			return at, nil
+		},
+	}
+	r, err := s.Claim(t.Context(), &peerv1.ClaimRequest{})
+	require.NoError(t, err)
+	require.Equal(t, leaser.Claim{Offset: 6, Holder: "x", FirstIn: time.Second}, decodeClaim(r.GetClaim()))
+	c := leaser.Claim{Holder: "b", Incarnation: "b1", Address: "192.0.2.1:1", IsReleased: true}
+	r, err = s.Claim(t.Context(), &peerv1.ClaimRequest{Claim: encodeClaim(c), At: 7})
+	require.NoError(t, err)
+	require.EqualValues(t, 7, r.GetClaim().GetOffset())
+	require.Equal(t, "b", r.GetClaim().GetHolder())
+	moved = true
+	r, err = s.Claim(t.Context(), &peerv1.ClaimRequest{Claim: encodeClaim(c), At: 7})
+	require.NoError(t, err)
+	require.True(t, r.GetHasMoved())
+}
