--- a/internal/courier/courier.go
+++ b/internal/courier/courier.go
@@ -87,7 +87,7 @@
 		return nil, err
 	}
 	x := &exchange{pool: p, conn: c, address: address}
-	x.stop = context.AfterFunc(ctx, func() { _ = c.Close() }) // cancels the request
+	x.stop = context.AfterFunc(ctx, c.abort) // cancels the request
 	ans, err := x.run(req)
 	if err == nil {
 		return ans, nil
@@ -193,7 +193,7 @@
 			x.pool.put(x.address, x.conn)
 			return
 		}
-		_ = x.conn.Close() // what failed has been reported already
+		x.conn.abort()
 	})
 }
 
--- /dev/null
+++ b/internal/courier/courier_test.go
@@ -0,0 +1,139 @@
+package courier
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// serve runs a connection handler for each connection, and returns the address.
+func serve(t *testing.T, handle func(n int, c net.Conn)) string {
+	t.Helper()
+	ln, err := net.Listen("tcp4", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = ln.Close() })
+	go func() {
+		for n := 0; ; n++ {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go handle(n, c)
+		}
+	}()
+	return ln.Addr().String()
+}
+
+func call(t *testing.T, p *Pool, address string) (int, error) {
+	t.Helper()
+	status, _, err := p.Call(t.Context(), address, http.MethodGet, "/", nil, nil)
+	return status, err
+}
+
+const fine = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
+
+// What was written before a call was given up must not arrive later, when a cut
+// has healed. A reset drops it, an orderly close would still deliver it.
+func TestCallThatIsGivenUpResetsItsConnection(t *testing.T) {
+	ended := make(chan error, 1)
+	began := make(chan struct{})
+	address := serve(t, func(_ int, c net.Conn) {
+		_, _ = http.ReadRequest(bufio.NewReader(c))
+		close(began)
+		_, err := c.Read(make([]byte, 1))
+		ended <- err
+	})
+	ctx, cancel := context.WithCancel(t.Context())
+	go func() {
+		<-began
+		cancel()
+	}()
+	_, _, err := (&Pool{}).Call(ctx, address, http.MethodPost, "/", nil, []byte("x"))
+	require.ErrorIs(t, err, context.Canceled)
+	require.True(t, WasSent(err))
+	require.ErrorIs(t, <-ended, syscall.ECONNRESET)
+}
+
+func TestRefusedConnectionIsNotSent(t *testing.T) {
+	ln, err := net.Listen("tcp4", "127.0.0.1:0")
+	require.NoError(t, err)
+	address := ln.Addr().String()
+	require.NoError(t, ln.Close())
+	_, err = call(t, &Pool{}, address)
+	var e *Error
+	require.ErrorAs(t, err, &e)
+	require.True(t, e.IsDial)
+	require.False(t, WasSent(err))
+}
+
+func TestSoundConnectionsAreKept(t *testing.T) {
+	conns := make(chan int, 8)
+	address := serve(t, func(n int, c net.Conn) {
+		conns <- n
+		r := bufio.NewReader(c)
+		for {
+			if _, err := http.ReadRequest(r); err != nil {
+				return
+			}
+			_, _ = io.WriteString(c, fine)
+		}
+	})
+	p := &Pool{}
+	for range 3 {
+		_, err := call(t, p, address)
+		require.NoError(t, err)
+	}
+	require.Len(t, conns, 1)
+	p.Sweep(time.Now().Add(time.Hour))
+	_, err := call(t, p, address)
+	require.NoError(t, err)
+	require.Len(t, conns, 2)
+}
+
+func TestConnectionsThatAreNotKept(t *testing.T) {
+	for name, answer := range map[string]string{
+		"closing":       "HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 0\r\n\r\n",
+		"no length":     "HTTP/1.1 200 OK\r\n\r\n",
+		"short-lived":   "HTTP/1.1 200 OK\r\nKeep-Alive: timeout=0\r\nContent-Length: 0\r\n\r\n",
+		"unasked bytes": fine + fine,
+	} {
+		t.Run(name, func(t *testing.T) {
+			conns := make(chan int, 8)
+			address := serve(t, func(n int, c net.Conn) {
+				conns <- n
+				_, _ = http.ReadRequest(bufio.NewReader(c))
+				_, _ = io.WriteString(c, answer)
+				if name == "no length" {
+					_ = c.Close()
+				}
+			})
+			p := &Pool{}
+			for range 2 {
+				status, err := call(t, p, address)
+				require.NoError(t, err)
+				require.Equal(t, http.StatusOK, status)
+			}
+			require.Len(t, conns, 2)
+		})
+	}
+}
+
+func TestAnswerThatIsResetIsNotWhole(t *testing.T) {
+	address := serve(t, func(_ int, c net.Conn) {
+		_, _ = http.ReadRequest(bufio.NewReader(c))
+		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\n\r\nhalf")
+		_ = c.(*net.TCPConn).SetLinger(0)
+		_ = c.Close()
+	})
+	_, err := call(t, &Pool{}, address)
+	require.Error(t, err)
+	require.False(t, errors.Is(err, io.EOF))
+}
--- a/internal/courier/doc.go
+++ b/internal/courier/doc.go
@@ -13,5 +13,6 @@
 //     no clear end, ends the connection.
 //   - A connection on which an answer came before the request was written, or
 //     whose answer was not read to its end, is not used again.
-//   - Ending the context closes the connection, which cancels the request.
+//   - Ending the context resets the connection, which cancels the request. What
+//     a cut has held up is dropped with it and does not arrive later.
 package courier
--- a/internal/courier/pool.go
+++ b/internal/courier/pool.go
@@ -163,6 +163,15 @@
 	return err == nil && quiet
 }
 
+// abort closes the connection with a reset, so that nothing that was written on
+// it arrives any more.
+func (c *conn) abort() {
+	if tcp, ok := c.Conn.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0) // fails on a closed connection only
+	}
+	_ = c.Close() // what failed has been reported already
+}
+
 // noteKeepAlive takes over the idle timeout that an answer states.
 func (c *conn) noteKeepAlive(h http.Header) {
 	for part := range strings.SplitSeq(h.Get("Keep-Alive"), ",") {
