--- a/internal/conductor/move.go
+++ b/internal/conductor/move.go
@@ -125,7 +125,7 @@
 		case Gone:
 			return errors.Wrap(errStop, "another upstream answers")
 		case Refused:
-			return errors.CombineErrors(errors.Wrap(errStop, "order refused"), err)
+			return errors.Wrapf(errStop, "order refused: %v", err)
 		case Unknown:
 			// Sent again with the same number: only one of the two can count.
 			c.Log.Info("order of unknown fate", zap.String("upstream", e.up.ID), zap.String("operation", string(o.Operation)),
--- a/internal/leaser/leaser.go
+++ b/internal/leaser/leaser.go
@@ -139,7 +139,7 @@
 	defer cancelVia()
 	c, end, viaErr := l.Relay.Newest(via)
 	if viaErr != nil {
-		return c, end, errors.CombineErrors(err, viaErr)
+		return c, end, errors.Join(err, viaErr)
 	}
 	return c, end, nil
 }
@@ -157,7 +157,7 @@
 	defer cancelVia()
 	offset, viaErr := l.Relay.Append(via, c, at)
 	if viaErr != nil && !errors.Is(viaErr, ErrMoved) {
-		return 0, errors.CombineErrors(err, viaErr)
+		return 0, errors.Join(err, viaErr)
 	}
 	if viaErr == nil {
 		l.Log.Info("claim made through a peer", zap.Int64("token", offset), logger.Error(err))
--- a/internal/relayer/attempt.go
+++ b/internal/relayer/attempt.go
@@ -143,11 +143,11 @@
 	c.begin(ans.Status)
 	failed := ans.Status >= http.StatusInternalServerError
 	if _, err := c.w.Write(body); err != nil {
-		return fate{done: true, failed: failed, err: errors.CombineErrors(errBroken, err)}
+		return fate{done: true, failed: failed, err: brokenError{err}}
 	}
 	if !whole {
 		if _, err := io.Copy(c.w, ans.Body); err != nil {
-			return fate{failed: true, err: errors.CombineErrors(errBroken, err)}
+			return fate{failed: true, err: brokenError{err}}
 		}
 	}
 	return fate{done: true, failed: failed}
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -132,13 +132,22 @@
 		err = c.serve(ctx)
 	}
 	c.finish(r, err)
-	if errors.Is(err, errBroken) {
+	if isBroken(err) {
 		panic(http.ErrAbortHandler) // ends the connection, so that the answer does not look whole
 	}
 }
 
-// errBroken says that an answer ended early after a part of it was passed on.
-var errBroken = errors.New("answer broken off")
+// brokenError says that an answer ended early after a part of it was passed on.
+type brokenError struct{ cause error }
+
+func (e brokenError) Error() string { return "answer broken off: " + e.cause.Error() }
+
+func (e brokenError) Unwrap() error { return e.cause }
+
+func isBroken(err error) bool {
+	var b brokenError
+	return errors.As(err, &b)
+}
 
 // statusError is an answer of the instance's own.
 type statusError struct {
@@ -268,7 +277,7 @@
 		r = r.After(verdict.MayHaveRun)
 	}
 	if c.stream.started {
-		return errors.CombineErrors(errBroken, r)
+		return brokenError{r}
 	}
 	return r
 }
@@ -282,7 +291,7 @@
 	case err == nil:
 	case r.Context().Err() != nil:
 		outcome = "left"
-	case errors.Is(err, errBroken):
+	case isBroken(err):
 		outcome = "broken"
 	case errors.As(err, &own):
 		outcome = "rejected"
--- a/internal/relayer/stream.go
+++ b/internal/relayer/stream.go
@@ -45,7 +45,7 @@
 		whole := lastEnd(pending)
 		if whole > 0 {
 			if err := c.passEvents(out, ans, pending[:whole]); err != nil {
-				return fate{err: errors.CombineErrors(errBroken, err)}
+				return fate{err: brokenError{err}}
 			}
 			pending = append(pending[:0], pending[whole:]...)
 		}
@@ -59,7 +59,7 @@
 		case rerr != nil:
 			return c.broken(ctx, rerr)
 		case len(pending) > maxEvent:
-			return fate{failed: true, err: errors.CombineErrors(errBroken, errors.New("event too long"))}
+			return fate{failed: true, err: brokenError{errors.New("event too long")}}
 		}
 	}
 }
@@ -68,7 +68,7 @@
 func (c *call) broken(ctx context.Context, err error) fate {
 	f := fate{failed: ctx.Err() == nil, why: "stream broke off: " + err.Error()}
 	if c.stream.started && !c.route.IsResumable {
-		f.err = errors.CombineErrors(errBroken, errors.New(f.why))
+		f.err = brokenError{errors.New(f.why)}
 	}
 	return f
 }
