--- a/internal/conductor/conductor_test.go
+++ b/internal/conductor/conductor_test.go
@@ -27,10 +27,11 @@
 	overran bool
 	// lose says that the answer to the nth call is lost, and whether the order is
 	// carried out all the same, at once or later.
-	lose func(n int) (lost, done, late bool)
-	held []func()
-	busy int // how many calls meet another order under way
-	n    int
+	lose   func(n int) (lost, done, late bool)
+	held   []func()
+	refuse bool
+	busy   int // how many calls meet another order under way
+	n      int
 }
 
 const roomFor = 2 // models
@@ -40,6 +41,9 @@
 	defer s.mu.Unlock()
 	s.n++
 	s.got = append(s.got, fmt.Sprintf("%s %s", o.Operation, o.Model))
+	if s.refuse {
+		return Refused, nil
+	}
 	var lost, done, late bool
 	if s.lose != nil {
 		lost, done, late = s.lose(s.n)
@@ -210,6 +214,22 @@
 	require.Empty(t, s.got)
 }
 
+// A load that came to nothing may still have changed what the engine holds, so
+// it is asked again before the next order.
+func TestEngineIsAskedAgainAfterAFailedMove(t *testing.T) {
+	s := &engineStub{models: []string{"m0", "m1"}}
+	c, _ := newConductor(t, s)
+	c.want("m2", 1)
+	c.plan(t.Context(), time.Now())
+	c.moves.Wait()
+	require.True(t, c.engines["e1"].known)
+	s.refuse = true
+	c.plan(t.Context(), time.Now())
+	c.moves.Wait()
+	require.False(t, c.engines["e1"].known)
+	require.Empty(t, c.Views(time.Now()), "nothing is claimed of it meanwhile")
+}
+
 // The lease is looked at before each order, not once for a move.
 func TestLeaseThatEndsWithinAMove(t *testing.T) {
 	s := &engineStub{models: []string{"m0", "m1"}}
