--- a/cmd/primrosedrift/entry.go
+++ b/cmd/primrosedrift/entry.go
@@ -42,7 +42,7 @@
 }
 
 func runEntry(ctx context.Context, s platform.Settings, level string) error {
-	out := &logger.Writer{Out: os.Stdout}
+	out := &logger.Writer{Out: os.Stdout, Limit: logger.NewLimiter()}
 	log, err := logger.New(out, level)
 	if err != nil {
 		return exitError{exitUsage, err}
--- a/internal/logger/logger.go
+++ b/internal/logger/logger.go
@@ -1,7 +1,8 @@
 // Package logger writes structured logs without ever holding up the process.
 //
-// Lines go into a buffer that a goroutine writes out. What does not fit is
-// dropped and counted; the count is written as soon as there is room.
+// Lines go into a buffer that a goroutine writes out. What does not fit, or is
+// beyond the limit, is dropped and counted; the count is written with the next
+// lines.
 package logger
 
 import (
@@ -14,6 +15,7 @@
 	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
 	"go.uber.org/zap/zapcore"
+	"golang.org/x/time/rate"
 )
 
 const (
@@ -23,9 +25,21 @@
 	flushInterval = 50 * time.Millisecond
 )
 
+// Limits of lines for NewLimiter.
+const (
+	linesPerSecond = 500
+	burstLines     = 2000
+)
+
+// NewLimiter returns the limiter of an instance's log: well above what it writes
+// under its usual load, and little enough for its processor under any.
+func NewLimiter() *rate.Limiter { return rate.NewLimiter(linesPerSecond, burstLines) }
+
 // Writer is a zapcore.WriteSyncer that never blocks.
 type Writer struct {
 	Out io.Writer
+	// Limit bounds the lines, unless it is nil.
+	Limit *rate.Limiter
 
 	mu      sync.Mutex
 	buf     []byte
@@ -37,7 +51,7 @@
 func (w *Writer) Write(line []byte) (int, error) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if len(w.buf)+len(line) > maxBuffered {
+	if len(w.buf)+len(line) > maxBuffered || w.Limit != nil && !w.Limit.Allow() {
 		w.dropped++
 	} else {
 		w.buf = append(w.buf, line...)
--- a/internal/logger/logger_test.go
+++ b/internal/logger/logger_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/stretchr/testify/require"
 	"go.uber.org/zap"
+	"golang.org/x/time/rate"
 )
 
 func TestLinesThatDoNotFitAreCounted(t *testing.T) {
@@ -30,6 +31,19 @@
 	require.NotContains(t, out.String(), "dropped")
 }
 
+func TestLinesBeyondTheLimitAreCounted(t *testing.T) {
+	var out bytes.Buffer
+	w := &Writer{Out: &out, Limit: rate.NewLimiter(0, 3)}
+	log, err := New(w, "info")
+	require.NoError(t, err)
+	for range 5 {
+		log.Info("line")
+	}
+	require.NoError(t, w.Sync())
+	require.Equal(t, 3, strings.Count(out.String(), `"msg":"line"`))
+	require.Contains(t, out.String(), `"lines":2`)
+}
+
 func TestUnknownLevel(t *testing.T) {
 	_, err := New(&Writer{}, "loud")
 	require.Error(t, err)
