--- a/internal/courier/courier.go
+++ b/internal/courier/courier.go
@@ -49,8 +49,6 @@
 	HasLength bool
 	// IsBound says that the answer bears the request's id.
 	IsBound bool
-	// WasReused says that the connection carried an earlier request.
-	WasReused bool
 }
 
 // Error is a failure of the connection.
@@ -135,7 +133,7 @@
 	x.conn.noteKeepAlive(resp.Header)
 	reusable := framed && !resp.Close && bound && x.isWritten()
 	return &Answer{
-		Status: resp.StatusCode, Header: resp.Header, HasLength: framed, IsBound: bound, WasReused: x.conn.used,
+		Status: resp.StatusCode, Header: resp.Header, HasLength: framed, IsBound: bound,
 		Body: &body{ReadCloser: resp.Body, x: x, reusable: reusable},
 	}, nil
 }
--- a/internal/relayer/attempt.go
+++ b/internal/relayer/attempt.go
@@ -38,7 +38,7 @@
 	c.upstream = u.ID
 	began := time.Now()
 	watch := c.Poison.Begin(u, c.print)
-	c.first = 0
+	c.first, c.paid = 0, false
 	f := c.exchange(ctx, slot, began)
 	if f.shed {
 		slot.Shed()
@@ -98,7 +98,7 @@
 	case ans.Status == http.StatusMisdirectedRequest:
 		c.noteMisdirected(u, r)
 		return fate{notRun: true, why: "misdirected"}
-	case r.NotRun && (ans.IsBound || !ans.WasReused):
+	case r.NotRun: // on a kept connection the answer is bound to the request
 		return fate{notRun: true, shed: true, why: "upstream refused with status " + strconv.Itoa(ans.Status)}
 	case !ans.IsBound:
 		return fate{failed: true, why: "answer without the request's id"}
@@ -125,7 +125,8 @@
 // passPlain passes an answer on that is not a stream.
 func (c *call) passPlain(ans *courier.Answer) fate {
 	// An error of an idempotent request is worth another upstream.
-	again := ans.Status == http.StatusInternalServerError && c.route.MayRepeat() && c.ran+1 < c.route.MaxAttempts
+	again := ans.Status == http.StatusInternalServerError && c.route.MayRepeat() && c.ran+1 < c.route.MaxAttempts &&
+		time.Until(c.deadline) > startMargin
 	body, err := io.ReadAll(io.LimitReader(ans.Body, maxBuffered))
 	whole := err == nil && len(body) < maxBuffered
 	switch {
@@ -133,7 +134,8 @@
 		return fate{failed: true, why: "status " + strconv.Itoa(ans.Status) + " on resumption"}
 	case err != nil:
 		return fate{failed: true, why: "answer broke off: " + err.Error()}
-	case again && c.Budget.Retry():
+	case again && whole && c.Budget.Retry():
+		c.paid, c.spare = true, &plainAnswer{ans.Status, ans.Header, body}
 		return fate{failed: true, why: "status 500"}
 	}
 	copyHeader(c.w.Header(), ans.Header)
@@ -153,6 +155,25 @@
 	return fate{done: true, failed: failed}
 }
 
+// plainAnswer is a whole answer that is kept while another attempt is made.
+type plainAnswer struct {
+	status int
+	header http.Header
+	body   []byte
+}
+
+// passSpare passes on the answer that was kept. It reports false if there is none.
+func (c *call) passSpare() bool {
+	if c.spare == nil {
+		return false
+	}
+	copyHeader(c.w.Header(), c.spare.header)
+	c.w.Header().Set("Content-Length", strconv.Itoa(len(c.spare.body)))
+	c.begin(c.spare.status)
+	_, _ = c.w.Write(c.spare.body) // a client that has left needs no answer
+	return true
+}
+
 // begin sends the head of the answer.
 func (c *call) begin(status int) {
 	c.status = status
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -114,6 +114,8 @@
 	ran      int // attempts that may have run
 	sends    int
 	unsent   bool // the last attempt did not reach its upstream
+	paid     bool // the budget has been asked for the next attempt
+	spare    *plainAnswer
 	waited   time.Duration
 	upstream string // that was tried last
 	why      string // how the last attempt ended
@@ -131,6 +133,9 @@
 	if err == nil {
 		err = c.serve(ctx)
 	}
+	if err != nil && ctx.Err() == nil && c.passSpare() {
+		err = nil
+	}
 	c.finish(r, err)
 	if isBroken(err) {
 		panic(http.ErrAbortHandler) // ends the connection, so that the answer does not look whole
@@ -261,7 +266,7 @@
 	case c.unsent && c.sends < maxUnsent:
 	case c.sends >= maxSends || c.ran >= max(c.route.MaxAttempts, 1):
 		return c.refuse(verdict.ReasonUpstreamFailed, minRetry, "%d attempts: %s", c.sends, c.why)
-	case !c.unsent && !c.Budget.Retry():
+	case !c.unsent && !c.paid && !c.Budget.Retry():
 		return c.refuse(verdict.ReasonUpstreamFailed, time.Second, "retry budget used up: %s", c.why)
 	}
 	return nil
--- a/internal/relayer/relayer_test.go
+++ b/internal/relayer/relayer_test.go
@@ -466,3 +466,34 @@
 		<-conns // each on a connection of its own
 	}
 }
+
+// An error of an idempotent request is worth one repeat. If the repeat fails in
+// another way, the client gets the error that there was.
+func TestErrorIsRepeatedOnceAndDeliveredOtherwise(t *testing.T) {
+	fails := func(_ int, r *http.Request, _ string) (string, bool) { return whole(r, 500, stamped, "oops"), false }
+	breaks := func(int, *http.Request, string) (string, bool) { return "", true }
+	for name, tt := range map[string]struct {
+		reserve float64
+		second  func(int, *http.Request, string) (string, bool)
+		want    int
+	}{
+		"one repeat left": {1, func(_ int, r *http.Request, _ string) (string, bool) { return whole(r, 200, stamped, "fine"), false }, 200},
+		"no repeat left":  {0.5, breaks, 500},
+		"repeat breaks":   {1, breaks, 500},
+	} {
+		t.Run(name, func(t *testing.T) {
+			first, second := newUpstream(t, fails), newUpstream(t, tt.second)
+			g := newRig(t, first, second)
+			g.Budget.Reserve, g.Budget.Share = tt.reserve, 0.001
+			var resp *http.Response
+			for first.count() == 0 { // until a first attempt goes there
+				g.Budget = &retrier.Budget{Reserve: tt.reserve, Share: 0.001}
+				resp, _ = g.do(g.request("GET", "/again/", ""))
+			}
+			require.Equal(t, tt.want, resp.StatusCode)
+			if tt.want == http.StatusInternalServerError {
+				require.Equal(t, "s", resp.Header.Get(hStamp))
+			}
+		})
+	}
+}
