courier, relayer: a connection that carried a long request is not used again; a resumed stream may wait until its deadline

Causes: where the kernel's buffers took a whole long body, its early answer let the connection be kept, and the next request waited behind a body that the upstream had not read. Ruled out: the kernel (a plain pair of sockets never lost an answer in 400 tries), collected connections. The wait of a resumed stream was still bounded by the patience from its arrival; TestResumptionWaitsForRoom fails without the change.

--- a/internal/courier/courier.go
+++ b/internal/courier/courier.go
@@ -105,7 +105,7 @@
 	stop    func() bool
 	sent    bool
 	once    sync.Once
-	written chan error // result of a write that goes on beside the answer, nil if none does
+	isLong  bool // the request is written beside the answer
 }
 
 func (x *exchange) run(req *Request) (*Answer, error) {
@@ -117,12 +117,8 @@
 			return nil, err
 		}
 	} else {
-		x.sent = true
-		x.written = make(chan error, 1)
-		go func() {
-			_, err := x.conn.Write(out)
-			x.written <- err
-		}()
+		x.sent, x.isLong = true, true
+		go func() { _, _ = x.conn.Write(out) }() // a failure shows in the answer, or does not matter
 	}
 	resp, bound, err := x.readHead(req)
 	if err != nil {
@@ -131,26 +127,13 @@
 	// An answer without a length ends with the connection.
 	framed := resp.ContentLength >= 0 || slices.Contains(resp.TransferEncoding, "chunked")
 	x.conn.noteKeepAlive(resp.Header)
-	reusable := framed && !resp.Close && bound && x.isWritten()
+	reusable := framed && !resp.Close && bound && !x.isLong
 	return &Answer{
 		Status: resp.StatusCode, Header: resp.Header, HasLength: framed, IsBound: bound,
 		Body: &body{ReadCloser: resp.Body, x: x, reusable: reusable},
 	}, nil
 }
 
-// isWritten reports whether the whole request has been written.
-func (x *exchange) isWritten() bool {
-	if x.written == nil {
-		return true
-	}
-	select {
-	case err := <-x.written:
-		return err == nil
-	default:
-		return false
-	}
-}
-
 // readHead reads the head of the answer. It passes over answers to other
 // requests, which an upstream may send late.
 func (x *exchange) readHead(req *Request) (*http.Response, bool, error) {
--- a/internal/courier/doc.go
+++ b/internal/courier/doc.go
@@ -11,8 +11,9 @@
 //     or holds bytes nobody asked for is closed.
 //   - An answer that does not bear the request's id is passed over or, if it has
 //     no clear end, ends the connection.
-//   - A connection on which an answer came before the request was written, or
-//     whose answer was not read to its end, is not used again.
+//   - A connection that carried a long request is not used again, since its
+//     answer may have come before the upstream has read the request. Nor is one
+//     whose answer was not read to its end.
 //   - Ending the context resets the connection, which cancels the request. What
 //     a cut has held up is dropped with it and does not arrive later.
 package courier
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -234,6 +234,10 @@
 		if c.Poison.IsCondemned(c.print, time.Now()) {
 			return c.refuse(verdict.ReasonPoison, time.Second, "upstreams ended while they ran this request")
 		}
+		if c.stream.started {
+			// What arrived of the stream was in time; only the deadline counts now.
+			c.ask.Limit = c.deadline
+		}
 		began := time.Now()
 		slot, err := c.Queue.Acquire(ctx, c.ask)
 		c.waited += time.Since(began)
@@ -241,10 +245,6 @@
 			return c.after(verdict.Of(err))
 		}
 		c.sends++
-		if c.stream.started {
-			// What arrived of the stream was in time; only the deadline counts now.
-			c.ask.Limit = c.deadline
-		}
 		done, err := c.attempt(ctx, slot)
 		if done || err != nil {
 			return err
--- a/internal/relayer/relayer_test.go
+++ b/internal/relayer/relayer_test.go
@@ -441,14 +441,14 @@
 	ln, err := net.Listen("tcp4", "127.0.0.1:0")
 	require.NoError(t, err)
 	defer ln.Close()
-	conns := make(chan int, 8)
+	conns := make(chan net.Conn, 8) // keeps them open: one that is collected resets its answer
 	go func() {
-		for i := 0; ; i++ {
+		for {
 			c, err := ln.Accept()
 			if err != nil {
 				return
 			}
-			conns <- i
+			conns <- c
 			go func() {
 				req, err := http.ReadRequest(bufio.NewReaderSize(c, 512))
 				if err == nil {
@@ -463,7 +463,10 @@
 		resp, body := g.do(g.request("POST", "/once/", strings.Repeat("x", 900<<10)))
 		require.Equal(t, 413, resp.StatusCode)
 		require.Equal(t, "too long", body)
-		<-conns // each on a connection of its own
+	}
+	require.Len(t, conns, 2, "each on a connection of its own")
+	for range 2 {
+		_ = (<-conns).Close()
 	}
 }
 
@@ -497,3 +500,28 @@
 		})
 	}
 }
+
+// A stream that has begun may wait for room until its deadline: the client's
+// patience counts from its last event, not from its arrival.
+func TestResumptionWaitsForRoom(t *testing.T) {
+	var g *rig
+	up := newUpstream(t, func(n int, r *http.Request, _ string) (string, bool) {
+		if n == 1 {
+			g.Beliefs.ApplyEntries(map[string]*registrar.Upstream{"u0": nil}, time.Now())
+			return streamHead(r) + chunk(event(1)), true
+		}
+		return streamHead(r) + chunk(event(2)) + "0\r\n\r\n", false
+	})
+	g = newRig(t, up)
+	entry := g.Beliefs.Now().ByID["u0"]
+	g.Queue.OnWait = func() {
+		g.Beliefs.ApplyEntries(map[string]*registrar.Upstream{"u0": entry}, time.Now())
+	}
+	old := g.Config()
+	route, _ := old.Match("h.example", "/resumable/")
+	route.Patience = patienceMargin + time.Nanosecond
+	cfg := matcher.New(2, []matcher.Route{route}, old.Services, old.Limits)
+	g.Config = func() *matcher.Config { return cfg }
+	_, body := g.do(g.request("POST", "/resumable/", ""))
+	require.Equal(t, event(1)+event(2), body)
+}
