internal/assembler: incarnations contain the name of the instance

Cause: ulid.Make seeds its random numbers with the time. Instances that start in the same nanosecond got one incarnation, and two of them took a lease of the one for their own. Change: the instance's name is part of its incarnation, and its random part comes from crypto/rand.

--- a/internal/assembler/assembler.go
+++ b/internal/assembler/assembler.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"crypto/rand"
+	"io"
 	"net/http"
 	"runtime/debug"
 	"sync"
@@ -107,7 +109,7 @@
 	a.registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	a.metrics = newMetrics(a.registry)
 	self := &peerv1.Member{
-		Instance: d.Instance, Incarnation: ulid.Make().String(), DataCentre: d.DataCentre,
+		Instance: d.Instance, Incarnation: newIncarnation(d.Instance, time.Now(), rand.Reader), DataCentre: d.DataCentre,
 		PeerAddress: d.Listen.Peer, CallerAddress: d.Listen.Caller,
 	}
 	a.wireRequests()
@@ -116,6 +118,13 @@
 	return a
 }
 
+// newIncarnation returns the name of a run of the instance's process. It contains the
+// name of the instance, because instances that start at the same moment may draw the
+// same random numbers.
+func newIncarnation(instance string, startedAt time.Time, entropy io.Reader) string {
+	return instance + "/" + ulid.MustNew(ulid.Timestamp(startedAt), entropy).String()
+}
+
 // wireRequests creates the components that serve requests.
 func (a *Assembler) wireRequests() {
 	a.poison = &relayer.PoisonTracker{}
