internal/controller: the test of a mutual cut counts claims, not appends

Cause of the one failure (98 in the later 80 steps, 93 in the first): the test counted appends. A recorder puts the claims of a step into as few appends as the machine's speed allows, so 326 to 425 claims in the first half and 129 to 188 in the second were about as many appends. The rig also went on after 5 ms, whether or not the records of a step had been read back. Change: the rig waits until each record that was submitted is read back, and the test counts the claims in the log.

--- a/internal/controller/controller_test.go
+++ b/internal/controller/controller_test.go
@@ -419,11 +419,12 @@
 	r.unreachable[[2]string{"entry-1", "entry-2"}] = true
 	r.unreachable[[2]string{"entry-2", "entry-1"}] = true
 	claims := func(steps int) int {
-		before := r.numAppends()
+		before := r.numClaims()
 		r.steps(steps)
-		return r.numAppends() - before
+		return r.numClaims() - before
 	}
 	early := claims(80)
 	late := claims(80)
+	t.Logf("%d claims in the first 80 steps, %d in the next", early, late)
 	require.Less(t, late, early)
 }
--- a/internal/controller/rig_test.go
+++ b/internal/controller/rig_test.go
@@ -7,6 +7,7 @@
 	"maps"
 	"net/http"
 	"net/http/httptest"
+	"runtime"
 	"slices"
 	"strings"
 	"sync"
@@ -362,7 +363,31 @@
 	s := r.currentState()
 	r.violations = append(r.violations, checker.CheckEngines(before, s, r.engineStates())...)
 	r.now = r.now.Add(100 * time.Millisecond)
-	time.Sleep(5 * time.Millisecond) // gives recorders and orders time to run
+	r.settle()
+	time.Sleep(5 * time.Millisecond) // gives orders time to run
+}
+
+// settle waits until the records that the nodes have submitted are in the log and
+// read back, so that the decisions of the next step do not depend on the speed of
+// the machine.
+func (r *rig) settle() {
+	limit := time.Now().Add(testTimeout)
+	for {
+		isSettled := true
+		for _, n := range r.nodes {
+			if n.isFrozen {
+				continue
+			}
+			n.sync()
+			n.drainResolved()
+			isSettled = isSettled && len(n.pendingSubjects) == 0
+		}
+		if isSettled {
+			return
+		}
+		require.True(r.t, time.Now().Before(limit), "records are read back")
+		runtime.Gosched()
+	}
 }
 
 // sync applies the new records of the log.
@@ -457,6 +482,23 @@
 	return len(r.log)
 }
 
+// numClaims returns the number of claims in the log.
+func (r *rig) numClaims() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	n := 0
+	for _, payload := range r.log {
+		var b recordv1.Batch
+		require.NoError(r.t, proto.Unmarshal(payload, &b))
+		for _, rec := range b.GetRecords() {
+			if rec.GetClaim() != nil {
+				n++
+			}
+		}
+	}
+	return n
+}
+
 func (r *rig) endDemand() {
 	for _, n := range r.nodes {
 		for _, k := range n.tickets {
