internal/applier: further losses renew the suspicion of a poison request

Cause: a suspect with three lost incarnations was not updated any more, so its suspicion expired an hour after the third loss even if it went on ending upstreams. Change: the newest three losses are kept, and each further one renews the time. TestFurtherLossesRenewSuspicion fails before.

--- a/internal/applier/poison.go
+++ b/internal/applier/poison.go
@@ -11,6 +11,8 @@
 const (
 	// maxSuspects limits the number of suspects. The oldest is dropped first.
 	maxSuspects = 4096
+	// maxLosses limits the lost incarnations that are kept of a suspect.
+	maxLosses = PoisonThreshold + 1
 	// SuspicionTTL is how long a request stays suspect after its latest
 	// suspicion.
 	SuspicionTTL = time.Hour
@@ -48,13 +50,16 @@
 
 func (p *Poison) add(f uint64, v *recordv1.Suspicion) bool {
 	s, ok := p.suspects[f]
-	if slices.Contains(s.incarnations, v.GetUpstreamIncarnation()) || len(s.incarnations) > PoisonThreshold {
+	if slices.Contains(s.incarnations, v.GetUpstreamIncarnation()) {
 		return false
 	}
 	if !ok {
 		p.order = append(p.order, f)
 	}
-	put(&p.suspects, f, suspect{append(slices.Clone(s.incarnations), v.GetUpstreamIncarnation()), max(s.latestUnixMs, v.GetUnixMs())})
+	incarnations := append(slices.Clone(s.incarnations), v.GetUpstreamIncarnation())
+	// The newest losses are kept, so that each further loss renews the suspicion.
+	incarnations = incarnations[max(0, len(incarnations)-maxLosses):]
+	put(&p.suspects, f, suspect{incarnations, max(s.latestUnixMs, v.GetUnixMs())})
 	return true
 }
 
--- a/internal/applier/poison_test.go
+++ b/internal/applier/poison_test.go
@@ -37,3 +37,16 @@
 	require.NotEmpty(t, p.apply(s("", true)), "a poison request is not cleared")
 	require.Len(t, p.LostIncarnations(7, now), PoisonThreshold)
 }
+
+// A poison request that keeps ending upstreams stays refused: each further loss
+// renews the suspicion.
+func TestFurtherLossesRenewSuspicion(t *testing.T) {
+	now := time.UnixMilli(1_000_000)
+	var p Poison
+	for _, incarnation := range []string{"a", "b", "c", "d"} {
+		require.Empty(t, p.apply(&recordv1.Suspicion{Fingerprints: []uint64{7}, UpstreamIncarnation: incarnation, UnixMs: now.UnixMilli()}))
+		require.NotEmpty(t, p.LostIncarnations(7, now.Add(SuspicionTTL-time.Millisecond)))
+		now = now.Add(SuspicionTTL / 2)
+	}
+	require.Len(t, p.LostIncarnations(7, now), maxLosses, "the losses that are kept are bounded")
+}
