internal/dispatcher: the breaker gets the start of a generation's attempt

Cause: finishAttempt passed the end of the attempt as its start, so the failure of an attempt that had started before the breaker opened prolonged the open time.

--- a/internal/dispatcher/generate.go
+++ b/internal/dispatcher/generate.go
@@ -44,6 +44,7 @@
 	hasToken    bool            // a token has been received
 	tried       map[string]bool // upstreams that have failed this request
 	isAttempted bool            // at least one attempt was made
+	attemptedAt time.Time       // start of the last attempt
 	ran         verdict.Ran     // of all attempts so far
 	lastFailure verdict.Refusal
 }
@@ -149,14 +150,14 @@
 	g.ticket.MarkRunning()
 	g.isAttempted = true
 	g.d.Monitor.RecordPrefix(c.Upstream, g.prefix)
-	startedAt := time.Now()
+	g.attemptedAt = time.Now()
 	isFirstToken := true
 	n, err := g.d.Attempter.Generate(ctx, c.Address, &upstreamv1.GenerateRequest{
 		Model: g.req.GetModel(), Adapter: g.req.GetAdapter(), Replica: c.Replica, Prompt: g.req.GetPrompt(),
 		MaxTokens: g.req.GetMaxTokens(), Priority: uint32(g.adm.Class), FromToken: g.nextToken,
 	}, func(i uint32, tok string) error {
 		if isFirstToken {
-			g.d.Monitor.RecordSuccess(c.Upstream, time.Since(startedAt))
+			g.d.Monitor.RecordSuccess(c.Upstream, time.Since(g.attemptedAt))
 			isFirstToken, g.hasToken = false, true
 		}
 		watchdog.Reset(tokenTimeout)
@@ -192,7 +193,7 @@
 		g.d.Monitor.MarkLeaving(c.Upstream)
 	case attempter.KindBroken, attempter.KindIncomplete:
 		if ctx.Err() == nil {
-			g.d.Monitor.RecordFailure(c.Upstream, time.Now())
+			g.d.Monitor.RecordFailure(c.Upstream, g.attemptedAt)
 		}
 	}
 	if isBroken && !g.d.Monitor.Probe(ctx, c.Upstream, c.Incarnation) && ctx.Err() == nil {
