internal/entry: requests are forwarded with the callers' TLS keys

Cause: the forwarder used plain http also where tls.caller is set, so no request could be forwarded there.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -94,7 +94,7 @@
 		Log: log.Named("dispatcher"), IsLogAvailable: e.isLogAvailable, HasProcessEnded: e.watcher.HasProcessEnded,
 	}
 	e.dispatcher.Admitter.Table.MaxWaiting = s.Limits.QueuedRequests
-	e.forwarder.HTTP = client
+	e.forwarder = forwarder{HTTP: tlsClient(client, s.TLS.Caller), Scheme: scheme(s.TLS.Caller)}
 	e.wireShares(platformv1connect.NewLogQueriesClient(client, s.Platform.Log))
 	e.recorder.OnAbandonedRead = e.dispatcher.FreeKey
 	e.explainer = &explainer.Explainer{}
@@ -132,7 +132,7 @@
 			Address: e.Settings.Listen.Peer, CallerAddress: e.Settings.Listen.Caller,
 		},
 		List: platformv1connect.NewInstanceListQueriesClient(client, e.Settings.Platform.InstanceList),
-		HTTP: e.peerClient(client), PeerScheme: e.peerScheme(),
+		HTTP: tlsClient(client, e.Settings.TLS.Peer), PeerScheme: scheme(e.Settings.TLS.Peer),
 		OnStatus: func(st *peerv1.StatusResponse) { e.monitor.RecordPeerLeaving(st.GetLeavingUpstreams()) },
 		OnChange: func(ms []watcher.Member) {
 			watcherLog.Info("membership changed", zap.Int("members", len(ms)))
--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -41,6 +41,9 @@
 // request, so that it is not forwarded again.
 type forwarder struct {
 	HTTP *http.Client
+	// Scheme is the URL scheme of the callers' address of an instance, which is the
+	// same on all instances.
+	Scheme string
 }
 
 // traceConnection returns a context for one call and a flag that is set once the
@@ -68,7 +71,7 @@
 	ctx, hasConn := traceConnection(ctx)
 	sent := proto.CloneOf(req)
 	sent.Forwarded = true
-	resp, err := callerv1connect.NewCallerCommandsClient(f.HTTP, "http://"+address).Call(ctx, connect.NewRequest(sent))
+	resp, err := callerv1connect.NewCallerCommandsClient(f.HTTP, f.Scheme+"://"+address).Call(ctx, connect.NewRequest(sent))
 	if err != nil {
 		return nil, forwardError(err, hasConn)
 	}
@@ -85,7 +88,7 @@
 	ctx, hasConn := traceConnection(ctx)
 	sent := proto.CloneOf(req)
 	sent.Forwarded = true
-	stream, err := callerv1connect.NewCallerCommandsClient(f.HTTP, "http://"+address).Generate(ctx, connect.NewRequest(sent))
+	stream, err := callerv1connect.NewCallerCommandsClient(f.HTTP, f.Scheme+"://"+address).Generate(ctx, connect.NewRequest(sent))
 	if err != nil {
 		return forwardError(err, hasConn)
 	}
--- a/internal/entry/listen.go
+++ b/internal/entry/listen.go
@@ -103,21 +103,21 @@
 	return k, k.Load()
 }
 
-// peerScheme returns the URL scheme of the peers. It is the same on all instances.
-func (e *Entry) peerScheme() string {
-	if e.Settings.TLS.Peer.IsZero() {
+// scheme returns the URL scheme of the addresses that are served with the keys.
+func scheme(files keyring.Files) string {
+	if files.IsZero() {
 		return "http"
 	}
 	return "https"
 }
 
-// peerClient returns the HTTP client for peers: plain, or one that uses the peers'
-// TLS keys.
-func (e *Entry) peerClient(plain *http.Client) *http.Client {
-	if e.Settings.TLS.Peer.IsZero() {
+// tlsClient returns the HTTP client for other instances: plain, or one that uses the
+// same TLS keys as the address on which this instance serves.
+func tlsClient(plain *http.Client, files keyring.Files) *http.Client {
+	if files.IsZero() {
 		return plain
 	}
-	keys := &keyring.Keyring{Files: e.Settings.TLS.Peer} // listen reports errors of these files
+	keys := &keyring.Keyring{Files: files} // listen reports errors of these files
 	return &http.Client{Transport: &http.Transport{
 		DialTLSContext: keys.Dial, MaxIdleConnsPerHost: maxIdleConnsPerHost, IdleConnTimeout: 90 * time.Second,
 	}}
