internal/queuer: short prompts pass long ones, and every refusal counts as demand

Causes: a prompt that found no room kept all later requests of its model waiting, shorter ones too; a refusal that raced with the timer of its request was not counted as demand until its retry. Looked at and none: a slot that is granted after Close. The relayer refuses new requests from then on; what still asks is the retry of a request that was accepted before, and it may use a free slot. TestShortPromptIsGrantedBehindLongOne fails before; TestRefusalThatRacesWithTimerCountsAsDemand fails without expectRetry.

--- a/internal/queuer/queuer.go
+++ b/internal/queuer/queuer.go
@@ -110,6 +110,7 @@
 		case u := <-w.granted:
 			return &Slot{Upstream: u, q: q, request: req}, nil
 		case estimate = <-w.refused:
+			q.expectRetry(req, estimate)
 		}
 	}
 	if ctx.Err() != nil {
--- a/internal/queuer/queuer_test.go
+++ b/internal/queuer/queuer_test.go
@@ -226,3 +226,42 @@
 	require.Equal(t, verdict.ReasonCanceled, verdict.FromError(err).Reason)
 	require.Zero(t, q.Table.Waiting())
 }
+
+// A short prompt starts although an earlier one of the same model is too long for
+// what the upstream can process at present.
+func TestShortPromptIsGrantedBehindLongOne(t *testing.T) {
+	table, s, cfg := newTable(), snapshot(engine("e1", registrar.Model{Name: "m1"})), config()
+	first, long, short := newRequest(1, 0), newRequest(1, time.Second), newRequest(1, 2*time.Second)
+	first.Tokens, long.Tokens, short.Tokens = maxPrefillTokens/2, maxPrefillTokens, maxPrefillTokens/4
+	require.NotNil(t, table.Grant(first, s, cfg, start))
+	longWaiter, shortWaiter := table.Wait(long, start), table.Wait(short, start)
+	table.GrantWaiting(s, cfg, start)
+	require.Nil(t, longWaiter.Granted())
+	require.NotNil(t, shortWaiter.Granted())
+}
+
+// A request that is refused at the moment at which its time runs out counts as
+// demand like one that is refused earlier.
+func TestRefusalThatRacesWithTimerCountsAsDemand(t *testing.T) {
+	u := engine("e1")
+	u.OnDisk = []string{"m1"}
+	q := newQueue(u)
+	q.OnDemandChange = func() {
+		q.mu.Lock()
+		defer q.mu.Unlock()
+		for _, w := range q.Table.waiting {
+			// The refusal has taken the request out of the table and is delivered after
+			// the timer.
+			time.AfterFunc(time.Until(w.Request.StartBy)+10*time.Millisecond, func() {
+				w.refused <- StartEstimate{Delay: time.Second, NeedsLoad: true}
+			})
+		}
+		q.Table.waiting = nil
+	}
+	req := Request{Service: "lm", Model: "m1", StartBy: time.Now().Add(diskLoadDuration + swapOverhead + 50*time.Millisecond)}
+	_, err := q.Acquire(t.Context(), req)
+	require.Equal(t, verdict.ReasonNoUpstream, verdict.FromError(err).Reason)
+	demands, _ := q.Demands()
+	require.Len(t, demands, 1)
+	require.Equal(t, 1, demands[0].Waiting)
+}
--- a/internal/queuer/table.go
+++ b/internal/queuer/table.go
@@ -225,18 +225,20 @@
 		return
 	}
 	kept := t.waiting[:0]
-	full := make(map[key]bool)
+	fullFor := make(map[key]int) // length of the shortest prompt that found no room
 	for _, w := range t.waiting {
 		k := w.Request.key()
 		// A retried request may have no room where others of its key do, as it
 		// avoids the upstreams that failed it.
-		if full[k] && len(w.Request.Tried) == 0 {
+		if shortest, ok := fullFor[k]; ok && w.Request.Tokens >= shortest && len(w.Request.Tried) == 0 {
 			kept = append(kept, w)
 			continue
 		}
 		u := t.Grant(w.Request, s, cfg, now)
 		if u == nil {
-			full[k] = true
+			if len(w.Request.Tried) == 0 {
+				fullFor[k] = w.Request.Tokens
+			}
 			kept = append(kept, w)
 			continue
 		}
