--- a/internal/conductor/conductor.go
+++ b/internal/conductor/conductor.go
@@ -25,6 +25,10 @@
 	// priorReplicaRate is the rate, in requests per second, that is assumed for each
 	// replica of a model beyond the first until requests have arrived.
 	priorReplicaRate = 13.0
+	// minKeptRate is the rate, in requests per second, below which the rate of a model
+	// or adapter without requests is dropped. The rate after a single request falls
+	// below it within about a minute.
+	minKeptRate = 1e-7
 	// maxFailureProbability is the failure probability above which plans ignore an
 	// upstream. The registration of an upstream that has ended disappears only
 	// seconds later, and its models must be loaded elsewhere at once.
--- a/internal/conductor/conductor_test.go
+++ b/internal/conductor/conductor_test.go
@@ -342,3 +342,18 @@
 	require.ErrorIs(t, err, errMoveAborted)
 	require.Equal(t, maxConnectFailures, tries)
 }
+
+// The rates of models that are no longer requested are dropped.
+func TestRatesOfIdleModelsAreDropped(t *testing.T) {
+	c, _ := newConductor(t, &engineStub{})
+	now := time.Now()
+	c.Report("i1", []Demand{{Service: "lm", Model: "m0", Adapter: "a1", Arrived: 1}}, now)
+	demands := func(at time.Time) int {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		return len(c.demandsLocked("lm", nil, at))
+	}
+	require.Equal(t, 2, demands(now))
+	require.Zero(t, demands(now.Add(2*time.Minute)))
+	require.Empty(t, c.rates)
+}
--- a/internal/conductor/fleet.go
+++ b/internal/conductor/fleet.go
@@ -103,6 +103,10 @@
 		if k.service != service || k.model == "" {
 			continue
 		}
+		if r.At(now) < minKeptRate && waiting[k] == 0 && runningByModel[k] == 0 {
+			delete(c.rates, k)
+			continue
+		}
 		out = append(out, arranger.Demand{Model: k.model, Adapter: k.adapter, Rate: r.Forecast(now), Waiting: waiting[k], Running: runningByModel[k]})
 	}
 	return out
