internal/monitor, logreader, standin, pkg/caller: five faults found by reading

- A peer's report that an upstream is leaving woke no waiting request (TestPeerReportOfLeavingWakesWaiters hangs before).
- logreader.Find took the last line read for the newest one (TestFindUsesNewestLineOfRequest fails before).
- The stand-in log slept through the end of its context.

--- a/internal/logreader/logreader.go
+++ b/internal/logreader/logreader.go
@@ -117,7 +117,11 @@
 	for _, x := range l.Lines {
 		if x.Request == request {
 			t.RequestLines = append(t.RequestLines, x.raw)
-			last, end = x, x.Time
+			// The logs of several instances are read one after the other, so the last
+			// line read is not always the newest one.
+			if x.Time >= end {
+				last, end = x, x.Time
+			}
 		}
 	}
 	if len(t.RequestLines) == 0 {
--- a/internal/logreader/logreader_test.go
+++ b/internal/logreader/logreader_test.go
@@ -71,3 +71,14 @@
 		{"served: long pause", "", 1, "c"},
 	}, l.Summarize(300*time.Millisecond).ByCause().Rows)
 }
+
+// Logs of several instances are read one after the other, so a request that went
+// through two instances may have its newest line first.
+func TestFindUsesNewestLineOfRequest(t *testing.T) {
+	var l Log
+	require.NoError(t, l.Read(strings.NewReader(`{"ts":"10:00:05","msg":"request ended","instance":"b","request":"r1","upstream":"u2"}
+{"ts":"10:00:04","msg":"upstream ended","instance":"b","upstream":"u2"}
+{"ts":"10:00:01","msg":"attempt failed","instance":"a","request":"r1","upstream":"u1"}
+`)))
+	require.Equal(t, []string{`{"ts":"10:00:04","msg":"upstream ended","instance":"b","upstream":"u2"}`}, l.Find("r1", 10).ContextLines)
+}
--- a/internal/monitor/monitor.go
+++ b/internal/monitor/monitor.go
@@ -98,6 +98,11 @@
 		return
 	}
 	m.views[name] = f(v)
+	m.notifyLocked()
+}
+
+// notifyLocked wakes the receivers of Changed.
+func (m *Monitor) notifyLocked() {
 	if m.changed != nil {
 		close(m.changed)
 		m.changed = nil
@@ -181,12 +186,17 @@
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	isNew := false
 	for name, v := range m.views {
-		if slices.Contains(leaving, v.Report.GetIncarnation()) {
+		if slices.Contains(leaving, v.Report.GetIncarnation()) && v.LeavingIncarnation != v.Report.GetIncarnation() {
 			v.LeavingIncarnation = v.Report.GetIncarnation()
 			m.views[name] = v
+			isNew = true
 		}
 	}
+	if isNew {
+		m.notifyLocked()
+	}
 }
 
 // Probe requests a report from an upstream now and returns whether the given
--- a/internal/monitor/monitor_test.go
+++ b/internal/monitor/monitor_test.go
@@ -70,3 +70,19 @@
 	v.Outstanding, v.OutstandingAtReport = 9, 9
 	require.Equal(t, 9, v.Load(), "outstanding attempts count even if a late report does not include them")
 }
+
+// Requests that wait for a free slot must notice that a peer found an upstream to be
+// shutting down.
+func TestPeerReportOfLeavingWakesWaiters(t *testing.T) {
+	m := &Monitor{views: map[string]View{"u1": reported("a", 1)}}
+	changed := m.Changed()
+	m.RecordPeerLeaving([]string{"other"})
+	select {
+	case <-changed:
+		require.Fail(t, "nothing has changed")
+	default:
+	}
+	m.RecordPeerLeaving([]string{"a"})
+	<-changed
+	require.Equal(t, []string{"a"}, m.LeavingIncarnations())
+}
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -20,6 +20,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/oklog/ulid/v2"
 
+	"github.com/primrosedrift/primrosedrift/internal/prefixer"
 	"github.com/primrosedrift/primrosedrift/internal/standin/checker"
 	"github.com/primrosedrift/primrosedrift/internal/standin/faulter"
 	platformv1 "github.com/primrosedrift/primrosedrift/pkg/api/platform/v1"
@@ -57,7 +58,7 @@
 	running       uint32
 	sequence      uint64
 	stats         Stats
-	events        []*upstreamv1.CacheEvent
+	cache         promptCache
 	reports       []timedReport // oldest first, as far back as Faults.LagMs requires
 }
 
@@ -349,6 +350,7 @@
 	e.running++
 	r.running++
 	e.stats.NumRequests++
+	e.cache.add(m.GetModel(), prefixer.Hash(m.GetModel(), m.GetAdapter(), m.GetPrompt()))
 	return func() {
 		e.mu.Lock()
 		defer e.mu.Unlock()
@@ -377,7 +379,7 @@
 		Incarnation: e.incarnation, Sequence: e.sequence, Leaving: e.Faults.Get().Leaving,
 		Running: min(e.running, e.Slots), Queued: e.running - min(e.running, e.Slots), Slots: e.Slots,
 		MemoryBytes: e.MemoryBytes, UsedBytes: e.usedLocked(), DiskCheckpoints: slices.Clone(e.disk),
-		CacheEvents: slices.Clone(e.events),
+		CacheEvents: slices.Clone(e.cache.events),
 	}
 	for id, r := range e.replicas {
 		v := &upstreamv1.ReplicaReport{Replica: id, Model: r.model, Running: r.running, MemoryBytes: r.bytes, State: upstreamv1.ReplicaState_REPLICA_STATE_LOADING}
--- a/internal/standin/logstore/logstore.go
+++ b/internal/standin/logstore/logstore.go
@@ -15,6 +15,7 @@
 	"github.com/cockroachdb/errors"
 	"golang.org/x/time/rate"
 
+	"github.com/primrosedrift/primrosedrift/internal/sleeper"
 	"github.com/primrosedrift/primrosedrift/internal/standin/faulter"
 	platformv1 "github.com/primrosedrift/primrosedrift/pkg/api/platform/v1"
 	"github.com/primrosedrift/primrosedrift/pkg/api/platform/v1/platformv1connect"
@@ -119,7 +120,7 @@
 			return err
 		}
 		if lag := s.Faults.Get().TailLagMs; lag > 0 && len(resp.GetEntries()) > 0 {
-			time.Sleep(time.Duration(lag) * time.Millisecond)
+			sleeper.Sleep(ctx, time.Duration(lag)*time.Millisecond)
 		}
 		if err := stream.Send(resp); err != nil {
 			return errors.Wrap(err, "send")
--- a/pkg/caller/caller.go
+++ b/pkg/caller/caller.go
@@ -95,6 +95,9 @@
 		c.mu.Unlock()
 		return l.addresses, nil
 	}
+	if last == nil {
+		return nil, errors.New("no address of an entry instance is known")
+	}
 	return nil, errors.Wrap(last, "no entry instance answered")
 }
 
