test, scripts: two runs on one machine take different ports

Cause: both took the ports from 20001 on, and the demo's from 17100 on; a process that was restarted lost its port to the other run. Change: a lock file reserves each port, or the hundred ports of a demo, until the run ends.

--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -1,6 +1,12 @@
 # Functions that start a small fleet on this machine, for scripts/demo and
-# scripts/bench-load. The caller sets out (a directory) and base (a port).
+# scripts/bench-load. The caller sets out (a directory) and base (the first port to
+# try; each fleet uses 100).
 # shellcheck shell=bash
+# A lock keeps two fleets on this machine from using the same ports.
+while exec {ports}>"${TMPDIR:-/tmp}/primrosedrift-ports-$base"; ! flock -n "$ports"; do
+  exec {ports}>&-
+  base=$((base + 100))
+done
 go build -o "$out/" ./cmd/primrosedrift ./cmd/standin
 pd="$out/primrosedrift" st="$out/standin"
 declare -A pid
--- a/test/fleet_test.go
+++ b/test/fleet_test.go
@@ -81,10 +81,18 @@
 // otherwise occupy a port before the process under test listens on it.
 var lastPort = 20_000
 
+// Each port stays reserved by a lock on a file until this test process ends, since
+// another run of the tests on this machine takes its ports from the same range, and
+// a restarted process must get its port again.
 func freeAddress(t testing.TB) string {
 	t.Helper()
+	locks := filepath.Join(os.TempDir(), "primrosedrift-test-ports")
+	require.NoError(t, os.MkdirAll(locks, 0o700))
 	for lastPort < 32_000 {
 		lastPort++
+		if !lockPort(t, locks, lastPort) {
+			continue
+		}
 		addr := net.JoinHostPort("127.0.0.1", strconv.Itoa(lastPort))
 		ln, err := net.Listen("tcp", addr)
 		if err != nil {
@@ -97,6 +105,35 @@
 	return ""
 }
 
+// lockPort locks the file of a port. It reports false if another process holds the
+// lock.
+func lockPort(t testing.TB, dir string, port int) bool {
+	t.Helper()
+	f, err := os.OpenFile(filepath.Join(dir, strconv.Itoa(port)), os.O_CREATE|os.O_RDWR, 0o600)
+	require.NoError(t, err)
+	if err := syscall.Flock(int(f.Fd()), syscall.LOCK_EX|syscall.LOCK_NB); err != nil {
+		require.ErrorIs(t, err, syscall.EWOULDBLOCK)
+		require.NoError(t, f.Close())
+		return false
+	}
+	portLocks = append(portLocks, f)
+	return true
+}
+
+// portLocks are the locked files of the ports that this process has reserved.
+var portLocks []*os.File
+
+// Two processes that take ports at the same time get different ones, even if the
+// first does not listen on its port at present.
+func TestPortsAreReserved(t *testing.T) {
+	addr := freeAddress(t)
+	_, port, err := net.SplitHostPort(addr)
+	require.NoError(t, err)
+	n, err := strconv.Atoi(port)
+	require.NoError(t, err)
+	require.False(t, lockPort(t, filepath.Join(os.TempDir(), "primrosedrift-test-ports"), n), "another open file description stands for another process")
+}
+
 // entryProcess is an entry instance.
 type entryProcess struct {
 	*process
