--- a/internal/assembler/assembler.go
+++ b/internal/assembler/assembler.go
@@ -26,6 +26,7 @@
 	"github.com/primrosedrift/primrosedrift/internal/registrar"
 	"github.com/primrosedrift/primrosedrift/internal/relayer"
 	"github.com/primrosedrift/primrosedrift/internal/retrier"
+	"github.com/primrosedrift/primrosedrift/internal/sequencer"
 	"github.com/primrosedrift/primrosedrift/internal/syncer"
 	peerv1 "github.com/primrosedrift/primrosedrift/pkg/api/peer/v1"
 )
@@ -133,6 +134,14 @@
 		a.poison.RecordEnd(u, time.Now())
 		a.pool.CloseIdle(u.Address)
 	}}
+	a.upstreamTable.OnLeaving = func(i registrar.Incarnation) {
+		a.Log.Info("upstream leaves", zap.String("upstream", i.ID), zap.Int64("born", i.StartedAtMs), zap.String("why", "a response says so"))
+		a.server.NotifyLeaving()
+		a.client.ReportNow()
+		if a.lease.IsHolder() {
+			a.conductor.Wake()
+		}
+	}
 	a.pool = &courier.Pool{IDHeader: a.Codec.IDHeader, OnDial: func(address string, took time.Duration, err error) {
 		a.metrics.dials.Inc()
 		if err != nil {
@@ -170,7 +179,7 @@
 	}
 	a.server = &syncer.Server{
 		Self: self, Conductor: a.conductor, IsHolder: a.lease.IsHolder, Store: a.LeaseStore,
-		Token: func() int64 { return a.lease.Newest().Offset },
+		Token: func() int64 { return a.lease.Newest().Token() },
 	}
 	a.client = &syncer.Client{
 		Self: self, HTTP: syncer.NewHTTPClient(), Lease: a.lease, Server: a.server, Queue: a.queue, Upstreams: a.upstreamTable,
@@ -187,17 +196,26 @@
 		Name: topicConfig, Topic: a.ConfigTopic, MaxWait: a.MaxApplyDelay / 2, Log: log, OnRecords: a.applyConfig,
 		OnPlatformLost: func(bool) {},
 		ReadNearby:     a.client.NearbyReader(topicConfig, a.MaxApplyDelay/2+staleReadMargin),
-		ReadPeers: func(ctx context.Context, from int64) ([]follower.Record, int64, error) {
+		ReadPeers: func(ctx context.Context, from sequencer.Position) (follower.Batch, error) {
 			return a.client.RequestRecords(ctx, topicConfig, from)
 		},
+		IsOlder: a.IsOlderConfig,
+		OnEra:   func(era int64, _ bool) { a.lease.ObserveEra(era) },
 	}
 	a.upstreamFollower = &follower.Follower{
 		Name: topicUpstreams, Topic: a.UpstreamTopic, MaxWait: a.MaxDrainDelay / 4, MinInterval: a.MaxDrainDelay * 2 / 5, Log: log, OnRecords: a.applyUpstreams,
 		OnPlatformLost: func(away bool) { a.upstreamTable.SetPlatformLost(away, time.Now()) },
 		ReadNearby:     a.client.NearbyReader(topicUpstreams, a.MaxDrainDelay*2/5+staleReadMargin),
-		ReadPeers: func(ctx context.Context, from int64) ([]follower.Record, int64, error) {
+		ReadPeers: func(ctx context.Context, from sequencer.Position) (follower.Batch, error) {
 			return a.client.RequestRecords(ctx, topicUpstreams, from)
 		},
+		IsOlder: a.IsOlderRegistration,
+		OnEra: func(era int64, isRestored bool) {
+			a.lease.ObserveEra(era)
+			if isRestored {
+				a.upstreamTable.RecordRestore(time.Now())
+			}
+		},
 	}
 	a.server.Topics = map[string]*follower.Follower{topicConfig: a.configFollower, topicUpstreams: a.upstreamFollower}
 }
--- a/internal/assembler/deployment.go
+++ b/internal/assembler/deployment.go
@@ -42,10 +42,13 @@
 	LeaseStore                 leaser.Store
 	DecodeConfig               func([]follower.Record) (*matcher.Config, error)
 	DecodeUpstream             func(id string, value []byte) (*registrar.Upstream, error)
-	Codec                      relayer.Codec
-	NewRemote                  func(*courier.Pool) conductor.Remote
-	NewDirectoryHandler        func(locate func(dataCentre string) ([]string, time.Duration)) http.Handler
-	NewReadyHandler            func(isReady func() bool) http.Handler
+	// IsOlderConfig and IsOlderRegistration report whether the value a is of an older
+	// state than b.
+	IsOlderConfig, IsOlderRegistration func(a, b []byte) bool
+	Codec                              relayer.Codec
+	NewRemote                          func(*courier.Pool) conductor.Remote
+	NewDirectoryHandler                func(locate func(dataCentre string) ([]string, time.Duration)) http.Handler
+	NewReadyHandler                    func(isReady func() bool) http.Handler
 }
 
 // Listen holds the listen addresses of the instance, as host:port.
--- a/internal/conductor/conductor.go
+++ b/internal/conductor/conductor.go
@@ -54,8 +54,15 @@
 	WrongUpstream // another upstream or incarnation responded at the address
 )
 
+// OrderReply is the response of an upstream to an order.
+type OrderReply struct {
+	Status OrderStatus
+	registrar.Notice
+}
+
 // State is the state that an upstream reports.
 type State struct {
+	registrar.Notice
 	NumOrders    int64 // number of accepted orders
 	IsBusy       bool  // an order is in flight
 	Models       []registrar.Model
@@ -67,9 +74,10 @@
 // Remote sends requests to upstreams.
 type Remote struct {
 	// Order sends one order with the fencing token of the lease. The upstream
-	// accepts it only if it has accepted exactly expect orders before.
-	Order func(ctx context.Context, u *registrar.Upstream, o arranger.Order, token, expect int64) (OrderStatus, error)
-	// State requests the state of an upstream.
+	// accepts it only if it has accepted exactly expect orders before. The reply is
+	// valid also with an error.
+	Order func(ctx context.Context, u *registrar.Upstream, o arranger.Order, token, expect int64) (OrderReply, error)
+	// State requests the state of an upstream. The notice is valid also with an error.
 	State func(ctx context.Context, u *registrar.Upstream) (State, error)
 }
 
--- a/internal/conductor/conductor_test.go
+++ b/internal/conductor/conductor_test.go
@@ -68,6 +68,12 @@
 	return a, nil
 }
 
+// reply returns the response to an order.
+func (s *engineStub) reply(ctx context.Context, u *registrar.Upstream, o arranger.Order, token, expect int64) (OrderReply, error) {
+	status, err := s.order(ctx, u, o, token, expect)
+	return OrderReply{Status: status}, err
+}
+
 func (s *engineStub) apply(o arranger.Order, expect int64) OrderStatus {
 	if expect != s.orders {
 		return Conflict
@@ -116,7 +122,7 @@
 	upstreams := &registrar.Table{}
 	upstreams.ApplyRegistrations(map[string]*registrar.Upstream{"e1": {ID: "e1", Service: "lm", StartedAtMs: 1, Slots: 4, OnDisk: []string{"m0", "m1", "m2", "m3"}}}, time.Now())
 	c := &Conductor{
-		Remote: Remote{Order: s.order, State: s.state}, Upstreams: upstreams, Config: func() *matcher.Config { return cfg },
+		Remote: Remote{Order: s.reply, State: s.state}, Upstreams: upstreams, Config: func() *matcher.Config { return cfg },
 		Token: func() (int64, bool) { return 1, true }, IsHolder: func() bool { return true },
 		OnViews: func(v []registrar.View) { upstreams.ApplyViews(v, time.Now()) },
 		Log:     zap.NewNop(), Metrics: NewMetrics(prometheus.NewRegistry()),
@@ -333,9 +339,9 @@
 func TestMoveIsAbortedWithoutConnection(t *testing.T) {
 	tries := 0
 	c, _ := newConductor(t, &engineStub{})
-	c.Remote.Order = func(context.Context, *registrar.Upstream, arranger.Order, int64, int64) (OrderStatus, error) {
+	c.Remote.Order = func(context.Context, *registrar.Upstream, arranger.Order, int64, int64) (OrderReply, error) {
 		tries++
-		return Unknown, &courier.Error{Err: errors.New("refused"), IsDial: true}
+		return OrderReply{}, &courier.Error{Err: errors.New("refused"), IsDial: true}
 	}
 	e := &engine{up: c.Upstreams.Snapshot().ByID["e1"], isKnown: true, loadedAt: make(map[string]time.Time), lastUsed: make(map[string]time.Time)}
 	err := c.executeOrder(t.Context(), e, arranger.Order{Operation: arranger.Unload, Model: "m0"})
@@ -357,3 +363,48 @@
 	require.Zero(t, demands(now.Add(2*time.Minute)))
 	require.Empty(t, c.rates)
 }
+
+// An upstream that responds that it is leaving gets no further orders, and plans leave
+// it out.
+func TestNoOrdersToLeavingUpstream(t *testing.T) {
+	s := &engineStub{models: []string{"m0"}}
+	c, _ := newConductor(t, s)
+	c.Remote.State = func(ctx context.Context, u *registrar.Upstream) (State, error) {
+		st, err := s.state(ctx, u)
+		st.IsLeaving = true
+		return st, err
+	}
+	e := &engine{up: c.Upstreams.Snapshot().ByID["e1"], isKnown: true, loadedAt: make(map[string]time.Time), lastUsed: make(map[string]time.Time)}
+	_, err := c.requestState(t.Context(), e)
+	require.NoError(t, err)
+	require.ErrorIs(t, c.executeOrder(t.Context(), e, arranger.Order{Operation: arranger.Load, Model: "m1"}), errMoveAborted)
+	require.Empty(t, s.received)
+	c.initLocked()
+	c.syncEnginesLocked(time.Now())
+	c.engines["e1"].isKnown = true
+	require.Empty(t, c.fleetLocked(c.Config().Services["lm"], time.Now()).Upstreams)
+}
+
+// An upstream that refuses an order with a retry delay gets no orders and no state
+// requests until the delay is over, and then the order.
+func TestOrderWaitsForRetryDelayOfUpstream(t *testing.T) {
+	s := &engineStub{models: []string{"m0"}}
+	c, _ := newConductor(t, s)
+	const delay = 300 * time.Millisecond
+	var sentAt []time.Time
+	c.Remote.Order = func(ctx context.Context, u *registrar.Upstream, o arranger.Order, token, expect int64) (OrderReply, error) {
+		sentAt = append(sentAt, time.Now())
+		if len(sentAt) == 1 {
+			return OrderReply{Notice: registrar.Notice{RetryAfter: delay}}, errors.New("status 503")
+		}
+		return s.reply(ctx, u, o, token, expect)
+	}
+	e := &engine{up: c.Upstreams.Snapshot().ByID["e1"], isKnown: true, loadedAt: make(map[string]time.Time), lastUsed: make(map[string]time.Time)}
+	require.NoError(t, c.executeOrder(t.Context(), e, arranger.Order{Operation: arranger.Load, Model: "m1", LoadDuration: time.Millisecond}))
+	require.Len(t, sentAt, 2)
+	require.GreaterOrEqual(t, sentAt[1].Sub(sentAt[0]), delay)
+
+	c.Upstreams.ApplyNotice("e1", 1, registrar.Notice{RetryAfter: time.Hour}, time.Now())
+	_, err := c.requestState(t.Context(), e)
+	require.Error(t, err)
+}
--- a/internal/conductor/engine.go
+++ b/internal/conductor/engine.go
@@ -87,7 +87,7 @@
 func (c *Conductor) requestStatesLocked(ctx context.Context, now time.Time) []func() {
 	var out []func()
 	for _, e := range c.engines {
-		if e.isKnown || e.isBusy || now.Before(e.retryAt) {
+		if e.isKnown || e.isBusy || now.Before(e.retryAt) || e.up.IsPaused(now) {
 			continue
 		}
 		e.isBusy = true
--- a/internal/conductor/fleet.go
+++ b/internal/conductor/fleet.go
@@ -36,8 +36,8 @@
 // be loaded by the move in flight counts as loaded.
 func (c *Conductor) upstreamLocked(e *engine, running map[runKey]int, now time.Time) arranger.Upstream {
 	u := arranger.Upstream{
-		ID: e.up.ID, DataCentre: e.up.DataCentre, IsBusy: e.isBusy || now.Before(e.retryAt),
-		BusyFor: max(e.doneAt.Sub(now), e.retryAt.Sub(now)), InHostMemory: e.inHostMemory, OnDisk: e.onDisk,
+		ID: e.up.ID, DataCentre: e.up.DataCentre, IsBusy: e.isBusy || now.Before(e.retryAt) || e.up.IsPaused(now),
+		BusyFor: max(e.doneAt.Sub(now), e.retryAt.Sub(now), e.up.PausedUntil.Sub(now)), InHostMemory: e.inHostMemory, OnDisk: e.onDisk,
 	}
 	draining := e.draining(now)
 	for _, m := range e.models {
--- a/internal/conductor/move.go
+++ b/internal/conductor/move.go
@@ -120,16 +120,22 @@
 		if !ok {
 			return errors.Wrap(errMoveAborted, "lease ended")
 		}
-		if !c.isPresent(e) {
+		u := c.present(e)
+		if u == nil {
 			return errors.Wrap(errMoveAborted, "upstream is gone or leaving")
 		}
+		if now := time.Now(); u.IsPaused(now) {
+			sleeper.Sleep(ctx, min(u.PausedUntil.Sub(now), deadline.Sub(now)))
+			continue
+		}
 		octx, cancel := context.WithTimeout(ctx, orderTimeout)
-		status, err := c.Remote.Order(octx, e.up, o, token, e.numOrders)
+		reply, err := c.Remote.Order(octx, e.up, o, token, e.numOrders)
 		cancel()
-		switch status {
+		c.Upstreams.ApplyNotice(e.up.ID, e.up.StartedAtMs, reply.Notice, time.Now())
+		switch reply.Status {
 		case Accepted, AlreadyDone:
 			e.acceptedIn = time.Since(start)
-			return c.applyOrder(ctx, e, o, status)
+			return c.applyOrder(ctx, e, o, reply.Status)
 		case Conflict:
 			// The previous order may not be done yet. The first conflicts need no
 			// state request.
@@ -162,10 +168,14 @@
 	return errors.Wrap(errMoveAborted, "order not accepted in time")
 }
 
-// isPresent reports whether the incarnation is registered and not leaving.
-func (c *Conductor) isPresent(e *engine) bool {
+// present returns the incarnation's present state, nil if it is not registered or is
+// leaving.
+func (c *Conductor) present(e *engine) *registrar.Upstream {
 	u := c.Upstreams.Snapshot().ByID[e.up.ID]
-	return u != nil && u.StartedAtMs == e.up.StartedAtMs && !u.IsLeaving
+	if u == nil || u.StartedAtMs != e.up.StartedAtMs || u.IsLeaving {
+		return nil
+	}
+	return u
 }
 
 // resolveConflict requests the upstream's state to find out why an order was
@@ -217,11 +227,18 @@
 	return out
 }
 
+// requestState requests the state of an upstream, unless the upstream wants nothing
+// from this instance at present.
 func (c *Conductor) requestState(ctx context.Context, e *engine) (State, error) {
+	if u := c.Upstreams.Snapshot().ByID[e.up.ID]; u != nil && u.IsPaused(time.Now()) {
+		return State{}, errors.Newf("upstream %s wants no requests until %v", u.ID, u.PausedUntil)
+	}
 	sctx, cancel := context.WithTimeout(ctx, stateTimeout)
 	defer cancel()
 	c.Metrics.states.Inc()
-	return c.Remote.State(sctx, e.up)
+	s, err := c.Remote.State(sctx, e.up)
+	c.Upstreams.ApplyNotice(e.up.ID, e.up.StartedAtMs, s.Notice, time.Now())
+	return s, err
 }
 
 // applyOrder updates the engine with the effect of an accepted order and waits
--- a/internal/courier/courier.go
+++ b/internal/courier/courier.go
@@ -218,19 +218,26 @@
 	return buf.Bytes()
 }
 
+// Reply is the whole response to a Call.
+type Reply struct {
+	Status int
+	Header http.Header
+	Body   []byte
+}
+
 // Call sends a request with a small body and returns the whole response. It is
 // meant for calls of this instance, not for requests of clients.
-func (p *Pool) Call(ctx context.Context, address, method, target string, h http.Header, in []byte) (status int, out []byte, err error) {
+func (p *Pool) Call(ctx context.Context, address, method, target string, h http.Header, in []byte) (Reply, error) {
 	resp, err := p.Do(ctx, address, &Request{Method: method, Host: address, Target: target, Header: h, Body: in, HasBody: in != nil})
 	if err != nil {
-		return 0, nil, err
+		return Reply{}, err
 	}
 	defer resp.Body.Close()
-	out, err = io.ReadAll(io.LimitReader(resp.Body, maxCallResponseBytes))
+	out, err := io.ReadAll(io.LimitReader(resp.Body, maxCallResponseBytes))
 	if err != nil {
-		return 0, nil, &Error{Address: address, Err: err, IsSent: true}
+		return Reply{}, &Error{Address: address, Err: err, IsSent: true}
 	}
-	return resp.Status, out, nil
+	return Reply{resp.Status, resp.Header, out}, nil
 }
 
 // maxCallResponseBytes bounds the response bodies of Call.
--- a/internal/courier/courier_test.go
+++ b/internal/courier/courier_test.go
@@ -35,8 +35,8 @@
 
 func call(t *testing.T, p *Pool, address string) (int, error) {
 	t.Helper()
-	status, _, err := p.Call(t.Context(), address, http.MethodGet, "/", nil, nil)
-	return status, err
+	r, err := p.Call(t.Context(), address, http.MethodGet, "/", nil, nil)
+	return r.Status, err
 }
 
 const emptyOK = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
@@ -57,7 +57,7 @@
 		<-began
 		cancel()
 	}()
-	_, _, err := (&Pool{}).Call(ctx, address, http.MethodPost, "/", nil, []byte("x"))
+	_, err := (&Pool{}).Call(ctx, address, http.MethodPost, "/", nil, []byte("x"))
 	require.ErrorIs(t, err, context.Canceled)
 	require.True(t, WasSent(err))
 	require.ErrorIs(t, <-readErr, syscall.ECONNRESET)
--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -1,25 +1,10 @@
-// Package follower reads a keyed topic of the platform's log and keeps the
-// newest record of each key.
-//
-// Reads are paced, since the calls of all instances together are limited and some
-// topics get a record every few milliseconds. The rules:
-//
-//   - A follower starts by listing the newest record of each key. The pages of the
-//     listing are not a snapshot, and the end that they state may be later than the
-//     records. So the follower reads on after the newest record of the first page.
-//   - If the log has dropped the next records, the follower lists again, and reads
-//     on from the first offset that the log still had before the listing. A known
-//     key that is missing from the listing has been dropped.
-//   - Every call has a timeout. The platform counts as lost from the first failed
-//     call until the next call that succeeds.
-//   - A follower reads through a peer instead of the log while the records of the
-//     peer are recent enough. While the platform is lost, a peer may have newer
-//     records. Records from peers are applied by offset, like those from the log.
 package follower
 
 import (
+	"cmp"
 	"context"
 	"fmt"
+	"slices"
 	"sync"
 	"time"
 
@@ -27,6 +12,8 @@
 	"go.uber.org/zap"
 
 	"github.com/primrosedrift/primrosedrift/internal/logger"
+	"github.com/primrosedrift/primrosedrift/internal/sequencer"
+	"github.com/primrosedrift/primrosedrift/internal/sleeper"
 )
 
 const (
@@ -36,6 +23,11 @@
 	// retryDelay is the delay after a failed call. It doubles up to maxRetryDelay.
 	retryDelay    = 100 * time.Millisecond
 	maxRetryDelay = 600 * time.Millisecond
+	// maxPeerRequests is how often an instance that starts with a restored log requests
+	// the records from peers, retryDelay apart, before it uses those of the log.
+	maxPeerRequests = 5
+	// maxDropped is the number of dropped keys above which the oldest are removed.
+	maxDropped = 1024
 	// minPeerReadInterval is the least time between two reads through a peer.
 	minPeerReadInterval = 20 * time.Millisecond
 )
@@ -49,22 +41,50 @@
 	return fmt.Sprintf("the log has dropped the requested records; its first offset is %d", e.FirstOffset)
 }
 
+// RestoredError is returned by a read from a position of an era before the log's
+// present one.
+type RestoredError struct {
+	Era int64 // the present era
+}
+
+func (e RestoredError) Error() string {
+	return fmt.Sprintf("the log was restored; its era is %d", e.Era)
+}
+
 // Record is a record of a key. A nil Value means that the key was dropped.
 type Record struct {
 	Key    string
 	Value  []byte
 	Offset int64
+
+	last []byte // value before the key was dropped
+}
+
+// Page is a page of the newest records of a topic's keys.
+type Page struct {
+	Records []Record
+	HasMore bool
+	End     sequencer.Position // of the topic
+}
+
+// Batch is the result of a read.
+type Batch struct {
+	Records []Record
+	Next    sequencer.Position // next position to read
+	// IsComplete reports whether the records are those of all keys of the topic.
+	IsComplete bool
+	// Age is the time since the log was read.
+	Age time.Duration
 }
 
 // Topic reads one topic.
 type Topic struct {
-	// Newest returns a page of the newest records of the keys after the given key,
-	// whether there are more, and the end offset of the topic.
-	Newest func(ctx context.Context, after string) (records []Record, more bool, end int64, err error)
-	// Read returns the records from an offset on, and the next offset. It returns
-	// as soon as there is a record, or after the wait. It returns a TruncatedError
-	// if the log has dropped the records.
-	Read func(ctx context.Context, from int64, wait time.Duration) (records []Record, next int64, err error)
+	// Newest returns a page of the newest records of the keys after the given key.
+	Newest func(ctx context.Context, after string) (Page, error)
+	// Read returns the records from a position on. It returns as soon as there is a
+	// record, or after the wait. It returns a TruncatedError if the log has dropped
+	// the records, and a RestoredError if the log is in a later era.
+	Read func(ctx context.Context, from sequencer.Position, wait time.Duration) (Batch, error)
 }
 
 // Follower follows a topic. Its exported fields must be set before Run.
@@ -80,21 +100,29 @@
 	// OnPlatformLost is called with true when the platform is lost, and with false
 	// when it is regained.
 	OnPlatformLost func(isLost bool)
-	// ReadNearby, if set, reads from an offset on through a peer of the same data
-	// centre, like Topic.Read, and returns the time since the peer read the log. It
-	// reports false if there is no such peer or if the peer's records are too old.
-	ReadNearby func(ctx context.Context, from int64) (records []Record, next int64, age time.Duration, ok bool)
-	// ReadPeers, if set, requests records from an offset on from peers. It is used
+	// OnEra, if set, is called with the log's era after the first read, and with
+	// isRestored set when the era has changed since. It is called before the records
+	// of that era are passed to OnRecords.
+	OnEra func(era int64, isRestored bool)
+	// IsOlder, if set, reports whether the value a of a key is of an older state than
+	// the value b. It is used after a restore of the log.
+	IsOlder func(a, b []byte) bool
+	// ReadNearby, if set, reads from a position on through a peer of the same data
+	// centre, like Topic.Read. It reports false if there is no such peer or if the
+	// peer's records are too old.
+	ReadNearby func(ctx context.Context, from sequencer.Position) (Batch, bool)
+	// ReadPeers, if set, requests records from a position on from peers. It is used
 	// while the platform is lost.
-	ReadPeers func(ctx context.Context, from int64) ([]Record, int64, error)
+	ReadPeers func(ctx context.Context, from sequencer.Position) (Batch, error)
 	Log       *zap.Logger
 
 	mu             sync.Mutex
-	newest         map[string]Record // by key
-	next           int64             // next offset to read
-	nextDelivery   int64             // first offset that was not passed to OnRecords
-	readAt         time.Time         // when the log was last read, here or by the peer
-	hasRead        bool              // whether the topic was listed, or read through a peer
+	newest         map[string]Record  // by key
+	next           sequencer.Position // next position to read
+	nextDelivery   int64              // first offset that was not passed to OnRecords
+	readAt         time.Time          // when the log was last read, here or by the peer
+	hasRead        bool               // whether the topic was listed, or read through a peer
+	isRestored     bool               // whether the log was restored since the first read
 	isPlatformLost bool
 	numFailures    int           // consecutive failed calls
 	advanced       chan struct{} // closed when next increases
@@ -137,28 +165,32 @@
 		return false, f.list(ctx, -1)
 	}
 	if f.ReadNearby != nil {
-		if records, next, age, ok := f.ReadNearby(ctx, from); ok {
-			f.apply(records, next, age, false)
+		if b, ok := f.ReadNearby(ctx, from); ok {
+			f.apply(b)
 			return true, nil
 		}
 	}
 	return false, f.read(ctx, from)
 }
 
-// read reads the log from an offset on.
-func (f *Follower) read(ctx context.Context, from int64) error {
+// read reads the log from a position on.
+func (f *Follower) read(ctx context.Context, from sequencer.Position) error {
 	cctx, cancel := context.WithTimeout(ctx, f.MaxWait+callMargin)
 	defer cancel()
-	records, next, err := f.Topic.Read(cctx, from, f.MaxWait)
+	b, err := f.Topic.Read(cctx, from, f.MaxWait)
 	var dropped TruncatedError
-	if errors.As(err, &dropped) {
-		f.Log.Info("log dropped records before they were read", zap.String("topic", f.Name), zap.Int64("from", from), zap.Int64("first", dropped.FirstOffset))
+	var restored RestoredError
+	switch {
+	case errors.As(err, &restored):
+		f.Log.Warn("log was restored from an older copy", zap.String("topic", f.Name), zap.Int64("era", restored.Era), zap.Int64("before", from.Era), zap.Int64("from", from.Offset))
+		return f.list(ctx, -1)
+	case errors.As(err, &dropped):
+		f.Log.Info("log dropped records before they were read", zap.String("topic", f.Name), zap.Int64("from", from.Offset), zap.Int64("first", dropped.FirstOffset))
 		return f.list(ctx, dropped.FirstOffset)
-	}
-	if err != nil {
+	case err != nil:
 		return err
 	}
-	f.apply(records, next, 0, false)
+	f.apply(b)
 	return nil
 }
 
@@ -166,29 +198,65 @@
 // that the log had before the listing, -1 if it is not known.
 func (f *Follower) list(ctx context.Context, first int64) error {
 	var all []Record
-	after, next := "", first
-	for {
+	after, next := "", sequencer.Position{Offset: first}
+	for isFirst := true; ; isFirst = false {
 		cctx, cancel := context.WithTimeout(ctx, callMargin)
-		page, more, end, err := f.Topic.Newest(cctx, after)
+		page, err := f.Topic.Newest(cctx, after)
 		cancel()
-		if err != nil {
+		switch {
+		case err != nil:
 			return err
+		case isFirst:
+			f.mu.Lock()
+			isEraKnown := f.next.Era == page.End.Era
+			f.mu.Unlock()
+			next.Era = page.End.Era
+			if first < 0 || !isEraKnown {
+				next.Offset = newestOffset(page.Records, page.End.Offset) + 1
+			}
+		case page.End.Era != next.Era:
+			return RestoredError{page.End.Era}
 		}
-		if next < 0 {
-			next = newestOffset(page, end) + 1
-		}
-		all = append(all, page...)
-		if !more || len(page) == 0 {
+		all = append(all, page.Records...)
+		if !page.HasMore || len(page.Records) == 0 {
 			break
 		}
-		after = page[len(page)-1].Key
+		after = page.Records[len(page.Records)-1].Key
 	}
 	f.Log.Info("topic listed", zap.String("topic", f.Name), zap.Int("records", len(all)),
-		zap.Int64("newest", newestOffset(all, next)), zap.Int64("next", next))
-	f.apply(all, next, 0, true)
+		zap.Int64("newest", newestOffset(all, next.Offset)), zap.Int64("next", next.Offset), zap.Int64("era", next.Era))
+	f.mu.Lock()
+	isFirst := !f.hasRead
+	f.mu.Unlock()
+	if isFirst && next.Era > sequencer.FirstEra {
+		if b, ok := f.askPeers(ctx, next.Era); ok {
+			f.apply(b)
+			return nil
+		}
+	}
+	f.apply(Batch{Records: all, Next: next, IsComplete: true})
 	return nil
 }
 
+// askPeers requests the records of all keys from a peer that reads the log in the
+// given era. A peer that runs since before the restore has the records that the log
+// has lost. It reports false if no peer responds.
+func (f *Follower) askPeers(ctx context.Context, era int64) (Batch, bool) {
+	if f.ReadPeers == nil {
+		return Batch{}, false
+	}
+	for range maxPeerRequests {
+		b, err := f.ReadPeers(ctx, sequencer.Position{Era: era - 1})
+		if err == nil && b.IsComplete && b.Next.Era == era {
+			f.Log.Info("received records from a peer", zap.String("topic", f.Name), zap.Int("records", len(b.Records)),
+				zap.Int64("era", b.Next.Era), zap.Int64("next", b.Next.Offset))
+			return b, true
+		}
+		sleeper.Sleep(ctx, retryDelay)
+	}
+	return Batch{}, false
+}
+
 // newestOffset returns the offset of the newest record, or the last offset before
 // the end if there are no records.
 func newestOffset(records []Record, end int64) int64 {
@@ -203,41 +271,36 @@
 }
 
 // apply keeps the records that are newer than the known records of their keys, and
-// passes them to OnRecords. age is the time since the log was read. If isComplete is
-// set, records holds all keys of the topic.
-func (f *Follower) apply(records []Record, next int64, age time.Duration, isComplete bool) {
+// passes them to OnRecords.
+func (f *Follower) apply(b Batch) {
 	f.mu.Lock()
+	isNewEra := b.Next.Era != f.next.Era
+	if f.hasRead && isNewEra && (b.Next.Era < f.next.Era || !b.IsComplete) {
+		f.mu.Unlock()
+		return // a late response of an earlier era, or a part of a later one
+	}
+	isRestored := f.hasRead && isNewEra
+	isFirst := !f.hasRead
+	f.isRestored = f.isRestored || isRestored
 	if f.newest == nil {
 		f.newest = make(map[string]Record)
 	}
-	for _, r := range records {
-		if old, ok := f.newest[r.Key]; !ok || old.Offset < r.Offset {
-			f.newest[r.Key] = r
-		}
-	}
-	var fresh []Record // only the newest for each key; replaced records are not passed on
-	for _, r := range records {
-		if f.newest[r.Key].Offset == r.Offset && r.Offset >= f.nextDelivery {
-			fresh = append(fresh, r)
-		}
-	}
-	for _, r := range fresh {
-		f.nextDelivery = max(f.nextDelivery, r.Offset+1)
-	}
-	if isComplete {
-		f.dropMissingLocked(records, next)
+	var passed []Record
+	if isRestored {
+		f.restoreLocked(b)
+	} else {
+		passed = f.mergeLocked(b)
 	}
-	if next > f.next || !f.hasRead {
-		f.next = next
+	if b.Next.IsAfter(f.next) || isFirst {
+		f.next = b.Next
 		if f.advanced != nil {
 			close(f.advanced)
 			f.advanced = nil
 		}
 	}
 	f.hasRead = true
-	f.readAt = time.Now().Add(-age)
-	passed := fresh
-	if isComplete {
+	f.readAt = time.Now().Add(-b.Age)
+	if b.IsComplete {
 		passed = passed[:0:0]
 		for _, r := range f.newest {
 			if r.Value != nil {
@@ -246,9 +309,102 @@
 		}
 	}
 	f.mu.Unlock()
-	if len(passed) > 0 || isComplete {
-		f.OnRecords(passed, isComplete)
+	if f.OnEra != nil && (isFirst || isRestored) {
+		f.OnEra(b.Next.Era, isRestored)
+	}
+	if len(passed) > 0 || b.IsComplete {
+		f.OnRecords(passed, b.IsComplete)
+	}
+}
+
+// mergeLocked merges records of the present era and returns those that are to be
+// passed on: only the newest of each key.
+func (f *Follower) mergeLocked(b Batch) []Record {
+	for _, r := range b.Records {
+		old, ok := f.newest[r.Key]
+		if ok && old.Offset >= r.Offset {
+			continue
+		}
+		if r.Value == nil {
+			r.last = old.value()
+		}
+		if f.isRestored && f.IsOlder != nil && r.Value != nil && old.value() != nil && f.IsOlder(r.Value, old.value()) {
+			f.Log.Info("record of an older state skipped", zap.String("topic", f.Name), zap.String("key", r.Key), zap.Int64("offset", r.Offset))
+			r.Value, r.last = old.Value, old.last
+		}
+		f.newest[r.Key] = r
+	}
+	var fresh []Record
+	for _, r := range b.Records {
+		if n := f.newest[r.Key]; n.Offset == r.Offset && r.Offset >= f.nextDelivery {
+			fresh = append(fresh, n)
+		}
+	}
+	for _, r := range fresh {
+		f.nextDelivery = max(f.nextDelivery, r.Offset+1)
+	}
+	if b.IsComplete {
+		f.dropMissingLocked(b.Records, b.Next.Offset)
+	}
+	f.removeDroppedLocked()
+	return fresh
+}
+
+// removeDroppedLocked removes the dropped keys with the lowest offsets if there are
+// more than maxDropped.
+func (f *Follower) removeDroppedLocked() {
+	if len(f.newest) <= maxDropped {
+		return
+	}
+	var dropped []Record
+	for _, r := range f.newest {
+		if r.Value == nil {
+			dropped = append(dropped, r)
+		}
+	}
+	slices.SortFunc(dropped, func(a, b Record) int { return cmp.Compare(a.Offset, b.Offset) })
+	for _, r := range dropped[:max(0, len(dropped)-maxDropped)] {
+		delete(f.newest, r.Key)
+	}
+}
+
+// value returns the last known value of the key, also if the key was dropped.
+func (r Record) value() []byte {
+	if r.Value != nil {
+		return r.Value
+	}
+	return r.last
+}
+
+// restoreLocked replaces the records by those of a restored log, with the offsets of
+// the new era. A known value is kept if that of the copy is older. A dropped key stays
+// dropped if the copy's value is not newer than the one that was dropped.
+func (f *Follower) restoreLocked(b Batch) {
+	known := f.newest
+	f.newest = make(map[string]Record, len(b.Records))
+	f.nextDelivery = 0
+	numKept := 0
+	for _, r := range b.Records {
+		old, ok := known[r.Key]
+		switch {
+		case !ok || f.IsOlder == nil:
+		case old.Value != nil && f.IsOlder(r.Value, old.Value):
+			r.Value = old.Value
+			numKept++
+		case old.Value == nil && old.last != nil && !f.IsOlder(old.last, r.Value):
+			r.Value, r.last = nil, old.last
+			numKept++
+		}
+		f.newest[r.Key] = r
+		f.nextDelivery = max(f.nextDelivery, r.Offset+1)
+	}
+	for k, old := range known {
+		if _, ok := f.newest[k]; !ok {
+			f.newest[k] = Record{Key: k, Offset: b.Next.Offset - 1, last: old.value()}
+		}
 	}
+	f.Log.Warn("records replaced by those of the restored log", zap.String("topic", f.Name), zap.Int64("era", b.Next.Era),
+		zap.Int("records", len(b.Records)), zap.Int("kept", numKept), zap.Int("missing", len(f.newest)-len(b.Records)))
 }
 
 // dropMissingLocked marks the keys that are missing from a listing as dropped,
@@ -263,7 +419,7 @@
 			// The offset of the drop is not known. The last offset before the end of
 			// the listing is used, so that a peer that reads through this follower and
 			// has all earlier records still receives the drop.
-			f.newest[k] = Record{Key: k, Offset: max(r.Offset, listEnd-1)}
+			f.newest[k] = Record{Key: k, Offset: max(r.Offset, listEnd-1), last: r.Value}
 		}
 	}
 }
@@ -281,18 +437,19 @@
 	f.mu.Lock()
 	from := f.next
 	f.mu.Unlock()
-	records, next, err := f.ReadPeers(ctx, from)
+	b, err := f.ReadPeers(ctx, from)
 	if err != nil {
 		f.Log.Debug("failed to request records from peers", zap.String("topic", f.Name), logger.Error(err))
 		return
 	}
-	if next <= from {
+	if !b.Next.IsAfter(from) {
 		return // the peer has no newer records
 	}
-	if len(records) > 0 {
-		f.Log.Info("received records from a peer", zap.String("topic", f.Name), zap.Int("records", len(records)), zap.Int64("next", next))
+	if len(b.Records) > 0 {
+		f.Log.Info("received records from a peer", zap.String("topic", f.Name), zap.Int("records", len(b.Records)),
+			zap.Int64("era", b.Next.Era), zap.Int64("next", b.Next.Offset))
 	}
-	f.apply(records, next, 0, false)
+	f.apply(b)
 }
 
 func (f *Follower) handleSuccess() {
@@ -304,25 +461,26 @@
 	}
 }
 
-// Since returns the newest records of the keys that changed from an offset on, the
-// next offset, and the time since the topic was read. It reports false if the topic
-// was never read.
-func (f *Follower) Since(from int64) (records []Record, next int64, age time.Duration, ok bool) {
+// Since returns the newest records of the keys that changed from a position on. If the
+// position is of an earlier era, it returns the records of all keys. It reports false
+// if the topic was never read, or only in an earlier era than the position's.
+func (f *Follower) Since(from sequencer.Position) (b Batch, ok bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	b = Batch{Next: f.next, Age: time.Since(f.readAt), IsComplete: from.Era < f.next.Era}
 	for _, r := range f.newest {
-		if r.Offset >= from {
-			records = append(records, r)
+		if b.IsComplete && r.Value != nil || !b.IsComplete && r.Offset >= from.Offset {
+			b.Records = append(b.Records, r)
 		}
 	}
-	return records, f.next, time.Since(f.readAt), f.hasRead
+	return b, f.hasRead && from.Era <= f.next.Era
 }
 
-// Await returns when there are records from an offset on, or after the wait. It
+// Await returns when there are records from a position on, or after the wait. It
 // returns at once if the topic was never read.
-func (f *Follower) Await(ctx context.Context, from int64, wait time.Duration) {
+func (f *Follower) Await(ctx context.Context, from sequencer.Position, wait time.Duration) {
 	f.mu.Lock()
-	if !f.hasRead || f.next > from || wait <= 0 {
+	if !f.hasRead || f.next.IsAfter(from) || wait <= 0 {
 		f.mu.Unlock()
 		return
 	}
--- a/internal/follower/follower_test.go
+++ b/internal/follower/follower_test.go
@@ -8,6 +8,8 @@
 
 	"github.com/stretchr/testify/require"
 	"go.uber.org/zap"
+
+	"github.com/primrosedrift/primrosedrift/internal/sequencer"
 )
 
 // fakeLog is a keyed topic in memory.
@@ -18,6 +20,13 @@
 	// numUnlisted is the number of the last records that a listing misses although
 	// its end is after them.
 	numUnlisted int
+	era         int64
+}
+
+// restore drops the last n records and starts a new era.
+func (l *fakeLog) restore(n int) {
+	l.records = l.records[:len(l.records)-n]
+	l.era++
 }
 
 func (l *fakeLog) add(key, value string) {
@@ -28,9 +37,13 @@
 	l.records = append(l.records, r)
 }
 
+func (l *fakeLog) end() sequencer.Position {
+	return sequencer.Position{Era: l.era, Offset: int64(len(l.records))}
+}
+
 func (l *fakeLog) topic() Topic {
 	return Topic{
-		Newest: func(context.Context, string) ([]Record, bool, int64, error) {
+		Newest: func(context.Context, string) (Page, error) {
 			newest := make(map[string]Record)
 			for _, r := range l.records[:len(l.records)-l.numUnlisted] {
 				newest[r.Key] = r
@@ -41,16 +54,18 @@
 					out = append(out, r)
 				}
 			}
-			return out, false, int64(len(l.records)), l.err
+			return Page{Records: out, End: l.end()}, l.err
 		},
-		Read: func(_ context.Context, from int64, _ time.Duration) ([]Record, int64, error) {
-			if l.err != nil {
-				return nil, 0, l.err
-			}
-			if from < l.first {
-				return nil, 0, TruncatedError{FirstOffset: l.first}
+		Read: func(_ context.Context, from sequencer.Position, _ time.Duration) (Batch, error) {
+			switch {
+			case l.err != nil:
+				return Batch{}, l.err
+			case from.Era != l.era:
+				return Batch{}, RestoredError{l.era}
+			case from.Offset < l.first:
+				return Batch{}, TruncatedError{FirstOffset: l.first}
 			}
-			return l.records[from:], int64(len(l.records)), nil
+			return Batch{Records: l.records[from.Offset:], Next: l.end()}, nil
 		},
 	}
 }
@@ -140,17 +155,14 @@
 func TestRecordsFromPeersDuringPlatformOutage(t *testing.T) {
 	l := &fakeLog{err: errors.New("refused")}
 	f, d := follow(l)
-	responses := []struct {
-		records []Record
-		next    int64
-	}{
-		{nil, 0}, // the peer has no records either
-		{[]Record{{Key: "config", Value: []byte("v3"), Offset: 2}}, 3},
+	responses := []Batch{
+		{}, // the peer has no records either
+		{Records: []Record{{Key: "config", Value: []byte("v3"), Offset: 2}}, Next: sequencer.Position{Offset: 3}},
 	}
-	f.ReadPeers = func(context.Context, int64) ([]Record, int64, error) {
+	f.ReadPeers = func(context.Context, sequencer.Position) (Batch, error) {
 		r := responses[0]
 		responses = responses[1:]
-		return r.records, r.next, nil
+		return r, nil
 	}
 	_, err := f.step(t.Context())
 	f.handleFailure(t.Context(), err)
@@ -181,14 +193,15 @@
 	step(t, remote)
 	numReads := 0
 	read := remote.Topic.Read
-	remote.Topic.Read = func(ctx context.Context, from int64, wait time.Duration) ([]Record, int64, error) {
+	remote.Topic.Read = func(ctx context.Context, from sequencer.Position, wait time.Duration) (Batch, error) {
 		numReads++
 		return read(ctx, from, wait)
 	}
 	isFresh := true
-	remote.ReadNearby = func(_ context.Context, from int64) ([]Record, int64, time.Duration, bool) {
-		records, next, _, _ := peer.Since(from)
-		return records, next, time.Hour, isFresh
+	remote.ReadNearby = func(_ context.Context, from sequencer.Position) (Batch, bool) {
+		b, _ := peer.Since(from)
+		b.Age = time.Hour
+		return b, isFresh
 	}
 	l.add("a", "2")
 	step(t, peer)
@@ -203,8 +216,8 @@
 	require.Equal(t, "1", d.values["c"])
 	require.NotContains(t, d.values, "b")
 	require.Zero(t, numReads)
-	_, _, age, _ := remote.Since(0)
-	require.GreaterOrEqual(t, age, time.Hour, "the age includes the age at the peer")
+	b, _ := remote.Since(sequencer.Position{})
+	require.GreaterOrEqual(t, b.Age, time.Hour, "the age includes the age at the peer")
 
 	isFresh = false
 	l.add("a", "3")
@@ -218,14 +231,14 @@
 	l := &fakeLog{}
 	l.add("a", "1")
 	f, _ := follow(l)
-	f.Await(t.Context(), 0, time.Hour) // returns at once, since nothing was read yet
+	f.Await(t.Context(), sequencer.Position{}, time.Hour) // returns at once, since nothing was read yet
 	step(t, f)
-	f.Await(t.Context(), 0, time.Hour) // returns at once, since there are records already
-	f.Await(t.Context(), 1, time.Millisecond)
+	f.Await(t.Context(), sequencer.Position{}, time.Hour) // returns at once, since there are records already
+	f.Await(t.Context(), sequencer.Position{Offset: 1}, time.Millisecond)
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
-		f.Await(t.Context(), 1, time.Hour)
+		f.Await(t.Context(), sequencer.Position{Offset: 1}, time.Hour)
 	}()
 	l.add("a", "2")
 	step(t, f)
--- a/internal/leaser/doc.go
+++ b/internal/leaser/doc.go
@@ -16,5 +16,15 @@
 //   - An instance finds out whether an unanswered append succeeded by reading the
 //     log back.
 //
+// The log may come back from an older copy and lose claims (package sequencer). A
+// claim's position therefore includes the era in which it was appended, and:
+//
+//   - The holder keeps its lease until it expires, and claims it anew in the new era.
+//     Its claim from before needs no gap, since every other instance waits.
+//   - Every other instance waits as if the lease had been claimed at the moment at
+//     which it found the new era, until it reads a claim of that era.
+//   - A claim counts for its writer only if the log was in the claim's era when it
+//     responded to the append, or when the claim was read back.
+//
 // State makes the decisions and does no I/O. A Lease updates it through a Store.
 package leaser
--- a/internal/leaser/leaser.go
+++ b/internal/leaser/leaser.go
@@ -10,6 +10,7 @@
 
 	"github.com/primrosedrift/primrosedrift/internal/clocker"
 	"github.com/primrosedrift/primrosedrift/internal/logger"
+	"github.com/primrosedrift/primrosedrift/internal/sequencer"
 )
 
 const (
@@ -35,12 +36,13 @@
 
 // Store reads and appends claims.
 type Store struct {
-	// Newest returns the newest claim, zero if there is none, and the end offset
-	// of the topic.
-	Newest func(ctx context.Context) (c Claim, end int64, err error)
-	// Append appends a claim if the topic ends at offset at, and returns ErrConflict
-	// otherwise.
-	Append func(ctx context.Context, c Claim, at int64) (offset int64, err error)
+	// Newest returns the newest claim, zero if there is none, and the end of the topic
+	// in the log's present era.
+	Newest func(ctx context.Context) (c Claim, end sequencer.Position, err error)
+	// Append appends a claim if the topic ends at the claim's position, and returns
+	// ErrConflict otherwise. After any other error the claim may have been appended,
+	// also if the log is in another era by now.
+	Append func(ctx context.Context, c Claim) error
 }
 
 // Lease keeps a State up to date. Its exported fields must be set before Run.
@@ -91,13 +93,17 @@
 	now := clocker.SinceStart()
 	l.mu.Lock()
 	isHolder, isDue, isReleasing := l.state.IsHolder(), l.state.IsRenewalDue(now), l.isReleasing
+	isInEra := l.state.era == l.state.newest.Era
 	l.mu.Unlock()
 	switch {
 	case isReleasing:
 	case isHolder && isDue && now-l.renewTriedAt < renewRetryInterval && l.renewTriedAt != 0:
+	case isHolder && isDue && isInEra:
+		l.renewTriedAt = now
+		l.claim(ctx, l.Newest().Next())
 	case isHolder && isDue:
 		l.renewTriedAt = now
-		l.claim(ctx, l.Newest().Offset+1)
+		l.claimInNewEra(ctx)
 	case isHolder:
 	case l.HasConductor():
 		l.unreachableSince = 0
@@ -106,6 +112,23 @@
 	}
 }
 
+// claimInNewEra renews the lease after a restore of the log, at the end that the topic
+// has now.
+func (l *Lease) claimInNewEra(ctx context.Context) {
+	c, end, err := l.read(ctx)
+	if err != nil {
+		l.Log.Warn("failed to read the lease after a restore of the log", logger.Error(err))
+		return
+	}
+	l.observe(c, end.Era)
+	l.mu.Lock()
+	canClaim := l.state.IsHolder() && l.state.CanClaim(clocker.SinceStart())
+	l.mu.Unlock()
+	if canClaim {
+		l.claim(ctx, end)
+	}
+}
+
 // readAndClaim reads the newest claim, and claims the lease if it is free.
 func (l *Lease) readAndClaim(ctx context.Context, now time.Duration) {
 	if l.unreachableSince == 0 {
@@ -117,24 +140,26 @@
 		l.Log.Warn("failed to read the lease", logger.Error(err))
 		return
 	}
-	l.observe(c)
+	l.observe(c, end.Era)
 	l.mu.Lock()
 	isFree := l.state.CanClaim(clocker.SinceStart()) && !l.state.IsHolder()
+	mayMissClaims := l.state.MayMissClaims()
 	l.mu.Unlock()
 	isOwnOrNone := c.Holder == l.Self.Holder || c.IsZero()
 	if isFree && !isOwnOrNone && now-l.unreachableSince < takeoverDelay {
 		return
 	}
 	// An earlier incarnation of this instance has ended, even if its lease has not
-	// expired.
-	if isFree || c.Holder == l.Self.Holder && c.Incarnation != l.Self.Incarnation {
+	// expired. Another instance may have held the lease after it if claims are missing.
+	isOwnEarlier := c.Holder == l.Self.Holder && c.Incarnation != l.Self.Incarnation && !mayMissClaims
+	if isFree || isOwnEarlier {
 		l.claim(ctx, end)
 	}
 }
 
-// read returns the newest claim and the end offset of the topic, from the store
-// or through peers.
-func (l *Lease) read(ctx context.Context) (Claim, int64, error) {
+// read returns the newest claim and the end of the topic, from the store or through
+// peers.
+func (l *Lease) read(ctx context.Context) (Claim, sequencer.Position, error) {
 	direct, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
 	c, end, err := l.Store.Newest(direct)
@@ -151,37 +176,37 @@
 }
 
 // append appends a claim, through peers if the store does not respond. Trying
-// both is safe: only one of two appends at the same offset succeeds.
-func (l *Lease) append(ctx context.Context, c Claim, at int64) (int64, error) {
+// both is safe: only one of two appends at the same position succeeds.
+func (l *Lease) append(ctx context.Context, c Claim) error {
 	direct, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
-	offset, err := l.Store.Append(direct, c, at)
+	err := l.Store.Append(direct, c)
 	if err == nil || errors.Is(err, ErrConflict) || l.PeerStore.Append == nil {
-		return offset, err
+		return err
 	}
 	viaPeers, cancelViaPeers := context.WithTimeout(ctx, peerStoreTimeout)
 	defer cancelViaPeers()
-	offset, peerErr := l.PeerStore.Append(viaPeers, c, at)
+	peerErr := l.PeerStore.Append(viaPeers, c)
 	if peerErr != nil && !errors.Is(peerErr, ErrConflict) {
-		return 0, errors.Join(err, peerErr)
+		return errors.Join(err, peerErr)
 	}
 	if peerErr == nil {
-		l.Log.Info("claim appended through a peer", zap.Int64("token", offset), logger.Error(err))
+		l.Log.Info("claim appended through a peer", zap.Int64("token", c.Token()), logger.Error(err))
 	}
-	return offset, peerErr
+	return peerErr
 }
 
 // claim appends a claim at the end of the topic.
-func (l *Lease) claim(ctx context.Context, at int64) {
+func (l *Lease) claim(ctx context.Context, end sequencer.Position) {
 	sentAt := clocker.SinceStart()
 	c := l.Self
+	c.Position = end
 	l.mu.Lock()
 	c.FirstOrderDelay = l.state.FirstOrderDelay(c.Holder, sentAt)
 	l.mu.Unlock()
-	offset, err := l.append(ctx, c, at)
+	err := l.append(ctx, c)
 	switch {
 	case err == nil:
-		c.Offset = offset
 		l.recordAcquired(c, sentAt)
 	case errors.Is(err, ErrConflict):
 		// The other claim may be this instance's own, from an append whose response
@@ -191,10 +216,10 @@
 			l.unknownSentAt = sentAt
 		}
 		l.mu.Unlock()
-		if c, _, err := l.read(ctx); err != nil {
+		if c, end, err := l.read(ctx); err != nil {
 			l.Log.Warn("failed to read the lease back", logger.Error(err))
 		} else {
-			l.observe(c)
+			l.observe(c, end.Era)
 		}
 	default:
 		// The append may still succeed, so a claim that is read back counts from when
@@ -204,7 +229,7 @@
 			l.unknownSentAt = sentAt
 		}
 		l.mu.Unlock()
-		l.Log.Warn("outcome of the claim is unknown", logger.Error(err), zap.Int64("at", at))
+		l.Log.Warn("outcome of the claim is unknown", logger.Error(err), zap.Int64("era", end.Era), zap.Int64("at", end.Offset))
 	}
 }
 
@@ -216,12 +241,27 @@
 	wait := max(0, l.state.firstOrderAt-clocker.SinceStart())
 	l.mu.Unlock()
 	if !wasHolder {
-		l.Log.Info("lease taken", zap.Int64("token", c.Offset), zap.Duration("first-order-in", wait))
+		l.Log.Info("lease taken", zap.Int64("token", c.Token()), zap.Duration("first-order-in", wait))
 		l.holderChanged(c)
 	}
 }
 
-func (l *Lease) observe(c Claim) {
+// ObserveEra applies the era of the log that another reader of it has found.
+func (l *Lease) ObserveEra(era int64) {
+	l.mu.Lock()
+	before := l.state.era
+	l.state.ObserveEra(era, clocker.SinceStart())
+	newest, mayMissClaims := l.state.Newest(), l.state.MayMissClaims()
+	l.mu.Unlock()
+	if era > before && mayMissClaims {
+		l.Log.Warn("log was restored; claims may be missing", zap.Int64("era", era), zap.Int64("before", before),
+			zap.String("holder", newest.Holder), zap.Int64("token", newest.Token()))
+	}
+}
+
+// observe applies a claim that was read from the log in the given era.
+func (l *Lease) observe(c Claim, era int64) {
+	l.ObserveEra(era)
 	if c.IsZero() {
 		return
 	}
@@ -232,18 +272,18 @@
 	if l.unknownSentAt != 0 {
 		sentAt = l.unknownSentAt
 	}
-	l.state.Observe(c, now, sentAt)
+	l.state.Observe(c, era, now, sentAt)
 	after, isHolder := l.state.Newest(), l.state.IsHolder()
 	if isHolder {
 		l.unknownSentAt = 0
 	}
 	l.mu.Unlock()
 	if wasHolder && !isHolder {
-		l.Log.Warn("lease lost", zap.String("holder", after.Holder), zap.Int64("token", after.Offset))
+		l.Log.Warn("lease lost", zap.String("holder", after.Holder), zap.Int64("token", after.Token()))
 	}
 	if before.Incarnation != after.Incarnation || wasHolder != isHolder {
 		l.Log.Info("lease held", zap.String("holder", after.Holder), zap.String("incarnation", after.Incarnation),
-			zap.Int64("token", after.Offset), zap.Bool("released", after.IsReleased))
+			zap.Int64("token", after.Token()), zap.Bool("released", after.IsReleased))
 		l.holderChanged(after)
 	}
 }
@@ -251,7 +291,7 @@
 // Observe applies a claim that a peer reported.
 func (l *Lease) Observe(c Claim) {
 	if c.Incarnation != l.Self.Incarnation {
-		l.observe(c)
+		l.observe(c, c.Era)
 	}
 }
 
@@ -287,7 +327,7 @@
 func (l *Lease) Token() (token int64, ok bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.state.Newest().Offset, l.state.CanOrder(clocker.SinceStart())
+	return l.state.Newest().Token(), l.state.CanOrder(clocker.SinceStart())
 }
 
 // Release releases the lease. The caller must have no order in flight, and must
@@ -297,7 +337,7 @@
 	l.isReleasing = true
 	isHolder := l.state.IsHolder()
 	c := l.Self
-	at := l.state.Newest().Offset + 1
+	c.Position = l.state.Newest().Next()
 	c.IsReleased = true
 	c.FirstOrderDelay = max(0, l.state.firstOrderAt-clocker.SinceStart())
 	if isHolder {
@@ -307,9 +347,9 @@
 	if !isHolder {
 		return
 	}
-	if _, err := l.append(ctx, c, at); err != nil {
+	if err := l.append(ctx, c); err != nil {
 		l.Log.Warn("failed to release the lease", logger.Error(err))
 		return
 	}
-	l.Log.Info("lease given back", zap.Int64("token", at))
+	l.Log.Info("lease given back", zap.Int64("token", c.Token()))
 }
--- a/internal/leaser/state.go
+++ b/internal/leaser/state.go
@@ -1,11 +1,16 @@
 package leaser
 
-import "time"
+import (
+	"time"
+
+	"github.com/primrosedrift/primrosedrift/internal/sequencer"
+)
 
 // Claim is a record of the lease topic: an acquisition, renewal or release.
 type Claim struct {
-	// Offset is the record's offset in the log, and the fencing token.
-	Offset int64
+	// Position is the position at which the claim was appended. Its era is part of the
+	// record, so that a claim from before a restore of the log is recognized.
+	sequencer.Position
 	// Holder is the instance, and Incarnation identifies the run of its process.
 	Holder      string
 	Incarnation string
@@ -47,24 +52,46 @@
 	endedAt      time.Duration // when the newest holder was found to have ended or released, 0 if it has not
 	sentAt       time.Duration // when this instance sent its newest claim
 	firstOrderAt time.Duration // earliest time of an order of this instance
+
+	era       int64         // newest known era of the log
+	eraSeenAt time.Duration // when this instance found that era
 }
 
 // Newest returns the newest known claim.
 func (s *State) Newest() Claim { return s.newest }
 
+// ObserveEra records the era of the log.
+func (s *State) ObserveEra(era int64, now time.Duration) {
+	if era > s.era {
+		s.era, s.eraSeenAt = era, now
+	}
+}
+
+// MayMissClaims reports whether the log was restored after the newest known claim, so
+// that it may have lost claims that no instance can read any more.
+func (s *State) MayMissClaims() bool {
+	return s.era > max(s.newest.Era, sequencer.FirstEra)
+}
+
 // IsHolder reports whether the newest claim is this instance's and not released.
 func (s *State) IsHolder() bool {
 	return !s.newest.IsZero() && s.newest.Incarnation == s.Incarnation && !s.newest.IsReleased
 }
 
-// Observe applies a claim that was read from the log: one of another instance, or
-// one of this instance whose append got no response. sentAt is when this instance
-// sent that append.
-func (s *State) Observe(c Claim, now, sentAt time.Duration) {
-	if !s.newest.IsZero() && c.Offset <= s.newest.Offset {
+// Observe applies a claim that was read from the log in the given era: one of another
+// instance, or one of this instance whose append got no response. sentAt is when this
+// instance sent that append.
+func (s *State) Observe(c Claim, era int64, now, sentAt time.Duration) {
+	s.ObserveEra(era, now)
+	if !s.newest.IsZero() && !c.IsAfter(s.newest.Position) {
 		return
 	}
 	if c.Incarnation == s.Incarnation {
+		if c.Era != era {
+			// The append may have arrived after the restore, at an offset that another
+			// claim had before.
+			return
+		}
 		s.RecordAcquired(c, sentAt, now)
 		return
 	}
@@ -83,24 +110,37 @@
 }
 
 // CanClaim reports whether this instance may claim the lease: there is none, it
-// has expired or was released, or its holder has ended.
+// has expired or was released, or its holder has ended. If claims may be missing, any
+// of them may be in force until a whole lease after the restore.
 func (s *State) CanClaim(now time.Duration) bool {
+	if s.MayMissClaims() {
+		return s.isContinuing(now) || now-s.eraSeenAt >= s.LeaseDuration
+	}
 	return s.newest.IsZero() || s.endedAt != 0 || now-s.seenAt >= s.LeaseDuration
 }
 
-// IsRenewalDue reports whether this instance holds the lease and should renew it.
+// IsRenewalDue reports whether this instance holds the lease and should renew it: its
+// claim is old, or was made in an earlier era of the log.
 func (s *State) IsRenewalDue(now time.Duration) bool {
-	return s.IsHolder() && now-s.sentAt >= s.RenewAfter
+	return s.IsHolder() && (now-s.sentAt >= s.RenewAfter || s.era > s.newest.Era)
+}
+
+// isContinuing reports whether a claim of this instance that is sent at the given time
+// renews the lease that it holds: no other instance can have held it since.
+func (s *State) isContinuing(sentAt time.Duration) bool {
+	return s.IsHolder() && (!s.MayMissClaims() || sentAt < s.ExpiresAt())
 }
 
 // RecordAcquired records that a claim of this instance, sent at sentAt, has
 // succeeded.
 func (s *State) RecordAcquired(c Claim, sentAt, now time.Duration) {
 	switch {
+	case s.isContinuing(sentAt):
+	case s.MayMissClaims():
+		// The holder of a missing claim sent it before the restore.
+		s.firstOrderAt = s.eraSeenAt + s.LeaseDuration - s.ExpiryMargin + s.HandoverGap
 	case s.newest.IsZero():
 		s.firstOrderAt = 0
-	case s.IsHolder():
-		// A renewal: no other instance has held the lease since the last claim.
 	case s.newest.Holder == c.Holder && s.newest.Incarnation != c.Incarnation:
 		// The former holder is an earlier incarnation of this instance, which has
 		// ended.
@@ -131,6 +171,6 @@
 // if it claims the lease now.
 func (s *State) FirstOrderDelay(holder string, now time.Duration) time.Duration {
 	next := *s
-	next.RecordAcquired(Claim{Offset: s.newest.Offset + 1, Holder: holder, Incarnation: s.Incarnation}, now, now)
+	next.RecordAcquired(Claim{Position: sequencer.Position{Era: s.era, Offset: s.newest.Offset + 1}, Holder: holder, Incarnation: s.Incarnation}, now, now)
 	return max(0, next.firstOrderAt-now)
 }
--- a/internal/queuer/choose.go
+++ b/internal/queuer/choose.go
@@ -58,7 +58,7 @@
 	upstreams := make([]*registrar.Upstream, 0, len(list))
 	prefixUpstream, _ := t.prefixes.Get(req.Prefix)
 	for _, u := range list {
-		if req.Model != "" && !u.Holds(req.Model, req.Adapter) {
+		if u.IsPaused(now) || req.Model != "" && !u.Holds(req.Model, req.Adapter) {
 			continue
 		}
 		prefill := t.prefill[u.ID]
--- a/internal/queuer/table.go
+++ b/internal/queuer/table.go
@@ -135,11 +135,14 @@
 // Estimate returns when a request that has no slot yet could start.
 func (t *Table) Estimate(req Request, s *registrar.Snapshot, cfg *matcher.Config, now time.Time) StartEstimate {
 	svc, ok := cfg.Services[req.Service]
-	if !ok || req.Model == "" || svc.Engine == nil {
+	if !ok {
 		return StartEstimate{}
 	}
+	if req.Model == "" || svc.Engine == nil {
+		return StartEstimate{Delay: shortestPause(s.ByService[req.Service], now)}
+	}
 	model := svc.Engine.Models[req.Model]
-	best := model.StoreLoadDuration + swapOverhead
+	best := shortestPause(s.ByService[req.Service], now) + model.StoreLoadDuration + swapOverhead
 	isLoaded := false
 	if !t.HasConductor {
 		// No conductor sends orders at present.
@@ -149,9 +152,9 @@
 		if m, ok := u.Model(req.Model); ok {
 			if req.Adapter == "" || slices.Contains(m.Adapters, req.Adapter) {
 				isLoaded = isLoaded || m.ReadyAt.IsZero()
-				best = min(best, readyIn(m, now))
+				best = min(best, max(readyIn(m, now), pauseOf(u, now)))
 			} else if t.HasConductor {
-				best = min(best, readyIn(m, now)+adapterLoadDelay)
+				best = min(best, max(readyIn(m, now), pauseOf(u, now))+adapterLoadDelay)
 			}
 			continue
 		}
@@ -166,6 +169,24 @@
 	return StartEstimate{Delay: best, NeedsLoad: !isLoaded}
 }
 
+// pauseOf returns how long the upstream wants nothing from this instance.
+func pauseOf(u *registrar.Upstream, now time.Time) time.Duration {
+	return max(0, u.PausedUntil.Sub(now))
+}
+
+// shortestPause returns how long it takes until this instance may send to one of the
+// upstreams, zero if there are none.
+func shortestPause(list []*registrar.Upstream, now time.Time) time.Duration {
+	if len(list) == 0 {
+		return 0
+	}
+	shortest := pauseOf(list[0], now)
+	for _, u := range list[1:] {
+		shortest = min(shortest, pauseOf(u, now))
+	}
+	return shortest
+}
+
 // readyIn returns the remaining duration of a load, zero if it is done. An
 // overdue load may end at any time and counts as minRetryDelay.
 func readyIn(m registrar.Model, now time.Time) time.Duration {
@@ -175,14 +196,14 @@
 	return max(m.ReadyAt.Sub(now), minRetryDelay)
 }
 
-// Expire refuses the waiting requests whose model is not loaded and can no
-// longer be loaded by their latest start time. It also drops the health of ended
+// Expire refuses the waiting requests that can no longer start by their latest start
+// time, because their model is not loaded or all upstreams want no requests. It also drops the health of ended
 // upstreams.
 func (t *Table) Expire(s *registrar.Snapshot, cfg *matcher.Config, now time.Time) {
 	kept := t.waiting[:0]
 	for _, w := range t.waiting {
 		e := t.Estimate(w.Request, s, cfg, now)
-		if e.NeedsLoad && now.Add(e.Delay).After(w.Request.StartBy) {
+		if now.Add(e.Delay).After(w.Request.StartBy) {
 			w.refused <- e
 			continue
 		}
--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -12,6 +12,9 @@
 //     shows that a load has ended.
 //   - An upstream gets no new requests once its registration says that it is
 //     leaving.
+//   - An upstream that has responded that it is leaving gets no new requests either,
+//     as long as its incarnation lives.
+//   - An upstream may ask this instance to send nothing for some time.
 //   - A model or adapter that an upstream turns out not to hold counts as absent
 //     for a while, or until the upstream has accepted another order.
 //   - A registration that vanishes while the platform is unreachable may return. It
@@ -41,8 +44,12 @@
 	// NumOrders is the number of orders that the incarnation has accepted, according
 	// to the conductor's view.
 	NumOrders int64
-	// IsLeaving reports whether the upstream accepts no new requests.
+	// IsLeaving reports whether the upstream accepts no new requests, according to its
+	// registration or to a response of its own.
 	IsLeaving bool
+	// PausedUntil is the time until which the upstream wants nothing from this
+	// instance, zero for none.
+	PausedUntil time.Time
 	// ColdRemaining is how much longer the upstream is slow after its start.
 	ColdRemaining time.Duration
 	Models        []Model
@@ -57,6 +64,15 @@
 	PeerFailureEstimate estimator.Estimate
 }
 
+// IsPaused reports whether this instance must send nothing to the upstream.
+func (u *Upstream) IsPaused(now time.Time) bool { return now.Before(u.PausedUntil) }
+
+// Incarnation identifies one run of an upstream.
+type Incarnation struct {
+	ID          string
+	StartedAtMs int64
+}
+
 // Model is a model that an upstream holds.
 type Model struct {
 	Name     string
@@ -113,12 +129,17 @@
 	RemovalGrace time.Duration
 	// OnIncarnationEnd, if set, is called for each incarnation that has ended.
 	OnIncarnationEnd func(u *Upstream, why string)
+	// OnLeaving, if set, is called for each incarnation that is found to be leaving
+	// before its registration says so.
+	OnLeaving func(Incarnation)
 
 	mu             sync.Mutex
 	registrations  map[string]*Upstream
 	views          map[string]View
 	absences       map[string][]absence
-	gone           map[string]int64    // id to the start time of the incarnation that is known to be gone
+	gone           map[string]int64 // id to the start time of the incarnation that is known to be gone
+	leaving        map[string]int64 // id to the start time of the incarnation that has responded that it is leaving
+	pauses         map[string]pause
 	vanished       map[string]struct{} // ids of registrations that vanished and are kept for now
 	isPlatformLost bool
 	keepUntil      time.Time // vanished registrations are kept until then
@@ -134,6 +155,12 @@
 	until                time.Time
 }
 
+// pause is the time for which an incarnation wants nothing from this instance.
+type pause struct {
+	startedAtMs int64
+	until       time.Time
+}
+
 // Snapshot returns the current snapshot.
 func (t *Table) Snapshot() *Snapshot {
 	t.mu.Lock()
@@ -198,6 +225,82 @@
 	t.isPlatformLost = isLost
 }
 
+// RecordRestore records that the platform's log came back from an older copy.
+// Registrations that are missing from it count as vanished during an outage.
+func (t *Table) RecordRestore(now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.keepUntil = now.Add(t.RemovalGrace)
+}
+
+// Notice is what an upstream states about itself in any of its responses.
+type Notice struct {
+	// IsLeaving reports whether the upstream is about to end.
+	IsLeaving bool
+	// RetryAfter is how long the upstream wants nothing from this instance, zero if it
+	// does not say.
+	RetryAfter time.Duration
+}
+
+// maxPause bounds how long an upstream may keep this instance from sending to it.
+const maxPause = 10 * time.Minute
+
+// ApplyNotice applies a notice of an incarnation.
+func (t *Table) ApplyNotice(id string, startedAtMs int64, n Notice, now time.Time) {
+	if n.IsLeaving {
+		t.RecordLeaving(id, startedAtMs, now)
+	}
+	if n.RetryAfter > 0 {
+		t.pause(id, startedAtMs, now.Add(min(n.RetryAfter, maxPause)), now)
+	}
+}
+
+// RecordLeaving records that an incarnation has responded that it is leaving. It holds
+// until the incarnation has ended, whatever its registration says.
+func (t *Table) RecordLeaving(id string, startedAtMs int64, now time.Time) {
+	t.mu.Lock()
+	t.initLocked()
+	e := t.registrations[id]
+	known, isKnown := t.leaving[id]
+	if e == nil || e.StartedAtMs != startedAtMs || isKnown && known == startedAtMs {
+		t.mu.Unlock()
+		return
+	}
+	t.leaving[id] = startedAtMs
+	t.latest = now
+	t.rebuildLocked()
+	t.mu.Unlock()
+	if t.OnLeaving != nil {
+		t.OnLeaving(Incarnation{id, startedAtMs})
+	}
+}
+
+// Leaving returns the incarnations that have responded that they are leaving.
+func (t *Table) Leaving() []Incarnation {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var out []Incarnation
+	for id, startedAtMs := range t.leaving {
+		out = append(out, Incarnation{id, startedAtMs})
+	}
+	return out
+}
+
+// pause records that an incarnation wants nothing from this instance until a time.
+func (t *Table) pause(id string, startedAtMs int64, until, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.initLocked()
+	e := t.registrations[id]
+	p, isPaused := t.pauses[id]
+	if e == nil || e.StartedAtMs != startedAtMs || isPaused && p.startedAtMs == startedAtMs && !until.After(p.until) {
+		return
+	}
+	t.pauses[id] = pause{startedAtMs, until}
+	t.latest = now
+	t.rebuildLocked()
+}
+
 // Sweep drops the registrations that vanished while the platform was unreachable and
 // did not return within the grace period. It also expires absences.
 func (t *Table) Sweep(now time.Time) {
@@ -273,6 +376,8 @@
 	t.views = make(map[string]View)
 	t.absences = make(map[string][]absence)
 	t.gone = make(map[string]int64)
+	t.leaving = make(map[string]int64)
+	t.pauses = make(map[string]pause)
 	t.vanished = make(map[string]struct{})
 }
 
@@ -282,6 +387,8 @@
 	delete(t.views, id)
 	delete(t.absences, id)
 	delete(t.gone, id)
+	delete(t.leaving, id)
+	delete(t.pauses, id)
 	delete(t.vanished, id)
 	return e
 }
@@ -330,6 +437,12 @@
 	if v, ok := t.views[e.ID]; ok && v.StartedAtMs == e.StartedAtMs {
 		u.NumPeerAttempts, u.PeerFailureEstimate, u.NumOrders, u.Models = v.Running, v.FailureEstimate, v.NumOrders, v.Models
 	}
+	if startedAtMs, ok := t.leaving[e.ID]; ok && startedAtMs == e.StartedAtMs {
+		u.IsLeaving = true
+	}
+	if p, ok := t.pauses[e.ID]; ok && p.startedAtMs == e.StartedAtMs {
+		u.PausedUntil = p.until
+	}
 	valid := t.absences[e.ID][:0]
 	for _, a := range t.absences[e.ID] {
 		if a.startedAt == u.StartedAtMs && a.numOrders >= u.NumOrders && t.latest.Before(a.until) {
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -69,6 +69,7 @@
 	Upstream string
 	// IsStamped reports that the response carries the upstream's signature.
 	IsStamped bool
+	registrar.Notice
 }
 
 // Codec reads and writes the headers that are specific to a deployment.
--- a/internal/syncer/client.go
+++ b/internal/syncer/client.go
@@ -15,6 +15,7 @@
 	"github.com/primrosedrift/primrosedrift/internal/queuer"
 	"github.com/primrosedrift/primrosedrift/internal/registrar"
 	"github.com/primrosedrift/primrosedrift/internal/relayer"
+	"github.com/primrosedrift/primrosedrift/internal/sequencer"
 	"github.com/primrosedrift/primrosedrift/internal/sleeper"
 	peerv1 "github.com/primrosedrift/primrosedrift/pkg/api/peer/v1"
 )
@@ -228,6 +229,7 @@
 			Upstream: o.Upstream, Born: o.StartedAtMs, Attempts: uint32(o.Attempts), Failures: uint32(o.Failures),
 		})
 	}
+	r.Leaving = encodeLeaving(c.Upstreams.Leaving())
 	for _, l := range c.Poison.Losses() {
 		r.Losses = append(r.Losses, &peerv1.Loss{Fingerprint: l.Fingerprint, Incarnation: l.Incarnation})
 	}
@@ -298,7 +300,7 @@
 		return false
 	}
 	if v.GetIncarnation() == claim.Incarnation {
-		claim.Offset = v.GetToken()
+		claim.Position = sequencer.FromToken(v.GetToken())
 		c.Lease.Observe(claim)
 	}
 	c.applyView(v, time.Now())
@@ -307,10 +309,10 @@
 
 func (c *Client) logConductorChange(claim leaser.Claim, ok bool, err error) {
 	if ok {
-		c.Log.Info("conductor regained", zap.String("conductor", claim.Holder), zap.Int64("token", claim.Offset))
+		c.Log.Info("conductor regained", zap.String("conductor", claim.Holder), zap.Int64("token", claim.Token()))
 		return
 	}
-	c.Log.Warn("conductor lost", zap.String("conductor", claim.Holder), zap.Int64("token", claim.Offset), logger.Error(err))
+	c.Log.Warn("conductor lost", zap.String("conductor", claim.Holder), zap.Int64("token", claim.Token()), logger.Error(err))
 }
 
 // applyView applies a whole view, or the changes since an earlier response.
@@ -341,6 +343,9 @@
 	if isNew {
 		c.Upstreams.ApplyViews(views, now)
 	}
+	for _, l := range v.GetLeaving() {
+		c.Upstreams.RecordLeaving(l.GetUpstream(), l.GetBorn(), now)
+	}
 	if v.GetBase() == 0 || v.GetHasLosses() {
 		c.Poison.SetPeers(decodeLosses(v.GetLosses()))
 	}
--- a/internal/syncer/delta.go
+++ b/internal/syncer/delta.go
@@ -18,9 +18,9 @@
 type delta struct {
 	views    map[string]versionedView // by upstream
 	watchers map[string]watcher       // by instance
-	// membersVersion and lossesVersion are the versions of the last change of the
-	// members and of the losses.
-	membersVersion, lossesVersion uint64
+	// membersVersion, lossesVersion and leavingVersion are the versions of the last
+	// change of the members, of the losses and of the leaving upstreams.
+	membersVersion, lossesVersion, leavingVersion uint64
 }
 
 type versionedView struct {
--- a/internal/syncer/nearby.go
+++ b/internal/syncer/nearby.go
@@ -8,6 +8,7 @@
 
 	"github.com/primrosedrift/primrosedrift/internal/follower"
 	"github.com/primrosedrift/primrosedrift/internal/logger"
+	"github.com/primrosedrift/primrosedrift/internal/sequencer"
 	peerv1 "github.com/primrosedrift/primrosedrift/pkg/api/peer/v1"
 )
 
@@ -26,29 +27,29 @@
 // data centre, the first of its members by name. Each call to the log has a cost,
 // while traffic within a data centre is free. If the reader last read the log
 // longer ago than maxAge, its response is not used.
-func (c *Client) NearbyReader(topic string, maxAge time.Duration) func(ctx context.Context, from int64) ([]follower.Record, int64, time.Duration, bool) {
+func (c *Client) NearbyReader(topic string, maxAge time.Duration) func(ctx context.Context, from sequencer.Position) (follower.Batch, bool) {
 	var failedAt time.Time
-	return func(ctx context.Context, from int64) ([]follower.Record, int64, time.Duration, bool) {
+	return func(ctx context.Context, from sequencer.Position) (follower.Batch, bool) {
 		m := readerOf(c.Members(), c.Self.GetDataCentre())
 		if m == nil || m.GetInstance() == c.Self.GetInstance() || time.Since(failedAt) < readerRetryDelay {
-			return nil, 0, 0, false
+			return follower.Batch{}, false
 		}
 		cctx, cancel := context.WithTimeout(ctx, readerWait+readerTimeout)
 		defer cancel()
 		r, err := peerv1.NewFleetQueriesProtobufClient("http://"+m.GetPeerAddress(), c.HTTP).Records(cctx, &peerv1.RecordsRequest{
-			Topic: topic, From: from, WaitMs: uint32(readerWait.Milliseconds()),
+			Topic: topic, From: from.Offset, Era: from.Era, WaitMs: uint32(readerWait.Milliseconds()),
 		})
-		age := time.Duration(r.GetAgeMs()) * time.Millisecond
+		b := decodeBatch(r)
 		if ctx.Err() != nil {
-			return nil, 0, 0, false
+			return follower.Batch{}, false
 		}
-		if err != nil || r.GetNextOffset() < from || age > maxAge {
+		if err != nil || from.IsAfter(b.Next) || b.Age > maxAge {
 			failedAt = time.Now()
-			c.Log.Info("reader not used", zap.String("topic", topic), zap.String("reader", m.GetInstance()), zap.Int64("from", from),
-				zap.Int64("next", r.GetNextOffset()), zap.Duration("age", age), logger.Error(err))
-			return nil, 0, 0, false
+			c.Log.Info("reader not used", zap.String("topic", topic), zap.String("reader", m.GetInstance()), zap.Int64("from", from.Offset),
+				zap.Int64("era", from.Era), zap.Int64("next", b.Next.Offset), zap.Int64("next-era", b.Next.Era), zap.Duration("age", b.Age), logger.Error(err))
+			return follower.Batch{}, false
 		}
-		return decodeRecords(r.GetRecords()), r.GetNextOffset(), age, true
+		return b, true
 	}
 }
 
@@ -64,14 +65,17 @@
 	return best
 }
 
-func decodeRecords(list []*peerv1.Record) []follower.Record {
-	out := make([]follower.Record, 0, len(list))
-	for _, x := range list {
-		r := follower.Record{Key: x.GetKey(), Offset: x.GetOffset()}
+func decodeBatch(r *peerv1.RecordsResponse) follower.Batch {
+	out := follower.Batch{
+		Records: make([]follower.Record, 0, len(r.GetRecords())), IsComplete: r.GetIsComplete(),
+		Next: sequencer.Position{Era: r.GetEra(), Offset: r.GetNextOffset()}, Age: time.Duration(r.GetAgeMs()) * time.Millisecond,
+	}
+	for _, x := range r.GetRecords() {
+		record := follower.Record{Key: x.GetKey(), Offset: x.GetOffset()}
 		if len(x.GetValue()) > 0 {
-			r.Value = x.GetValue()
+			record.Value = x.GetValue()
 		}
-		out = append(out, r)
+		out.Records = append(out.Records, record)
 	}
 	return out
 }
--- a/internal/syncer/peer.go
+++ b/internal/syncer/peer.go
@@ -9,24 +9,29 @@
 
 	"github.com/primrosedrift/primrosedrift/internal/follower"
 	"github.com/primrosedrift/primrosedrift/internal/leaser"
+	"github.com/primrosedrift/primrosedrift/internal/sequencer"
 	peerv1 "github.com/primrosedrift/primrosedrift/pkg/api/peer/v1"
 )
 
-// RequestRecords requests the records of a topic, starting at offset from, from
-// the members, the conductor first. It returns the records and the next offset.
-func (c *Client) RequestRecords(ctx context.Context, topic string, from int64) ([]follower.Record, int64, error) {
-	var out []follower.Record
-	next := from
+// RequestRecords requests the records of a topic, from a position on, from the
+// members, the conductor first.
+func (c *Client) RequestRecords(ctx context.Context, topic string, from sequencer.Position) (follower.Batch, error) {
+	out := follower.Batch{Next: from}
 	err := c.tryPeers(ctx, func(ctx context.Context, address string) (bool, error) {
-		r, err := peerv1.NewFleetQueriesProtobufClient("http://"+address, c.HTTP).Records(ctx, &peerv1.RecordsRequest{Topic: topic, From: from})
-		if err != nil || r.GetNextOffset() <= from {
+		r, err := peerv1.NewFleetQueriesProtobufClient("http://"+address, c.HTTP).Records(ctx, &peerv1.RecordsRequest{
+			Topic: topic, From: from.Offset, Era: from.Era,
+		})
+		if err != nil {
 			return false, err
 		}
-		out = decodeRecords(r.GetRecords())
-		next = r.GetNextOffset()
+		b := decodeBatch(r)
+		if !b.Next.IsAfter(from) {
+			return false, nil
+		}
+		out = b
 		return true, nil
 	})
-	return out, next, err
+	return out, err
 }
 
 // PeerStore returns a store that is reached through the members.
@@ -44,16 +49,16 @@
 		return out, err
 	}
 	return leaser.Store{
-		Newest: func(ctx context.Context) (leaser.Claim, int64, error) {
+		Newest: func(ctx context.Context) (leaser.Claim, sequencer.Position, error) {
 			r, err := call(ctx, &peerv1.ClaimRequest{})
-			return decodeClaim(r.GetClaim()), r.GetEndOffset(), err
+			return decodeClaim(r.GetClaim()), sequencer.Position{Era: r.GetEndEra(), Offset: r.GetEndOffset()}, err
 		},
-		Append: func(ctx context.Context, claim leaser.Claim, at int64) (int64, error) {
-			r, err := call(ctx, &peerv1.ClaimRequest{Claim: encodeClaim(claim), At: at})
+		Append: func(ctx context.Context, claim leaser.Claim) error {
+			r, err := call(ctx, &peerv1.ClaimRequest{Claim: encodeClaim(claim)})
 			if err == nil && r.GetHasMoved() {
 				err = leaser.ErrConflict
 			}
-			return r.GetClaim().GetOffset(), err
+			return err
 		},
 	}
 }
--- a/internal/syncer/server.go
+++ b/internal/syncer/server.go
@@ -16,6 +16,7 @@
 	"github.com/primrosedrift/primrosedrift/internal/leaser"
 	"github.com/primrosedrift/primrosedrift/internal/registrar"
 	"github.com/primrosedrift/primrosedrift/internal/relayer"
+	"github.com/primrosedrift/primrosedrift/internal/sequencer"
 	"github.com/primrosedrift/primrosedrift/internal/sleeper"
 	peerv1 "github.com/primrosedrift/primrosedrift/pkg/api/peer/v1"
 )
@@ -91,6 +92,7 @@
 		s.notifyWatchersLocked()
 	}
 	s.mu.Unlock()
+	s.recordLeaving(r.GetLeaving(), now)
 	demands := make([]conductor.Demand, 0, len(r.GetUses()))
 	for _, u := range r.GetUses() {
 		running := make(map[string]int, len(u.GetRuns()))
@@ -108,6 +110,21 @@
 	}
 }
 
+// recordLeaving records that upstreams have responded to a peer that they are leaving.
+func (s *Server) recordLeaving(list []*peerv1.Leaving, now time.Time) {
+	for _, l := range list {
+		s.Conductor.Upstreams.RecordLeaving(l.GetUpstream(), l.GetBorn(), now)
+	}
+}
+
+// NotifyLeaving passes a new leaving upstream on to the watchers.
+func (s *Server) NotifyLeaving() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.delta.leavingVersion = s.version + 1
+	s.notifyWatchersLocked()
+}
+
 // Claim implements peerv1.FleetCommands.
 func (s *Server) Claim(ctx context.Context, r *peerv1.ClaimRequest) (*peerv1.ClaimResponse, error) {
 	if r.GetClaim() == nil {
@@ -115,31 +132,30 @@
 		if err != nil {
 			return nil, twirp.NewError(twirp.Unavailable, err.Error())
 		}
-		return &peerv1.ClaimResponse{Claim: encodeClaim(c), EndOffset: end}, nil
+		return &peerv1.ClaimResponse{Claim: encodeClaim(c), EndOffset: end.Offset, EndEra: end.Era}, nil
 	}
 	c := decodeClaim(r.GetClaim())
-	offset, err := s.Store.Append(ctx, c, r.GetAt())
+	err := s.Store.Append(ctx, c)
 	switch {
 	case errors.Is(err, leaser.ErrConflict):
 		return &peerv1.ClaimResponse{HasMoved: true}, nil
 	case err != nil:
 		return nil, twirp.NewError(twirp.Unavailable, err.Error())
 	}
-	c.Offset = offset
-	return &peerv1.ClaimResponse{Claim: encodeClaim(c), EndOffset: offset + 1}, nil
+	return &peerv1.ClaimResponse{Claim: encodeClaim(c), EndOffset: c.Next().Offset, EndEra: c.Era}, nil
 }
 
 func encodeClaim(c leaser.Claim) *peerv1.Claim {
 	return &peerv1.Claim{
 		Holder: c.Holder, Incarnation: c.Incarnation, Address: c.Address, IsReleased: c.IsReleased,
-		FirstInNs: c.FirstOrderDelay.Nanoseconds(), Offset: c.Offset,
+		FirstInNs: c.FirstOrderDelay.Nanoseconds(), Offset: c.Offset, Era: c.Era,
 	}
 }
 
 func decodeClaim(c *peerv1.Claim) leaser.Claim {
 	return leaser.Claim{
-		Holder: c.GetHolder(), Incarnation: c.GetIncarnation(), Address: c.GetAddress(), IsReleased: c.GetIsReleased(),
-		FirstOrderDelay: time.Duration(c.GetFirstInNs()), Offset: c.GetOffset(),
+		Position: sequencer.Position{Era: c.GetEra(), Offset: c.GetOffset()}, Holder: c.GetHolder(), Incarnation: c.GetIncarnation(),
+		Address: c.GetAddress(), IsReleased: c.GetIsReleased(), FirstOrderDelay: time.Duration(c.GetFirstInNs()),
 	}
 }
 
@@ -223,6 +239,7 @@
 	}
 	own := s.Conductor.RunningOf(instance)
 	views := s.Conductor.Views(now)
+	leaving := s.Conductor.Upstreams.Leaving()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	out.Version = s.version
@@ -234,6 +251,9 @@
 			out.Members = append(out.Members, m.Member)
 		}
 	}
+	if out.Base == 0 || s.delta.leavingVersion > out.Base {
+		out.Leaving = encodeLeaving(leaving)
+	}
 	if out.Base == 0 || s.delta.lossesVersion > out.Base {
 		out.HasLosses = true
 		for _, l := range s.losses {
@@ -249,13 +269,16 @@
 	if f == nil {
 		return &peerv1.RecordsResponse{}, nil
 	}
-	f.Await(ctx, r.GetFrom(), min(time.Duration(r.GetWaitMs())*time.Millisecond, maxWait))
-	records, next, age, ok := f.Since(r.GetFrom())
+	from := sequencer.Position{Era: r.GetEra(), Offset: r.GetFrom()}
+	f.Await(ctx, from, min(time.Duration(r.GetWaitMs())*time.Millisecond, maxWait))
+	b, ok := f.Since(from)
 	if !ok {
 		return &peerv1.RecordsResponse{}, nil
 	}
-	out := &peerv1.RecordsResponse{NextOffset: next, AgeMs: uint32(min(age.Milliseconds(), math.MaxUint32))}
-	for _, x := range records {
+	out := &peerv1.RecordsResponse{
+		NextOffset: b.Next.Offset, Era: b.Next.Era, IsComplete: b.IsComplete, AgeMs: uint32(min(b.Age.Milliseconds(), math.MaxUint32)),
+	}
+	for _, x := range b.Records {
 		out.Records = append(out.Records, &peerv1.Record{Key: x.Key, Value: x.Value, Offset: x.Offset})
 	}
 	return out, nil
@@ -296,6 +319,14 @@
 	return v
 }
 
+func encodeLeaving(list []registrar.Incarnation) []*peerv1.Leaving {
+	var out []*peerv1.Leaving
+	for _, x := range list {
+		out = append(out, &peerv1.Leaving{Upstream: x.ID, Born: x.StartedAtMs})
+	}
+	return out
+}
+
 func decodeLosses(list []*peerv1.Loss) []relayer.Loss {
 	out := make([]relayer.Loss, 0, len(list))
 	for _, l := range list {
--- a/internal/syncer/server_test.go
+++ b/internal/syncer/server_test.go
@@ -14,6 +14,7 @@
 	"github.com/primrosedrift/primrosedrift/internal/leaser"
 	"github.com/primrosedrift/primrosedrift/internal/matcher"
 	"github.com/primrosedrift/primrosedrift/internal/registrar"
+	"github.com/primrosedrift/primrosedrift/internal/sequencer"
 	peerv1 "github.com/primrosedrift/primrosedrift/pkg/api/peer/v1"
 )
 
@@ -109,18 +110,18 @@
 	f := &follower.Follower{
 		Name: "t", Log: zap.NewNop(), OnRecords: func([]follower.Record, bool) {}, OnPlatformLost: func(bool) {},
 		Topic: follower.Topic{
-			Newest: func(context.Context, string) ([]follower.Record, bool, int64, error) {
-				return []follower.Record{{Key: "k", Value: []byte("v"), Offset: 3}}, false, 4, nil
+			Newest: func(context.Context, string) (follower.Page, error) {
+				return follower.Page{Records: []follower.Record{{Key: "k", Value: []byte("v"), Offset: 3}}, End: sequencer.Position{Era: 1, Offset: 4}}, nil
 			},
-			Read: func(ctx context.Context, from int64, _ time.Duration) ([]follower.Record, int64, error) {
+			Read: func(ctx context.Context, from sequencer.Position, _ time.Duration) (follower.Batch, error) {
 				<-ctx.Done()
-				return nil, from, ctx.Err()
+				return follower.Batch{}, ctx.Err()
 			},
 		},
 	}
 	s.Topics = map[string]*follower.Follower{"t": f}
 	request := func(topic string, from int64) *peerv1.RecordsResponse {
-		r, err := s.Records(t.Context(), &peerv1.RecordsRequest{Topic: topic, From: from})
+		r, err := s.Records(t.Context(), &peerv1.RecordsRequest{Topic: topic, From: from, Era: 1})
 		require.NoError(t, err)
 		return r
 	}
@@ -134,6 +135,13 @@
 	require.Equal(t, "v", string(request("t", 0).GetRecords()[0].GetValue()))
 	require.Empty(t, request("t", 4).GetRecords())
 	require.Zero(t, request("unknown", 0).GetNextOffset())
+	earlier, err := s.Records(t.Context(), &peerv1.RecordsRequest{Topic: "t", From: 9})
+	require.NoError(t, err)
+	require.True(t, earlier.GetIsComplete(), "offsets of an earlier era name other records")
+	require.Len(t, earlier.GetRecords(), 1)
+	later, err := s.Records(t.Context(), &peerv1.RecordsRequest{Topic: "t", From: 0, Era: 2})
+	require.NoError(t, err)
+	require.Zero(t, later.GetNextOffset())
 	cancel()
 	<-done
 }
@@ -142,26 +150,57 @@
 	s, _ := newServer()
 	hasMoved := false
 	s.Store = leaser.Store{
-		Newest: func(context.Context) (leaser.Claim, int64, error) {
-			return leaser.Claim{Offset: 6, Holder: "x", FirstOrderDelay: time.Second}, 7, nil
+		Newest: func(context.Context) (leaser.Claim, sequencer.Position, error) {
+			return leaser.Claim{Position: sequencer.Position{Era: 1, Offset: 6}, Holder: "x", FirstOrderDelay: time.Second}, sequencer.Position{Era: 2, Offset: 7}, nil
 		},
-		Append: func(_ context.Context, _ leaser.Claim, at int64) (int64, error) {
+		Append: func(context.Context, leaser.Claim) error {
 			if hasMoved {
-				return 0, leaser.ErrConflict
+				return leaser.ErrConflict
 			}
-			return at, nil
+			return nil
 		},
 	}
 	r, err := s.Claim(t.Context(), &peerv1.ClaimRequest{})
 	require.NoError(t, err)
-	require.Equal(t, leaser.Claim{Offset: 6, Holder: "x", FirstOrderDelay: time.Second}, decodeClaim(r.GetClaim()))
-	c := leaser.Claim{Holder: "b", Incarnation: "b1", Address: "192.0.2.1:1", IsReleased: true}
-	r, err = s.Claim(t.Context(), &peerv1.ClaimRequest{Claim: encodeClaim(c), At: 7})
+	require.Equal(t, leaser.Claim{Position: sequencer.Position{Era: 1, Offset: 6}, Holder: "x", FirstOrderDelay: time.Second}, decodeClaim(r.GetClaim()))
+	require.EqualValues(t, 7, r.GetEndOffset())
+	require.EqualValues(t, 2, r.GetEndEra())
+	c := leaser.Claim{Position: sequencer.Position{Era: 2, Offset: 7}, Holder: "b", Incarnation: "b1", Address: "192.0.2.1:1", IsReleased: true}
+	r, err = s.Claim(t.Context(), &peerv1.ClaimRequest{Claim: encodeClaim(c)})
 	require.NoError(t, err)
 	require.EqualValues(t, 7, r.GetClaim().GetOffset())
+	require.EqualValues(t, 2, r.GetClaim().GetEra())
 	require.Equal(t, "b", r.GetClaim().GetHolder())
 	hasMoved = true
-	r, err = s.Claim(t.Context(), &peerv1.ClaimRequest{Claim: encodeClaim(c), At: 7})
+	r, err = s.Claim(t.Context(), &peerv1.ClaimRequest{Claim: encodeClaim(c)})
 	require.NoError(t, err)
 	require.True(t, r.GetHasMoved())
 }
+
+// An upstream that has responded to one instance that it is leaving is known to all,
+// as long as its incarnation lives.
+func TestLeavingUpstreamsReachWatchers(t *testing.T) {
+	s, _ := newServer()
+	now := time.Now()
+	s.Conductor.Upstreams.OnLeaving = func(registrar.Incarnation) { s.NotifyLeaving() }
+	register := func(startedAtMs int64) {
+		s.Conductor.Upstreams.ApplyRegistrations(map[string]*registrar.Upstream{"u1": {ID: "u1", Service: "plain", StartedAtMs: startedAtMs}}, now)
+	}
+	register(1)
+	s.NotifyWatchers()
+	first := s.View("c", 0, now)
+	r := report("b", "b1", false)
+	r.Leaving = []*peerv1.Leaving{{Upstream: "u1", Born: 1}, {Upstream: "unknown", Born: 1}}
+	s.ApplyReport(r, now)
+	changes := s.View("c", first.GetAnswer(), now)
+	require.NotZero(t, changes.GetBase())
+	require.Len(t, changes.GetLeaving(), 1)
+	require.Empty(t, s.View("c", changes.GetAnswer(), now).GetLeaving(), "sent once")
+	s.ApplyReport(r, now)
+	require.Len(t, s.View("d", 0, now).GetLeaving(), 1, "part of a whole view")
+	require.Empty(t, s.Conductor.Upstreams.Snapshot().ByService["plain"])
+
+	register(2)
+	s.ApplyReport(r, now)
+	require.Len(t, s.Conductor.Upstreams.Snapshot().ByService["plain"], 1, "another incarnation has not said so")
+}
