internal/syncer, internal/leaser, platform: the cost of watching and of a lost conductor is bounded

Each change of the view woke all 195 watchers, up to 50 times a second each, and each response copied and compared the views of all upstreams; the conductor used 0.54 of its 0.8 core. While there was no conductor, every instance probed every other one each 300 ms and read the lease each 600 ms. Views are shared between responses. Probes are 12 a round; they spread claims of the lease, which is read each 2.4 s unless this instance may claim it. Instances below a quarter of a core leave the lease to others for 0.9 s.

--- a/cmd/primrosedrift/entry.go
+++ b/cmd/primrosedrift/entry.go
@@ -60,7 +60,7 @@
 func newDeployment(s platform.Settings) assembler.Deployment {
 	store := platform.NewStore(s.Store)
 	return assembler.Deployment{
-		Instance: s.Instance, DataCentre: s.DataCentre, MemoryBytes: s.MemoryBytes,
+		Instance: s.Instance, DataCentre: s.DataCentre, MemoryBytes: s.MemoryBytes, Cores: s.Cores,
 		Listen: assembler.Listen{
 			Caller: s.Caller, Ready: s.Ready, Directory: s.Directory, Peer: s.Peer, Metrics: s.Metrics,
 		},
--- a/internal/assembler/assembler.go
+++ b/internal/assembler/assembler.go
@@ -46,6 +46,11 @@
 	leaseExpiryMargin = 700 * time.Millisecond
 	// leaseRenewAge is the age at which a claim is renewed.
 	leaseRenewAge = 2400 * time.Millisecond
+	// minConductorCores is the processor time, in cores, below which an instance leaves
+	// the lease to others for smallInstanceClaimDelay: planning for a hundred upstreams
+	// and serving the view to two hundred instances take about a tenth of a core.
+	minConductorCores       = 0.25
+	smallInstanceClaimDelay = 900 * time.Millisecond
 	// inFlightOrderMargin is added to the minimum time between the orders of two
 	// holders, because orders of the former holder may still be in flight.
 	inFlightOrderMargin = 500 * time.Millisecond
@@ -169,17 +174,20 @@
 		Log:          a.Log.Named("leaser"),
 		Times:        leaser.Timing{LeaseDuration: leaseDuration, HandoverGap: a.MinOrderGap + inFlightOrderMargin, ExpiryMargin: leaseExpiryMargin, RenewAfter: leaseRenewAge},
 	}
+	if a.Cores > 0 && a.Cores < minConductorCores {
+		a.lease.ClaimDelay = smallInstanceClaimDelay
+	}
 	a.conductor = &conductor.Conductor{
 		Remote: a.NewRemote(a.pool), Upstreams: a.upstreamTable, Config: a.config.Load, Token: a.lease.Token, IsHolder: a.lease.IsHolder,
 		OnViews: func(views []registrar.View) {
 			a.upstreamTable.ApplyViews(views, time.Now())
-			a.server.NotifyWatchers()
+			a.server.NotifyViews(views)
 		},
 		Log: a.Log.Named("conductor"), Metrics: conductor.NewMetrics(a.registry),
 	}
 	a.server = &syncer.Server{
 		Self: self, Conductor: a.conductor, IsHolder: a.lease.IsHolder, Store: a.LeaseStore,
-		Token: func() int64 { return a.lease.Newest().Token() },
+		Token: func() int64 { return a.lease.Newest().Token() }, NewestClaim: func() leaser.Claim { return a.lease.Newest() },
 	}
 	a.client = &syncer.Client{
 		Self: self, HTTP: syncer.NewHTTPClient(), Lease: a.lease, Server: a.server, Queue: a.queue, Upstreams: a.upstreamTable,
--- a/internal/assembler/deployment.go
+++ b/internal/assembler/deployment.go
@@ -21,6 +21,8 @@
 	Listen     Listen
 	// MemoryBytes is the memory limit of the process. 0 means no limit.
 	MemoryBytes int64
+	// Cores is the processor time that the process may use, in cores. 0 means no limit.
+	Cores float64
 	// StopGrace is the maximum duration of a graceful shutdown.
 	StopGrace time.Duration
 	// AddressTTL is how long callers may cache an address.
--- a/internal/leaser/leaser.go
+++ b/internal/leaser/leaser.go
@@ -21,9 +21,11 @@
 	storeTimeout = 800 * time.Millisecond
 	// peerStoreTimeout bounds a store call that goes through peers.
 	peerStoreTimeout = 1500 * time.Millisecond
-	// readInterval is the time between two reads of the lease while the holder
-	// does not respond.
-	readInterval = 600 * time.Millisecond
+	// readInterval is the time between two reads of the lease while the holder does
+	// not respond and this instance may claim the lease. idleReadInterval is that time
+	// while it may not: it then learns of another holder from the other instances.
+	readInterval     = 600 * time.Millisecond
+	idleReadInterval = 2400 * time.Millisecond
 	// renewRetryInterval is the time between two attempts to renew the lease.
 	renewRetryInterval = 400 * time.Millisecond
 	// takeoverDelay gives a holder whose process was killed time to restart: its
@@ -58,6 +60,9 @@
 	HasConductor func() bool
 	Log          *zap.Logger
 	Times        Timing
+	// ClaimDelay is how long this instance leaves a free lease to others. It is longer
+	// than readInterval on an instance that is less suited to hold the lease.
+	ClaimDelay time.Duration
 	// OnHolderChange, if set, is called after the holder has changed.
 	OnHolderChange func(Claim)
 
@@ -94,6 +99,10 @@
 	l.mu.Lock()
 	isHolder, isDue, isReleasing := l.state.IsHolder(), l.state.IsRenewalDue(now), l.isReleasing
 	isInEra := l.state.era == l.state.newest.Era
+	interval := readInterval
+	if !l.state.CanClaim(now) {
+		interval = idleReadInterval
+	}
 	l.mu.Unlock()
 	switch {
 	case isReleasing:
@@ -107,7 +116,7 @@
 	case isHolder:
 	case l.HasConductor():
 		l.unreachableSince = 0
-	case now-l.readAt >= readInterval || l.readAt == 0:
+	case now-l.readAt >= interval || l.readAt == 0:
 		l.readAndClaim(ctx, now)
 	}
 }
@@ -145,6 +154,9 @@
 	isFree := l.state.CanClaim(clocker.SinceStart()) && !l.state.IsHolder()
 	mayMissClaims := l.state.MayMissClaims()
 	l.mu.Unlock()
+	if isFree && now-l.unreachableSince < l.ClaimDelay {
+		return
+	}
 	isOwnOrNone := c.Holder == l.Self.Holder || c.IsZero()
 	if isFree && !isOwnOrNone && now-l.unreachableSince < takeoverDelay {
 		return
--- /dev/null
+++ b/internal/leaser/leaser_test.go
@@ -0,0 +1,35 @@
+package leaser
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
+
+	"github.com/primrosedrift/primrosedrift/internal/clocker"
+	"github.com/primrosedrift/primrosedrift/internal/sequencer"
+)
+
+// An instance with little processor time leaves a free lease to the others for a
+// while, and takes it if nobody else does.
+func TestSmallInstanceLeavesFreeLeaseToOthers(t *testing.T) {
+	numAppends := 0
+	l := &Lease{
+		Store: Store{
+			Newest: func(context.Context) (Claim, sequencer.Position, error) { return Claim{}, sequencer.Position{}, nil },
+			Append: func(context.Context, Claim) error { numAppends++; return nil },
+		},
+		Self: Claim{Holder: "a", Incarnation: "a1"}, Log: zap.NewNop(), Times: testTimes,
+		HasConductor: func() bool { return false }, ClaimDelay: time.Minute,
+	}
+	l.state.Timing, l.state.Incarnation = l.Times, l.Self.Incarnation
+	now := clocker.SinceStart()
+	l.readAndClaim(t.Context(), now)
+	l.readAndClaim(t.Context(), now+l.ClaimDelay-1)
+	require.Zero(t, numAppends)
+	l.readAndClaim(t.Context(), now+l.ClaimDelay)
+	require.Equal(t, 1, numAppends)
+	require.True(t, l.IsHolder())
+}
--- a/internal/syncer/client.go
+++ b/internal/syncer/client.go
@@ -2,8 +2,11 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net"
 	"net/http"
+	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -34,8 +37,12 @@
 	retryDelay = 150 * time.Millisecond
 	// conductorTTL is how long the conductor counts as reachable after a response.
 	conductorTTL = 1500 * time.Millisecond
-	// probeInterval is the time between two probes of the members.
+	// probeInterval is the time between two rounds of probes of the members.
 	probeInterval = 300 * time.Millisecond
+	// maxReadersProbed and maxOthersProbed bound the members that are probed in a
+	// round: the first of the data centre, and others.
+	maxReadersProbed = 3
+	maxOthersProbed  = 9
 	// peerUserTimeout is how long bytes sent to a peer may stay unacknowledged
 	// (TCP_USER_TIMEOUT).
 	peerUserTimeout = time.Second
@@ -128,24 +135,25 @@
 	return out
 }
 
-// probeMembers checks which members of the newest view respond.
+// probeMembers checks whether some members of the newest view respond, and learns from
+// them of newer claims of the lease.
 func (c *Client) probeMembers(ctx context.Context) {
 	c.mu.Lock()
-	members := c.members
+	members := membersToProbe(c.members, c.Self, rand.Perm)
 	c.mu.Unlock()
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	var wg sync.WaitGroup
 	for _, m := range members {
-		if m.GetInstance() == c.Self.GetInstance() {
-			continue
-		}
 		wg.Go(func() {
-			_, err := peerv1.NewFleetQueriesProtobufClient("http://"+m.GetPeerAddress(), c.HTTP).Watch(ctx, &peerv1.WatchRequest{Instance: c.Self.GetInstance()})
+			v, err := peerv1.NewFleetQueriesProtobufClient("http://"+m.GetPeerAddress(), c.HTTP).Watch(ctx, &peerv1.WatchRequest{Instance: c.Self.GetInstance()})
 			if err != nil {
 				c.Log.Debug("member does not respond", zap.String("member", m.GetInstance()), logger.Error(err))
 				return
 			}
+			if claim := decodeClaim(v.GetClaim()); !claim.IsZero() {
+				c.Lease.Observe(claim)
+			}
 			c.mu.Lock()
 			defer c.mu.Unlock()
 			if c.respondedAt == nil {
@@ -157,6 +165,34 @@
 	wg.Wait()
 }
 
+// membersToProbe returns the members that an instance probes in one round: the first
+// ones of its data centre by name, one of which reads the log for it, and a random
+// sample of the others. If every instance probed every other one, the probes of a
+// large fleet would take all its processor time.
+func membersToProbe(members []*peerv1.Member, self *peerv1.Member, perm func(n int) []int) []*peerv1.Member {
+	var local, others []*peerv1.Member
+	for _, m := range members {
+		switch {
+		case m.GetInstance() == self.GetInstance():
+		case m.GetDataCentre() == self.GetDataCentre():
+			local = append(local, m)
+		default:
+			others = append(others, m)
+		}
+	}
+	slices.SortFunc(local, func(a, b *peerv1.Member) int { return strings.Compare(a.GetInstance(), b.GetInstance()) })
+	n := min(len(local), maxReadersProbed)
+	out := slices.Clone(local[:n])
+	others = append(others, local[n:]...)
+	for _, i := range perm(len(others)) {
+		if len(out) >= maxReadersProbed+maxOthersProbed {
+			break
+		}
+		out = append(out, others[i])
+	}
+	return out
+}
+
 // Run reports and watches until ctx ends.
 func (c *Client) Run(ctx context.Context) {
 	var wg sync.WaitGroup
--- a/internal/syncer/client_test.go
+++ b/internal/syncer/client_test.go
@@ -1,11 +1,19 @@
 package syncer
 
 import (
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"net/http/httptest"
+	"strings"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
 
+	"github.com/primrosedrift/primrosedrift/internal/leaser"
+	"github.com/primrosedrift/primrosedrift/internal/sequencer"
 	peerv1 "github.com/primrosedrift/primrosedrift/pkg/api/peer/v1"
 )
 
@@ -26,3 +34,52 @@
 	}
 	require.Equal(t, []string{"a", "b"}, names, "this instance, and the member that responds to it")
 }
+
+// The load: a conductor is lost in a fleet of hundreds of instances, and each of them
+// looks for live members and for the next conductor.
+func TestProbesAreBounded(t *testing.T) {
+	self := &peerv1.Member{Instance: "edge-a-03", DataCentre: "a"}
+	var members []*peerv1.Member
+	for _, dc := range []string{"b", "a"} {
+		for n := range 100 {
+			members = append(members, &peerv1.Member{Instance: fmt.Sprintf("edge-%s-%02d", dc, n), DataCentre: dc})
+		}
+	}
+	names := func(list []*peerv1.Member) (out []string) {
+		for _, m := range list {
+			out = append(out, m.GetInstance())
+		}
+		return out
+	}
+	seen := make(map[string]bool)
+	for range 200 {
+		probed := names(membersToProbe(members, self, rand.Perm))
+		require.Len(t, probed, maxReadersProbed+maxOthersProbed)
+		require.Equal(t, []string{"edge-a-00", "edge-a-01", "edge-a-02"}, probed[:maxReadersProbed], "those that may read the log for it")
+		require.NotContains(t, probed, self.GetInstance())
+		for _, name := range probed {
+			seen[name] = true
+		}
+	}
+	require.Len(t, seen, 199, "every other member is probed after some rounds")
+	require.Len(t, membersToProbe(members[:6], self, rand.Perm), 6, "all of a small fleet")
+}
+
+// An instance that is not the conductor passes on the newest claim that it knows.
+func TestClaimsSpreadThroughProbes(t *testing.T) {
+	s, holder := newServer()
+	*holder = false
+	s.NewestClaim = func() leaser.Claim {
+		return leaser.Claim{Position: sequencer.Position{Era: 2, Offset: 5}, Holder: "x", Incarnation: "x1", Address: "192.0.2.1:1"}
+	}
+	mux := http.NewServeMux()
+	queries := peerv1.NewFleetQueriesServer(s)
+	mux.Handle(queries.PathPrefix(), queries)
+	server := httptest.NewServer(mux)
+	t.Cleanup(server.Close)
+	c := &Client{Self: &peerv1.Member{Instance: "b"}, HTTP: server.Client(), Lease: &leaser.Lease{Log: zap.NewNop()}, Log: zap.NewNop()}
+	c.members = []*peerv1.Member{{Instance: "a", PeerAddress: strings.TrimPrefix(server.URL, "http://")}}
+	c.probeMembers(t.Context())
+	require.Equal(t, s.NewestClaim(), c.Lease.Newest())
+	require.Len(t, c.Members(), 1, "it responds")
+}
--- a/internal/syncer/delta.go
+++ b/internal/syncer/delta.go
@@ -16,8 +16,8 @@
 // A change is recorded with the version after the current one, since it may be
 // observed before the version is increased for it.
 type delta struct {
-	views    map[string]versionedView // by upstream
-	watchers map[string]watcher       // by instance
+	views     map[string]versionedView // by upstream
+	responses map[string]response      // the last ones, by instance
 	// membersVersion, lossesVersion and leavingVersion are the versions of the last
 	// change of the members, of the losses and of the leaving upstreams.
 	membersVersion, lossesVersion, leavingVersion uint64
@@ -28,31 +28,67 @@
 	version uint64 // of its last change
 }
 
-// watcher is the last response that was sent to an instance.
-type watcher struct {
-	responseNumber uint64
-	version        uint64
-	running        map[string]int // number of attempts of other instances, by upstream
+// response is the last response that was sent to an instance.
+type response struct {
+	number  uint64
+	version uint64
+	running map[string]int // number of attempts of other instances, by upstream
 }
 
+// viewChanges holds what was loaded at some upstream, and what was removed from one.
+type viewChanges struct{ loaded, removed map[loadable]bool }
+
 // record sets the version of the views that have changed, and drops those of
 // upstreams that are no longer listed.
-func (d *delta) record(views []registrar.View, version uint64) {
+func (d *delta) record(views []registrar.View, version uint64) viewChanges {
 	if d.views == nil {
-		d.views, d.watchers = make(map[string]versionedView), make(map[string]watcher)
+		d.views, d.responses = make(map[string]versionedView), make(map[string]response)
 	}
+	c := viewChanges{make(map[loadable]bool), make(map[loadable]bool)}
 	isListed := make(map[string]bool, len(views))
 	for _, v := range views {
 		isListed[v.ID] = true
 		if old, ok := d.views[v.ID]; !ok || !equalExceptRunning(old.View, v) {
+			c.add(old.Models, v.Models)
 			d.views[v.ID] = versionedView{v, version + 1}
 		}
 	}
-	for id := range d.views {
+	for id, old := range d.views {
 		if !isListed[id] {
+			c.add(old.Models, nil)
 			delete(d.views, id)
 		}
 	}
+	return c
+}
+
+// add adds the changes from the models of an upstream before to those after.
+func (c viewChanges) add(before, after []registrar.Model) {
+	was, is := loadedAt(before), loadedAt(after)
+	for l := range was {
+		if !is[l] {
+			c.removed[l] = true
+		}
+	}
+	for l := range is {
+		if !was[l] {
+			c.loaded[l] = true
+		}
+	}
+}
+
+// loadedAt returns what an upstream has loaded.
+func loadedAt(models []registrar.Model) map[loadable]bool {
+	out := make(map[loadable]bool)
+	for _, m := range models {
+		if m.ReadyAt.IsZero() {
+			out[loadable{m.Name, ""}] = true
+		}
+		for _, a := range m.Adapters {
+			out[loadable{m.Name, a}] = true
+		}
+	}
+	return out
 }
 
 // equalExceptRunning reports whether two views are equal except for the number of
@@ -68,8 +104,8 @@
 // It returns 0 if the response must be a whole view, because the instance did not
 // receive the last response. responseNumber is the last that it has received.
 func (d *delta) base(instance string, responseNumber uint64) uint64 {
-	if w, ok := d.watchers[instance]; ok && w.responseNumber == responseNumber {
-		return w.version
+	if r, ok := d.responses[instance]; ok && r.number == responseNumber {
+		return r.version
 	}
 	return 0
 }
@@ -79,8 +115,8 @@
 // of the instance itself by upstream; it is subtracted, since the instance counts
 // its own attempts.
 func (d *delta) fill(out *peerv1.WatchResponse, instance string, views []registrar.View, own map[string]int, now time.Time) {
-	last := d.watchers[instance]
-	out.Answer = last.responseNumber + 1
+	last := d.responses[instance]
+	out.Answer = last.number + 1
 	running := make(map[string]int, len(views))
 	for _, v := range views {
 		n := max(0, v.Running-own[v.ID])
@@ -92,5 +128,5 @@
 			out.Runs = append(out.Runs, &peerv1.CopyRun{Upstream: v.ID, Running: uint32(n)})
 		}
 	}
-	d.watchers[instance] = watcher{out.Answer, out.Version, running}
+	d.responses[instance] = response{out.Answer, out.Version, running}
 }
--- a/internal/syncer/delta_test.go
+++ b/internal/syncer/delta_test.go
@@ -70,7 +70,7 @@
 	whole := s.View("b", 0, now)
 	require.Zero(t, whole.GetBase())
 	require.Len(t, whole.GetMembers(), 1)
-	s.NotifyWatchers()
+	s.NotifyViews(s.Conductor.Views(time.Now()))
 	next := s.View("b", whole.GetAnswer(), now)
 	require.Equal(t, whole.GetVersion(), next.GetBase())
 	require.Empty(t, next.GetMembers())
--- a/internal/syncer/server.go
+++ b/internal/syncer/server.go
@@ -25,8 +25,19 @@
 	// memberTTL is how long an instance counts as live after its last report to the
 	// conductor or, while there is no conductor, after its last response to a probe.
 	memberTTL = 1500 * time.Millisecond
-	// minViewInterval is the least time between two responses to a watcher.
+	// minViewInterval is the least time between two responses to a watcher, except for
+	// changes that it waits for.
 	minViewInterval = 20 * time.Millisecond
+	// viewIntervalPerMember and maxViewInterval lengthen that time with the number of
+	// members, so that the responses of a conductor stay within 1/viewIntervalPerMember,
+	// 667 a second, up to 270 members.
+	viewIntervalPerMember = 1500 * time.Microsecond
+	maxViewInterval       = 400 * time.Millisecond
+	// urgentViewDelay coalesces changes that a watcher waits for.
+	urgentViewDelay = 3 * time.Millisecond
+	// maxViewsAge is the age up to which the views of the conductor are used again for
+	// another watcher.
+	maxViewsAge = 10 * time.Millisecond
 	// lossTTL is how long a loss stays in the view after its last report.
 	lossTTL = 30 * time.Second
 	// maxWait bounds the wait of a long-polling call.
@@ -39,16 +50,23 @@
 	Conductor *conductor.Conductor
 	IsHolder  func() bool
 	Token     func() int64
-	Topics    map[string]*follower.Follower
+	// NewestClaim returns the newest claim of the lease that this instance knows.
+	NewestClaim func() leaser.Claim
+	Topics      map[string]*follower.Follower
 	// Store is this instance's direct access to the lease.
 	Store leaser.Store
 
-	mu      sync.Mutex
-	members map[string]member
-	losses  map[string]loss // by incarnation and fingerprint
-	version uint64
-	changed chan struct{}
-	delta   delta
+	mu       sync.Mutex
+	members  map[string]member
+	losses   map[string]loss     // by incarnation and fingerprint
+	watchers map[string]*watcher // by instance
+	version  uint64
+	delta    delta
+
+	viewsMu      sync.Mutex
+	views        []registrar.View
+	viewsAt      time.Time
+	viewsVersion uint64
 }
 
 type member struct {
@@ -93,6 +111,9 @@
 	}
 	s.mu.Unlock()
 	s.recordLeaving(r.GetLeaving(), now)
+	s.mu.Lock()
+	s.watcherLocked(m.GetInstance()).requests = requestsOf(r)
+	s.mu.Unlock()
 	demands := make([]conductor.Demand, 0, len(r.GetUses()))
 	for _, u := range r.GetUses() {
 		running := make(map[string]int, len(u.GetRuns()))
@@ -159,19 +180,48 @@
 	}
 }
 
-// NotifyWatchers increases the version of the view and wakes the watchers.
-func (s *Server) NotifyWatchers() {
+// NotifyViews increases the version of the view after a change of the upstreams' views.
+// It wakes the watchers that use what has changed, and those whose last response is
+// long enough ago.
+func (s *Server) NotifyViews(views []registrar.View) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.recordLocked(views)
 	s.notifyWatchersLocked()
 }
 
+// recordLocked records the changes of the views and wakes the watchers that use them.
+func (s *Server) recordLocked(views []registrar.View) {
+	changes := s.delta.record(views, s.version)
+	if len(changes.loaded)+len(changes.removed) == 0 {
+		return
+	}
+	for _, w := range s.watchers {
+		if !w.isUrgent && w.uses(changes) {
+			w.isUrgent = true
+			w.notify()
+		}
+	}
+}
+
 func (s *Server) notifyWatchersLocked() {
 	s.version++
-	if s.changed != nil {
-		close(s.changed)
-		s.changed = nil
+	for _, w := range s.watchers {
+		w.notify()
+	}
+}
+
+// watcherLocked returns the state of an instance as a watcher.
+func (s *Server) watcherLocked(instance string) *watcher {
+	w := s.watchers[instance]
+	if w == nil {
+		if s.watchers == nil {
+			s.watchers = make(map[string]*watcher)
+		}
+		w = &watcher{wake: make(chan struct{}, 1)}
+		s.watchers[instance] = w
 	}
+	return w
 }
 
 // sweepLocked drops the members and losses whose last report is too long ago.
@@ -179,7 +229,8 @@
 	for name, m := range s.members {
 		if now.Sub(m.reportedAt) > memberTTL {
 			delete(s.members, name)
-			delete(s.delta.watchers, name)
+			delete(s.delta.responses, name)
+			delete(s.watchers, name)
 			s.delta.membersVersion = s.version + 1
 			s.Conductor.RemoveInstance(name)
 			s.notifyWatchersLocked()
@@ -197,7 +248,7 @@
 func (s *Server) Watch(ctx context.Context, r *peerv1.WatchRequest) (*peerv1.WatchResponse, error) {
 	wait := min(time.Duration(r.GetWaitMs())*time.Millisecond, maxWait)
 	if s.IsHolder() && r.GetIncarnation() == s.Self.GetIncarnation() {
-		s.await(ctx, r.GetVersion(), wait)
+		s.await(ctx, r.GetInstance(), r.GetVersion(), wait)
 	}
 	responseNumber := r.GetAnswer()
 	if r.GetIncarnation() != s.Self.GetIncarnation() {
@@ -206,44 +257,76 @@
 	return s.View(r.GetInstance(), responseNumber, time.Now()), nil
 }
 
-// await returns when the view differs from the version, or after the wait.
-func (s *Server) await(ctx context.Context, version uint64, wait time.Duration) {
+// await returns when the view differs from the version in something that the instance
+// uses, or in anything if its last response is long enough ago, or after the wait.
+func (s *Server) await(ctx context.Context, instance string, version uint64, wait time.Duration) {
 	s.mu.Lock()
 	s.sweepLocked(time.Now())
-	if s.version != version {
-		s.mu.Unlock()
-		return
-	}
-	if s.changed == nil {
-		s.changed = make(chan struct{})
-	}
-	changed := s.changed
+	w := s.watcherLocked(instance)
+	interval := min(max(minViewInterval, time.Duration(len(s.members))*viewIntervalPerMember), maxViewInterval)
+	w.isIdle = false
 	s.mu.Unlock()
-	t := time.NewTimer(wait)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	case <-changed:
-		sleeper.Sleep(ctx, minViewInterval) // coalesces changes that come close together
+	end, idle := time.NewTimer(wait), time.NewTimer(interval)
+	defer end.Stop()
+	defer idle.Stop()
+	for {
+		s.mu.Lock()
+		isUrgent, hasChanged := w.isUrgent, s.version != version && w.isIdle
+		w.isUrgent = false
+		s.mu.Unlock()
+		switch {
+		case isUrgent:
+			sleeper.Sleep(ctx, urgentViewDelay)
+			return
+		case hasChanged:
+			return
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-end.C:
+			return
+		case <-idle.C:
+			s.mu.Lock()
+			w.isIdle = true
+			s.mu.Unlock()
+		case <-w.wake:
+		}
 	}
 }
 
+// currentViews returns the views of the conductor, at most maxViewsAge old and not
+// older than the version.
+func (s *Server) currentViews(version uint64, now time.Time) []registrar.View {
+	s.viewsMu.Lock()
+	defer s.viewsMu.Unlock()
+	if s.viewsVersion != version || now.Sub(s.viewsAt) > maxViewsAge {
+		s.views, s.viewsAt, s.viewsVersion = s.Conductor.Views(now), now, version
+	}
+	return s.views
+}
+
 // View returns the view for an instance. responseNumber is the number of the last
 // response that the instance has received. If it is also the last that was sent to
 // the instance, View returns only the changes since then, otherwise the whole view.
 func (s *Server) View(instance string, responseNumber uint64, now time.Time) *peerv1.WatchResponse {
 	out := &peerv1.WatchResponse{Incarnation: s.Self.GetIncarnation(), IsConductor: s.IsHolder(), Token: s.Token()}
 	if !out.IsConductor {
+		if c := s.NewestClaim(); !c.IsZero() {
+			out.Claim = encodeClaim(c)
+		}
 		return out
 	}
 	own := s.Conductor.RunningOf(instance)
-	views := s.Conductor.Views(now)
+	s.mu.Lock()
+	version := s.version
+	s.mu.Unlock()
+	views := s.currentViews(version, now)
 	leaving := s.Conductor.Upstreams.Leaving()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	out.Version = s.version
-	s.delta.record(views, s.version)
+	s.recordLocked(views)
 	out.Base = s.delta.base(instance, responseNumber)
 	s.delta.fill(out, instance, views, own, now)
 	if out.Base == 0 || s.delta.membersVersion > out.Base {
--- a/internal/syncer/server_test.go
+++ b/internal/syncer/server_test.go
@@ -26,7 +26,7 @@
 			Upstreams: &registrar.Table{}, Config: func() *matcher.Config { return nil }, Log: zap.NewNop(),
 			Metrics: conductor.NewMetrics(prometheus.NewRegistry()),
 		},
-		IsHolder: func() bool { return holder }, Token: func() int64 { return 4 },
+		IsHolder: func() bool { return holder }, Token: func() int64 { return 4 }, NewestClaim: func() leaser.Claim { return leaser.Claim{} },
 	}, &holder
 }
 
@@ -76,7 +76,7 @@
 		r, _ := s.Watch(t.Context(), &peerv1.WatchRequest{Instance: "b", Incarnation: "a1", Version: v.GetVersion(), WaitMs: 1000})
 		done <- r
 	}()
-	s.NotifyWatchers()
+	s.NotifyViews(s.Conductor.Views(time.Now()))
 	require.GreaterOrEqual(t, (<-done).GetVersion(), v.GetVersion())
 }
 
@@ -187,7 +187,7 @@
 		s.Conductor.Upstreams.ApplyRegistrations(map[string]*registrar.Upstream{"u1": {ID: "u1", Service: "plain", StartedAtMs: startedAtMs}}, now)
 	}
 	register(1)
-	s.NotifyWatchers()
+	s.NotifyViews(s.Conductor.Views(time.Now()))
 	first := s.View("c", 0, now)
 	r := report("b", "b1", false)
 	r.Leaving = []*peerv1.Leaving{{Upstream: "u1", Born: 1}, {Upstream: "unknown", Born: 1}}
