internal/leaser, internal/limiter: small instances leave the lease to others; slow stores load one model at a time

Change: the delay counts from when a read finds the lease free. A store that needs 10 s or longer for one load starts with one load at a time. TestClaimDelayBeginsWhenLeaseIsFree, TestLimitOfSlowStoreStartsAtOne.

--- a/internal/conductor/conductor.go
+++ b/internal/conductor/conductor.go
@@ -116,6 +116,7 @@
 	hasRequests   bool        // a request has arrived
 	priorReplicas map[key]int // largest number of a model's replicas before the first request
 	storeLimit    limiter.Limit
+	hasStoreLimit bool
 	moves         sync.WaitGroup
 }
 
--- a/internal/conductor/fleet.go
+++ b/internal/conductor/fleet.go
@@ -5,12 +5,14 @@
 	"time"
 
 	"github.com/primrosedrift/primrosedrift/internal/arranger"
+	"github.com/primrosedrift/primrosedrift/internal/limiter"
 	"github.com/primrosedrift/primrosedrift/internal/matcher"
 	"github.com/primrosedrift/primrosedrift/internal/registrar"
 )
 
 // fleetLocked returns the input of a plan for the service.
 func (c *Conductor) fleetLocked(svc matcher.Service, now time.Time) arranger.Fleet {
+	c.initStoreLimitLocked(svc.Engine)
 	f := arranger.Fleet{Engine: *svc.Engine, StoreLoadLimit: c.storeLimit.Loads(), IsIdle: !c.hasRequests, Now: now}
 	for _, e := range c.engines {
 		if e.up.Service != svc.Name || !e.isKnown || e.failures.FailureProbability(now) > maxFailureProbability {
@@ -31,6 +33,19 @@
 	return f
 }
 
+// initStoreLimitLocked sets the first limit of concurrent loads from the weight store by
+// the duration of its longest load.
+func (c *Conductor) initStoreLimitLocked(e *matcher.Engine) {
+	if c.hasStoreLimit {
+		return
+	}
+	var alone time.Duration
+	for _, m := range e.Models {
+		alone = max(alone, m.StoreLoadDuration)
+	}
+	c.storeLimit, c.hasStoreLimit = limiter.New(alone), true
+}
+
 // upstreamLocked returns the planning state of an engine. A model that is still to
 // be loaded by the move in flight counts as loaded.
 func (c *Conductor) upstreamLocked(e *engine, now time.Time) arranger.Upstream {
--- a/internal/leaser/leaser.go
+++ b/internal/leaser/leaser.go
@@ -60,8 +60,9 @@
 	HasConductor func() bool
 	Log          *zap.Logger
 	Times        Timing
-	// ClaimDelay is how long this instance leaves a free lease to others. It is longer
-	// than readInterval on an instance that is less suited to hold the lease.
+	// ClaimDelay is how long this instance leaves a lease to others that it has found to
+	// be free. It is longer than readInterval on an instance that is less suited to
+	// hold the lease.
 	ClaimDelay time.Duration
 	// OnHolderChange, if set, is called after the holder has changed.
 	OnHolderChange func(Claim)
@@ -73,6 +74,7 @@
 
 	// Used only by the goroutine in Run.
 	unreachableSince time.Duration // when the holder stopped responding, 0 while it responds
+	freeSince        time.Duration // when a read found that the lease is free, 0 if it is not
 	readAt           time.Duration // the last read of the lease
 	renewTriedAt     time.Duration // the last attempt to renew
 }
@@ -115,7 +117,7 @@
 		l.claimInNewEra(ctx)
 	case isHolder:
 	case l.HasConductor():
-		l.unreachableSince = 0
+		l.unreachableSince, l.freeSince = 0, 0
 	case now-l.readAt >= interval || l.readAt == 0:
 		l.readAndClaim(ctx, now)
 	}
@@ -154,7 +156,12 @@
 	isFree := l.state.CanClaim(clocker.SinceStart()) && !l.state.IsHolder()
 	mayMissClaims := l.state.MayMissClaims()
 	l.mu.Unlock()
-	if isFree && now-l.unreachableSince < l.ClaimDelay {
+	if !isFree {
+		l.freeSince = 0
+	} else if l.freeSince == 0 {
+		l.freeSince = now
+	}
+	if isFree && now-l.freeSince < l.ClaimDelay {
 		return
 	}
 	isOwnOrNone := c.Holder == l.Self.Holder || c.IsZero()
--- a/internal/leaser/leaser_test.go
+++ b/internal/leaser/leaser_test.go
@@ -12,19 +12,41 @@
 	"github.com/primrosedrift/primrosedrift/internal/sequencer"
 )
 
-// An instance with little processor time leaves a free lease to the others for a
-// while, and takes it if nobody else does.
-func TestSmallInstanceLeavesFreeLeaseToOthers(t *testing.T) {
-	numAppends := 0
+// leaseOn returns a lease that reads the given claim.
+func leaseOn(c *Claim, numAppends *int) *Lease {
 	l := &Lease{
 		Store: Store{
-			Newest: func(context.Context) (Claim, sequencer.Position, error) { return Claim{}, sequencer.Position{}, nil },
-			Append: func(context.Context, Claim) error { numAppends++; return nil },
+			Newest: func(context.Context) (Claim, sequencer.Position, error) { return *c, c.Next(), nil },
+			Append: func(context.Context, Claim) error { *numAppends++; return nil },
 		},
 		Self: Claim{Holder: "a", Incarnation: "a1"}, Log: zap.NewNop(), Times: testTimes,
 		HasConductor: func() bool { return false }, ClaimDelay: time.Minute,
 	}
 	l.state.Timing, l.state.Incarnation = l.Times, l.Self.Incarnation
+	return l
+}
+
+// The delay counts from when the lease is free, not from when its holder was lost: the
+// lease of a lost holder ends seconds later.
+func TestClaimDelayBeginsWhenLeaseIsFree(t *testing.T) {
+	numAppends := 0
+	c := claimOf("b", "b1", 4)
+	l := leaseOn(&c, &numAppends)
+	now := clocker.SinceStart()
+	l.readAndClaim(t.Context(), now)
+	l.state.seenAt -= testTimes.LeaseDuration
+	now += 2 * l.ClaimDelay
+	l.readAndClaim(t.Context(), now)
+	require.Zero(t, numAppends)
+	l.readAndClaim(t.Context(), now+l.ClaimDelay)
+	require.Equal(t, 1, numAppends)
+}
+
+// An instance with little processor time leaves a free lease to the others for a
+// while, and takes it if nobody else does.
+func TestSmallInstanceLeavesFreeLeaseToOthers(t *testing.T) {
+	numAppends := 0
+	l := leaseOn(&Claim{}, &numAppends)
 	now := clocker.SinceStart()
 	l.readAndClaim(t.Context(), now)
 	l.readAndClaim(t.Context(), now+l.ClaimDelay-1)
--- a/internal/limiter/limiter.go
+++ b/internal/limiter/limiter.go
@@ -8,23 +8,46 @@
 // number of loads that would have run at full speed. If a load ran at full speed
 // while at least the estimated number of loads were in flight, it is raised by one.
 //
+// The first loads show nothing until they have finished, and they cannot be stopped. On
+// a store that needs long for a single load, several loads at once would keep it from
+// the models that are requested meanwhile for minutes, so its limit starts at one.
+//
 // A Limit is an immutable value; its zero value has MaxLoads.
 package limiter
 
 import "time"
 
 const (
-	// MaxLoads is the initial and the largest number of concurrent loads.
+	// MaxLoads is the largest number of concurrent loads, and the initial one unless a
+	// load takes slowLoad or longer.
 	MaxLoads = 4
+	slowLoad = 10 * time.Second
 	// A load was slowed down by others if it took more than slowRatio times its
 	// duration alone. It ran at full speed if it took less than fullSpeedRatio times
 	// that duration.
 	slowRatio      = 1.5
 	fullSpeedRatio = 1.2
+	// loadsToRaise is how many loads must run at full speed before the limit of a store
+	// with slow loads is raised.
+	loadsToRaise = 3
 )
 
 // Limit is the estimated number of concurrent loads that run at full speed.
-type Limit struct{ reduction int }
+type Limit struct {
+	reduction int
+	// isCautious reports that loadsToRaise loads at full speed raise the limit, instead
+	// of one. numFullSpeed counts them since the limit was last changed.
+	isCautious   bool
+	numFullSpeed int
+}
+
+// New returns the limit of a store that needs the given time for a load alone.
+func New(alone time.Duration) Limit {
+	if alone >= slowLoad {
+		return Limit{reduction: MaxLoads - 1, isCautious: true}
+	}
+	return Limit{}
+}
 
 // Loads returns the estimated number of concurrent loads that run at full speed.
 func (l Limit) Loads() int { return MaxLoads - l.reduction }
@@ -39,9 +62,12 @@
 	switch n := l.Loads(); {
 	case took.Seconds() > slowRatio*alone.Seconds():
 		estimate := int(float64(concurrent) * alone.Seconds() / took.Seconds())
-		l.reduction = MaxLoads - min(n, max(1, estimate))
+		l.reduction, l.numFullSpeed = MaxLoads-min(n, max(1, estimate)), 0
 	case took.Seconds() < fullSpeedRatio*alone.Seconds() && concurrent >= n:
-		l.reduction = max(0, l.reduction-1)
+		l.numFullSpeed++
+		if !l.isCautious || l.numFullSpeed >= loadsToRaise {
+			l.reduction, l.numFullSpeed = max(0, l.reduction-1), 0
+		}
 	}
 	return l
 }
--- a/internal/limiter/limiter_test.go
+++ b/internal/limiter/limiter_test.go
@@ -36,3 +36,19 @@
 	require.Equal(t, 4, l.Loads(), "the limit recovers one load at a time")
 	require.Equal(t, l, l.WithLoad(time.Second, 0, 1), "a load without an expected duration is ignored")
 }
+
+// A store that needs long for one load runs one at a time until several loads have run
+// at full speed.
+func TestLimitOfSlowStoreStartsAtOne(t *testing.T) {
+	require.Equal(t, Limit{}, New(slowLoad-1))
+	l := New(slowLoad)
+	for range loadsToRaise {
+		require.Equal(t, 1, l.Loads())
+		l = l.WithLoad(slowLoad, slowLoad, 1)
+	}
+	require.Equal(t, 2, l.Loads())
+	l = l.WithLoad(2*slowLoad, slowLoad, 2)
+	require.Equal(t, 1, l.Loads())
+	l = l.WithLoad(slowLoad, slowLoad, 1)
+	require.Equal(t, 1, l.Loads())
+}
