internal/arranger: a store that runs few loads gets no prefetches during traffic

Change: during traffic a prefetch must fit into the prefetch share of the store's limit. TestNothingIsPrefetchedFromStoreOfOneLoad fails before.

--- a/internal/arranger/arranger.go
+++ b/internal/arranger/arranger.go
@@ -155,7 +155,9 @@
 	// second; a waiting request counts as one.
 	delayed   float64
 	loadShare float64 // limit of concurrent store loads, as a multiple of Fleet.StoreLoadLimit
-	reason    string
+	// isPrefetch reports that no request for the model has arrived, while others have.
+	isPrefetch bool
+	reason     string
 }
 
 // replicasNeeded returns how many replicas a model needs, the most of three
@@ -191,7 +193,7 @@
 				reason: fmt.Sprintf("requested but not loaded on any upstream: rate %.2f, waiting %d", d.Rate, d.Waiting),
 			})
 		case n == 0 && p.localWeights[m.Name] == 0:
-			out = append(out, candidate{model: m, benefit: benefit, delayed: benefit, loadShare: share, reason: "no replica or local weights on any upstream"})
+			out = append(out, candidate{model: m, benefit: benefit, delayed: benefit, loadShare: share, isPrefetch: !p.IsIdle, reason: "no replica or local weights on any upstream"})
 		case n > 0 && n < needed:
 			out = append(out, candidate{
 				model: m, benefit: extraReplicaBenefit * d.Rate / float64(n+1), delayed: d.Rate/float64(n+1) + float64(d.Waiting), loadShare: replicaLoadShare,
--- a/internal/arranger/arranger_test.go
+++ b/internal/arranger/arranger_test.go
@@ -273,3 +273,15 @@
 		}
 	})
 }
+
+// The load: a store that runs one load at a time, a model that nobody has asked for, and
+// soon one that somebody asks for. A prefetch would delay it by a whole load.
+func TestNothingIsPrefetchedFromStoreOfOneLoad(t *testing.T) {
+	f := fleet(2, 2)
+	f.StoreLoadLimit = 1
+	require.Empty(t, Plan(f))
+	f.addDemand("m1", "", 1, 1)
+	require.Len(t, loadOrders(Plan(f)), 1)
+	f.Demands, f.IsIdle = nil, true
+	require.Len(t, loadOrders(Plan(f)), 1, "before the first request the store has nothing else to do")
+}
--- a/internal/arranger/place.go
+++ b/internal/arranger/place.go
@@ -20,7 +20,7 @@
 			continue
 		}
 		tier, loadDuration := u.tier(c.model)
-		if tier == FromStore && float64(p.StoreLoads) >= c.loadShare*float64(p.StoreLoadLimit) {
+		if tier == FromStore && !p.canLoadFromStore(c) {
 			continue
 		}
 		victims, unloadCost, ok := p.makeRoom(u, c, tier)
@@ -65,6 +65,17 @@
 	return m, true
 }
 
+// canLoadFromStore reports whether the candidate's load from the store may start now. On
+// a store that runs few loads at once, a prefetch would keep models that are requested
+// in the next seconds waiting for all of its duration.
+func (p *planner) canLoadFromStore(c candidate) bool {
+	limit := c.loadShare * float64(p.StoreLoadLimit)
+	if c.isPrefetch {
+		return float64(p.StoreLoads+1) <= limit
+	}
+	return float64(p.StoreLoads) < limit
+}
+
 // isReserved reports whether models drain at the upstream for another model that
 // is still a candidate.
 func (p *planner) isReserved(u Upstream, model string) bool {
