internal/syncer: members by change, upstreams by number

Cause: each change of one member sent all members to every watcher: 195 members to 195 watchers are 4.5 MB, and a restart of every instance in turn has hundreds of changes. Change: a response holds the members that have changed or were removed since the last one, and counts name upstreams by the number that the view gave them.

--- a/internal/syncer/client.go
+++ b/internal/syncer/client.go
@@ -81,6 +81,7 @@
 	isConductorLost bool
 	respondedAt     map[string]time.Time      // last response of each member to a probe
 	views           map[string]registrar.View // by upstream, from the conductor
+	ids             map[uint32]string         // of upstreams, by their numbers in the view
 }
 
 // ReportNow sends the next report at once.
@@ -351,23 +352,49 @@
 	c.Log.Warn("conductor lost", zap.String("conductor", claim.Holder), zap.Int64("token", claim.Token()), logger.Error(err))
 }
 
+// updateMembers returns the members with changed ones replaced or added, and removed
+// ones left out.
+func updateMembers(members, changed []*peerv1.Member, removed []string) []*peerv1.Member {
+	isReplaced := make(map[string]bool, len(changed)+len(removed))
+	for _, m := range changed {
+		isReplaced[m.GetInstance()] = true
+	}
+	for _, name := range removed {
+		isReplaced[name] = true
+	}
+	out := make([]*peerv1.Member, 0, len(members)+len(changed))
+	for _, m := range members {
+		if !isReplaced[m.GetInstance()] {
+			out = append(out, m)
+		}
+	}
+	return append(out, changed...)
+}
+
 // applyView applies a whole view, or the changes since an earlier response.
 func (c *Client) applyView(v *peerv1.WatchResponse, now time.Time) {
 	c.mu.Lock()
 	isNew := c.version != v.GetVersion() || c.viewFrom != v.GetIncarnation() || len(v.GetRuns()) > 0
 	c.viewAt, c.version, c.responseNumber, c.viewFrom = now, v.GetVersion(), v.GetAnswer(), v.GetIncarnation()
 	if v.GetBase() == 0 {
-		c.views = make(map[string]registrar.View, len(v.GetUpstreams()))
+		c.views, c.ids = make(map[string]registrar.View, len(v.GetUpstreams())), make(map[uint32]string, len(v.GetUpstreams()))
 	}
-	if v.GetBase() == 0 || len(v.GetMembers()) > 0 {
+	if v.GetBase() == 0 {
 		c.members = v.GetMembers()
+	} else if len(v.GetMembers())+len(v.GetRemovedMembers()) > 0 {
+		c.members = updateMembers(c.members, v.GetMembers(), v.GetRemovedMembers())
 	}
 	views := make([]registrar.View, 0, len(v.GetUpstreams())+len(v.GetRuns()))
 	for _, u := range v.GetUpstreams() {
 		views = append(views, decodeView(u))
+		c.ids[u.GetNumber()] = u.GetId()
 	}
 	for _, r := range v.GetRuns() {
-		if x, ok := c.views[r.GetUpstream()]; ok {
+		id := r.GetUpstream() // from a conductor that gives no numbers
+		if id == "" {
+			id = c.ids[r.GetNumber()]
+		}
+		if x, ok := c.views[id]; ok {
 			x.Running = int(r.GetRunning())
 			views = append(views, x)
 		}
--- a/internal/syncer/delta.go
+++ b/internal/syncer/delta.go
@@ -18,14 +18,18 @@
 type delta struct {
 	views     map[string]versionedView // by upstream
 	responses map[string]response      // the last ones, by instance
-	// membersVersion, lossesVersion and leavingVersion are the versions of the last
-	// change of the members, of the losses and of the leaving upstreams.
-	membersVersion, lossesVersion, leavingVersion uint64
+	// lastNumber is the last number that was given to an upstream. Numbers are shorter
+	// than ids, and the counts of running attempts change all the time.
+	lastNumber uint32
+	// lossesVersion and leavingVersion are the versions of the last change of the losses
+	// and of the leaving upstreams.
+	lossesVersion, leavingVersion uint64
 }
 
 type versionedView struct {
 	registrar.View
 	version uint64 // of its last change
+	number  uint32
 }
 
 // response is the last response that was sent to an instance.
@@ -50,7 +54,11 @@
 		isListed[v.ID] = true
 		if old, ok := d.views[v.ID]; !ok || !equalExceptRunning(old.View, v) {
 			c.add(old.Models, v.Models)
-			d.views[v.ID] = versionedView{v, version + 1}
+			if !ok {
+				d.lastNumber++
+				old.number = d.lastNumber
+			}
+			d.views[v.ID] = versionedView{v, version + 1, old.number}
 		}
 	}
 	for id, old := range d.views {
@@ -123,9 +131,11 @@
 		running[v.ID] = n
 		switch {
 		case out.Base == 0 || d.views[v.ID].version > out.Base:
-			out.Upstreams = append(out.Upstreams, encodeView(v, n, now))
+			u := encodeView(v, n, now)
+			u.Number = d.views[v.ID].number
+			out.Upstreams = append(out.Upstreams, u)
 		case last.running[v.ID] != n:
-			out.Runs = append(out.Runs, &peerv1.CopyRun{Upstream: v.ID, Running: uint32(n)})
+			out.Runs = append(out.Runs, &peerv1.CopyRun{Number: d.views[v.ID].number, Running: uint32(n)})
 		}
 	}
 	d.responses[instance] = response{out.Answer, out.Version, running}
--- a/internal/syncer/delta_test.go
+++ b/internal/syncer/delta_test.go
@@ -77,3 +77,43 @@
 	require.Empty(t, next.GetUpstreams())
 	require.Zero(t, s.View("b", whole.GetAnswer(), now).GetBase(), "a whole view, since the second response was lost")
 }
+
+// The load: hundreds of instances are restarted one after the other. Each watcher gets
+// only the members that have changed, and ends up with the members that there are.
+func TestMemberChangesReproduceTheMembers(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s, _ := newServer()
+		c := &Client{Self: &peerv1.Member{Instance: "w"}, Upstreams: &registrar.Table{}, Poison: &relayer.PoisonTracker{}}
+		now := time.Unix(1000, 0)
+		incarnation := 0
+		for range rapid.IntRange(1, 40).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 900).Draw(t, "ms")) * time.Millisecond)
+			switch rapid.IntRange(0, 3).Draw(t, "step") {
+			case 0, 1:
+				incarnation += rapid.IntRange(0, 1).Draw(t, "restart")
+				name := fmt.Sprint("m", rapid.IntRange(0, 5).Draw(t, "member"))
+				s.ApplyReport(report(name, fmt.Sprint(name, incarnation), rapid.Bool().Draw(t, "stopping")), now)
+			case 2:
+				s.mu.Lock()
+				s.sweepLocked(now)
+				s.mu.Unlock()
+			default:
+				v := s.View("w", c.responseNumber, now)
+				if rapid.Bool().Draw(t, "lost") {
+					continue
+				}
+				c.applyView(v, now)
+				want := make(map[string]string)
+				for name, m := range s.members {
+					want[name] = fmt.Sprint(m.GetIncarnation(), m.GetIsStopping())
+				}
+				got := make(map[string]string)
+				for _, m := range c.members {
+					got[m.GetInstance()] = fmt.Sprint(m.GetIncarnation(), m.GetIsStopping())
+				}
+				require.Equal(t, want, got)
+				require.Len(t, c.members, len(want))
+			}
+		}
+	})
+}
--- a/internal/syncer/server.go
+++ b/internal/syncer/server.go
@@ -58,6 +58,7 @@
 
 	mu       sync.Mutex
 	members  map[string]member
+	removed  map[string]uint64   // version at which a member was removed, by instance
 	losses   map[string]loss     // by incarnation and fingerprint
 	watchers map[string]*watcher // by instance
 	version  uint64
@@ -72,6 +73,7 @@
 type member struct {
 	*peerv1.Member
 	reportedAt time.Time
+	version    uint64 // of its last change
 }
 
 type loss struct {
@@ -94,10 +96,16 @@
 	m := r.GetMember()
 	s.mu.Lock()
 	if s.members == nil {
-		s.members, s.losses = make(map[string]member), make(map[string]loss)
+		s.members, s.removed, s.losses = make(map[string]member), make(map[string]uint64), make(map[string]loss)
 	}
 	old, isKnown := s.members[m.GetInstance()]
-	s.members[m.GetInstance()] = member{m, now}
+	hasChanged := !isKnown || old.GetIncarnation() != m.GetIncarnation() || old.GetIsStopping() != m.GetIsStopping()
+	changedIn := old.version
+	if hasChanged {
+		changedIn = s.version + 1
+		delete(s.removed, m.GetInstance())
+	}
+	s.members[m.GetInstance()] = member{m, now, changedIn}
 	for _, l := range r.GetLosses() {
 		k := l.GetIncarnation() + "/" + strconv.FormatUint(l.GetFingerprint(), 16)
 		if _, isKnown := s.losses[k]; !isKnown {
@@ -105,8 +113,7 @@
 		}
 		s.losses[k] = loss{l, now}
 	}
-	if !isKnown || old.GetIncarnation() != m.GetIncarnation() || old.GetIsStopping() != m.GetIsStopping() {
-		s.delta.membersVersion = s.version + 1
+	if hasChanged {
 		s.notifyWatchersLocked()
 	}
 	s.mu.Unlock()
@@ -229,9 +236,9 @@
 	for name, m := range s.members {
 		if now.Sub(m.reportedAt) > memberTTL {
 			delete(s.members, name)
+			s.removed[name] = s.version + 1
 			delete(s.delta.responses, name)
 			delete(s.watchers, name)
-			s.delta.membersVersion = s.version + 1
 			s.Conductor.RemoveInstance(name)
 			s.notifyWatchersLocked()
 		}
@@ -329,11 +336,16 @@
 	s.recordLocked(views)
 	out.Base = s.delta.base(instance, responseNumber)
 	s.delta.fill(out, instance, views, own, now)
-	if out.Base == 0 || s.delta.membersVersion > out.Base {
-		for _, m := range s.members {
+	for _, m := range s.members {
+		if out.Base == 0 || m.version > out.Base {
 			out.Members = append(out.Members, m.Member)
 		}
 	}
+	for name, version := range s.removed {
+		if out.Base != 0 && version > out.Base {
+			out.RemovedMembers = append(out.RemovedMembers, name)
+		}
+	}
 	if out.Base == 0 || s.delta.leavingVersion > out.Base {
 		out.Leaving = encodeLeaving(leaving)
 	}
