--- a/internal/leaser/simulation_test.go
+++ b/internal/leaser/simulation_test.go
@@ -41,9 +41,8 @@
 
 // readResponse is a response to a read that has not reached its instance yet.
 type readResponse struct {
-	claim  Claim
-	end    sequencer.Position
-	sentAt time.Duration
+	claim Claim
+	end   sequencer.Position
 }
 
 // simulatedInstance is one run of an instance.
@@ -96,9 +95,9 @@
 		case 0:
 			s.start(n)
 		case 1, 2, 3:
-			s.deliver(i, s.read(i))
+			s.deliver(i, s.read())
 		case 4:
-			i.late = append(i.late, s.read(i))
+			i.late = append(i.late, s.read())
 		case 5:
 			for _, r := range i.late {
 				s.deliver(i, r)
@@ -129,7 +128,7 @@
 	const interval = 100 * time.Millisecond
 	for limit := s.now + convergenceTime; s.now < limit; s.now += interval {
 		for _, i := range s.instances {
-			s.deliver(i, s.read(i))
+			s.deliver(i, s.read())
 			s.claim(i, true)
 			if s.order(i); s.violation != "" {
 				return
@@ -142,7 +141,7 @@
 	s.violation = fmt.Sprintf("no instance may send orders %v after the last fault", convergenceTime)
 }
 
-func (s *leaseSimulation) read(*simulatedInstance) readResponse {
+func (s *leaseSimulation) read() readResponse {
 	r := readResponse{end: s.log.end()}
 	if n := len(s.log.claims); n > 0 {
 		r.claim = s.log.claims[n-1]
--- a/internal/queuer/pause_test.go
+++ b/internal/queuer/pause_test.go
@@ -31,7 +31,8 @@
 		"second replica": {[]*registrar.Upstream{paused(engine("e1", model), time.Second), engine("e2", model)}, newRequest(1, 0), 0},
 		"plain service": {
 			[]*registrar.Upstream{paused(&registrar.Upstream{ID: "p1", Service: "plain", Slots: 1, StartedAtMs: 1}, 3*time.Second), paused(&registrar.Upstream{ID: "p2", Service: "plain", Slots: 1, StartedAtMs: 1}, 4*time.Second)},
-			Request{Service: "plain", StartBy: start.Add(2 * time.Second)}, 3 * time.Second,
+			Request{Service: "plain", StartBy: start.Add(2 * time.Second)},
+			3 * time.Second,
 		},
 	} {
 		t.Run(name, func(t *testing.T) {
