internal/assembler: a reader that was delayed once is still used

Change: the margin grows with drain-ms: 2.1 s instead of 1.85 s at 4 s, 1.575 s instead of 1.45 s at 3 s, unchanged at 2 s. With the 0.55 s that a read through the reader may take, that is 2.65 s of the 4 s.

--- a/internal/assembler/assembler.go
+++ b/internal/assembler/assembler.go
@@ -71,8 +71,12 @@
 	// registrations are removed.
 	sweepInterval = 200 * time.Millisecond
 	// staleReadMargin is added to the maximum wait or interval of a topic's reads.
-	// The sum is the age above which records that a peer has read count as stale.
+	// The sum is the age above which records that a peer has read count as stale. For
+	// registrations the margin is at least 1/staleDrainShare of the time within which a
+	// leaving upstream must get no more requests: a reader whose read was delayed once
+	// is not worth a read by each instance of its data centre.
 	staleReadMargin = 250 * time.Millisecond
+	staleDrainShare = 8
 	// maxAddressTTL bounds how long callers cache an address.
 	maxAddressTTL = 2 * time.Second
 )
@@ -213,7 +217,7 @@
 	a.upstreamFollower = &follower.Follower{
 		Name: topicUpstreams, Topic: a.UpstreamTopic, MaxWait: a.MaxDrainDelay / 4, MinInterval: a.MaxDrainDelay * 2 / 5, Log: log, OnRecords: a.applyUpstreams,
 		OnPlatformLost: func(away bool) { a.upstreamTable.SetPlatformLost(away, time.Now()) },
-		ReadNearby:     a.client.NearbyReader(topicUpstreams, a.MaxDrainDelay*2/5+staleReadMargin),
+		ReadNearby:     a.client.NearbyReader(topicUpstreams, a.MaxDrainDelay*2/5+max(staleReadMargin, a.MaxDrainDelay/staleDrainShare)),
 		ReadPeers: func(ctx context.Context, from sequencer.Position) (follower.Batch, error) {
 			return a.client.RequestRecords(ctx, topicUpstreams, from)
 		},
