--- a/test/tls_test.go
+++ b/test/tls_test.go
@@ -1,15 +1,7 @@
 package test
 
 import (
-	"crypto/ecdsa"
-	"crypto/elliptic"
-	"crypto/rand"
-	"crypto/x509"
-	"crypto/x509/pkix"
-	"encoding/pem"
 	"fmt"
-	"math/big"
-	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -18,30 +10,17 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/primrosedrift/primrosedrift/internal/standin/certifier"
 )
 
-// writeCertificate writes a self-signed certificate, which is its own authority,
-// and its key. It returns their directory.
+// writeCertificate writes a certificate, which is its own authority, and its key. It
+// returns their directory.
 func writeCertificate(t *testing.T) string {
+	t.Helper()
 	dir := t.TempDir()
-	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
-	require.NoError(t, err)
-	template := &x509.Certificate{
-		SerialNumber: big.NewInt(1), Subject: pkix.Name{CommonName: "test"}, IsCA: true, BasicConstraintsValid: true,
-		NotBefore: time.Now().Add(-time.Hour), NotAfter: time.Now().Add(time.Hour),
-		KeyUsage:    x509.KeyUsageCertSign | x509.KeyUsageDigitalSignature,
-		ExtKeyUsage: []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth},
-		IPAddresses: []net.IP{net.IPv4(127, 0, 0, 1)},
-	}
-	der, err := x509.CreateCertificate(rand.Reader, template, template, &key.PublicKey, key)
+	_, err := certifier.Write(dir)
 	require.NoError(t, err)
-	keyDER, err := x509.MarshalECPrivateKey(key)
-	require.NoError(t, err)
-	for name, block := range map[string]*pem.Block{
-		"cert.pem": {Type: "CERTIFICATE", Bytes: der}, "key.pem": {Type: "EC PRIVATE KEY", Bytes: keyDER},
-	} {
-		require.NoError(t, os.WriteFile(filepath.Join(dir, name), pem.EncodeToMemory(block), 0o600))
-	}
 	return dir
 }
 
