--- a/internal/arranger/arranger_test.go
+++ b/internal/arranger/arranger_test.go
@@ -274,8 +274,8 @@
 	})
 }
 
-// The load: a store that runs one load at a time, a model that nobody has asked for, and
-// soon one that somebody asks for. A prefetch would delay it by a whole load.
+// The load: a store that runs one load at a time, a model without requests, and
+// soon one with requests. A prefetch would delay it by a whole load.
 func TestNothingIsPrefetchedFromStoreOfOneLoad(t *testing.T) {
 	f := fleet(2, 2)
 	f.StoreLoadLimit = 1
--- a/internal/conductor/move.go
+++ b/internal/conductor/move.go
@@ -227,11 +227,11 @@
 	return out
 }
 
-// requestState requests the state of an upstream, unless the upstream wants nothing
-// from this instance at present.
+// requestState requests the state of an upstream, unless the upstream accepts
+// nothing from this instance at present.
 func (c *Conductor) requestState(ctx context.Context, e *engine) (State, error) {
 	if u := c.Upstreams.Snapshot().ByID[e.up.ID]; u != nil && u.IsPaused(time.Now()) {
-		return State{}, errors.Newf("upstream %s wants no requests until %v", u.ID, u.PausedUntil)
+		return State{}, errors.Newf("upstream %s accepts no requests until %v", u.ID, u.PausedUntil)
 	}
 	sctx, cancel := context.WithTimeout(ctx, stateTimeout)
 	defer cancel()
--- a/internal/queuer/pause_test.go
+++ b/internal/queuer/pause_test.go
@@ -10,13 +10,13 @@
 	"github.com/primrosedrift/primrosedrift/pkg/verdict"
 )
 
-// paused returns an upstream that wants nothing for a time after start.
+// paused returns an upstream that accepts nothing for a time after start.
 func paused(u *registrar.Upstream, d time.Duration) *registrar.Upstream {
 	u.PausedUntil = start.Add(d)
 	return u
 }
 
-// The load: a replica refuses a request and asks for a pause that is longer than some
+// The load: a replica refuses a request, with a retry delay that is longer than some
 // clients wait. Requests that can start after the pause wait for it, the others are
 // refused at once, and another replica gets the requests if there is one.
 func TestRequestsWaitForPausedUpstreamOrAreRefused(t *testing.T) {
--- a/internal/queuer/table.go
+++ b/internal/queuer/table.go
@@ -169,7 +169,7 @@
 	return StartEstimate{Delay: best, NeedsLoad: !isLoaded}
 }
 
-// pauseOf returns how long the upstream wants nothing from this instance.
+// pauseOf returns how long the upstream accepts nothing from this instance.
 func pauseOf(u *registrar.Upstream, now time.Time) time.Duration {
 	return max(0, u.PausedUntil.Sub(now))
 }
@@ -197,7 +197,7 @@
 }
 
 // Expire refuses the waiting requests that can no longer start by their latest start
-// time, because their model is not loaded or all upstreams want no requests. It also drops the health of ended
+// time, because their model is not loaded or no upstream accepts requests. It also drops the health of ended
 // upstreams.
 func (t *Table) Expire(s *registrar.Snapshot, cfg *matcher.Config, now time.Time) {
 	kept := t.waiting[:0]
--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -14,7 +14,7 @@
 //     leaving.
 //   - An upstream that has responded that it is leaving gets no new requests either,
 //     as long as its incarnation lives.
-//   - An upstream may ask this instance to send nothing for some time.
+//   - An upstream may accept nothing from this instance for some time.
 //   - A model or adapter that an upstream turns out not to hold counts as absent
 //     for a while, or until the upstream has accepted another order.
 //   - A registration that vanishes while the platform is unreachable may return. It
@@ -47,7 +47,7 @@
 	// IsLeaving reports whether the upstream accepts no new requests, according to its
 	// registration or to a response of its own.
 	IsLeaving bool
-	// PausedUntil is the time until which the upstream wants nothing from this
+	// PausedUntil is the time until which the upstream accepts nothing from this
 	// instance, zero for none.
 	PausedUntil time.Time
 	// ColdRemaining is how much longer the upstream is slow after its start.
@@ -64,15 +64,6 @@
 	PeerFailureEstimate estimator.Estimate
 }
 
-// IsPaused reports whether this instance must send nothing to the upstream.
-func (u *Upstream) IsPaused(now time.Time) bool { return now.Before(u.PausedUntil) }
-
-// Incarnation identifies one run of an upstream.
-type Incarnation struct {
-	ID          string
-	StartedAtMs int64
-}
-
 // Model is a model that an upstream holds.
 type Model struct {
 	Name     string
@@ -155,12 +146,6 @@
 	until                time.Time
 }
 
-// pause is the time for which an incarnation wants nothing from this instance.
-type pause struct {
-	startedAtMs int64
-	until       time.Time
-}
-
 // Snapshot returns the current snapshot.
 func (t *Table) Snapshot() *Snapshot {
 	t.mu.Lock()
@@ -233,74 +218,6 @@
 	t.keepUntil = now.Add(t.RemovalGrace)
 }
 
-// Notice is what an upstream states about itself in any of its responses.
-type Notice struct {
-	// IsLeaving reports whether the upstream is about to end.
-	IsLeaving bool
-	// RetryAfter is how long the upstream wants nothing from this instance, zero if it
-	// does not say.
-	RetryAfter time.Duration
-}
-
-// maxPause bounds how long an upstream may keep this instance from sending to it.
-const maxPause = 10 * time.Minute
-
-// ApplyNotice applies a notice of an incarnation.
-func (t *Table) ApplyNotice(id string, startedAtMs int64, n Notice, now time.Time) {
-	if n.IsLeaving {
-		t.RecordLeaving(id, startedAtMs, now)
-	}
-	if n.RetryAfter > 0 {
-		t.pause(id, startedAtMs, now.Add(min(n.RetryAfter, maxPause)), now)
-	}
-}
-
-// RecordLeaving records that an incarnation has responded that it is leaving. It holds
-// until the incarnation has ended, whatever its registration says.
-func (t *Table) RecordLeaving(id string, startedAtMs int64, now time.Time) {
-	t.mu.Lock()
-	t.initLocked()
-	e := t.registrations[id]
-	known, isKnown := t.leaving[id]
-	if e == nil || e.StartedAtMs != startedAtMs || isKnown && known == startedAtMs {
-		t.mu.Unlock()
-		return
-	}
-	t.leaving[id] = startedAtMs
-	t.latest = now
-	t.rebuildLocked()
-	t.mu.Unlock()
-	if t.OnLeaving != nil {
-		t.OnLeaving(Incarnation{id, startedAtMs})
-	}
-}
-
-// Leaving returns the incarnations that have responded that they are leaving.
-func (t *Table) Leaving() []Incarnation {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	var out []Incarnation
-	for id, startedAtMs := range t.leaving {
-		out = append(out, Incarnation{id, startedAtMs})
-	}
-	return out
-}
-
-// pause records that an incarnation wants nothing from this instance until a time.
-func (t *Table) pause(id string, startedAtMs int64, until, now time.Time) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.initLocked()
-	e := t.registrations[id]
-	p, isPaused := t.pauses[id]
-	if e == nil || e.StartedAtMs != startedAtMs || isPaused && p.startedAtMs == startedAtMs && !until.After(p.until) {
-		return
-	}
-	t.pauses[id] = pause{startedAtMs, until}
-	t.latest = now
-	t.rebuildLocked()
-}
-
 // Sweep drops the registrations that vanished while the platform was unreachable and
 // did not return within the grace period. It also expires absences.
 func (t *Table) Sweep(now time.Time) {
