internal/follower: an instance that starts after a restore waits 1.2 s for peers at most

Cause, found by reading: five requests, each to three peers with a timeout of 0.6 s, could keep an instance from starting for 9 s if the peers were gone. Change: one bound for all of them. TestInstanceThatStartsAfterRestoreAsksPeers and TestInstancesContinueAfterRestore pass.

--- a/internal/follower/restore.go
+++ b/internal/follower/restore.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"time"
 
 	"go.uber.org/zap"
 
@@ -10,9 +11,9 @@
 	"github.com/primrosedrift/primrosedrift/internal/sleeper"
 )
 
-// maxPeerRequests is how often an instance that starts with a restored log requests
-// the records from peers, retryDelay apart, before it uses those of the log.
-const maxPeerRequests = 5
+// maxPeerWait is how long an instance that starts with a restored log requests the
+// records from peers before it uses those of the log.
+const maxPeerWait = 1200 * time.Millisecond
 
 // RestoredError is returned by a read from a position of an era before the log's
 // present one.
@@ -31,7 +32,9 @@
 	if f.ReadPeers == nil {
 		return Batch{}, false
 	}
-	for range maxPeerRequests {
+	ctx, cancel := context.WithTimeout(ctx, maxPeerWait)
+	defer cancel()
+	for ctx.Err() == nil {
 		b, err := f.ReadPeers(ctx, sequencer.Position{Era: era - 1})
 		if err == nil && b.IsComplete && b.Next.Era == era {
 			f.Log.Info("received records from a peer", zap.String("topic", f.Name), zap.Int("records", len(b.Records)),
