--- a/internal/arranger/arranger_test.go
+++ b/internal/arranger/arranger_test.go
@@ -282,6 +282,9 @@
 	require.Empty(t, Plan(f))
 	f.addDemand("m1", "", 1, 1)
 	require.Len(t, loadOrders(Plan(f)), 1)
+	f.Demands, f.StoreLoadLimit = nil, 2
+	require.Len(t, loadOrders(Plan(f)), 1, "another load can start at once beside it")
+	f.StoreLoadLimit = 1
 	f.Demands, f.IsIdle = nil, true
 	require.Len(t, loadOrders(Plan(f)), 1, "before the first request the store has nothing else to do")
 }
--- a/internal/arranger/place.go
+++ b/internal/arranger/place.go
@@ -66,14 +66,13 @@
 }
 
 // canLoadFromStore reports whether the candidate's load from the store may start now. On
-// a store that runs few loads at once, a prefetch would keep models that are requested
+// a store that runs one load at a time, a prefetch would keep models that are requested
 // in the next seconds waiting for all of its duration.
 func (p *planner) canLoadFromStore(c candidate) bool {
-	limit := c.loadShare * float64(p.StoreLoadLimit)
-	if c.isPrefetch {
-		return float64(p.StoreLoads+1) <= limit
+	if c.isPrefetch && p.StoreLoadLimit <= 1 {
+		return false
 	}
-	return float64(p.StoreLoads) < limit
+	return float64(p.StoreLoads) < c.loadShare*float64(p.StoreLoadLimit)
 }
 
 // isReserved reports whether models drain at the upstream for another model that
