internal/leaser: era 1 after era 0 is a restore, too

Cause, found by reading: an era of 1 counted as a log that was never restored, also if the log had stated 0 before. Two instances could then have held the lease, and the holder would not have renewed its claim until it ended. Change: a claim of an earlier era always means that claims may be missing; only a log without any claim is taken as new at era 1. On a log without eras nothing changes.

--- a/internal/leaser/state.go
+++ b/internal/leaser/state.go
@@ -70,7 +70,10 @@
 // MayMissClaims reports whether the log was restored after the newest known claim, so
 // that it may have lost claims that no instance can read any more.
 func (s *State) MayMissClaims() bool {
-	return s.era > max(s.newest.Era, sequencer.FirstEra)
+	if s.newest.IsZero() {
+		return s.era > sequencer.FirstEra
+	}
+	return s.era > s.newest.Era
 }
 
 // IsHolder reports whether the newest claim is this instance's and not released.
--- a/internal/leaser/state_test.go
+++ b/internal/leaser/state_test.go
@@ -179,3 +179,20 @@
 		})
 	}
 }
+
+// A log whose eras begin with 0 has been restored once in era 1.
+func TestEraAfterZeroIsRestore(t *testing.T) {
+	holder, other := newState("a1"), newState("b1")
+	holder.RecordAcquired(claimOf("a", "a1", 4), 0, 0)
+	other.Observe(Claim{Holder: "a", Incarnation: "a1", IsReleased: true}, 0, 0, 0)
+	for _, s := range []*State{holder, other} {
+		s.ObserveEra(1, sec)
+		require.True(t, s.MayMissClaims())
+	}
+	require.True(t, holder.IsRenewalDue(sec))
+	require.True(t, holder.CanClaim(sec), "it renews its lease in the new era")
+	require.False(t, other.CanClaim(sec), "a released claim may not be the last one")
+	fresh := newState("c1")
+	fresh.ObserveEra(1, sec)
+	require.False(t, fresh.MayMissClaims())
+}
