internal/relayer, internal/quarantiner: lines and counters for broken attempts and losses

Cause: the log could not tell whether an upstream's end was learned too late, was known to another instance only, or was never counted, since neither recorded losses nor dropped attempts left a line. Changed: 'loss recorded' and 'broken attempt dropped' with the request's content and the upstream's incarnation; 'attempt failed' and the refusal name the content, and whether the client had left; primrosedrift_broken_attempts_total counts both.

--- a/internal/assembler/assembler.go
+++ b/internal/assembler/assembler.go
@@ -166,6 +166,14 @@
 		ViewAge:    func() time.Duration { return a.client.ViewAge() },
 		IsStopping: a.isStopping.Load, IsClosed: a.isClosed.Load,
 	}
+	a.poison.OnLoss = func(l relayer.Loss, known int) {
+		a.relayer.Metrics.RecordLoss()
+		a.Log.Info("loss recorded", zap.String("content", relayer.FormatFingerprint(l.Fingerprint)), zap.String("upstream", l.Incarnation), zap.Int("known", known))
+	}
+	a.poison.OnDrop = func(f uint64, incarnation string) {
+		a.relayer.Metrics.RecordDrop()
+		a.Log.Info("broken attempt dropped", zap.String("content", relayer.FormatFingerprint(f)), zap.String("upstream", incarnation))
+	}
 }
 
 // wireOrders creates the components that elect the conductor, send orders to
--- a/internal/quarantiner/quarantiner.go
+++ b/internal/quarantiner/quarantiner.go
@@ -53,6 +53,11 @@
 
 // Quarantiner tracks the attempts of one instance. Its zero value is ready to use.
 type Quarantiner struct {
+	// OnDrop, if set, is called with the request and the upstream's incarnation of a
+	// broken attempt that is dropped because its upstream was not found to have ended
+	// within brokenAttemptTTL. It must not call the Quarantiner.
+	OnDrop func(fingerprint uint64, incarnation string)
+
 	mu                  sync.Mutex
 	running             map[upstreamRun]map[*Attempt]struct{}
 	reserved            map[string]uint64 // upstream to the fingerprint of the suspect that reserved it
@@ -136,6 +141,9 @@
 		for a := range list {
 			if !a.brokenAt.IsZero() && now.Sub(a.brokenAt) > brokenAttemptTTL {
 				delete(list, a)
+				if q.OnDrop != nil {
+					q.OnDrop(a.fingerprint, run.incarnation)
+				}
 			}
 		}
 		if len(list) == 0 {
--- a/internal/relayer/attempt.go
+++ b/internal/relayer/attempt.go
@@ -73,7 +73,8 @@
 	}
 	c.Metrics.attempts.WithLabelValues(c.admission.Service, "failed").Inc()
 	c.Log.Info("attempt failed", zap.String("request", c.requestInfo.ID), zap.String("upstream", u.ID),
-		zap.Int64("orders", u.NumOrders), zap.Bool("not-run", res.isNotRun), zap.String("why", res.reason), zap.Duration("took", time.Since(began)))
+		zap.String("content", FormatFingerprint(c.fingerprint)), zap.Int64("born", u.StartedAtMs), zap.Int64("orders", u.NumOrders),
+		zap.Bool("not-run", res.isNotRun), zap.Bool("left", isCanceled), zap.String("why", res.reason), zap.Duration("took", time.Since(began)))
 	if isCanceled || res.isNotRun || c.route.MayRetry() || c.route.IsStream && c.route.IsResumable {
 		return false, nil
 	}
--- a/internal/relayer/metrics.go
+++ b/internal/relayer/metrics.go
@@ -14,6 +14,7 @@
 	duration    *prometheus.HistogramVec
 	headLatency *prometheus.HistogramVec
 	queueTime   *prometheus.HistogramVec
+	losses      *prometheus.CounterVec
 }
 
 // NewMetrics returns the metrics, registered with r.
@@ -29,11 +30,14 @@
 		attempts: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "primrosedrift_relayed_attempts_total", Help: "Attempts that were not passed on.",
 		}, []string{"service", "outcome"}),
+		losses: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "primrosedrift_broken_attempts_total", Help: "Broken attempts: recorded as a loss, or dropped before the end of their upstream was known.",
+		}, []string{"result"}),
 		duration:    histogram("primrosedrift_relayed_seconds", "Time from a request's arrival to its end."),
 		headLatency: histogram("primrosedrift_relayed_first_byte_seconds", "Time from an attempt to the head of its answer."),
 		queueTime:   histogram("primrosedrift_relayed_wait_seconds", "Time in the queue."),
 	}
-	r.MustRegister(m.requests, m.attempts, m.duration, m.headLatency, m.queueTime)
+	r.MustRegister(m.requests, m.attempts, m.duration, m.headLatency, m.queueTime, m.losses)
 	return m
 }
 
@@ -47,3 +51,10 @@
 		m.headLatency.WithLabelValues(s).Observe(c.headLatency.Seconds())
 	}
 }
+
+// RecordLoss counts a broken attempt that was recorded as a loss.
+func (m *Metrics) RecordLoss() { m.losses.WithLabelValues("loss").Inc() }
+
+// RecordDrop counts a broken attempt that was dropped before the end of its upstream
+// was known.
+func (m *Metrics) RecordDrop() { m.losses.WithLabelValues("dropped").Inc() }
--- a/internal/relayer/poison.go
+++ b/internal/relayer/poison.go
@@ -1,6 +1,7 @@
 package relayer
 
 import (
+	"strconv"
 	"sync"
 	"time"
 
@@ -24,6 +25,9 @@
 // its peers report. Its zero value is ready to use.
 type PoisonTracker struct {
 	quarantiner.Quarantiner
+	// OnLoss, if set, is called for each loss that this instance records, with the
+	// number of losses of the request that it knows.
+	OnLoss func(l Loss, known int)
 
 	mu         sync.Mutex
 	peerLosses map[uint64][]string
@@ -45,6 +49,11 @@
 func (p *PoisonTracker) RecordEnd(u *registrar.Upstream, now time.Time) {
 	inc := incarnation(u)
 	lost := p.RecordLoss(u.ID, inc, now)
+	for _, f := range lost {
+		if p.OnLoss != nil {
+			p.OnLoss(Loss{f, inc}, p.numLosses(f, now))
+		}
+	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, f := range lost {
@@ -78,12 +87,19 @@
 
 // IsPoison reports whether the request is to be rejected as a poison request.
 func (p *PoisonTracker) IsPoison(fingerprint uint64, now time.Time) bool {
+	return p.numLosses(fingerprint, now) >= lossesToBlock
+}
+
+func (p *PoisonTracker) numLosses(fingerprint uint64, now time.Time) int {
 	p.mu.Lock()
 	peers := p.peerLosses[fingerprint]
 	p.mu.Unlock()
-	return p.Quarantiner.Losses(fingerprint, peers, now) >= lossesToBlock
+	return p.Quarantiner.Losses(fingerprint, peers, now)
 }
 
+// FormatFingerprint returns the fingerprint of a request as it stands in logs.
+func FormatFingerprint(f uint64) string { return strconv.FormatUint(f, 16) }
+
 // fingerprint identifies the content of a request, independent of its id and its
 // client.
 func fingerprint(c *call) uint64 {
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -243,7 +243,7 @@
 func (c *call) serve(ctx context.Context) error {
 	for {
 		if c.Poison.IsPoison(c.fingerprint, time.Now()) {
-			return c.refuse(verdict.ReasonPoison, time.Second, "upstreams ended while they ran this request")
+			return c.refuse(verdict.ReasonPoison, time.Second, "upstreams ended while they ran this request, content %s", FormatFingerprint(c.fingerprint))
 		}
 		if c.stream.hasStarted {
 			// The events so far arrived in time; only the deadline applies now.
