--- a/internal/relayer/relayer_test.go
+++ b/internal/relayer/relayer_test.go
@@ -530,3 +530,53 @@
 	_, body := g.do(g.request("POST", "/resumable/", ""))
 	require.Equal(t, event(1)+event(2), body)
 }
+
+// TestPoisonRequestIsRefusedAfterItsWaitInTheQueue guards against a request that waits in
+// the queue while its third loss becomes known.
+func TestPoisonRequestIsRefusedAfterItsWaitInTheQueue(t *testing.T) {
+	release := make(chan struct{})
+	up := newUpstream(t, func(_ int, r *http.Request, _ string) (string, bool) {
+		<-release
+		return response(r, 200, stamped, "x"), false
+	})
+	g := newFixture(t, up)
+	var wg sync.WaitGroup
+	const numBlocking = 8 // more than the upstream has slots
+	for n := range numBlocking {
+		r := g.request("POST", "/once/", fmt.Sprint(n))
+		wg.Go(func() { g.do(r) })
+	}
+	awaitWaiting := func(numRequests int) {
+		for waiting := 0; waiting == 0 || up.count()+waiting < numRequests; {
+			require.NoError(t, t.Context().Err())
+			_, waiting = g.Queue.Demands()
+		}
+	}
+	awaitWaiting(numBlocking)
+	poison := g.request("POST", "/once/", "poison")
+	status := make(chan int, 1)
+	wg.Go(func() {
+		resp, _ := g.do(poison)
+		status <- resp.StatusCode
+	})
+	awaitWaiting(numBlocking + 1)
+	c := &call{req: courier.Request{Method: "POST", Host: "h.example", Target: "/once/", Body: []byte("poison")}}
+	f := fingerprint(c)
+	g.Poison.SetPeers([]Loss{{f, "a"}, {f, "b"}, {f, "c"}})
+	close(release)
+	require.Equal(t, 503, <-status)
+	wg.Wait()
+	require.Equal(t, numBlocking, up.count())
+}
+
+// TestPoisonRequestIsRecognizedByItsContent guards against a count that starts anew when
+// headers of the request differ.
+func TestPoisonRequestIsRecognizedByItsContent(t *testing.T) {
+	newCall := func(id, model, prefix string) *call {
+		return &call{
+			requestInfo: RequestInfo{ID: id, Model: model, Prefix: prefix, PromptTokens: len(prefix)},
+			req:         courier.Request{Method: "POST", Host: "h.example", Target: "/once/", Body: []byte("poison")},
+		}
+	}
+	require.Equal(t, fingerprint(newCall("1", "m1", "p1")), fingerprint(newCall("2", "m2", "p2")))
+}
