--- a/internal/assembler/assembler.go
+++ b/internal/assembler/assembler.go
@@ -21,6 +21,7 @@
 	"github.com/primrosedrift/primrosedrift/internal/leaser"
 	"github.com/primrosedrift/primrosedrift/internal/locator"
 	"github.com/primrosedrift/primrosedrift/internal/logger"
+	"github.com/primrosedrift/primrosedrift/internal/losstracker"
 	"github.com/primrosedrift/primrosedrift/internal/matcher"
 	"github.com/primrosedrift/primrosedrift/internal/queuer"
 	"github.com/primrosedrift/primrosedrift/internal/registrar"
@@ -101,7 +102,7 @@
 	upstreamTable    *registrar.Table
 	pool             *courier.Pool
 	queue            *queuer.Queue
-	poison           *relayer.PoisonTracker
+	losses           *losstracker.Tracker
 	budget           *retrier.Budget
 	relayer          *relayer.Relayer
 	conductor        *conductor.Conductor
@@ -137,10 +138,10 @@
 
 // wireRequests creates the components that serve requests.
 func (a *Assembler) wireRequests() {
-	a.poison = &relayer.PoisonTracker{}
+	a.losses = &losstracker.Tracker{RegistrationDelay: a.MaxDrainDelay}
 	a.upstreamTable = &registrar.Table{RemovalGrace: registrationGrace, OnIncarnationEnd: func(u *registrar.Upstream, why string) {
 		a.Log.Info("upstream ended", zap.String("upstream", u.ID), zap.Int64("born", u.StartedAtMs), zap.String("why", why))
-		a.poison.RecordEnd(u, time.Now())
+		a.losses.RecordEnd(u.Incarnation(), time.Now())
 		a.pool.CloseIdle(u.Address)
 	}}
 	a.upstreamTable.OnLeaving = func(i registrar.Incarnation) {
@@ -162,17 +163,17 @@
 	a.budget = &retrier.Budget{Ratio: usedRetryFraction * a.RetryRatio, Reserve: usedReserveFraction * a.RetryReserve / minReserveMembers}
 	a.relayer = &relayer.Relayer{
 		Codec: a.Codec, Config: a.config.Load, Upstreams: a.upstreamTable, Queue: a.queue, Pool: a.pool, RetryBudget: a.budget,
-		Poison: a.poison, Log: a.Log.Named("relayer"), Metrics: relayer.NewMetrics(a.registry),
+		Losses: a.losses, Log: a.Log.Named("relayer"), Metrics: relayer.NewMetrics(a.registry),
 		ViewAge:    func() time.Duration { return a.client.ViewAge() },
 		IsStopping: a.isStopping.Load, IsClosed: a.isClosed.Load,
 	}
-	a.poison.OnLoss = func(l relayer.Loss, known int) {
-		a.relayer.Metrics.RecordLoss()
-		a.Log.Info("loss recorded", zap.String("content", relayer.FormatFingerprint(l.Fingerprint)), zap.String("upstream", l.Incarnation), zap.Int("known", known))
-	}
-	a.poison.OnDrop = func(f uint64, incarnation string) {
-		a.relayer.Metrics.RecordDrop()
-		a.Log.Info("broken attempt dropped", zap.String("content", relayer.FormatFingerprint(f)), zap.String("upstream", incarnation))
+	a.losses.OnChange = func(l losstracker.Loss, change losstracker.Change, known int) {
+		a.relayer.Metrics.RecordLoss(change)
+		a.Log.Named("losstracker").Info("loss "+string(change), zap.String("content", relayer.FormatFingerprint(l.Fingerprint)), zap.String("upstream", l.Incarnation.ID),
+			zap.Int64("born", l.Incarnation.StartedAtMs), zap.Bool("ended", l.IsConfirmed), zap.Int("known", known))
+		if change == losstracker.Suspected || change == losstracker.Confirmed {
+			a.client.ReportNow()
+		}
 	}
 }
 
@@ -200,10 +201,11 @@
 	a.server = &syncer.Server{
 		Self: self, Conductor: a.conductor, IsHolder: a.lease.IsHolder, Store: a.LeaseStore,
 		Token: func() int64 { return a.lease.Newest().Token() }, NewestClaim: func() leaser.Claim { return a.lease.Newest() },
+		Losses: a.losses, Log: a.Log.Named("syncer"),
 	}
 	a.client = &syncer.Client{
 		Self: self, HTTP: syncer.NewHTTPClient(), Lease: a.lease, Server: a.server, Queue: a.queue, Upstreams: a.upstreamTable,
-		Poison: a.poison, IsStopping: a.isStopping.Load, Log: a.Log.Named("syncer"),
+		Losses: a.losses, IsStopping: a.isStopping.Load, Log: a.Log.Named("syncer"),
 	}
 	a.lease.PeerStore = a.client.PeerStore()
 }
@@ -272,16 +274,31 @@
 		changes[r.Key] = u
 	}
 	a.logUpstreams(changes)
+	now := time.Now()
 	if isSnapshot {
-		a.upstreamTable.Replace(changes, time.Now())
+		a.upstreamTable.Replace(changes, now)
 	} else {
-		a.upstreamTable.ApplyRegistrations(changes, time.Now())
+		a.upstreamTable.ApplyRegistrations(changes, now)
+		a.recordRegistrations(changes, now)
 	}
 	if a.lease.IsHolder() {
 		a.conductor.Wake()
 	}
 }
 
+// recordRegistrations records that upstreams lived when they wrote the registrations. Those
+// that are read late, after an outage, are left out.
+func (a *Assembler) recordRegistrations(changes map[string]*registrar.Upstream, now time.Time) {
+	if !a.upstreamTable.IsComplete(now) {
+		return
+	}
+	for _, u := range changes {
+		if u != nil {
+			a.losses.RecordRegistration(u.Incarnation(), now)
+		}
+	}
+}
+
 // logUpstreams logs the upstreams that are new, restarted or started to drain.
 func (a *Assembler) logUpstreams(changes map[string]*registrar.Upstream) {
 	before := a.upstreamTable.Snapshot()
@@ -365,6 +382,9 @@
 		case now := <-tick.C:
 			a.pool.Sweep(now)
 			a.upstreamTable.Sweep(now)
+			if a.upstreamTable.IsComplete(now) {
+				a.losses.Sweep(a.upstreamTable.IsRegistered, now)
+			}
 			n := max(len(a.client.Members()), minReserveMembers)
 			a.budget.SetReserve(usedReserveFraction * a.RetryReserve / float64(n))
 		}
--- /dev/null
+++ b/internal/losstracker/doc.go
@@ -0,0 +1,20 @@
+// Package losstracker detects poison requests, which crash the upstreams that run
+// them, across all instances.
+//
+// A loss states that an incarnation of an upstream has ended, or may have, while it ran
+// a request. Each instance keeps all losses that it has observed or that others have told
+// it; what it counts does not depend on which process is alive, or holds the lease. The
+// rules:
+//
+//   - An attempt that breaks is a suspected loss at once and counts like a confirmed
+//     one: how long it takes until the end of an upstream is known depends on the
+//     platform, and the next attempt may crash another upstream.
+//   - An attempt whose client left counts only once its upstream is known to have ended.
+//   - A suspected loss is confirmed when the incarnation is known to have ended, and
+//     withdrawn when the incarnation has registered itself later. Every instance decides
+//     this from the registrations that it reads, so neither has to be told to others.
+//     A loss that is undecided has no other time limit.
+//   - Losses are merged, never replaced: a message that comes late or from an earlier
+//     conductor cannot take back a later one.
+//   - Losses of a request count until lossTTL after the latest of them.
+package losstracker
--- /dev/null
+++ b/internal/losstracker/exchange.go
@@ -0,0 +1,162 @@
+package losstracker
+
+import (
+	"time"
+
+	"github.com/primrosedrift/primrosedrift/internal/registrar"
+)
+
+const (
+	// maxReported bounds the losses in one report or response.
+	maxReported = 256
+	// recentAge is the age up to which a loss is told to peers whatever the number of
+	// losses of its request.
+	recentAge = 5 * time.Second
+)
+
+// key identifies a loss.
+type key struct {
+	fingerprint uint64
+	incarnation registrar.Incarnation
+}
+
+func keyOf(l Loss) key { return key{l.Fingerprint, l.Incarnation} }
+
+// reporting is what the conductor has been told.
+type reporting struct {
+	conductor  string // incarnation
+	unreported map[key]Loss
+}
+
+// Unreported returns losses that the conductor has not been told. Another incarnation of
+// a conductor has been told nothing.
+func (t *Tracker) Unreported(conductor string) []Loss {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.initLocked()
+	if t.reporting.conductor != conductor {
+		t.reporting.conductor = conductor
+		for _, r := range t.requests.Values() {
+			for _, l := range r.losses {
+				if l.counts() {
+					t.reporting.unreported[keyOf(l.Loss)] = l.Loss
+				}
+			}
+		}
+	}
+	out := make([]Loss, 0, min(len(t.reporting.unreported), maxReported))
+	for _, l := range t.reporting.unreported {
+		if len(out) == maxReported {
+			break
+		}
+		out = append(out, l)
+	}
+	return out
+}
+
+// RecordReported records that a conductor knows losses, and reports whether there are
+// more that it has not been told.
+func (t *Tracker) RecordReported(conductor string, losses []Loss) (hasMore bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.reporting.conductor != conductor {
+		return false
+	}
+	t.recordReportedLocked(losses)
+	return len(t.reporting.unreported) > 0
+}
+
+func (t *Tracker) recordReportedLocked(losses []Loss) {
+	for _, l := range losses {
+		if u, ok := t.reporting.unreported[keyOf(l)]; ok && (l.IsConfirmed || !u.IsConfirmed) {
+			delete(t.reporting.unreported, keyOf(l))
+		}
+	}
+}
+
+// MergeReport merges the losses that an instance has reported to this one.
+func (t *Tracker) MergeReport(losses []Loss, now time.Time) {
+	t.mu.Lock()
+	events := t.mergeLocked(losses, now)
+	t.mu.Unlock()
+	t.notify(events)
+}
+
+// MergeView merges the losses in the view of a conductor, which therefore knows them.
+func (t *Tracker) MergeView(conductor string, losses []Loss, now time.Time) {
+	t.mu.Lock()
+	events := t.mergeLocked(losses, now)
+	if t.reporting.conductor == conductor {
+		t.recordReportedLocked(losses)
+	}
+	t.mu.Unlock()
+	t.notify(events)
+}
+
+// mergeLocked merges losses of another instance. They are reported to each later
+// conductor.
+func (t *Tracker) mergeLocked(losses []Loss, now time.Time) []event {
+	var events []event
+	for _, l := range losses {
+		events = append(events, t.addLocked(loss{Loss: l, learnedAt: now}, Learned, now)...)
+	}
+	return events
+}
+
+// Shared returns the losses to tell all instances, of at most maxReported requests.
+func (t *Tracker) Shared(now time.Time) []Loss {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.sharedLocked(now)
+}
+
+// SharedVersion returns a number that changes with the losses that Shared returns.
+func (t *Tracker) SharedVersion() uint64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.sharedVersion
+}
+
+func (t *Tracker) sharedLocked(now time.Time) []Loss {
+	var out []Loss
+	n := 0
+	for f := range t.shared {
+		if n++; n > maxReported {
+			break
+		}
+		r, _ := t.requests.Peek(f)
+		if now.Sub(r.latestAt) > lossTTL {
+			continue
+		}
+		for _, l := range r.losses {
+			if l.counts() {
+				out = append(out, l.Loss)
+			}
+		}
+	}
+	return out
+}
+
+// Recent returns the losses to tell the peers while there is no conductor: the shared
+// ones, and those that are new.
+func (t *Tracker) Recent(now time.Time) []Loss {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	out := t.sharedLocked(now)
+	if t.requests == nil {
+		return out
+	}
+	keys := t.requests.Keys() // the most recently used are last
+	for n := len(keys) - 1; n >= 0 && n >= len(keys)-maxReported; n-- {
+		r, _ := t.requests.Peek(keys[n])
+		if _, isShared := t.shared[keys[n]]; isShared || now.Sub(r.latestAt) > recentAge {
+			continue
+		}
+		for _, l := range r.losses {
+			if l.counts() {
+				out = append(out, l.Loss)
+			}
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/internal/losstracker/losstracker.go
@@ -0,0 +1,304 @@
+package losstracker
+
+import (
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/hashicorp/golang-lru/v2/simplelru"
+
+	"github.com/primrosedrift/primrosedrift/internal/registrar"
+)
+
+const (
+	// PoisonThreshold is the number of losses from which on a request is a poison
+	// request. Two may be a coincidence when several upstreams crash at once.
+	PoisonThreshold = 3
+	// SharedThreshold is the number of losses of a request from which on they are told
+	// to all instances. A crash of an upstream causes one loss for each of its requests,
+	// and hardly any of these requests comes again.
+	SharedThreshold = 2
+	// maxRequests bounds the requests whose losses are kept.
+	maxRequests = 4096
+	// maxLosses bounds the losses that are kept of a request.
+	maxLosses = 8
+	// lossTTL is how long the losses of a request count after the latest of them.
+	lossTTL = time.Hour
+)
+
+// Loss states that an incarnation of an upstream ended while it ran a request.
+type Loss struct {
+	Fingerprint uint64 // of the request
+	Incarnation registrar.Incarnation
+	// IsConfirmed says that the incarnation is known to have ended.
+	IsConfirmed bool
+}
+
+// Tracker keeps the losses that one instance knows. Its zero value is ready to use.
+type Tracker struct {
+	// RegistrationDelay is the longest time from a registration to when this instance
+	// reads it. A registration that is read later than that after a suspected loss was
+	// written after it.
+	RegistrationDelay time.Duration
+	// OnChange, if set, is called after a loss is added, confirmed or withdrawn. known
+	// is the number of losses of the request that count.
+	OnChange func(l Loss, c Change, known int)
+
+	mu       sync.Mutex
+	running  map[registrar.Incarnation]map[*Attempt]struct{}
+	requests *simplelru.LRU[uint64, *request]
+	// undecided holds the requests with an unconfirmed loss, by incarnation.
+	undecided map[registrar.Incarnation]map[uint64]struct{}
+	// shared holds the requests with SharedThreshold losses or more.
+	shared        map[uint64]struct{}
+	sharedVersion uint64
+	reporting     reporting
+}
+
+// Change says what happened to a loss.
+type Change string
+
+// Changes of a loss.
+const (
+	Suspected Change = "suspected"
+	Confirmed Change = "confirmed"
+	Withdrawn Change = "withdrawn"
+	Learned   Change = "learned" // from another instance or from the log
+)
+
+// request holds the losses of a request.
+type request struct {
+	losses   []*loss
+	latestAt time.Time
+}
+
+type loss struct {
+	Loss
+	learnedAt time.Time
+	// isUncounted says that the attempt was not seen to break, since its client left.
+	isUncounted bool
+}
+
+func (l *loss) counts() bool { return l.IsConfirmed || !l.isUncounted }
+
+// numLosses returns the number of losses that count, and of the confirmed ones.
+func (r *request) numLosses() (counted, confirmed int) {
+	for _, l := range r.losses {
+		if l.counts() {
+			counted++
+		}
+		if l.IsConfirmed {
+			confirmed++
+		}
+	}
+	return counted, confirmed
+}
+
+func (r *request) find(i registrar.Incarnation) *loss {
+	for _, l := range r.losses {
+		if l.Incarnation == i {
+			return l
+		}
+	}
+	return nil
+}
+
+// Losses returns how many upstreams ended, or may have, while they ran the request, and
+// how many of them have ended for sure.
+func (t *Tracker) Losses(fingerprint uint64, now time.Time) (counted, confirmed int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if r := t.requestLocked(fingerprint, now); r != nil {
+		return r.numLosses()
+	}
+	return 0, 0
+}
+
+// requestLocked returns the losses of a request, nil if there are none that count.
+func (t *Tracker) requestLocked(fingerprint uint64, now time.Time) *request {
+	if t.requests == nil {
+		return nil
+	}
+	r, ok := t.requests.Get(fingerprint)
+	if !ok {
+		return nil
+	}
+	if now.Sub(r.latestAt) > lossTTL {
+		t.requests.Remove(fingerprint)
+		return nil
+	}
+	return r
+}
+
+func (t *Tracker) initLocked() {
+	if t.requests != nil {
+		return
+	}
+	t.requests, _ = simplelru.NewLRU(maxRequests, t.forgetLocked) // fails only for a size below one
+	t.running = make(map[registrar.Incarnation]map[*Attempt]struct{})
+	t.undecided = make(map[registrar.Incarnation]map[uint64]struct{})
+	t.shared = make(map[uint64]struct{})
+	t.reporting.unreported = make(map[key]Loss)
+}
+
+// forgetLocked removes what is kept of a request besides its losses.
+func (t *Tracker) forgetLocked(fingerprint uint64, r *request) {
+	for _, l := range r.losses {
+		t.settleLocked(l)
+		delete(t.reporting.unreported, keyOf(l.Loss))
+	}
+	delete(t.shared, fingerprint)
+}
+
+// settleLocked removes a loss from the undecided ones.
+func (t *Tracker) settleLocked(l *loss) {
+	delete(t.undecided[l.Incarnation], l.Fingerprint)
+	if len(t.undecided[l.Incarnation]) == 0 {
+		delete(t.undecided, l.Incarnation)
+	}
+}
+
+// event is a change that is passed to OnChange after the lock is released.
+type event struct {
+	Loss
+	change Change
+	known  int
+}
+
+// addLocked adds a loss or confirms a known one. It returns the change, if there is one.
+func (t *Tracker) addLocked(l loss, c Change, now time.Time) []event {
+	t.initLocked()
+	r := t.requestLocked(l.Fingerprint, now)
+	if r == nil {
+		r = &request{}
+		t.requests.Add(l.Fingerprint, r)
+	}
+	known := r.find(l.Incarnation)
+	switch {
+	case known == nil && len(r.losses) >= maxLosses:
+		r.latestAt = now
+		return nil
+	case known == nil:
+		known = &l
+		r.losses = append(r.losses, known)
+	case l.IsConfirmed && !known.IsConfirmed:
+		known.IsConfirmed = true
+		if c != Learned {
+			c = Confirmed
+		}
+	case known.isUncounted && !l.isUncounted:
+		known.isUncounted, known.learnedAt = false, now
+	default:
+		return nil
+	}
+	r.latestAt = now
+	if known.IsConfirmed {
+		t.settleLocked(known)
+	} else {
+		if t.undecided[l.Incarnation] == nil {
+			t.undecided[l.Incarnation] = make(map[uint64]struct{})
+		}
+		t.undecided[l.Incarnation][l.Fingerprint] = struct{}{}
+	}
+	if !known.counts() {
+		return nil
+	}
+	if c != Learned {
+		t.reporting.unreported[keyOf(known.Loss)] = known.Loss
+	}
+	counted, _ := r.numLosses()
+	if counted >= SharedThreshold {
+		t.shared[l.Fingerprint] = struct{}{}
+		t.sharedVersion++
+	}
+	return []event{{known.Loss, c, counted}}
+}
+
+func (t *Tracker) notify(events []event) {
+	if t.OnChange == nil {
+		return
+	}
+	for _, e := range events {
+		t.OnChange(e.Loss, e.change, e.known)
+	}
+}
+
+// RecordEnd confirms the losses of the requests that an incarnation ran when it ended.
+func (t *Tracker) RecordEnd(i registrar.Incarnation, now time.Time) {
+	t.mu.Lock()
+	var events []event
+	for a := range t.running[i] {
+		events = append(events, t.addLocked(loss{Loss: Loss{a.fingerprint, i, true}, learnedAt: now}, Confirmed, now)...)
+	}
+	events = append(events, t.confirmLocked(i, now)...)
+	t.mu.Unlock()
+	t.notify(events)
+}
+
+// confirmLocked confirms the undecided losses of an incarnation.
+func (t *Tracker) confirmLocked(i registrar.Incarnation, now time.Time) []event {
+	var events []event
+	for _, f := range t.undecidedLocked(i) {
+		events = append(events, t.addLocked(loss{Loss: Loss{f, i, true}, learnedAt: now}, Confirmed, now)...)
+	}
+	return events
+}
+
+func (t *Tracker) undecidedLocked(i registrar.Incarnation) []uint64 {
+	out := make([]uint64, 0, len(t.undecided[i]))
+	for f := range t.undecided[i] {
+		out = append(out, f)
+	}
+	slices.Sort(out)
+	return out
+}
+
+// RecordRegistration withdraws the suspected losses of an incarnation that has
+// registered itself after them. It must not be called for a registration that may have
+// been read later than RegistrationDelay after it was written.
+func (t *Tracker) RecordRegistration(i registrar.Incarnation, now time.Time) {
+	t.mu.Lock()
+	var events []event
+	for _, f := range t.undecidedLocked(i) {
+		r, _ := t.requests.Peek(f)
+		l := r.find(i)
+		if now.Sub(l.learnedAt) <= t.RegistrationDelay {
+			continue
+		}
+		t.settleLocked(l)
+		delete(t.reporting.unreported, keyOf(l.Loss))
+		r.losses = slices.DeleteFunc(r.losses, func(x *loss) bool { return x == l })
+		counted, _ := r.numLosses()
+		if _, isShared := t.shared[f]; isShared {
+			t.sharedVersion++
+			if counted < SharedThreshold {
+				delete(t.shared, f)
+			}
+		}
+		if l.counts() {
+			events = append(events, event{l.Loss, Withdrawn, counted})
+		}
+	}
+	t.mu.Unlock()
+	t.notify(events)
+}
+
+// Sweep confirms the suspected losses of incarnations that are not registered any more.
+// It must not be called while registrations may be missing.
+func (t *Tracker) Sweep(isRegistered func(registrar.Incarnation) bool, now time.Time) {
+	t.mu.Lock()
+	var events []event
+	for i, fingerprints := range t.undecided {
+		if isRegistered(i) {
+			continue
+		}
+		for f := range fingerprints {
+			// The registration of a new upstream may not have been read yet.
+			if r, _ := t.requests.Peek(f); now.Sub(r.find(i).learnedAt) > t.RegistrationDelay {
+				events = append(events, t.addLocked(loss{Loss: Loss{f, i, true}, learnedAt: now}, Confirmed, now)...)
+			}
+		}
+	}
+	t.mu.Unlock()
+	t.notify(events)
+}
--- /dev/null
+++ b/internal/losstracker/losstracker_test.go
@@ -0,0 +1,152 @@
+package losstracker
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/primrosedrift/primrosedrift/internal/registrar"
+)
+
+const (
+	poison = uint64(7)
+	delay  = 2 * time.Second
+)
+
+var start = time.Unix(1_000_000, 0)
+
+func inc(n int) registrar.Incarnation {
+	return registrar.Incarnation{ID: fmt.Sprint("u", n), StartedAtMs: int64(n)}
+}
+
+func newTracker() *Tracker { return &Tracker{RegistrationDelay: delay} }
+
+// counts returns the number of losses that count, and of the confirmed ones.
+func (t *Tracker) counts(f uint64, now time.Time) [2]int {
+	counted, confirmed := t.Losses(f, now)
+	return [2]int{counted, confirmed}
+}
+
+func TestBrokenAttemptCountsUntilItsUpstreamRegistersItself(t *testing.T) {
+	tr := newTracker()
+	tr.Begin(inc(1), poison).End(Broken, start)
+	tr.Begin(inc(1), 8).End(Completed, start)
+	require.Equal(t, [2]int{1, 0}, tr.counts(poison, start))
+	require.Equal(t, [2]int{0, 0}, tr.counts(8, start))
+	tr.RecordRegistration(inc(1), start.Add(delay))
+	require.Equal(t, [2]int{1, 0}, tr.counts(poison, start.Add(delay)), "the registration may have been written before the attempt broke")
+	tr.RecordRegistration(registrar.Incarnation{ID: "u1", StartedAtMs: 9}, start.Add(time.Minute))
+	require.Equal(t, [2]int{1, 0}, tr.counts(poison, start.Add(time.Minute)), "another incarnation")
+	tr.RecordRegistration(inc(1), start.Add(time.Minute))
+	require.Equal(t, [2]int{0, 0}, tr.counts(poison, start.Add(time.Minute)))
+	tr.RecordEnd(inc(1), start.Add(time.Minute))
+	require.Equal(t, [2]int{0, 0}, tr.counts(poison, start.Add(time.Minute)), "it ended long after the attempt")
+}
+
+// TestLossIsCountedHoweverLateTheEndIsKnown guards against attempts that are dropped
+// before the end of their upstream is known.
+func TestLossIsCountedHoweverLateTheEndIsKnown(t *testing.T) {
+	for _, e := range []Ending{Broken, Left} {
+		tr := newTracker()
+		tr.Begin(inc(1), poison).End(e, start)
+		for n := range 100 {
+			tr.Begin(inc(2), uint64(100+n)).End(Completed, start.Add(time.Duration(n)*time.Second))
+		}
+		tr.RecordEnd(inc(1), start.Add(10*time.Minute))
+		require.Equal(t, [2]int{1, 1}, tr.counts(poison, start.Add(10*time.Minute)))
+	}
+}
+
+func TestAttemptOfClientThatLeftCountsOnlyOnceItsUpstreamHasEnded(t *testing.T) {
+	tr := newTracker()
+	tr.Begin(inc(1), poison).End(Left, start)
+	require.Equal(t, [2]int{0, 0}, tr.counts(poison, start))
+	require.Empty(t, tr.Unreported("c"))
+	tr.RecordEnd(inc(1), start)
+	require.Equal(t, [2]int{1, 1}, tr.counts(poison, start))
+	require.Len(t, tr.Unreported("c"), 1)
+}
+
+func TestRunningAttemptIsLostWithItsUpstream(t *testing.T) {
+	tr := newTracker()
+	a := tr.Begin(inc(1), poison)
+	tr.RecordEnd(inc(1), start)
+	require.Equal(t, [2]int{1, 1}, tr.counts(poison, start))
+	a.End(Broken, start)
+	require.Equal(t, [2]int{1, 1}, tr.counts(poison, start))
+}
+
+func TestLossesExpireAfterTheLatest(t *testing.T) {
+	tr := newTracker()
+	for n := range 20 {
+		now := start.Add(time.Duration(n) * lossTTL * 3 / 4)
+		tr.Begin(inc(n), poison).End(Broken, now)
+		tr.RecordEnd(inc(n), now)
+		counted, _ := tr.Losses(poison, now.Add(lossTTL))
+		require.Equal(t, min(n+1, maxLosses), counted, "each further loss renews the earlier ones")
+	}
+	require.Equal(t, [2]int{0, 0}, tr.counts(poison, start.Add(20*lossTTL)))
+}
+
+func TestUnregisteredIncarnationHasEnded(t *testing.T) {
+	tr := newTracker()
+	tr.MergeReport([]Loss{{poison, inc(1), false}, {poison, inc(2), false}}, start)
+	isRegistered := func(i registrar.Incarnation) bool { return i == inc(1) }
+	tr.Sweep(isRegistered, start.Add(delay))
+	require.Equal(t, [2]int{2, 0}, tr.counts(poison, start), "its registration may not have been read yet")
+	tr.Sweep(isRegistered, start.Add(delay+1))
+	require.Equal(t, [2]int{2, 1}, tr.counts(poison, start))
+}
+
+// TestLossesAreReportedToEachConductor guards against losses that only a former conductor
+// knows.
+func TestLossesAreReportedToEachConductor(t *testing.T) {
+	tr := newTracker()
+	for n := range maxReported + 10 {
+		tr.Begin(inc(1), uint64(n)).End(Broken, start)
+	}
+	first := tr.Unreported("c1")
+	require.Len(t, first, maxReported)
+	require.True(t, tr.RecordReported("c1", first))
+	rest := tr.Unreported("c1")
+	require.Len(t, rest, 10)
+	tr.RecordEnd(inc(1), start)
+	tr.RecordReported("c1", rest)
+	require.NotEmpty(t, tr.Unreported("c1"), "confirmed after the report was built")
+	for len(tr.Unreported("c1")) > 0 {
+		tr.RecordReported("c1", tr.Unreported("c1"))
+	}
+	require.Len(t, tr.Unreported("c2"), maxReported)
+	require.False(t, tr.RecordReported("c1", first), "an earlier conductor's response")
+	tr.MergeView("c2", []Loss{{3, inc(1), true}}, start)
+	require.NotContains(t, tr.Unreported("c2"), Loss{3, inc(1), true})
+}
+
+func TestOnlyRequestsWithSeveralLossesAreShared(t *testing.T) {
+	tr := newTracker()
+	before := tr.SharedVersion()
+	tr.MergeReport([]Loss{{1, inc(1), true}, {2, inc(1), true}}, start)
+	require.Empty(t, tr.Shared(start))
+	require.Equal(t, before, tr.SharedVersion())
+	require.Len(t, tr.Recent(start), 2, "peers without a conductor are told new ones, too")
+	tr.MergeReport([]Loss{{2, inc(2), false}}, start)
+	require.ElementsMatch(t, []Loss{{2, inc(1), true}, {2, inc(2), false}}, tr.Shared(start))
+	version := tr.SharedVersion()
+	require.Greater(t, version, before)
+	require.Len(t, tr.Recent(start.Add(recentAge+1)), 2)
+	tr.RecordRegistration(inc(2), start.Add(delay+1))
+	require.Empty(t, tr.Shared(start))
+	require.Greater(t, tr.SharedVersion(), version)
+}
+
+func TestKeptRequestsAreBounded(t *testing.T) {
+	tr := newTracker()
+	for n := range 2 * maxRequests {
+		tr.MergeReport([]Loss{{uint64(n), inc(1), true}, {uint64(n), inc(2), false}, {uint64(n), inc(3), true}, {uint64(n), inc(4), true}}, start)
+	}
+	require.Equal(t, maxRequests, tr.requests.Len())
+	require.Len(t, tr.shared, maxRequests)
+	require.Len(t, tr.undecided[inc(2)], maxRequests)
+}
--- a/internal/quarantiner/quarantiner.go
+++ b/internal/quarantiner/quarantiner.go
@@ -8,16 +8,12 @@
 // number of upstreams ended is a poison request and is rejected until its losses
 // expire.
 //
-// The callers set that number and decide whether suspects are isolated and cleared.
-// The dispatcher does both, and rejects a request after two losses. The relayer does
-// neither, and rejects a request after three, since two may be a coincidence when
-// several upstreams crash at once.
-//
-// The package holds the losses that this instance observed. The callers add those
-// that other instances reported: the dispatcher from the replicated state, which is
-// built by applying the log's records in order, the relayer from the conductor's
-// view. Losses from both sources are matched by the upstream's incarnation, which is
-// unique across all upstreams.
+// The dispatcher uses it; it rejects a request after two losses. The package holds the
+// losses that this instance observed. The dispatcher adds those that other instances
+// reported, from the replicated state, which is built by applying the log's records in
+// order. Losses from both sources are matched by the upstream's incarnation, which is
+// unique across all upstreams. Requests that are forwarded on the users' platform are
+// tracked by package losstracker instead.
 package quarantiner
 
 import (
@@ -53,11 +49,6 @@
 
 // Quarantiner tracks the attempts of one instance. Its zero value is ready to use.
 type Quarantiner struct {
-	// OnDrop, if set, is called with the request and the upstream's incarnation of a
-	// broken attempt that is dropped because its upstream was not found to have ended
-	// within brokenAttemptTTL. It must not call the Quarantiner.
-	OnDrop func(fingerprint uint64, incarnation string)
-
 	mu                  sync.Mutex
 	running             map[upstreamRun]map[*Attempt]struct{}
 	reserved            map[string]uint64 // upstream to the fingerprint of the suspect that reserved it
@@ -141,9 +132,6 @@
 		for a := range list {
 			if !a.brokenAt.IsZero() && now.Sub(a.brokenAt) > brokenAttemptTTL {
 				delete(list, a)
-				if q.OnDrop != nil {
-					q.OnDrop(a.fingerprint, run.incarnation)
-				}
 			}
 		}
 		if len(list) == 0 {
--- a/internal/registrar/notice.go
+++ b/internal/registrar/notice.go
@@ -23,6 +23,9 @@
 	StartedAtMs int64
 }
 
+// Incarnation returns which run of the upstream this is.
+func (u *Upstream) Incarnation() Incarnation { return Incarnation{u.ID, u.StartedAtMs} }
+
 // pause is the time for which an incarnation accepts nothing from this instance.
 type pause struct {
 	startedAtMs int64
--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -210,6 +210,23 @@
 	t.isPlatformLost = isLost
 }
 
+// IsComplete reports whether the registrations are those of all upstreams, as far as the
+// platform's log has been read: none is missing because of an outage.
+func (t *Table) IsComplete(now time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return !t.isPlatformLost && !now.Before(t.keepUntil)
+}
+
+// IsRegistered reports whether an incarnation is registered and not known to be gone.
+func (t *Table) IsRegistered(i Incarnation) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	e := t.registrations[i.ID]
+	gone, isGone := t.gone[i.ID]
+	return e != nil && e.StartedAtMs == i.StartedAtMs && !(isGone && gone == i.StartedAtMs)
+}
+
 // RecordRestore records that the platform's log came back from an older copy.
 // Registrations that are missing from it count as vanished during an outage.
 func (t *Table) RecordRestore(now time.Time) {
--- a/internal/relayer/attempt.go
+++ b/internal/relayer/attempt.go
@@ -12,6 +12,7 @@
 	"go.uber.org/zap"
 
 	"github.com/primrosedrift/primrosedrift/internal/courier"
+	"github.com/primrosedrift/primrosedrift/internal/losstracker"
 	"github.com/primrosedrift/primrosedrift/internal/queuer"
 	"github.com/primrosedrift/primrosedrift/internal/registrar"
 )
@@ -34,6 +35,7 @@
 	isNotRun    bool   // the upstream provably did not run the request
 	isUnsent    bool   // no byte of the request reached the upstream
 	isRefused   bool   // the upstream refused it because it is full or busy with an order
+	isComplete  bool   // the upstream's response was complete
 	reason      string // why the attempt failed, for the log
 }
 
@@ -43,7 +45,7 @@
 	u := slot.Upstream
 	c.lastUpstream = u.ID
 	began := time.Now()
-	tracked := c.Poison.Begin(u, c.fingerprint)
+	tracked := c.Losses.Begin(u.Incarnation(), c.fingerprint)
 	c.headLatency, c.isRetryCharged = 0, false
 	res := c.exchange(ctx, slot, began)
 	if res.isRefused {
@@ -52,7 +54,7 @@
 	slot.Release()
 	c.lastFailure = res.reason
 	isCanceled := ctx.Err() != nil
-	tracked.End(res.hasFailed && !res.isNotRun && !isCanceled, time.Now())
+	tracked.End(c.ending(res, isCanceled, time.Since(began)), time.Now())
 	if !res.isNotRun {
 		c.numMayHaveRun++
 	}
@@ -81,6 +83,20 @@
 	return false, c.withEarlierAttempts(incompleteReply("%s", res.reason))
 }
 
+// ending returns what the end of an attempt says about its upstream.
+func (c *call) ending(res attemptResult, isCanceled bool, took time.Duration) losstracker.Ending {
+	switch {
+	case res.isNotRun || res.isComplete || res.isForwarded && !res.hasFailed:
+		return losstracker.Completed
+	case isCanceled || !res.hasFailed:
+		if c.headLatency == 0 && took > noResponseTimeout {
+			return losstracker.Broken
+		}
+		return losstracker.Left
+	}
+	return losstracker.Broken
+}
+
 // exchange sends the request to the upstream and forwards the response.
 func (c *call) exchange(ctx context.Context, slot *queuer.Slot, began time.Time) attemptResult {
 	u := slot.Upstream
@@ -150,7 +166,7 @@
 		return attemptResult{hasFailed: true, reason: "answer broke off: " + err.Error()}
 	case canRetry && isComplete && c.RetryBudget.TryWithdraw():
 		c.isRetryCharged, c.fallback = true, &plainResponse{resp.Status, resp.Header, body}
-		return attemptResult{hasFailed: true, reason: "status 500"}
+		return attemptResult{hasFailed: true, isComplete: true, reason: "status 500"}
 	}
 	copyHeader(c.w.Header(), resp.Header)
 	if isComplete && c.req.Method != http.MethodHead && resp.Status != http.StatusNoContent && resp.Status != http.StatusNotModified {
@@ -159,14 +175,14 @@
 	c.writeHead(resp.Status)
 	failed := resp.Status >= http.StatusInternalServerError
 	if _, err := c.w.Write(body); err != nil {
-		return attemptResult{isForwarded: true, hasFailed: failed, err: truncatedError{err}}
+		return attemptResult{isForwarded: true, hasFailed: failed, isComplete: isComplete, err: truncatedError{err}}
 	}
 	if !isComplete {
 		if _, err := io.Copy(c.w, resp.Body); err != nil {
 			return attemptResult{hasFailed: true, err: truncatedError{err}}
 		}
 	}
-	return attemptResult{isForwarded: true, hasFailed: failed}
+	return attemptResult{isForwarded: true, hasFailed: failed, isComplete: true}
 }
 
 // plainResponse is a complete response that is kept while the request is retried.
--- a/internal/relayer/metrics.go
+++ b/internal/relayer/metrics.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/primrosedrift/primrosedrift/internal/losstracker"
 )
 
 // Metrics count requests and attempts.
@@ -31,8 +33,8 @@
 			Name: "primrosedrift_relayed_attempts_total", Help: "Attempts that were not passed on.",
 		}, []string{"service", "outcome"}),
 		losses: prometheus.NewCounterVec(prometheus.CounterOpts{
-			Name: "primrosedrift_broken_attempts_total", Help: "Broken attempts: recorded as a loss, or dropped before the end of their upstream was known.",
-		}, []string{"result"}),
+			Name: "primrosedrift_losses_total", Help: "Changes of losses: attempts during which an upstream ended, or may have.",
+		}, []string{"change"}),
 		duration:    histogram("primrosedrift_relayed_seconds", "Time from a request's arrival to its end."),
 		headLatency: histogram("primrosedrift_relayed_first_byte_seconds", "Time from an attempt to the head of its answer."),
 		queueTime:   histogram("primrosedrift_relayed_wait_seconds", "Time in the queue."),
@@ -52,9 +54,5 @@
 	}
 }
 
-// RecordLoss counts a broken attempt that was recorded as a loss.
-func (m *Metrics) RecordLoss() { m.losses.WithLabelValues("loss").Inc() }
-
-// RecordDrop counts a broken attempt that was dropped before the end of its upstream
-// was known.
-func (m *Metrics) RecordDrop() { m.losses.WithLabelValues("dropped").Inc() }
+// RecordLoss counts a change of a loss.
+func (m *Metrics) RecordLoss(c losstracker.Change) { m.losses.WithLabelValues(string(c)).Inc() }
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -12,6 +12,7 @@
 	"go.uber.org/zap"
 
 	"github.com/primrosedrift/primrosedrift/internal/courier"
+	"github.com/primrosedrift/primrosedrift/internal/losstracker"
 	"github.com/primrosedrift/primrosedrift/internal/matcher"
 	"github.com/primrosedrift/primrosedrift/internal/queuer"
 	"github.com/primrosedrift/primrosedrift/internal/registrar"
@@ -92,7 +93,7 @@
 	Queue       *queuer.Queue
 	Pool        *courier.Pool
 	RetryBudget *retrier.Budget
-	Poison      *PoisonTracker
+	Losses      *losstracker.Tracker
 	Log         *zap.Logger
 	Metrics     *Metrics
 	// ViewAge returns the age of this instance's view of the upstreams.
@@ -242,8 +243,8 @@
 // allowed.
 func (c *call) serve(ctx context.Context) error {
 	for {
-		if c.Poison.IsPoison(c.fingerprint, time.Now()) {
-			return c.refuse(verdict.ReasonPoison, time.Second, "upstreams ended while they ran this request, content %s", FormatFingerprint(c.fingerprint))
+		if err := c.refusePoison(); err != nil {
+			return err
 		}
 		if c.stream.hasStarted {
 			// The events so far arrived in time; only the deadline applies now.
--- a/internal/relayer/relayer_test.go
+++ b/internal/relayer/relayer_test.go
@@ -19,6 +19,7 @@
 	"go.uber.org/zap"
 
 	"github.com/primrosedrift/primrosedrift/internal/courier"
+	"github.com/primrosedrift/primrosedrift/internal/losstracker"
 	"github.com/primrosedrift/primrosedrift/internal/matcher"
 	"github.com/primrosedrift/primrosedrift/internal/queuer"
 	"github.com/primrosedrift/primrosedrift/internal/registrar"
@@ -170,7 +171,7 @@
 		Codec: testCodec, Config: config, Upstreams: table,
 		Queue:       &queuer.Queue{Upstreams: table, Config: config, HasConductor: func() bool { return true }},
 		Pool:        &courier.Pool{IDHeader: hID},
-		RetryBudget: &retrier.Budget{}, Poison: &PoisonTracker{}, Log: zap.NewNop(), Metrics: NewMetrics(prometheus.NewRegistry()),
+		RetryBudget: &retrier.Budget{}, Losses: &losstracker.Tracker{}, Log: zap.NewNop(), Metrics: NewMetrics(prometheus.NewRegistry()),
 		ViewAge:    func() time.Duration { return 0 },
 		IsStopping: func() bool { return g.isClosing }, IsClosed: func() bool { return g.isClosing },
 	}
@@ -425,12 +426,12 @@
 func TestPoisonRequestIsRejected(t *testing.T) {
 	up := newUpstream(t, func(_ int, r *http.Request, _ string) (string, bool) { return response(r, 200, stamped, "x"), false })
 	g := newFixture(t, up)
-	for startTime := range int64(lossesToBlock) {
+	for startTime := range int64(losstracker.PoisonThreshold) {
 		u := &registrar.Upstream{ID: "u0", StartedAtMs: startTime}
 		c := &call{}
 		c.req = courier.Request{Method: "POST", Host: "h.example", Target: "/once/", Body: []byte("poison")}
-		g.Poison.Begin(u, fingerprint(c)).End(true, time.Now())
-		g.Poison.RecordEnd(u, time.Now())
+		g.Losses.Begin(u.Incarnation(), fingerprint(c)).End(losstracker.Broken, time.Now())
+		g.Losses.RecordEnd(u.Incarnation(), time.Now())
 	}
 	resp, _ := g.do(g.request("POST", "/once/", "poison"))
 	require.Equal(t, 503, resp.StatusCode)
@@ -562,7 +563,9 @@
 	awaitWaiting(numBlocking + 1)
 	c := &call{req: courier.Request{Method: "POST", Host: "h.example", Target: "/once/", Body: []byte("poison")}}
 	f := fingerprint(c)
-	g.Poison.SetPeers([]Loss{{f, "a"}, {f, "b"}, {f, "c"}})
+	for _, id := range []string{"a", "b", "c"} {
+		g.Losses.MergeReport([]losstracker.Loss{{Fingerprint: f, Incarnation: registrar.Incarnation{ID: id}}}, time.Now())
+	}
 	close(release)
 	require.Equal(t, 503, <-status)
 	wg.Wait()
--- a/internal/syncer/client.go
+++ b/internal/syncer/client.go
@@ -15,9 +15,9 @@
 	"github.com/primrosedrift/primrosedrift/internal/courier"
 	"github.com/primrosedrift/primrosedrift/internal/leaser"
 	"github.com/primrosedrift/primrosedrift/internal/logger"
+	"github.com/primrosedrift/primrosedrift/internal/losstracker"
 	"github.com/primrosedrift/primrosedrift/internal/queuer"
 	"github.com/primrosedrift/primrosedrift/internal/registrar"
-	"github.com/primrosedrift/primrosedrift/internal/relayer"
 	"github.com/primrosedrift/primrosedrift/internal/sequencer"
 	"github.com/primrosedrift/primrosedrift/internal/sleeper"
 	peerv1 "github.com/primrosedrift/primrosedrift/pkg/api/peer/v1"
@@ -65,7 +65,7 @@
 	Server    *Server // of this instance
 	Queue     *queuer.Queue
 	Upstreams *registrar.Table
-	Poison    *relayer.PoisonTracker
+	Losses    *losstracker.Tracker
 	// IsStopping reports whether this instance is shutting down. It still accepts
 	// new requests until its queue is closed.
 	IsStopping func() bool
@@ -155,6 +155,7 @@
 			if claim := decodeClaim(v.GetClaim()); !claim.IsZero() {
 				c.Lease.Observe(claim)
 			}
+			c.Losses.MergeReport(decodeLosses(v.GetLosses(), c.Log), time.Now())
 			c.mu.Lock()
 			defer c.mu.Unlock()
 			if c.respondedAt == nil {
@@ -239,11 +240,17 @@
 		c.Server.ApplyReport(r, time.Now())
 		return
 	}
+	losses := c.Losses.Unreported(claim.Incarnation)
+	r.Losses = encodeLosses(losses)
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	_, err := peerv1.NewFleetCommandsProtobufClient("http://"+claim.Address, c.HTTP).Report(ctx, r)
+	resp, err := peerv1.NewFleetCommandsProtobufClient("http://"+claim.Address, c.HTTP).Report(ctx, r)
 	if err != nil {
 		c.Log.Debug("failed to deliver the report", zap.String("conductor", claim.Holder), logger.Error(err))
+		return
+	}
+	if resp.GetIsConductor() && c.Losses.RecordReported(claim.Incarnation, losses) {
+		c.ReportNow()
 	}
 }
 
@@ -267,9 +274,6 @@
 		})
 	}
 	r.Leaving = encodeLeaving(c.Upstreams.Leaving())
-	for _, l := range c.Poison.Losses() {
-		r.Losses = append(r.Losses, &peerv1.Loss{Fingerprint: l.Fingerprint, Incarnation: l.Incarnation})
-	}
 	return r
 }
 
@@ -409,7 +413,7 @@
 	for _, l := range v.GetLeaving() {
 		c.Upstreams.RecordLeaving(l.GetUpstream(), l.GetBorn(), now)
 	}
-	if v.GetBase() == 0 || v.GetHasLosses() {
-		c.Poison.SetPeers(decodeLosses(v.GetLosses()))
+	if len(v.GetLosses()) > 0 {
+		c.Losses.MergeView(v.GetIncarnation(), decodeLosses(v.GetLosses(), c.Log), now)
 	}
 }
--- a/internal/syncer/client_test.go
+++ b/internal/syncer/client_test.go
@@ -13,6 +13,8 @@
 	"go.uber.org/zap"
 
 	"github.com/primrosedrift/primrosedrift/internal/leaser"
+	"github.com/primrosedrift/primrosedrift/internal/losstracker"
+	"github.com/primrosedrift/primrosedrift/internal/registrar"
 	"github.com/primrosedrift/primrosedrift/internal/sequencer"
 	peerv1 "github.com/primrosedrift/primrosedrift/pkg/api/peer/v1"
 )
@@ -77,9 +79,27 @@
 	mux.Handle(queries.PathPrefix(), queries)
 	server := httptest.NewServer(mux)
 	t.Cleanup(server.Close)
-	c := &Client{Self: &peerv1.Member{Instance: "b"}, HTTP: server.Client(), Lease: &leaser.Lease{Log: zap.NewNop()}, Log: zap.NewNop()}
+	c := &Client{Self: &peerv1.Member{Instance: "b"}, HTTP: server.Client(), Lease: &leaser.Lease{Log: zap.NewNop()}, Losses: &losstracker.Tracker{}, Log: zap.NewNop()}
 	c.members = []*peerv1.Member{{Instance: "a", PeerAddress: strings.TrimPrefix(server.URL, "http://")}}
 	c.probeMembers(t.Context())
 	require.Equal(t, s.NewestClaim(), c.Lease.Newest())
 	require.Len(t, c.Members(), 1, "it responds")
 }
+
+// TestLossesSpreadThroughProbes guards against losses that nobody is told while there is
+// no conductor.
+func TestLossesSpreadThroughProbes(t *testing.T) {
+	s, holder := newServer()
+	*holder = false
+	lost := losstracker.Loss{Fingerprint: 7, Incarnation: registrar.Incarnation{ID: "e1", StartedAtMs: 1}}
+	s.Losses.MergeReport([]losstracker.Loss{lost}, time.Now())
+	mux := http.NewServeMux()
+	queries := peerv1.NewFleetQueriesServer(s)
+	mux.Handle(queries.PathPrefix(), queries)
+	server := httptest.NewServer(mux)
+	t.Cleanup(server.Close)
+	c := &Client{Self: &peerv1.Member{Instance: "b"}, HTTP: server.Client(), Lease: &leaser.Lease{Log: zap.NewNop()}, Losses: &losstracker.Tracker{}, Log: zap.NewNop()}
+	c.members = []*peerv1.Member{{Instance: "a", PeerAddress: strings.TrimPrefix(server.URL, "http://")}}
+	c.probeMembers(t.Context())
+	require.Equal(t, []losstracker.Loss{lost}, c.Losses.Recent(time.Now()))
+}
--- a/internal/syncer/delta_test.go
+++ b/internal/syncer/delta_test.go
@@ -8,8 +8,8 @@
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
 
+	"github.com/primrosedrift/primrosedrift/internal/losstracker"
 	"github.com/primrosedrift/primrosedrift/internal/registrar"
-	"github.com/primrosedrift/primrosedrift/internal/relayer"
 	peerv1 "github.com/primrosedrift/primrosedrift/pkg/api/peer/v1"
 )
 
@@ -20,7 +20,7 @@
 		var d delta
 		version := uint64(1)
 		views := make(map[string]registrar.View)
-		c := &Client{Self: &peerv1.Member{Instance: "b"}, Upstreams: &registrar.Table{}, Poison: &relayer.PoisonTracker{}}
+		c := &Client{Self: &peerv1.Member{Instance: "b"}, Upstreams: &registrar.Table{}, Losses: &losstracker.Tracker{}}
 		own := map[string]int{"e0": 1}
 		for range rapid.IntRange(1, 40).Draw(t, "steps") {
 			id := fmt.Sprintf("e%d", rapid.IntRange(0, 3).Draw(t, "upstream"))
@@ -83,7 +83,7 @@
 func TestMemberChangesReproduceTheMembers(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		s, _ := newServer()
-		c := &Client{Self: &peerv1.Member{Instance: "w"}, Upstreams: &registrar.Table{}, Poison: &relayer.PoisonTracker{}}
+		c := &Client{Self: &peerv1.Member{Instance: "w"}, Upstreams: &registrar.Table{}, Losses: &losstracker.Tracker{}}
 		now := time.Unix(1000, 0)
 		incarnation := 0
 		for range rapid.IntRange(1, 40).Draw(t, "steps") {
--- a/internal/syncer/server.go
+++ b/internal/syncer/server.go
@@ -3,19 +3,19 @@
 import (
 	"context"
 	"math"
-	"strconv"
 	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/twitchtv/twirp"
+	"go.uber.org/zap"
 
 	"github.com/primrosedrift/primrosedrift/internal/conductor"
 	"github.com/primrosedrift/primrosedrift/internal/estimator"
 	"github.com/primrosedrift/primrosedrift/internal/follower"
 	"github.com/primrosedrift/primrosedrift/internal/leaser"
+	"github.com/primrosedrift/primrosedrift/internal/losstracker"
 	"github.com/primrosedrift/primrosedrift/internal/registrar"
-	"github.com/primrosedrift/primrosedrift/internal/relayer"
 	"github.com/primrosedrift/primrosedrift/internal/sequencer"
 	"github.com/primrosedrift/primrosedrift/internal/sleeper"
 	peerv1 "github.com/primrosedrift/primrosedrift/pkg/api/peer/v1"
@@ -38,8 +38,6 @@
 	// maxViewsAge is the age up to which the views of the conductor are used again for
 	// another watcher.
 	maxViewsAge = 10 * time.Millisecond
-	// lossTTL is how long a loss stays in the view after its last report.
-	lossTTL = 30 * time.Second
 	// maxWait bounds the wait of a long-polling call.
 	maxWait = time.Second
 )
@@ -55,14 +53,18 @@
 	Topics      map[string]*follower.Follower
 	// Store is this instance's direct access to the lease.
 	Store leaser.Store
+	// Losses are the losses that this instance knows.
+	Losses *losstracker.Tracker
+	Log    *zap.Logger
 
 	mu       sync.Mutex
 	members  map[string]member
 	removed  map[string]uint64   // version at which a member was removed, by instance
-	losses   map[string]loss     // by incarnation and fingerprint
 	watchers map[string]*watcher // by instance
 	version  uint64
 	delta    delta
+	// lossesSeen is the version of the losses that are in the view.
+	lossesSeen uint64
 
 	viewsMu      sync.Mutex
 	views        []registrar.View
@@ -76,11 +78,6 @@
 	version    uint64 // of its last change
 }
 
-type loss struct {
-	*peerv1.Loss
-	reportedAt time.Time
-}
-
 // Report implements peerv1.FleetCommands.
 func (s *Server) Report(_ context.Context, r *peerv1.ReportRequest) (*peerv1.ReportResponse, error) {
 	if !s.IsHolder() {
@@ -96,7 +93,7 @@
 	m := r.GetMember()
 	s.mu.Lock()
 	if s.members == nil {
-		s.members, s.removed, s.losses = make(map[string]member), make(map[string]uint64), make(map[string]loss)
+		s.members, s.removed = make(map[string]member), make(map[string]uint64)
 	}
 	old, isKnown := s.members[m.GetInstance()]
 	hasChanged := !isKnown || old.GetIncarnation() != m.GetIncarnation() || old.GetIsStopping() != m.GetIsStopping()
@@ -106,16 +103,13 @@
 		delete(s.removed, m.GetInstance())
 	}
 	s.members[m.GetInstance()] = member{m, now, changedIn}
-	for _, l := range r.GetLosses() {
-		k := l.GetIncarnation() + "/" + strconv.FormatUint(l.GetFingerprint(), 16)
-		if _, isKnown := s.losses[k]; !isKnown {
-			s.delta.lossesVersion = s.version + 1
-		}
-		s.losses[k] = loss{l, now}
-	}
 	if hasChanged {
 		s.notifyWatchersLocked()
 	}
+	if len(r.GetLosses()) > 0 {
+		s.Losses.MergeReport(decodeLosses(r.GetLosses(), s.Log), now)
+	}
+	s.syncLossesLocked()
 	s.mu.Unlock()
 	s.recordLeaving(r.GetLeaving(), now)
 	s.mu.Lock()
@@ -231,7 +225,7 @@
 	return w
 }
 
-// sweepLocked drops the members and losses whose last report is too long ago.
+// sweepLocked drops the members whose last report is too long ago.
 func (s *Server) sweepLocked(now time.Time) {
 	for name, m := range s.members {
 		if now.Sub(m.reportedAt) > memberTTL {
@@ -243,12 +237,6 @@
 			s.notifyWatchersLocked()
 		}
 	}
-	for k, l := range s.losses {
-		if now.Sub(l.reportedAt) > lossTTL {
-			delete(s.losses, k)
-			s.delta.lossesVersion = s.version + 1
-		}
-	}
 }
 
 // Watch implements peerv1.FleetQueries.
@@ -322,10 +310,12 @@
 		if c := s.NewestClaim(); !c.IsZero() {
 			out.Claim = encodeClaim(c)
 		}
+		out.Losses = encodeLosses(s.Losses.Recent(now))
 		return out
 	}
 	own := s.Conductor.RunningOf(instance)
 	s.mu.Lock()
+	s.syncLossesLocked()
 	version := s.version
 	s.mu.Unlock()
 	views := s.currentViews(version, now)
@@ -350,10 +340,7 @@
 		out.Leaving = encodeLeaving(leaving)
 	}
 	if out.Base == 0 || s.delta.lossesVersion > out.Base {
-		out.HasLosses = true
-		for _, l := range s.losses {
-			out.Losses = append(out.Losses, l.Loss)
-		}
+		out.HasLosses, out.Losses = true, encodeLosses(s.Losses.Shared(now))
 	}
 	return out
 }
@@ -421,11 +408,3 @@
 	}
 	return out
 }
-
-func decodeLosses(list []*peerv1.Loss) []relayer.Loss {
-	out := make([]relayer.Loss, 0, len(list))
-	for _, l := range list {
-		out = append(out, relayer.Loss{Fingerprint: l.GetFingerprint(), Incarnation: l.GetIncarnation()})
-	}
-	return out
-}
--- a/internal/syncer/server_test.go
+++ b/internal/syncer/server_test.go
@@ -12,6 +12,7 @@
 	"github.com/primrosedrift/primrosedrift/internal/conductor"
 	"github.com/primrosedrift/primrosedrift/internal/follower"
 	"github.com/primrosedrift/primrosedrift/internal/leaser"
+	"github.com/primrosedrift/primrosedrift/internal/losstracker"
 	"github.com/primrosedrift/primrosedrift/internal/matcher"
 	"github.com/primrosedrift/primrosedrift/internal/registrar"
 	"github.com/primrosedrift/primrosedrift/internal/sequencer"
@@ -27,6 +28,7 @@
 			Metrics: conductor.NewMetrics(prometheus.NewRegistry()),
 		},
 		IsHolder: func() bool { return holder }, Token: func() int64 { return 4 }, NewestClaim: func() leaser.Claim { return leaser.Claim{} },
+		Losses: &losstracker.Tracker{}, Log: zap.NewNop(),
 	}, &holder
 }
 
@@ -92,17 +94,33 @@
 	require.Equal(t, "a1", v.GetIncarnation())
 }
 
-func TestLossesExpire(t *testing.T) {
+// TestLossesOutliveTheInstanceThatReportedThem guards against a count that falls when the
+// instance that saw a loss is gone.
+func TestLossesOutliveTheInstanceThatReportedThem(t *testing.T) {
 	s, _ := newServer()
 	now := time.Now()
 	r := report("b", "b1", false)
-	r.Losses = []*peerv1.Loss{{Fingerprint: 7, Incarnation: "e1@1"}, {Fingerprint: 7, Incarnation: "e2@1"}, {Fingerprint: 7, Incarnation: "e1@1"}}
+	loss := func(fingerprint uint64, id string) *peerv1.Loss {
+		return &peerv1.Loss{Fingerprint: fingerprint, Incarnation: formatIncarnation(registrar.Incarnation{ID: id, StartedAtMs: 1})}
+	}
+	r.Losses = []*peerv1.Loss{loss(7, "e1"), loss(7, "e2"), loss(7, "e1"), loss(8, "e1")}
 	s.ApplyReport(r, now)
-	require.Len(t, s.View("c", 0, now).GetLosses(), 2)
+	require.Len(t, s.View("c", 0, now).GetLosses(), 2, "a request with a single loss is not told to all")
+	s.ApplyReport(report("c", "c1", false), now.Add(59*time.Minute))
 	s.mu.Lock()
-	s.sweepLocked(now.Add(lossTTL + time.Second))
+	s.sweepLocked(now.Add(59 * time.Minute))
 	s.mu.Unlock()
-	require.Empty(t, s.View("c", 0, now).GetLosses())
+	v := s.View("c", 0, now.Add(59*time.Minute))
+	require.Len(t, v.GetMembers(), 1)
+	require.Len(t, v.GetLosses(), 2)
+	require.Empty(t, s.View("c", 0, now.Add(61*time.Minute)).GetLosses())
+}
+
+// TestMalformedLossIsSkipped checks that a loss that cannot be read leaves the others.
+func TestMalformedLossIsSkipped(t *testing.T) {
+	i := registrar.Incarnation{ID: "a@b", StartedAtMs: 1700000000123}
+	list := []*peerv1.Loss{{Incarnation: "e1"}, {Incarnation: "e1@x"}, {Fingerprint: 7, Incarnation: formatIncarnation(i), IsSuspected: true}}
+	require.Equal(t, []losstracker.Loss{{Fingerprint: 7, Incarnation: i}}, decodeLosses(list, zap.NewNop()))
 }
 
 func TestRecordsAreServedToPeers(t *testing.T) {
