internal/losstracker, platform: poison requests are kept in the platform's log

What callers saw: after a restart of all instances a request that had crashed three upstreams was sent again. Cause: losses were known to running processes alone; an instance has no disk. Change: a request with three confirmed losses is appended to a keyed topic by the instances that observed one of them and by the holder of the lease, in one call a second at most; each instance that starts lists the topic once. After a restore of the log it is written again. The holder removes records older than an hour. Requests with fewer losses are not saved: a crash of an upstream gives a loss to each of its requests, and the count may start anew once below three without a fourth further upstream. A play of restarts, conductors that change and outages of the store: no further upstream once the request is saved; without exchange or without the log there are some (both in saver_test).

--- a/internal/assembler/assembler.go
+++ b/internal/assembler/assembler.go
@@ -103,6 +103,7 @@
 	pool             *courier.Pool
 	queue            *queuer.Queue
 	losses           *losstracker.Tracker
+	poisonSaver      *losstracker.Saver
 	budget           *retrier.Budget
 	relayer          *relayer.Relayer
 	conductor        *conductor.Conductor
@@ -203,6 +204,7 @@
 		Token: func() int64 { return a.lease.Newest().Token() }, NewestClaim: func() leaser.Claim { return a.lease.Newest() },
 		Losses: a.losses, Log: a.Log.Named("syncer"),
 	}
+	a.poisonSaver = &losstracker.Saver{Tracker: a.losses, Store: a.PoisonStore, IsHolder: a.lease.IsHolder, Log: a.Log.Named("losstracker")}
 	a.client = &syncer.Client{
 		Self: self, HTTP: syncer.NewHTTPClient(), Lease: a.lease, Server: a.server, Queue: a.queue, Upstreams: a.upstreamTable,
 		Losses: a.losses, IsStopping: a.isStopping.Load, Log: a.Log.Named("syncer"),
@@ -236,6 +238,7 @@
 			a.lease.ObserveEra(era)
 			if isRestored {
 				a.upstreamTable.RecordRestore(time.Now())
+				a.losses.RecordRestore()
 			}
 		},
 	}
@@ -358,7 +361,7 @@
 	defer end()
 	var wg sync.WaitGroup
 	for _, run := range []func(context.Context){
-		a.configFollower.Run, a.upstreamFollower.Run, a.queue.Run, a.lease.Run, a.conductor.Run, a.client.Run, a.sweepPeriodically,
+		a.configFollower.Run, a.upstreamFollower.Run, a.queue.Run, a.lease.Run, a.conductor.Run, a.client.Run, a.poisonSaver.Run, a.sweepPeriodically,
 	} {
 		wg.Go(func() { run(work) })
 	}
--- a/internal/assembler/deployment.go
+++ b/internal/assembler/deployment.go
@@ -8,6 +8,7 @@
 	"github.com/primrosedrift/primrosedrift/internal/courier"
 	"github.com/primrosedrift/primrosedrift/internal/follower"
 	"github.com/primrosedrift/primrosedrift/internal/leaser"
+	"github.com/primrosedrift/primrosedrift/internal/losstracker"
 	"github.com/primrosedrift/primrosedrift/internal/matcher"
 	"github.com/primrosedrift/primrosedrift/internal/registrar"
 	"github.com/primrosedrift/primrosedrift/internal/relayer"
@@ -42,6 +43,7 @@
 	// registrations of upstreams.
 	ConfigTopic, UpstreamTopic follower.Topic
 	LeaseStore                 leaser.Store
+	PoisonStore                losstracker.Store
 	DecodeConfig               func([]follower.Record) (*matcher.Config, error)
 	DecodeUpstream             func(id string, value []byte) (*registrar.Upstream, error)
 	// IsOlderConfig and IsOlderRegistration report whether the value a is of an older
--- a/internal/losstracker/attempt.go
+++ b/internal/losstracker/attempt.go
@@ -49,7 +49,7 @@
 	}
 	var events []event
 	if e != Completed {
-		events = t.addLocked(loss{Loss: Loss{a.fingerprint, a.incarnation, false}, learnedAt: now, isUncounted: e == Left}, Suspected, now)
+		events = t.addLocked(loss{Loss: Loss{a.fingerprint, a.incarnation, false}, learnedAt: now, isOwn: true, isUncounted: e == Left}, Suspected, now)
 	}
 	t.mu.Unlock()
 	t.notify(events)
--- a/internal/losstracker/doc.go
+++ b/internal/losstracker/doc.go
@@ -17,4 +17,7 @@
 //   - Losses are merged, never replaced: a message that comes late or from an earlier
 //     conductor cannot take back a later one.
 //   - Losses of a request count until lossTTL after the latest of them.
+//   - A request with enough confirmed losses is kept in the platform's log by the
+//     instances that observed them and by the conductor, and read by each instance that
+//     starts.
 package losstracker
--- a/internal/losstracker/losstracker.go
+++ b/internal/losstracker/losstracker.go
@@ -53,6 +53,7 @@
 	shared        map[uint64]struct{}
 	sharedVersion uint64
 	reporting     reporting
+	isUnsaved     map[uint64]struct{} // poison requests that are not in the log
 }
 
 // Change says what happened to a loss.
@@ -70,11 +71,15 @@
 type request struct {
 	losses   []*loss
 	latestAt time.Time
+	// isOwn says that this instance observed one of them.
+	isOwn   bool
+	isSaved bool // with its confirmed losses, in the log
 }
 
 type loss struct {
 	Loss
 	learnedAt time.Time
+	isOwn     bool // observed by this instance
 	// isUncounted says that the attempt was not seen to break, since its client left.
 	isUncounted bool
 }
@@ -139,6 +144,7 @@
 	t.undecided = make(map[registrar.Incarnation]map[uint64]struct{})
 	t.shared = make(map[uint64]struct{})
 	t.reporting.unreported = make(map[key]Loss)
+	t.isUnsaved = make(map[uint64]struct{})
 }
 
 // forgetLocked removes what is kept of a request besides its losses.
@@ -148,6 +154,7 @@
 		delete(t.reporting.unreported, keyOf(l.Loss))
 	}
 	delete(t.shared, fingerprint)
+	delete(t.isUnsaved, fingerprint)
 }
 
 // settleLocked removes a loss from the undecided ones.
@@ -173,6 +180,7 @@
 		r = &request{}
 		t.requests.Add(l.Fingerprint, r)
 	}
+	r.isOwn = r.isOwn || l.isOwn
 	known := r.find(l.Incarnation)
 	switch {
 	case known == nil && len(r.losses) >= maxLosses:
@@ -206,11 +214,14 @@
 	if c != Learned {
 		t.reporting.unreported[keyOf(known.Loss)] = known.Loss
 	}
-	counted, _ := r.numLosses()
+	counted, confirmed := r.numLosses()
 	if counted >= SharedThreshold {
 		t.shared[l.Fingerprint] = struct{}{}
 		t.sharedVersion++
 	}
+	if confirmed >= PoisonThreshold && !r.isSaved {
+		t.isUnsaved[l.Fingerprint] = struct{}{}
+	}
 	return []event{{known.Loss, c, counted}}
 }
 
@@ -228,7 +239,7 @@
 	t.mu.Lock()
 	var events []event
 	for a := range t.running[i] {
-		events = append(events, t.addLocked(loss{Loss: Loss{a.fingerprint, i, true}, learnedAt: now}, Confirmed, now)...)
+		events = append(events, t.addLocked(loss{Loss: Loss{a.fingerprint, i, true}, learnedAt: now, isOwn: true}, Confirmed, now)...)
 	}
 	events = append(events, t.confirmLocked(i, now)...)
 	t.mu.Unlock()
--- /dev/null
+++ b/internal/losstracker/saver_test.go
@@ -0,0 +1,187 @@
+package losstracker
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
+	"pgregory.net/rapid"
+
+	"github.com/primrosedrift/primrosedrift/internal/registrar"
+)
+
+// fleet is a number of instances that exchange their losses, and restart.
+type fleet struct {
+	trackers []*Tracker
+	savers   []*Saver
+	starts   []int // of each instance
+	saved    map[uint64]Poison
+	isAway   bool // the store
+}
+
+func newFleet(numInstances int) *fleet {
+	return &fleet{
+		trackers: make([]*Tracker, numInstances), savers: make([]*Saver, numInstances), starts: make([]int, numInstances),
+		saved: make(map[uint64]Poison),
+	}
+}
+
+func (f *fleet) store() Store {
+	return Store{
+		Load: func(context.Context) ([]Poison, []error, error) {
+			var out []Poison
+			for _, p := range f.saved {
+				out = append(out, p)
+			}
+			return out, nil, f.err()
+		},
+		Save: func(_ context.Context, list []Poison) error {
+			for _, p := range list {
+				if f.err() == nil && len(p.Ended) > 0 {
+					f.saved[p.Fingerprint] = p
+				} else if f.err() == nil {
+					delete(f.saved, p.Fingerprint)
+				}
+			}
+			return f.err()
+		},
+	}
+}
+
+func (f *fleet) err() error {
+	if f.isAway {
+		return errors.New("away")
+	}
+	return nil
+}
+
+// start replaces an instance by one that knows only what the store has.
+func (f *fleet) start(t require.TestingT, n int, now time.Time) {
+	f.trackers[n] = newTracker()
+	f.starts[n]++
+	f.savers[n] = &Saver{Tracker: f.trackers[n], Store: f.store(), IsHolder: func() bool { return n == 0 }, Log: zap.NewNop()}
+	if !f.isAway {
+		require.NoError(t, f.savers[n].load(context.Background(), now))
+	}
+}
+
+// exchange reports the losses of all instances to the conductor, and sends its view back.
+func (f *fleet) exchange(conductor int, now time.Time) {
+	name := fmt.Sprint(conductor, "/", f.starts[conductor])
+	for _, tr := range f.trackers {
+		list := tr.Unreported(name)
+		f.trackers[conductor].MergeReport(list, now)
+		tr.RecordReported(name, list)
+	}
+	for _, tr := range f.trackers {
+		tr.MergeView(name, f.trackers[conductor].Shared(now), now)
+	}
+}
+
+// playPoison plays a poison request on a fleet: it is sent again and again, to any
+// instance. In between instances are restarted, conductors change and the store is away.
+// It returns the number of upstreams that it has ended after all instances could know of
+// the third.
+func playPoison(t *rapid.T, isExchanged, isSaved bool) (extra int) {
+	f := newFleet(4)
+	now := start
+	for n := range f.trackers {
+		f.start(t, n, now)
+	}
+	ended, known := 0, false
+	for range 60 {
+		now = now.Add(time.Second)
+		switch n := rapid.IntRange(0, 3).Draw(t, "instance"); rapid.IntRange(0, 9).Draw(t, "step") {
+		case 0:
+			f.start(t, n, now)
+		case 1: // all restart; the store is reachable, since instances cannot start without it
+			f.isAway = false
+			for n := range f.trackers {
+				f.start(t, n, now)
+			}
+		case 2:
+			f.isAway = !f.isAway
+		default:
+			if counted, _ := f.trackers[n].Losses(poison, now); counted >= PoisonThreshold {
+				break
+			}
+			ended++
+			if known {
+				extra++
+			}
+			f.trackers[n].Begin(inc(ended), poison).End(Broken, now)
+		}
+		if isExchanged {
+			f.exchange(rapid.IntRange(0, 3).Draw(t, "conductor"), now)
+		}
+		for _, tr := range f.trackers {
+			if !f.isAway { // the ends are learned
+				tr.Sweep(func(registrar.Incarnation) bool { return false }, now.Add(time.Minute))
+			}
+		}
+		for _, s := range f.savers {
+			if isSaved {
+				s.save(context.Background())
+			}
+		}
+		known = known || len(f.saved) > 0 || !isSaved && ended >= PoisonThreshold
+	}
+	return extra
+}
+
+// TestPoisonRequestEndsNoMoreUpstreamsOnceItIsSaved guards against a count that starts
+// anew when instances or conductors change.
+func TestPoisonRequestEndsNoMoreUpstreamsOnceItIsSaved(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) { require.Zero(t, playPoison(t, true, true)) })
+}
+
+// The same play ends further upstreams if nothing is saved, or nothing is exchanged.
+func TestPoisonRequestEndsMoreUpstreamsWithoutExchangeOrLog(t *testing.T) {
+	for name, play := range map[string]func(*rapid.T) int{
+		"no log":      func(t *rapid.T) int { return playPoison(t, true, false) },
+		"no exchange": func(t *rapid.T) int { return playPoison(t, false, false) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			var extra int
+			rapid.Check(t, func(t *rapid.T) { extra += play(t) })
+			require.Positive(t, extra)
+		})
+	}
+}
+
+func TestRestoredLogIsSavedAgain(t *testing.T) {
+	f := newFleet(1)
+	f.start(t, 0, start)
+	for n := range PoisonThreshold {
+		f.trackers[0].Begin(inc(n), poison).End(Broken, start)
+		f.trackers[0].RecordEnd(inc(n), start)
+	}
+	f.savers[0].save(t.Context())
+	require.Len(t, f.saved[poison].Ended, PoisonThreshold)
+	clear(f.saved)
+	f.savers[0].save(t.Context())
+	require.Empty(t, f.saved, "it is saved once")
+	f.trackers[0].RecordRestore()
+	f.isAway = true
+	f.savers[0].save(t.Context())
+	f.isAway = false
+	f.savers[0].save(t.Context())
+	require.Len(t, f.saved, 1)
+}
+
+func TestExpiredPoisonRequestsAreRemovedByTheHolder(t *testing.T) {
+	f := newFleet(2)
+	f.saved = map[uint64]Poison{
+		poison: {poison, []registrar.Incarnation{inc(1)}, start.Add(-2 * lossTTL)}, 8: {8, []registrar.Incarnation{inc(1)}, start},
+	}
+	f.start(t, 1, start)
+	require.Len(t, f.saved, 2)
+	f.start(t, 0, start)
+	require.Len(t, f.saved, 1)
+	require.Equal(t, [2]int{1, 1}, f.trackers[1].counts(8, start))
+	require.Equal(t, [2]int{0, 0}, f.trackers[1].counts(poison, start))
+}
