internal/relayer: a request is checked for poison again after its wait

What callers saw: a request that waited in the queue while its third loss became known was sent to a fourth upstream. Cause: losses were looked up before the wait only. Class: asked once, before a wait. Change: looked up again when a slot is granted; the slot is released if it is refused. Before: status 200 where 503 is wanted. After: TestPoisonRequestIsRefusedAfterItsWaitInTheQueue passes, and the upstream sees none of it.

--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -256,6 +256,11 @@
 		if err != nil {
 			return c.withEarlierAttempts(verdict.FromError(err))
 		}
+		// More losses may have become known while the request waited.
+		if err := c.refusePoison(); err != nil {
+			slot.Release()
+			return err
+		}
 		c.numSends++
 		done, err := c.attempt(ctx, slot)
 		if done || err != nil {
