internal/relayer: headers are no part of a request's fingerprint

What callers saw: the same content, sent again with other statements about its model or its shared prompt parts, was counted as another request. Cause: the fingerprint contained the model, the adapter and the prefix that headers state. Change: method, host, target and body. The caller is left out as before: requests with the same content that crash three upstreams are the same to the upstreams, whoever sends them. Before: two fingerprints. After: TestPoisonRequestIsRecognizedByItsContent passes.

--- a/internal/relayer/poison.go
+++ b/internal/relayer/poison.go
@@ -27,10 +27,10 @@
 		counted, confirmed, FormatFingerprint(c.fingerprint))
 }
 
-// fingerprint identifies the content of a request, independent of its id and its
-// client.
+// fingerprint identifies the content of a request, independent of its id, its client and
+// its headers: a caller may state other headers when it sends the same content again.
 func fingerprint(c *call) uint64 {
-	return quarantiner.Fingerprint(c.req.Method, c.req.Host, c.req.Target, c.requestInfo.Model, c.requestInfo.Adapter, c.requestInfo.Prefix, string(c.req.Body))
+	return quarantiner.Fingerprint(c.req.Method, c.req.Host, c.req.Target, string(c.req.Body))
 }
 
 // FormatFingerprint returns the fingerprint of a request as it stands in logs.
