internal/losstracker: a request that runs to its end is no poison request

What callers would see: content that many callers send, such as a query without a body, runs on all upstreams at any moment; when three end together, it would be refused for an hour. Cause: nothing took a loss back. Change: a run that succeeds refutes the losses of its content at this instance; refuted ones are kept, so that the view of others does not bring them back. Refuted is what one instance has seen; another without a success of its own refuses until one of its running requests with that content succeeds.

--- a/internal/losstracker/attempt.go
+++ b/internal/losstracker/attempt.go
@@ -13,6 +13,8 @@
 const (
 	// Completed means that the upstream responded, or did not run the request.
 	Completed Ending = iota
+	// Succeeded means that the upstream ran the request to its end.
+	Succeeded
 	// Left means that the client left or its time was over while the upstream responded.
 	Left
 	// Broken means that the upstream did not respond, or not completely.
@@ -48,7 +50,11 @@
 		delete(t.running, a.incarnation)
 	}
 	var events []event
-	if e != Completed {
+	switch e {
+	case Completed:
+	case Succeeded:
+		events = t.refuteLocked(a.fingerprint, now)
+	default:
 		events = t.addLocked(loss{Loss: Loss{a.fingerprint, a.incarnation, false}, learnedAt: now, isOwn: true, isUncounted: e == Left}, Suspected, now)
 	}
 	t.mu.Unlock()
--- a/internal/losstracker/losstracker.go
+++ b/internal/losstracker/losstracker.go
@@ -64,6 +64,7 @@
 	Suspected Change = "suspected"
 	Confirmed Change = "confirmed"
 	Withdrawn Change = "withdrawn"
+	Refuted   Change = "refuted"
 	Learned   Change = "learned" // from another instance or from the log
 )
 
@@ -80,11 +81,13 @@
 	Loss
 	learnedAt time.Time
 	isOwn     bool // observed by this instance
+	// isRefuted says that the request has run to its end since.
+	isRefuted bool
 	// isUncounted says that the attempt was not seen to break, since its client left.
 	isUncounted bool
 }
 
-func (l *loss) counts() bool { return l.IsConfirmed || !l.isUncounted }
+func (l *loss) counts() bool { return !l.isRefuted && (l.IsConfirmed || !l.isUncounted) }
 
 // numLosses returns the number of losses that count, and of the confirmed ones.
 func (r *request) numLosses() (counted, confirmed int) {
@@ -92,7 +95,7 @@
 		if l.counts() {
 			counted++
 		}
-		if l.IsConfirmed {
+		if l.IsConfirmed && !l.isRefuted {
 			confirmed++
 		}
 	}
@@ -182,6 +185,9 @@
 	}
 	r.isOwn = r.isOwn || l.isOwn
 	known := r.find(l.Incarnation)
+	if known == nil && len(r.losses) >= maxLosses {
+		t.removeRefutedLocked(r)
+	}
 	switch {
 	case known == nil && len(r.losses) >= maxLosses:
 		r.latestAt = now
@@ -225,6 +231,38 @@
 	return []event{{known.Loss, c, counted}}
 }
 
+// refuteLocked takes back the losses of a request that has run to its end. They are kept
+// as refuted, so that other instances do not bring them back.
+func (t *Tracker) refuteLocked(fingerprint uint64, now time.Time) []event {
+	r := t.requestLocked(fingerprint, now)
+	if r == nil {
+		return nil
+	}
+	var events []event
+	for _, l := range r.losses {
+		if l.counts() {
+			events = append(events, event{l.Loss, Refuted, 0})
+		}
+		l.isRefuted = true
+		delete(t.reporting.unreported, keyOf(l.Loss))
+	}
+	delete(t.isUnsaved, fingerprint)
+	if _, isShared := t.shared[fingerprint]; isShared {
+		delete(t.shared, fingerprint)
+		t.sharedVersion++
+	}
+	return events
+}
+
+func (t *Tracker) removeRefutedLocked(r *request) {
+	r.losses = slices.DeleteFunc(r.losses, func(l *loss) bool {
+		if l.isRefuted {
+			t.settleLocked(l)
+		}
+		return l.isRefuted
+	})
+}
+
 func (t *Tracker) notify(events []event) {
 	if t.OnChange == nil {
 		return
--- a/internal/losstracker/losstracker_test.go
+++ b/internal/losstracker/losstracker_test.go
@@ -90,6 +90,31 @@
 	require.Equal(t, [2]int{0, 0}, tr.counts(poison, start.Add(20*lossTTL)))
 }
 
+// TestPopularRequestIsNotRefusedAfterSimultaneousEnds guards against the refusal of a
+// request that ran on all of several upstreams when these ended together.
+func TestPopularRequestIsNotRefusedAfterSimultaneousEnds(t *testing.T) {
+	tr := newTracker()
+	inFlight := tr.Begin(inc(9), poison)
+	for n := range PoisonThreshold {
+		tr.Begin(inc(n), poison).End(Broken, start)
+	}
+	tr.RecordEnd(inc(0), start)
+	require.Equal(t, [2]int{3, 1}, tr.counts(poison, start))
+	version := tr.SharedVersion()
+	inFlight.End(Succeeded, start)
+	require.Equal(t, [2]int{0, 0}, tr.counts(poison, start))
+	require.Greater(t, tr.SharedVersion(), version)
+	require.Empty(t, tr.Shared(start))
+	require.Empty(t, tr.Unreported("c"))
+	tr.MergeReport([]Loss{{poison, inc(0), true}, {poison, inc(1), true}, {poison, inc(2), false}}, start)
+	require.Equal(t, [2]int{0, 0}, tr.counts(poison, start), "others do not bring them back")
+	for n := range maxLosses {
+		tr.Begin(inc(10+n), poison).End(Broken, start)
+	}
+	require.Equal(t, [2]int{maxLosses, 0}, tr.counts(poison, start), "later losses count")
+	require.NotContains(t, tr.undecided, inc(1))
+}
+
 func TestUnregisteredIncarnationHasEnded(t *testing.T) {
 	tr := newTracker()
 	tr.MergeReport([]Loss{{poison, inc(1), false}, {poison, inc(2), false}}, start)
--- a/internal/losstracker/saver.go
+++ b/internal/losstracker/saver.go
@@ -140,7 +140,7 @@
 		}
 		p := Poison{Fingerprint: f, At: r.latestAt}
 		for _, l := range r.losses {
-			if l.IsConfirmed {
+			if l.IsConfirmed && l.counts() {
 				p.Ended = append(p.Ended, l.Incarnation)
 			}
 		}
--- a/internal/relayer/attempt.go
+++ b/internal/relayer/attempt.go
@@ -86,6 +86,8 @@
 // ending returns what the end of an attempt says about its upstream.
 func (c *call) ending(res attemptResult, isCanceled bool, took time.Duration) losstracker.Ending {
 	switch {
+	case res.isForwarded && !res.hasFailed && c.status < http.StatusMultipleChoices:
+		return losstracker.Succeeded
 	case res.isNotRun || res.isComplete || res.isForwarded && !res.hasFailed:
 		return losstracker.Completed
 	case isCanceled || !res.hasFailed:
