--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -224,7 +224,7 @@
 	defer t.mu.Unlock()
 	e := t.registrations[i.ID]
 	gone, isGone := t.gone[i.ID]
-	return e != nil && e.StartedAtMs == i.StartedAtMs && !(isGone && gone == i.StartedAtMs)
+	return e != nil && e.StartedAtMs == i.StartedAtMs && (!isGone || gone != i.StartedAtMs)
 }
 
 // RecordRestore records that the platform's log came back from an older copy.
