internal/dispatcher: a generation is checked for poison again after its wait

What callers would see: a request that waits while its second loss becomes known crashes another upstream; one that waits while its first becomes known runs beside another suspect. Change: looked up at each choice and after the grant; a poison request takes any free candidate and is refused with it, instead of waiting for one without suspects. The candidates of a generation are a function field now, as the test's seam.

--- a/internal/dispatcher/generate.go
+++ b/internal/dispatcher/generate.go
@@ -40,6 +40,7 @@
 
 	fingerprint uint64
 	prefix      uint64
+	candidates  func(now time.Time) []router.Candidate
 	nextToken   uint32          // index of the next token
 	hasToken    bool            // a token has been received
 	tried       map[string]bool // upstreams that have failed this request
@@ -55,6 +56,7 @@
 		fingerprint: quarantiner.Fingerprint(req.GetCustomer(), req.GetModel(), req.GetAdapter(), req.GetPrompt()),
 		prefix:      prefixer.Hash(req.GetModel(), req.GetAdapter(), req.GetPrompt()),
 		nextToken:   req.GetFromToken(), tried: make(map[string]bool), ran: verdict.NotRun,
+		candidates: func(now time.Time) []router.Candidate { return d.replicas(req, now) },
 	}
 	return g.run(ctx)
 }
@@ -65,10 +67,8 @@
 	wait := time.Until(g.adm.Deadline)
 	g.d.RetryBudget.Deposit()
 	for attempt := range maxAttempts {
-		losses := g.losses()
-		if losses >= applier.PoisonThreshold {
-			return 0, g.refuse(verdict.Refuse(verdict.ReasonPoison, poisonRetryDelay,
-				"%d upstreams ended while they ran this request", losses))
+		if _, err := g.checkLosses(); err != nil {
+			return 0, err
 		}
 		if attempt > 0 && !g.d.RetryBudget.TryWithdraw() {
 			break
@@ -77,7 +77,7 @@
 			g.adm.Deadline = time.Now().Add(wait) // an interrupted response has the full time again to continue
 		}
 		g.ticket.MarkWaiting(g.adm.Deadline)
-		c, a, err := g.admit(ctx, losses > 0)
+		c, a, err := g.admit(ctx)
 		if err != nil {
 			return 0, g.refuse(verdict.FromError(err))
 		}
@@ -109,28 +109,41 @@
 	return g.d.Quarantiner.Losses(g.fingerprint, lostIncarnations, now)
 }
 
+// checkLosses returns the number of upstreams that ended while they ran this request,
+// and a refusal if it is a poison request.
+func (g *generation) checkLosses() (int, error) {
+	losses := g.losses()
+	if losses < applier.PoisonThreshold {
+		return losses, nil
+	}
+	return losses, g.refuse(verdict.Refuse(verdict.ReasonPoison, poisonRetryDelay, "%d upstreams ended while they ran this request", losses))
+}
+
 // admit waits for a candidate. A suspected poison request waits for a candidate
-// that runs no other suspect.
-func (g *generation) admit(ctx context.Context, isSuspect bool) (admitter.Grant, *quarantiner.Attempt, error) {
+// that runs no other suspect. Losses may become known during the wait.
+func (g *generation) admit(ctx context.Context) (admitter.Grant, *quarantiner.Attempt, error) {
 	for {
-		c, err := g.d.admit(ctx, g.adm, g.tried, func(now time.Time) []router.Candidate {
-			return g.d.replicas(g.req, now)
-		}, g.refine(isSuspect))
+		c, err := g.d.admit(ctx, g.adm, g.tried, g.candidates, g.refine)
 		if err != nil {
 			return c, nil, err
 		}
-		if a := g.d.Quarantiner.Begin(c.Upstream, c.Incarnation, g.fingerprint, isSuspect); a != nil {
+		losses, err := g.checkLosses()
+		if err != nil {
+			c.Done()
+			return c, nil, err
+		}
+		if a := g.d.Quarantiner.Begin(c.Upstream, c.Incarnation, g.fingerprint, losses > 0); a != nil {
 			return c, a, nil
 		}
 		c.Done()
 	}
 }
 
-func (g *generation) refine(isSuspect bool) refineFunc {
-	return func(c router.Candidate) (router.Candidate, bool) {
-		c.HasPrefix = g.d.Monitor.HasPrefix(c.Upstream, g.prefix)
-		return c, !isSuspect || g.d.Quarantiner.CanRunSuspect(c.Upstream)
-	}
+func (g *generation) refine(c router.Candidate) (router.Candidate, bool) {
+	c.HasPrefix = g.d.Monitor.HasPrefix(c.Upstream, g.prefix)
+	losses := g.losses()
+	// A poison request gets any candidate, so that admit refuses it at once.
+	return c, losses == 0 || losses >= applier.PoisonThreshold || g.d.Quarantiner.CanRunSuspect(c.Upstream)
 }
 
 // attempt makes one attempt. The first attempt may use half of the time until
