internal/losstracker: another break at the same incarnation is another loss

What callers see: while registrations are not read, a service of two upstreams that restart under their ids is crashed by one request again and again. Cause: losses were matched by the incarnation that the instance knew, and an upstream may have restarted since. Change: an attempt that begins when losses of its content at that incarnation are known already is a further one; attempts that ran at the same time remain one loss. The field repeat in messages holds the number of the earlier ones. Before: TestRestartsThatAreNotRegisteredCount counts 1 of 3.

--- a/internal/losstracker/attempt.go
+++ b/internal/losstracker/attempt.go
@@ -26,6 +26,7 @@
 	tracker     *Tracker
 	incarnation registrar.Incarnation
 	fingerprint uint64
+	repeat      int // see Loss.Repeat
 }
 
 // Begin records the start of an attempt.
@@ -33,7 +34,14 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.initLocked()
-	a := &Attempt{t, i, fingerprint}
+	a := &Attempt{t, i, fingerprint, 0}
+	if r, ok := t.requests.Peek(fingerprint); ok {
+		for _, l := range r.losses {
+			if l.Incarnation == i && l.counts() {
+				a.repeat++
+			}
+		}
+	}
 	if t.running[i] == nil {
 		t.running[i] = make(map[*Attempt]struct{})
 	}
@@ -55,7 +63,7 @@
 	case Succeeded:
 		events = t.refuteLocked(a.fingerprint, now)
 	default:
-		events = t.addLocked(loss{Loss: Loss{a.fingerprint, a.incarnation, false}, learnedAt: now, isOwn: true, isUncounted: e == Left}, Suspected, now)
+		events = t.addLocked(loss{Loss: Loss{a.fingerprint, a.incarnation, a.repeat, false}, learnedAt: now, isOwn: true, isUncounted: e == Left}, Suspected, now)
 	}
 	t.mu.Unlock()
 	t.notify(events)
--- a/internal/losstracker/doc.go
+++ b/internal/losstracker/doc.go
@@ -9,6 +9,8 @@
 //   - An attempt that breaks is a suspected loss at once and counts like a confirmed
 //     one: how long it takes until the end of an upstream is known depends on the
 //     platform, and the next attempt may crash another upstream.
+//   - Another attempt at the same incarnation that breaks is another loss: the upstream
+//     may have restarted in between without its registration being known.
 //   - An attempt whose client left counts only once its upstream is known to have ended.
 //   - A suspected loss is confirmed when the incarnation is known to have ended, and
 //     withdrawn when the incarnation has registered itself later. Every instance decides
--- a/internal/losstracker/exchange.go
+++ b/internal/losstracker/exchange.go
@@ -18,9 +18,10 @@
 type key struct {
 	fingerprint uint64
 	incarnation registrar.Incarnation
+	repeat      int
 }
 
-func keyOf(l Loss) key { return key{l.Fingerprint, l.Incarnation} }
+func keyOf(l Loss) key { return key{l.Fingerprint, l.Incarnation, l.Repeat} }
 
 // reporting is what the conductor has been told.
 type reporting struct {
--- a/internal/losstracker/losstracker.go
+++ b/internal/losstracker/losstracker.go
@@ -29,7 +29,12 @@
 // Loss states that an incarnation of an upstream ended while it ran a request.
 type Loss struct {
 	Fingerprint uint64 // of the request
+	// Incarnation is the one that was known when the attempt began.
 	Incarnation registrar.Incarnation
+	// Repeat is the number of earlier losses of the request at this incarnation that
+	// were known when the attempt began. Another incarnation of the upstream may have
+	// run it, which had not been registered yet.
+	Repeat int
 	// IsConfirmed says that the incarnation is known to have ended.
 	IsConfirmed bool
 }
@@ -102,15 +107,26 @@
 	return counted, confirmed
 }
 
-func (r *request) find(i registrar.Incarnation) *loss {
+func (r *request) find(k key) *loss {
 	for _, l := range r.losses {
-		if l.Incarnation == i {
+		if keyOf(l.Loss) == k {
 			return l
 		}
 	}
 	return nil
 }
 
+// undecided returns the losses at an incarnation that are neither confirmed nor refuted.
+func (r *request) undecided(i registrar.Incarnation) []*loss {
+	var out []*loss
+	for _, l := range r.losses {
+		if l.Incarnation == i && !l.IsConfirmed && !l.isRefuted {
+			out = append(out, l)
+		}
+	}
+	return out
+}
+
 // Losses returns how many upstreams ended, or may have, while they ran the request, and
 // how many of them have ended for sure.
 func (t *Tracker) Losses(fingerprint uint64, now time.Time) (counted, confirmed int) {
@@ -152,16 +168,25 @@
 
 // forgetLocked removes what is kept of a request besides its losses.
 func (t *Tracker) forgetLocked(fingerprint uint64, r *request) {
-	for _, l := range r.losses {
-		t.settleLocked(l)
+	losses := r.losses
+	r.losses = nil
+	for _, l := range losses {
+		t.indexLocked(r, l.Loss)
 		delete(t.reporting.unreported, keyOf(l.Loss))
 	}
 	delete(t.shared, fingerprint)
 	delete(t.isUnsaved, fingerprint)
 }
 
-// settleLocked removes a loss from the undecided ones.
-func (t *Tracker) settleLocked(l *loss) {
+// indexLocked updates the index of undecided losses after a change of a loss.
+func (t *Tracker) indexLocked(r *request, l Loss) {
+	if len(r.undecided(l.Incarnation)) > 0 {
+		if t.undecided[l.Incarnation] == nil {
+			t.undecided[l.Incarnation] = make(map[uint64]struct{})
+		}
+		t.undecided[l.Incarnation][l.Fingerprint] = struct{}{}
+		return
+	}
 	delete(t.undecided[l.Incarnation], l.Fingerprint)
 	if len(t.undecided[l.Incarnation]) == 0 {
 		delete(t.undecided, l.Incarnation)
@@ -184,9 +209,9 @@
 		t.requests.Add(l.Fingerprint, r)
 	}
 	r.isOwn = r.isOwn || l.isOwn
-	known := r.find(l.Incarnation)
+	known := r.find(keyOf(l.Loss))
 	if known == nil && len(r.losses) >= maxLosses {
-		t.removeRefutedLocked(r)
+		r.removeRefuted()
 	}
 	switch {
 	case known == nil && len(r.losses) >= maxLosses:
@@ -206,14 +231,7 @@
 		return nil
 	}
 	r.latestAt = now
-	if known.IsConfirmed {
-		t.settleLocked(known)
-	} else {
-		if t.undecided[l.Incarnation] == nil {
-			t.undecided[l.Incarnation] = make(map[uint64]struct{})
-		}
-		t.undecided[l.Incarnation][l.Fingerprint] = struct{}{}
-	}
+	t.indexLocked(r, known.Loss)
 	if !known.counts() {
 		return nil
 	}
@@ -244,6 +262,7 @@
 			events = append(events, event{l.Loss, Refuted, 0})
 		}
 		l.isRefuted = true
+		t.indexLocked(r, l.Loss)
 		delete(t.reporting.unreported, keyOf(l.Loss))
 	}
 	delete(t.isUnsaved, fingerprint)
@@ -254,13 +273,8 @@
 	return events
 }
 
-func (t *Tracker) removeRefutedLocked(r *request) {
-	r.losses = slices.DeleteFunc(r.losses, func(l *loss) bool {
-		if l.isRefuted {
-			t.settleLocked(l)
-		}
-		return l.isRefuted
-	})
+func (r *request) removeRefuted() {
+	r.losses = slices.DeleteFunc(r.losses, func(l *loss) bool { return l.isRefuted })
 }
 
 func (t *Tracker) notify(events []event) {
@@ -277,7 +291,7 @@
 	t.mu.Lock()
 	var events []event
 	for a := range t.running[i] {
-		events = append(events, t.addLocked(loss{Loss: Loss{a.fingerprint, i, true}, learnedAt: now, isOwn: true}, Confirmed, now)...)
+		events = append(events, t.addLocked(loss{Loss: Loss{a.fingerprint, i, a.repeat, true}, learnedAt: now, isOwn: true}, Confirmed, now)...)
 	}
 	events = append(events, t.confirmLocked(i, now)...)
 	t.mu.Unlock()
@@ -288,7 +302,10 @@
 func (t *Tracker) confirmLocked(i registrar.Incarnation, now time.Time) []event {
 	var events []event
 	for _, f := range t.undecidedLocked(i) {
-		events = append(events, t.addLocked(loss{Loss: Loss{f, i, true}, learnedAt: now}, Confirmed, now)...)
+		r, _ := t.requests.Peek(f)
+		for _, l := range r.undecided(i) {
+			events = append(events, t.addLocked(loss{Loss: Loss{f, i, l.Repeat, true}, learnedAt: now}, Confirmed, now)...)
+		}
 	}
 	return events
 }
@@ -310,41 +327,49 @@
 	var events []event
 	for _, f := range t.undecidedLocked(i) {
 		r, _ := t.requests.Peek(f)
-		l := r.find(i)
-		if now.Sub(l.learnedAt) <= t.RegistrationDelay {
-			continue
-		}
-		t.settleLocked(l)
-		delete(t.reporting.unreported, keyOf(l.Loss))
-		r.losses = slices.DeleteFunc(r.losses, func(x *loss) bool { return x == l })
-		counted, _ := r.numLosses()
-		if _, isShared := t.shared[f]; isShared {
-			t.sharedVersion++
-			if counted < SharedThreshold {
-				delete(t.shared, f)
+		for _, l := range r.undecided(i) {
+			if now.Sub(l.learnedAt) > t.RegistrationDelay {
+				events = append(events, t.withdrawLocked(r, l)...)
 			}
 		}
-		if l.counts() {
-			events = append(events, event{l.Loss, Withdrawn, counted})
-		}
 	}
 	t.mu.Unlock()
 	t.notify(events)
 }
 
+func (t *Tracker) withdrawLocked(r *request, l *loss) []event {
+	r.losses = slices.DeleteFunc(r.losses, func(x *loss) bool { return x == l })
+	t.indexLocked(r, l.Loss)
+	delete(t.reporting.unreported, keyOf(l.Loss))
+	counted, _ := r.numLosses()
+	if _, isShared := t.shared[l.Fingerprint]; isShared {
+		t.sharedVersion++
+		if counted < SharedThreshold {
+			delete(t.shared, l.Fingerprint)
+		}
+	}
+	if !l.counts() {
+		return nil
+	}
+	return []event{{l.Loss, Withdrawn, counted}}
+}
+
 // Sweep confirms the suspected losses of incarnations that are not registered any more.
 // It must not be called while registrations may be missing.
 func (t *Tracker) Sweep(isRegistered func(registrar.Incarnation) bool, now time.Time) {
 	t.mu.Lock()
 	var events []event
-	for i, fingerprints := range t.undecided {
+	for i := range t.undecided {
 		if isRegistered(i) {
 			continue
 		}
-		for f := range fingerprints {
-			// The registration of a new upstream may not have been read yet.
-			if r, _ := t.requests.Peek(f); now.Sub(r.find(i).learnedAt) > t.RegistrationDelay {
-				events = append(events, t.addLocked(loss{Loss: Loss{f, i, true}, learnedAt: now}, Confirmed, now)...)
+		for _, f := range t.undecidedLocked(i) {
+			r, _ := t.requests.Peek(f)
+			for _, l := range r.undecided(i) {
+				// The registration of a new upstream may not have been read yet.
+				if now.Sub(l.learnedAt) > t.RegistrationDelay {
+					events = append(events, t.addLocked(loss{Loss: Loss{f, i, l.Repeat, true}, learnedAt: now}, Confirmed, now)...)
+				}
 			}
 		}
 	}
--- a/internal/losstracker/losstracker_test.go
+++ b/internal/losstracker/losstracker_test.go
@@ -69,6 +69,28 @@
 	require.Len(t, tr.Unreported("c"), 1)
 }
 
+// TestRestartsThatAreNotRegisteredCount guards against upstreams of one id that crash
+// again and again while the platform's log cannot be read.
+func TestRestartsThatAreNotRegisteredCount(t *testing.T) {
+	tr, peer := newTracker(), newTracker()
+	first, second := tr.Begin(inc(1), poison), tr.Begin(inc(1), poison)
+	first.End(Broken, start)
+	second.End(Broken, start)
+	require.Equal(t, [2]int{1, 0}, tr.counts(poison, start), "both ran when it ended")
+	tr.Begin(inc(1), poison).End(Broken, start)
+	require.Equal(t, [2]int{2, 0}, tr.counts(poison, start))
+	peer.MergeReport(tr.Unreported("c"), start)
+	peer.Begin(inc(1), poison).End(Broken, start)
+	require.Equal(t, [2]int{3, 0}, peer.counts(poison, start))
+	tr.MergeReport(peer.Shared(start), start)
+	require.Equal(t, [2]int{3, 0}, tr.counts(poison, start))
+	tr.RecordEnd(inc(1), start)
+	require.Equal(t, [2]int{3, 3}, tr.counts(poison, start))
+	peer.RecordRegistration(inc(1), start.Add(delay+1))
+	require.Equal(t, [2]int{0, 0}, peer.counts(poison, start))
+	require.Empty(t, peer.undecided)
+}
+
 func TestRunningAttemptIsLostWithItsUpstream(t *testing.T) {
 	tr := newTracker()
 	a := tr.Begin(inc(1), poison)
@@ -106,7 +128,7 @@
 	require.Greater(t, tr.SharedVersion(), version)
 	require.Empty(t, tr.Shared(start))
 	require.Empty(t, tr.Unreported("c"))
-	tr.MergeReport([]Loss{{poison, inc(0), true}, {poison, inc(1), true}, {poison, inc(2), false}}, start)
+	tr.MergeReport([]Loss{{poison, inc(0), 0, true}, {poison, inc(1), 0, true}, {poison, inc(2), 0, false}}, start)
 	require.Equal(t, [2]int{0, 0}, tr.counts(poison, start), "others do not bring them back")
 	for n := range maxLosses {
 		tr.Begin(inc(10+n), poison).End(Broken, start)
@@ -117,7 +139,7 @@
 
 func TestUnregisteredIncarnationHasEnded(t *testing.T) {
 	tr := newTracker()
-	tr.MergeReport([]Loss{{poison, inc(1), false}, {poison, inc(2), false}}, start)
+	tr.MergeReport([]Loss{{poison, inc(1), 0, false}, {poison, inc(2), 0, false}}, start)
 	isRegistered := func(i registrar.Incarnation) bool { return i == inc(1) }
 	tr.Sweep(isRegistered, start.Add(delay))
 	require.Equal(t, [2]int{2, 0}, tr.counts(poison, start), "its registration may not have been read yet")
@@ -145,19 +167,19 @@
 	}
 	require.Len(t, tr.Unreported("c2"), maxReported)
 	require.False(t, tr.RecordReported("c1", first), "an earlier conductor's response")
-	tr.MergeView("c2", []Loss{{3, inc(1), true}}, start)
-	require.NotContains(t, tr.Unreported("c2"), Loss{3, inc(1), true})
+	tr.MergeView("c2", []Loss{{3, inc(1), 0, true}}, start)
+	require.NotContains(t, tr.Unreported("c2"), Loss{3, inc(1), 0, true})
 }
 
 func TestOnlyRequestsWithSeveralLossesAreShared(t *testing.T) {
 	tr := newTracker()
 	before := tr.SharedVersion()
-	tr.MergeReport([]Loss{{1, inc(1), true}, {2, inc(1), true}}, start)
+	tr.MergeReport([]Loss{{1, inc(1), 0, true}, {2, inc(1), 0, true}}, start)
 	require.Empty(t, tr.Shared(start))
 	require.Equal(t, before, tr.SharedVersion())
 	require.Len(t, tr.Recent(start), 2, "peers without a conductor are told new ones, too")
-	tr.MergeReport([]Loss{{2, inc(2), false}}, start)
-	require.ElementsMatch(t, []Loss{{2, inc(1), true}, {2, inc(2), false}}, tr.Shared(start))
+	tr.MergeReport([]Loss{{2, inc(2), 0, false}}, start)
+	require.ElementsMatch(t, []Loss{{2, inc(1), 0, true}, {2, inc(2), 0, false}}, tr.Shared(start))
 	version := tr.SharedVersion()
 	require.Greater(t, version, before)
 	require.Len(t, tr.Recent(start.Add(recentAge+1)), 2)
@@ -169,7 +191,7 @@
 func TestKeptRequestsAreBounded(t *testing.T) {
 	tr := newTracker()
 	for n := range 2 * maxRequests {
-		tr.MergeReport([]Loss{{uint64(n), inc(1), true}, {uint64(n), inc(2), false}, {uint64(n), inc(3), true}, {uint64(n), inc(4), true}}, start)
+		tr.MergeReport([]Loss{{uint64(n), inc(1), 0, true}, {uint64(n), inc(2), 0, false}, {uint64(n), inc(3), 0, true}, {uint64(n), inc(4), 0, true}}, start)
 	}
 	require.Equal(t, maxRequests, tr.requests.Len())
 	require.Len(t, tr.shared, maxRequests)
--- a/internal/losstracker/saver.go
+++ b/internal/losstracker/saver.go
@@ -23,7 +23,7 @@
 // Poison is a poison request as it is kept in the platform's log.
 type Poison struct {
 	Fingerprint uint64
-	// Ended are the upstreams that ended while they ran it.
+	// Ended are the upstreams that ended while they ran it, one as often as it ended.
 	Ended []registrar.Incarnation
 	// At is the time of its latest loss.
 	At time.Time
@@ -114,8 +114,14 @@
 			expired = append(expired, Poison{Fingerprint: p.Fingerprint})
 			continue
 		}
-		for _, i := range p.Ended {
-			events = append(events, t.addLocked(loss{Loss: Loss{p.Fingerprint, i, true}, learnedAt: now}, Learned, now)...)
+		for n, i := range p.Ended {
+			repeat := 0
+			for _, earlier := range p.Ended[:n] {
+				if earlier == i {
+					repeat++
+				}
+			}
+			events = append(events, t.addLocked(loss{Loss: Loss{p.Fingerprint, i, repeat, true}, learnedAt: now}, Learned, now)...)
 		}
 		if r := t.requestLocked(p.Fingerprint, now); r != nil {
 			r.isSaved = true
--- a/internal/syncer/server_test.go
+++ b/internal/syncer/server_test.go
@@ -119,8 +119,8 @@
 // TestMalformedLossIsSkipped checks that a loss that cannot be read leaves the others.
 func TestMalformedLossIsSkipped(t *testing.T) {
 	i := registrar.Incarnation{ID: "a@b", StartedAtMs: 1700000000123}
-	list := []*peerv1.Loss{{Incarnation: "e1"}, {Incarnation: "e1@x"}, {Fingerprint: 7, Incarnation: formatIncarnation(i), IsSuspected: true}}
-	require.Equal(t, []losstracker.Loss{{Fingerprint: 7, Incarnation: i}}, decodeLosses(list, zap.NewNop()))
+	list := []*peerv1.Loss{{Incarnation: "e1"}, {Incarnation: "e1@x"}, {Fingerprint: 7, Incarnation: formatIncarnation(i), IsSuspected: true, Repeat: 2}}
+	require.Equal(t, []losstracker.Loss{{Fingerprint: 7, Incarnation: i, Repeat: 2}}, decodeLosses(list, zap.NewNop()))
 }
 
 func TestRecordsAreServedToPeers(t *testing.T) {
