--- a/internal/dispatcher/generate_test.go
+++ b/internal/dispatcher/generate_test.go
@@ -92,7 +92,7 @@
 				awaitChoices(numChoices.Load() + 5)
 				require.Zero(t, numSent.Load(), "it must not run beside another suspect")
 				other.End(false, time.Now())
-				<-done
+				require.Error(t, <-done, "the service is no engine")
 				return
 			}
 			refusal := verdict.FromError(<-done)
--- a/internal/losstracker/losstracker.go
+++ b/internal/losstracker/losstracker.go
@@ -26,19 +26,6 @@
 	lossTTL = time.Hour
 )
 
-// Loss states that an incarnation of an upstream ended while it ran a request.
-type Loss struct {
-	Fingerprint uint64 // of the request
-	// Incarnation is the one that was known when the attempt began.
-	Incarnation registrar.Incarnation
-	// Repeat is the number of earlier losses of the request at this incarnation that
-	// were known when the attempt began. Another incarnation of the upstream may have
-	// run it, which had not been registered yet.
-	Repeat int
-	// IsConfirmed says that the incarnation is known to have ended.
-	IsConfirmed bool
-}
-
 // Tracker keeps the losses that one instance knows. Its zero value is ready to use.
 type Tracker struct {
 	// RegistrationDelay is the longest time from a registration to when this instance
@@ -61,72 +48,6 @@
 	isUnsaved     map[uint64]struct{} // poison requests that are not in the log
 }
 
-// Change says what happened to a loss.
-type Change string
-
-// Changes of a loss.
-const (
-	Suspected Change = "suspected"
-	Confirmed Change = "confirmed"
-	Withdrawn Change = "withdrawn"
-	Refuted   Change = "refuted"
-	Learned   Change = "learned" // from another instance or from the log
-)
-
-// request holds the losses of a request.
-type request struct {
-	losses   []*loss
-	latestAt time.Time
-	// isOwn says that this instance observed one of them.
-	isOwn   bool
-	isSaved bool // with its confirmed losses, in the log
-}
-
-type loss struct {
-	Loss
-	learnedAt time.Time
-	isOwn     bool // observed by this instance
-	// isRefuted says that the request has run to its end since.
-	isRefuted bool
-	// isUncounted says that the attempt was not seen to break, since its client left.
-	isUncounted bool
-}
-
-func (l *loss) counts() bool { return !l.isRefuted && (l.IsConfirmed || !l.isUncounted) }
-
-// numLosses returns the number of losses that count, and of the confirmed ones.
-func (r *request) numLosses() (counted, confirmed int) {
-	for _, l := range r.losses {
-		if l.counts() {
-			counted++
-		}
-		if l.IsConfirmed && !l.isRefuted {
-			confirmed++
-		}
-	}
-	return counted, confirmed
-}
-
-func (r *request) find(k key) *loss {
-	for _, l := range r.losses {
-		if keyOf(l.Loss) == k {
-			return l
-		}
-	}
-	return nil
-}
-
-// undecided returns the losses at an incarnation that are neither confirmed nor refuted.
-func (r *request) undecided(i registrar.Incarnation) []*loss {
-	var out []*loss
-	for _, l := range r.losses {
-		if l.Incarnation == i && !l.IsConfirmed && !l.isRefuted {
-			out = append(out, l)
-		}
-	}
-	return out
-}
-
 // Losses returns how many upstreams ended, or may have, while they ran the request, and
 // how many of them have ended for sure.
 func (t *Tracker) Losses(fingerprint uint64, now time.Time) (counted, confirmed int) {
@@ -273,10 +194,6 @@
 	return events
 }
 
-func (r *request) removeRefuted() {
-	r.losses = slices.DeleteFunc(r.losses, func(l *loss) bool { return l.isRefuted })
-}
-
 func (t *Tracker) notify(events []event) {
 	if t.OnChange == nil {
 		return
--- a/internal/syncer/client_test.go
+++ b/internal/syncer/client_test.go
@@ -68,12 +68,8 @@
 }
 
 // An instance that is not the conductor passes on the newest claim that it knows.
-func TestClaimsSpreadThroughProbes(t *testing.T) {
-	s, holder := newServer()
-	*holder = false
-	s.NewestClaim = func() leaser.Claim {
-		return leaser.Claim{Position: sequencer.Position{Era: 2, Offset: 5}, Holder: "x", Incarnation: "x1", Address: "192.0.2.1:1"}
-	}
+// newClientOf returns a client whose only member is served by s.
+func newClientOf(t *testing.T, s *Server) *Client {
 	mux := http.NewServeMux()
 	queries := peerv1.NewFleetQueriesServer(s)
 	mux.Handle(queries.PathPrefix(), queries)
@@ -81,6 +77,16 @@
 	t.Cleanup(server.Close)
 	c := &Client{Self: &peerv1.Member{Instance: "b"}, HTTP: server.Client(), Lease: &leaser.Lease{Log: zap.NewNop()}, Losses: &losstracker.Tracker{}, Log: zap.NewNop()}
 	c.members = []*peerv1.Member{{Instance: "a", PeerAddress: strings.TrimPrefix(server.URL, "http://")}}
+	return c
+}
+
+func TestClaimsSpreadThroughProbes(t *testing.T) {
+	s, holder := newServer()
+	*holder = false
+	s.NewestClaim = func() leaser.Claim {
+		return leaser.Claim{Position: sequencer.Position{Era: 2, Offset: 5}, Holder: "x", Incarnation: "x1", Address: "192.0.2.1:1"}
+	}
+	c := newClientOf(t, s)
 	c.probeMembers(t.Context())
 	require.Equal(t, s.NewestClaim(), c.Lease.Newest())
 	require.Len(t, c.Members(), 1, "it responds")
@@ -93,13 +99,7 @@
 	*holder = false
 	lost := losstracker.Loss{Fingerprint: 7, Incarnation: registrar.Incarnation{ID: "e1", StartedAtMs: 1}}
 	s.Losses.MergeReport([]losstracker.Loss{lost}, time.Now())
-	mux := http.NewServeMux()
-	queries := peerv1.NewFleetQueriesServer(s)
-	mux.Handle(queries.PathPrefix(), queries)
-	server := httptest.NewServer(mux)
-	t.Cleanup(server.Close)
-	c := &Client{Self: &peerv1.Member{Instance: "b"}, HTTP: server.Client(), Lease: &leaser.Lease{Log: zap.NewNop()}, Losses: &losstracker.Tracker{}, Log: zap.NewNop()}
-	c.members = []*peerv1.Member{{Instance: "a", PeerAddress: strings.TrimPrefix(server.URL, "http://")}}
+	c := newClientOf(t, s)
 	c.probeMembers(t.Context())
 	require.Equal(t, []losstracker.Loss{lost}, c.Losses.Recent(time.Now()))
 }
