internal/follower: a reader that starts passes on the drops before its listing

Its listing did not contain the key, so it did not know of the drop; edge-zaal-amf-2 went on reading through it from an earlier position and got the changes since then without the drop. Class: what was learned at one moment, and lost with the process that knew it. Change: a follower knows from which offset on its drops are complete. A peer that reads from an earlier one gets the records of all keys. Before: both tests fail, the key stays. After: they pass.

--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -102,13 +102,16 @@
 	ReadPeers func(ctx context.Context, from sequencer.Position) (Batch, error)
 	Log       *zap.Logger
 
-	mu             sync.Mutex
-	newest         map[string]Record  // by key
-	next           sequencer.Position // next position to read
-	nextDelivery   int64              // first offset that was not passed to OnRecords
-	readAt         time.Time          // when the log was last read, here or by the peer
-	hasRead        bool               // whether the topic was listed, or read through a peer
-	isRestored     bool               // whether the log was restored since the first read
+	mu     sync.Mutex
+	newest map[string]Record  // by key
+	next   sequencer.Position // next position to read
+	// historyStart is the first offset of the present era from which on all drops are
+	// known. A listing does not contain the keys that were dropped before it.
+	historyStart   int64
+	nextDelivery   int64     // first offset that was not passed to OnRecords
+	readAt         time.Time // when the log was last read, here or by the peer
+	hasRead        bool      // whether the topic was listed, or read through a peer
+	isRestored     bool      // whether the log was restored since the first read
 	isPlatformLost bool
 	numFailures    int           // consecutive failed calls
 	advanced       chan struct{} // closed when next increases
@@ -258,6 +261,9 @@
 	} else {
 		passed = f.mergeLocked(b)
 	}
+	if b.IsComplete || isNewEra {
+		f.historyStart = b.Next.Offset
+	}
 	if b.Next.IsAfter(f.next) || isFirst {
 		f.next = b.Next
 		if f.advanced != nil {
@@ -332,6 +338,7 @@
 	slices.SortFunc(dropped, func(a, b Record) int { return cmp.Compare(a.Offset, b.Offset) })
 	for _, r := range dropped[:max(0, len(dropped)-maxDropped)] {
 		delete(f.newest, r.Key)
+		f.historyStart = max(f.historyStart, r.Offset+1)
 	}
 }
 
@@ -398,12 +405,13 @@
 }
 
 // Since returns the newest records of the keys that changed from a position on. If the
-// position is of an earlier era, it returns the records of all keys. It reports false
+// position is of an earlier era, or some drops after it are not known here, it returns
+// the records of all keys. It reports false
 // if the topic was never read, or only in an earlier era than the position's.
 func (f *Follower) Since(from sequencer.Position) (b Batch, ok bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	b = Batch{Next: f.next, Age: time.Since(f.readAt), IsComplete: from.Era < f.next.Era}
+	b = Batch{Next: f.next, Age: time.Since(f.readAt), IsComplete: from.Era < f.next.Era || from.Offset < f.historyStart}
 	for _, r := range f.newest {
 		if b.IsComplete && r.Value != nil || !b.IsComplete && r.Offset >= from.Offset {
 			b.Records = append(b.Records, r)
--- a/internal/follower/follower_test.go
+++ b/internal/follower/follower_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"testing"
 	"time"
 
@@ -244,3 +245,46 @@
 	step(t, f)
 	<-done
 }
+
+// TestReaderThatStartsPassesOnEarlierDrops guards against a reader that never knew a key,
+// since it was dropped before its first listing.
+func TestReaderThatStartsPassesOnEarlierDrops(t *testing.T) {
+	l := &fakeLog{}
+	l.add("a", "1")
+	l.add("b", "1")
+	f, d := follow(l)
+	step(t, f)
+	l.add("b", "")
+	l.add("a", "2")
+	reader, _ := follow(l)
+	step(t, reader)
+	f.ReadNearby = func(_ context.Context, from sequencer.Position) (Batch, bool) { return reader.Since(from) }
+	step(t, f)
+	require.Equal(t, map[string]string{"a": "2"}, d.values)
+	l.add("c", "1")
+	step(t, reader)
+	numComplete := d.numComplete
+	step(t, f)
+	require.Equal(t, map[string]string{"a": "2", "c": "1"}, d.values)
+	require.Equal(t, numComplete, d.numComplete, "later changes are passed on alone")
+}
+
+// TestReaderPassesOnDropsThatItHasForgotten guards against a reader that keeps the newest
+// of very many drops only.
+func TestReaderPassesOnDropsThatItHasForgotten(t *testing.T) {
+	l := &fakeLog{}
+	l.add("old", "1")
+	l.add("kept", "1")
+	f, d := follow(l)
+	reader, _ := follow(l)
+	step(t, f)
+	step(t, reader)
+	l.add("old", "")
+	for n := range 2 * maxDropped {
+		l.add(fmt.Sprint(n), "")
+	}
+	step(t, reader)
+	f.ReadNearby = func(_ context.Context, from sequencer.Position) (Batch, bool) { return reader.Since(from) }
+	step(t, f)
+	require.Equal(t, map[string]string{"kept": "1"}, d.values)
+}
