internal/follower: an instance that starts repeats its unanswered first listing

Change: the first listing is requested again every 0.2 s until one call is answered, and a call that was not answered is retried after 0.1 s instead of up to 0.6 s. Refused calls are paced as before. TestFirstListingDoesNotWaitForUnansweredCall fails before (deadline exceeded).

--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -22,6 +22,13 @@
 	// retryDelay is the delay after a failed call. It doubles up to maxRetryDelay.
 	retryDelay    = 100 * time.Millisecond
 	maxRetryDelay = 600 * time.Millisecond
+	// minUnanswered is the duration from which on a failed call counts as one without a
+	// response. It is retried after retryDelay: it did not add to the platform's load.
+	minUnanswered = 200 * time.Millisecond
+	// hedgeInterval is the time after which the first call of an instance that has just
+	// started is made again beside the unanswered ones. The platform may have become
+	// reachable in between, and until the call is answered the instance serves nothing.
+	hedgeInterval = 200 * time.Millisecond
 	// maxDropped is the number of dropped keys above which the oldest are removed.
 	maxDropped = 1024
 	// minPeerReadInterval is the least time between two reads through a peer.
@@ -127,7 +134,7 @@
 			pause = minPeerReadInterval
 		}
 		if err != nil {
-			pause = min(retryDelay<<min(f.numFailures, 4), maxRetryDelay)
+			pause = f.retryPause(time.Since(startedAt))
 			f.handleFailure(ctx, err)
 		} else {
 			f.handleSuccess()
@@ -144,6 +151,14 @@
 	}
 }
 
+// retryPause returns the pause after a failed call that took some time.
+func (f *Follower) retryPause(took time.Duration) time.Duration {
+	if took >= minUnanswered {
+		return retryDelay
+	}
+	return min(retryDelay<<min(f.numFailures, 4), maxRetryDelay)
+}
+
 // step reads once, through a peer or from the log. fromPeer reports whether a peer
 // has responded.
 func (f *Follower) step(ctx context.Context) (fromPeer bool, err error) {
@@ -189,9 +204,7 @@
 	var all []Record
 	after, next := "", sequencer.Position{Offset: first}
 	for isFirst := true; ; isFirst = false {
-		cctx, cancel := context.WithTimeout(ctx, callMargin)
-		page, err := f.Topic.Newest(cctx, after)
-		cancel()
+		page, err := f.newestPage(ctx, after)
 		switch {
 		case err != nil:
 			return err
@@ -227,6 +240,37 @@
 	return nil
 }
 
+// newestPage returns a page of a listing. The first page of the first listing is requested
+// again every hedgeInterval until a call ends.
+func (f *Follower) newestPage(ctx context.Context, after string) (Page, error) {
+	ctx, cancel := context.WithTimeout(ctx, callMargin)
+	defer cancel()
+	f.mu.Lock()
+	hasRead := f.hasRead
+	f.mu.Unlock()
+	if hasRead || after != "" {
+		return f.Topic.Newest(ctx, after)
+	}
+	type result struct {
+		page Page
+		err  error
+	}
+	results := make(chan result, int(callMargin/hedgeInterval)+1)
+	tick := time.NewTicker(hedgeInterval)
+	defer tick.Stop()
+	for {
+		go func() {
+			page, err := f.Topic.Newest(ctx, after)
+			results <- result{page, err}
+		}()
+		select {
+		case r := <-results:
+			return r.page, r.err
+		case <-tick.C:
+		}
+	}
+}
+
 // newestOffset returns the offset of the newest record, or the last offset before
 // the end if there are no records.
 func newestOffset(records []Record, end int64) int64 {
--- a/internal/follower/follower_test.go
+++ b/internal/follower/follower_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -288,3 +289,29 @@
 	step(t, f)
 	require.Equal(t, map[string]string{"kept": "1"}, d.values)
 }
+
+// TestFirstListingDoesNotWaitForUnansweredCall guards against an instance that serves nothing
+// for the timeout of a call that was sent before the platform became reachable.
+func TestFirstListingDoesNotWaitForUnansweredCall(t *testing.T) {
+	l := &fakeLog{}
+	l.add("a", "1")
+	f, d := follow(l)
+	newest := f.Topic.Newest
+	var numCalls atomic.Int32
+	f.Topic.Newest = func(ctx context.Context, after string) (Page, error) {
+		if numCalls.Add(1) == 1 {
+			<-ctx.Done()
+			return Page{}, ctx.Err()
+		}
+		return newest(ctx, after)
+	}
+	step(t, f)
+	require.Equal(t, map[string]string{"a": "1"}, d.values)
+	require.EqualValues(t, 2, numCalls.Load())
+}
+
+func TestUnansweredCallIsRetriedSoon(t *testing.T) {
+	f := &Follower{numFailures: 9}
+	require.Equal(t, maxRetryDelay, f.retryPause(time.Millisecond), "the platform refuses")
+	require.Equal(t, retryDelay, f.retryPause(callMargin), "it does not respond")
+}
