--- a/internal/follower/doc.go
+++ b/internal/follower/doc.go
@@ -15,6 +15,8 @@
 //   - A follower reads through a peer instead of the log while the records of the
 //     peer are recent enough. While the platform is lost, a peer may have newer
 //     records. Records from peers are applied by offset, like those from the log.
+//   - A listing does not contain the keys that were dropped before it. A peer that reads
+//     from an earlier position therefore gets the records of all keys.
 //   - The log may come back from an older copy, in a new era (package sequencer). The
 //     follower then lists again. A record of the copy that is older than the known one
 //     does not replace it, and a key that was dropped does not return with its old
--- a/internal/losstracker/doc.go
+++ b/internal/losstracker/doc.go
@@ -2,9 +2,9 @@
 // them, across all instances.
 //
 // A loss states that an incarnation of an upstream has ended, or may have, while it ran
-// a request. Each instance keeps all losses that it has observed or that others have told
-// it; what it counts does not depend on which process is alive, or holds the lease. The
-// rules:
+// a request. Each instance keeps all losses that it has observed or received from
+// others, so what it counts does not depend on which other process is alive or holds
+// the lease. The rules:
 //
 //   - An attempt that breaks is a suspected loss at once and counts like a confirmed
 //     one: how long it takes until the end of an upstream is known depends on the
@@ -14,8 +14,8 @@
 //   - An attempt whose client left counts only once its upstream is known to have ended.
 //   - A suspected loss is confirmed when the incarnation is known to have ended, and
 //     withdrawn when the incarnation has registered itself later. Every instance decides
-//     this from the registrations that it reads, so neither has to be told to others.
-//     A loss that is undecided has no other time limit.
+//     this from the registrations that it reads, so neither has to be sent. An
+//     undecided loss has no other time limit.
 //   - A request that runs to its end is no poison request: its losses so far are refuted
 //     at this instance. Many callers may send the same content, which then runs on
 //     every upstream that ends.
--- a/internal/losstracker/exchange.go
+++ b/internal/losstracker/exchange.go
@@ -9,7 +9,7 @@
 const (
 	// maxReported bounds the losses in one report or response.
 	maxReported = 256
-	// recentAge is the age up to which a loss is told to peers whatever the number of
+	// recentAge is the age up to which a loss is sent to peers whatever the number of
 	// losses of its request.
 	recentAge = 5 * time.Second
 )
@@ -23,14 +23,14 @@
 
 func keyOf(l Loss) key { return key{l.Fingerprint, l.Incarnation, l.Repeat} }
 
-// reporting is what the conductor has been told.
+// reporting is what the conductor has received.
 type reporting struct {
 	conductor  string // incarnation
 	unreported map[key]Loss
 }
 
-// Unreported returns losses that the conductor has not been told. Another incarnation of
-// a conductor has been told nothing.
+// Unreported returns losses that were not reported to the conductor yet. Another
+// incarnation of a conductor has received none.
 func (t *Tracker) Unreported(conductor string) []Loss {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -55,8 +55,8 @@
 	return out
 }
 
-// RecordReported records that a conductor knows losses, and reports whether there are
-// more that it has not been told.
+// RecordReported records that a conductor has received losses, and reports whether there
+// are more to report.
 func (t *Tracker) RecordReported(conductor string, losses []Loss) (hasMore bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -104,7 +104,7 @@
 	return events
 }
 
-// Shared returns the losses to tell all instances, of at most maxReported requests.
+// Shared returns the losses that the view contains, of at most maxReported requests.
 func (t *Tracker) Shared(now time.Time) []Loss {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -138,8 +138,8 @@
 	return out
 }
 
-// Recent returns the losses to tell the peers while there is no conductor: the shared
-// ones, and those that are new.
+// Recent returns the losses for peers that have no conductor: the shared ones, and those
+// that are new.
 func (t *Tracker) Recent(now time.Time) []Loss {
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/internal/losstracker/losstracker.go
+++ b/internal/losstracker/losstracker.go
@@ -14,7 +14,7 @@
 	// PoisonThreshold is the number of losses from which on a request is a poison
 	// request. Two may be a coincidence when several upstreams crash at once.
 	PoisonThreshold = 3
-	// SharedThreshold is the number of losses of a request from which on they are told
+	// SharedThreshold is the number of losses of a request from which on they are sent
 	// to all instances. A crash of an upstream causes one loss for each of its requests,
 	// and hardly any of these requests comes again.
 	SharedThreshold = 2
@@ -32,8 +32,8 @@
 	// reads it. A registration that is read later than that after a suspected loss was
 	// written after it.
 	RegistrationDelay time.Duration
-	// OnChange, if set, is called after a loss is added, confirmed or withdrawn. known
-	// is the number of losses of the request that count.
+	// OnChange, if set, is called after a loss is added or has changed. known is the
+	// number of losses of the request that count.
 	OnChange func(l Loss, c Change, known int)
 
 	mu       sync.Mutex
--- a/internal/syncer/loss.go
+++ b/internal/syncer/loss.go
@@ -52,8 +52,7 @@
 	return out
 }
 
-// syncLossesLocked increases the version of the view if the losses to tell the watchers
-// have changed.
+// syncLossesLocked increases the version of the view if its losses have changed.
 func (s *Server) syncLossesLocked() {
 	if v := s.Losses.SharedVersion(); v != s.lossesSeen {
 		s.lossesSeen = v
