internal/logreader, internal/relayer: a poison refusal leads to the losses of its content

Change: the line of a request that was not served names its content, and lines with the same content count as its explanation. TestFindShowsLossesOfTheContent and TestPoisonRequestsAreOneCause; not seen failing before, since the field is new.

--- a/internal/logreader/logreader.go
+++ b/internal/logreader/logreader.go
@@ -56,6 +56,8 @@
 	Adapter  string `json:"adapter"`
 	Upstream string `json:"upstream"`
 	Attempts int    `json:"attempts"`
+	// Content identifies the content of a request that was not served.
+	Content string `json:"content"`
 	// Waited is the time in the queue, FirstByteAfter the time from the start of the
 	// last attempt to the first byte of the response, and Total the time from
 	// arrival to the end.
@@ -108,8 +110,8 @@
 }
 
 // Find returns the lines of a request, and at most maxContextLines lines of other
-// events of its upstream, its model or its instance: the newest ones before the
-// request ended.
+// events of its upstream, its model or its instance, or of failed attempts with the same
+// content: the newest ones before the request ended.
 func (l *Log) Find(request string, maxContextLines int) Trace {
 	t := Trace{Request: request}
 	var last Line
@@ -129,7 +131,7 @@
 	}
 	var contextLines []Line
 	for _, x := range l.Lines {
-		if x.Request == "" && x.Time <= end && x.mayExplain(last) {
+		if x.Request != request && x.Time <= end && x.mayExplain(last) {
 			contextLines = append(contextLines, x)
 		}
 	}
@@ -140,10 +142,14 @@
 	return t
 }
 
-// mayExplain reports whether x, a line of no request, may explain how the request
-// of line r ended.
+// mayExplain reports whether x, a line of no request or of another one, may explain how
+// the request of line r ended.
 func (x Line) mayExplain(r Line) bool {
 	switch {
+	case r.Content != "" && x.Content == r.Content:
+		return true
+	case x.Request != "":
+		return false
 	case r.Upstream != "" && x.Upstream == r.Upstream:
 		return true
 	case r.Model != "" && x.Model == r.Model && (x.Adapter == "" || x.Adapter == r.Adapter):
@@ -154,7 +160,7 @@
 
 // variablePart matches the parts that differ between two reasons of the same kind:
 // numbers, ids, addresses, durations and names.
-var variablePart = regexp.MustCompile(`[0-9][0-9a-z.:µ]*|model \S+|service \S+|adapter "[^"]*"|topic=\S+`)
+var variablePart = regexp.MustCompile(`[0-9][0-9a-z.:µ]*|model \S+|service \S+|adapter "[^"]*"|content \S+|topic=\S+`)
 
 // cause returns the outcome of a request and its reason, with the variable parts
 // replaced by *.
--- a/internal/logreader/logreader_test.go
+++ b/internal/logreader/logreader_test.go
@@ -82,3 +82,28 @@
 `)))
 	require.Equal(t, []string{`{"ts":"10:00:04","msg":"upstream ended","instance":"b","upstream":"u2"}`}, l.Find("r1", 10).ContextLines)
 }
+
+// A request that is refused as a poison request is explained by the losses that other
+// instances recorded, and by the attempts of earlier requests with its content.
+func TestFindShowsLossesOfTheContent(t *testing.T) {
+	var l Log
+	require.NoError(t, l.Read(strings.NewReader(`
+{"ts":"1","instance":"a","msg":"attempt failed","request":"r1","upstream":"u1","content":"c1"}
+{"ts":"2","instance":"a","msg":"loss suspected","upstream":"u1","content":"c1"}
+{"ts":"3","instance":"a","msg":"loss suspected","upstream":"u1","content":"c2"}
+{"ts":"4","instance":"a","msg":"attempt failed","request":"r2","upstream":"u1","content":"c2"}
+{"ts":"5","instance":"b","msg":"request ended","request":"r3","outcome":"not-run","content":"c1"}
+{"ts":"6","instance":"a","msg":"loss withdrawn","upstream":"u1","content":"c1"}
+`)))
+	trace := l.Find("r3", 10)
+	require.Len(t, trace.RequestLines, 1)
+	require.Len(t, trace.ContextLines, 2)
+	require.Contains(t, trace.ContextLines[0], `"request":"r1"`)
+	require.Contains(t, trace.ContextLines[1], `"ts":"2"`)
+}
+
+func TestPoisonRequestsAreOneCause(t *testing.T) {
+	a := Line{Outcome: "not-run", Reason: "poison (not-run): 3 upstreams ended; content a1b2"}
+	b := Line{Outcome: "not-run", Reason: "poison (not-run): 4 upstreams ended; content 1a2b"}
+	require.Equal(t, a.cause(0), b.cause(0))
+}
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -341,6 +341,9 @@
 	if c.cfg != nil {
 		fields = append(fields, zap.Int64("config", c.cfg.Version))
 	}
+	if err != nil && c.fingerprint != 0 {
+		fields = append(fields, zap.String("content", FormatFingerprint(c.fingerprint)))
+	}
 	if err != nil {
 		fields = append(fields, zap.String("why", err.Error()))
 	}
