internal/follower: only the configuration's first listing is repeated, the upstreams' comes after it

Cause: repeating the first listing of registrations beside unanswered ones would multiply the load of a store that is slow because hundreds of instances list thousands of registrations at once; found by reading, docs/CAPACITY.md has that start-up as a limit. Change: the listing of the configuration, which is one record, is repeated. The upstreams are listed once the configuration is known, so a silent store gets half of the calls. Also: registrations that were never read are incomplete, so no loss is confirmed by them; and benchmarks of the loss tracker (603 bytes a request with three losses).

--- a/internal/assembler/assembler.go
+++ b/internal/assembler/assembler.go
@@ -223,8 +223,9 @@
 		ReadPeers: func(ctx context.Context, from sequencer.Position) (follower.Batch, error) {
 			return a.client.RequestRecords(ctx, topicConfig, from)
 		},
-		IsOlder: a.IsOlderConfig,
-		OnEra:   func(era int64, _ bool) { a.lease.ObserveEra(era) },
+		IsOlder:       a.IsOlderConfig,
+		OnEra:         func(era int64, _ bool) { a.lease.ObserveEra(era) },
+		HedgesListing: true,
 	}
 	a.upstreamFollower = &follower.Follower{
 		Name: topicUpstreams, Topic: a.UpstreamTopic, MaxWait: a.MaxDrainDelay / 4, MinInterval: a.MaxDrainDelay * 2 / 5, Log: log, OnRecords: a.applyUpstreams,
@@ -234,6 +235,9 @@
 			return a.client.RequestRecords(ctx, topicUpstreams, from)
 		},
 		IsOlder: a.IsOlderRegistration,
+		// Registrations are of no use without a configuration. Their listing is the larger
+		// one, so it is requested when the platform is known to respond.
+		After: a.configFollower.FirstRead(),
 		OnEra: func(era int64, isRestored bool) {
 			a.lease.ObserveEra(era)
 			if isRestored {
--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -25,9 +25,9 @@
 	// minUnanswered is the duration from which on a failed call counts as one without a
 	// response. It is retried after retryDelay: it did not add to the platform's load.
 	minUnanswered = 200 * time.Millisecond
-	// hedgeInterval is the time after which the first call of an instance that has just
-	// started is made again beside the unanswered ones. The platform may have become
-	// reachable in between, and until the call is answered the instance serves nothing.
+	// hedgeInterval is the time after which an unanswered first listing is requested
+	// again beside the earlier calls. The platform may have become reachable in between,
+	// and an instance that has just started serves nothing until it is answered.
 	hedgeInterval = 200 * time.Millisecond
 	// maxDropped is the number of dropped keys above which the oldest are removed.
 	maxDropped = 1024
@@ -104,6 +104,11 @@
 	// centre, like Topic.Read. It reports false if there is no such peer or if the
 	// peer's records are too old.
 	ReadNearby func(ctx context.Context, from sequencer.Position) (Batch, bool)
+	// HedgesListing says that the first listing is requested again while it is not
+	// answered. It is for a topic whose listing is small.
+	HedgesListing bool
+	// After, if set, is closed when the first listing may be requested.
+	After <-chan struct{}
 	// ReadPeers, if set, requests records from a position on from peers. It is used
 	// while the platform is lost.
 	ReadPeers func(ctx context.Context, from sequencer.Position) (Batch, error)
@@ -122,10 +127,17 @@
 	isPlatformLost bool
 	numFailures    int           // consecutive failed calls
 	advanced       chan struct{} // closed when next increases
+	firstRead      chan struct{} // closed after the first read
 }
 
 // Run follows the topic until ctx ends.
 func (f *Follower) Run(ctx context.Context) {
+	if f.After != nil {
+		select {
+		case <-f.After:
+		case <-ctx.Done():
+		}
+	}
 	for ctx.Err() == nil {
 		startedAt := time.Now()
 		fromPeer, err := f.step(ctx)
@@ -151,6 +163,21 @@
 	}
 }
 
+// FirstRead returns a channel that is closed after the first read of the topic, from the
+// log or through a peer.
+func (f *Follower) FirstRead() <-chan struct{} {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.firstReadLocked()
+}
+
+func (f *Follower) firstReadLocked() chan struct{} {
+	if f.firstRead == nil {
+		f.firstRead = make(chan struct{})
+	}
+	return f.firstRead
+}
+
 // retryPause returns the pause after a failed call that took some time.
 func (f *Follower) retryPause(took time.Duration) time.Duration {
 	if took >= minUnanswered {
@@ -230,6 +257,9 @@
 		}
 	}
 	f.hasRead = true
+	if isFirst {
+		close(f.firstReadLocked())
+	}
 	f.readAt = time.Now().Add(-b.Age)
 	if b.IsComplete {
 		passed = passed[:0:0]
--- a/internal/follower/follower_test.go
+++ b/internal/follower/follower_test.go
@@ -296,6 +296,7 @@
 	l := &fakeLog{}
 	l.add("a", "1")
 	f, d := follow(l)
+	f.HedgesListing = true
 	newest := f.Topic.Newest
 	var numCalls atomic.Int32
 	f.Topic.Newest = func(ctx context.Context, after string) (Page, error) {
@@ -315,3 +316,44 @@
 	require.Equal(t, maxRetryDelay, f.retryPause(time.Millisecond), "the platform refuses")
 	require.Equal(t, retryDelay, f.retryPause(callMargin), "it does not respond")
 }
+
+// TestFollowerListsAfterAnother checks that a follower waits for the first read of another.
+func TestFollowerListsAfterAnother(t *testing.T) {
+	l := &fakeLog{}
+	l.add("a", "1")
+	first, _ := follow(l)
+	second, d := follow(l)
+	second.After = first.FirstRead()
+	ctx, cancel := context.WithCancel(t.Context())
+	second.Topic.Read = func(ctx context.Context, _ sequencer.Position, _ time.Duration) (Batch, error) {
+		cancel()
+		return Batch{}, ctx.Err()
+	}
+	listed := make(chan struct{})
+	newest := second.Topic.Newest
+	second.Topic.Newest = func(ctx context.Context, after string) (Page, error) {
+		select {
+		case <-first.FirstRead():
+		default:
+			t.Error("listed before the first read of the other")
+		}
+		close(listed)
+		return newest(ctx, after)
+	}
+	done := make(chan struct{})
+	go func() {
+		second.Run(ctx)
+		close(done)
+	}()
+	step(t, first)
+	<-listed
+	<-done
+	require.Equal(t, map[string]string{"a": "1"}, d.values)
+
+	ended, end := context.WithCancel(t.Context())
+	end()
+	other, _ := follow(l)
+	waiting, _ := follow(l)
+	waiting.After = other.FirstRead()
+	waiting.Run(ended) // returns
+}
--- a/internal/follower/list.go
+++ b/internal/follower/list.go
@@ -51,15 +51,15 @@
 	return nil
 }
 
-// newestPage returns a page of a listing. The first page of the first listing is requested
-// again every hedgeInterval until a call ends.
+// newestPage returns a page of a listing. The first page of a first listing that is
+// hedged is requested again every hedgeInterval until a call ends.
 func (f *Follower) newestPage(ctx context.Context, after string) (Page, error) {
 	ctx, cancel := context.WithTimeout(ctx, callMargin)
 	defer cancel()
 	f.mu.Lock()
 	hasRead := f.hasRead
 	f.mu.Unlock()
-	if hasRead || after != "" {
+	if !f.HedgesListing || hasRead || after != "" {
 		return f.Topic.Newest(ctx, after)
 	}
 	type result struct {
--- /dev/null
+++ b/internal/losstracker/bench_test.go
@@ -0,0 +1,55 @@
+package losstracker
+
+import (
+	"runtime"
+	"testing"
+)
+
+// heapBytes returns the bytes of live objects.
+func heapBytes() uint64 {
+	var m runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&m)
+	return m.HeapAlloc
+}
+
+// BenchmarkTrackerBytes reports the memory of a full tracker, by request: each has
+// PoisonThreshold losses, all of them undecided.
+func BenchmarkTrackerBytes(b *testing.B) {
+	for b.Loop() {
+		before := heapBytes()
+		tr := newTracker()
+		for n := range maxRequests {
+			for k := range PoisonThreshold {
+				tr.MergeReport([]Loss{{uint64(n), inc(k), 0, false}}, start)
+			}
+		}
+		b.ReportMetric(float64(heapBytes()-before)/maxRequests, "B/request")
+		runtime.KeepAlive(tr)
+	}
+}
+
+// BenchmarkLosses measures the lookup that each request makes twice.
+func BenchmarkLosses(b *testing.B) {
+	tr := newTracker()
+	for n := range maxRequests {
+		tr.MergeReport([]Loss{{uint64(n), inc(1), 0, true}}, start)
+	}
+	n := uint64(0)
+	for b.Loop() {
+		tr.Losses(n%(2*maxRequests), start)
+		n++
+	}
+}
+
+// BenchmarkAttempt measures what an attempt at an upstream costs.
+func BenchmarkAttempt(b *testing.B) {
+	tr := newTracker()
+	n := uint64(0)
+	for b.Loop() {
+		tr.Begin(inc1, n).End(Succeeded, start)
+		n++
+	}
+}
+
+var inc1 = inc(1)
--- a/internal/registrar/notice_test.go
+++ b/internal/registrar/notice_test.go
@@ -69,3 +69,23 @@
 	table.Sweep(start.Add(2 * time.Second))
 	require.Len(t, table.Snapshot().ByID, 1, "written again in time")
 }
+
+func TestRegistrationsAreIncompleteAroundOutages(t *testing.T) {
+	var empty Table
+	require.False(t, empty.IsComplete(start), "nothing was read yet")
+	u := &Upstream{ID: "u1", StartedAtMs: 1}
+	table := tableWith(u)
+	require.True(t, table.IsComplete(start))
+	table.SetPlatformLost(true, start)
+	require.False(t, table.IsComplete(start))
+	table.SetPlatformLost(false, start)
+	require.False(t, table.IsComplete(start), "registrations may return")
+	require.True(t, table.IsComplete(start.Add(table.RemovalGrace)))
+	table.RecordRestore(start.Add(time.Minute))
+	require.False(t, table.IsComplete(start.Add(time.Minute)))
+
+	require.True(t, table.IsRegistered(u.Incarnation()))
+	require.False(t, table.IsRegistered(Incarnation{"u1", 2}))
+	table.RecordGone("u1", 1, "its address answers as another upstream")
+	require.False(t, table.IsRegistered(u.Incarnation()))
+}
--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -215,7 +215,7 @@
 func (t *Table) IsComplete(now time.Time) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return !t.isPlatformLost && !now.Before(t.keepUntil)
+	return t.registrations != nil && !t.isPlatformLost && !now.Before(t.keepUntil)
 }
 
 // IsRegistered reports whether an incarnation is registered and not known to be gone.
