internal/losstracker: a poison request is saved when its third loss is suspected

What callers see: upstreams crash again after all instances are killed in the moment after the third crash. Cause: a request was saved when three ends were confirmed, once a second. Change: it is saved at once when the third loss is suspected, with what is confirmed, and removed when it is no poison request any more. The upstreams are listed after the first load now.

--- a/internal/assembler/assembler.go
+++ b/internal/assembler/assembler.go
@@ -204,7 +204,6 @@
 		Token: func() int64 { return a.lease.Newest().Token() }, NewestClaim: func() leaser.Claim { return a.lease.Newest() },
 		Losses: a.losses, Log: a.Log.Named("syncer"),
 	}
-	a.poisonSaver = &losstracker.Saver{Tracker: a.losses, Store: a.PoisonStore, IsHolder: a.lease.IsHolder, Log: a.Log.Named("losstracker")}
 	a.client = &syncer.Client{
 		Self: self, HTTP: syncer.NewHTTPClient(), Lease: a.lease, Server: a.server, Queue: a.queue, Upstreams: a.upstreamTable,
 		Losses: a.losses, IsStopping: a.isStopping.Load, Log: a.Log.Named("syncer"),
@@ -227,6 +226,9 @@
 		OnEra:         func(era int64, _ bool) { a.lease.ObserveEra(era) },
 		HedgesListing: true,
 	}
+	a.poisonSaver = &losstracker.Saver{
+		Tracker: a.losses, Store: a.PoisonStore, IsHolder: a.lease.IsHolder, After: a.configFollower.FirstRead(), Log: a.Log.Named("losstracker"),
+	}
 	a.upstreamFollower = &follower.Follower{
 		Name: topicUpstreams, Topic: a.UpstreamTopic, MaxWait: a.MaxDrainDelay / 4, MinInterval: a.MaxDrainDelay * 2 / 5, Log: log, OnRecords: a.applyUpstreams,
 		OnPlatformLost: func(away bool) { a.upstreamTable.SetPlatformLost(away, time.Now()) },
@@ -235,9 +237,10 @@
 			return a.client.RequestRecords(ctx, topicUpstreams, from)
 		},
 		IsOlder: a.IsOlderRegistration,
-		// Registrations are of no use without a configuration. Their listing is the larger
-		// one, so it is requested when the platform is known to respond.
-		After: a.configFollower.FirstRead(),
+		// No request is sent before the poison requests are known. The listing of the
+		// registrations is the largest, so it is requested when the platform is known to
+		// respond.
+		After: a.poisonSaver.FirstLoad(),
 		OnEra: func(era int64, isRestored bool) {
 			a.lease.ObserveEra(era)
 			if isRestored {
--- a/internal/losstracker/doc.go
+++ b/internal/losstracker/doc.go
@@ -22,7 +22,7 @@
 //   - Losses are merged, never replaced: a message that comes late or from an earlier
 //     conductor cannot take back a later one.
 //   - Losses of a request count until lossTTL after the latest of them.
-//   - A request with enough confirmed losses is kept in the platform's log by the
-//     instances that observed them and by the conductor, and read by each instance that
-//     starts.
+//   - A poison request is kept in the platform's log, at once, by the instances that
+//     observed its losses and by the conductor, and read by each instance that starts.
+//     It is removed when it is none any more.
 package losstracker
--- a/internal/losstracker/loss.go
+++ b/internal/losstracker/loss.go
@@ -38,7 +38,7 @@
 	latestAt time.Time
 	// isOwn says that this instance observed one of them.
 	isOwn   bool
-	isSaved bool // with its confirmed losses, in the log
+	isSaved bool // in the log
 }
 
 type loss struct {
--- a/internal/losstracker/losstracker.go
+++ b/internal/losstracker/losstracker.go
@@ -45,7 +45,7 @@
 	shared        map[uint64]struct{}
 	sharedVersion uint64
 	reporting     reporting
-	isUnsaved     map[uint64]struct{} // poison requests that are not in the log
+	saving        saving
 }
 
 // Losses returns how many upstreams ended, or may have, while they ran the request, and
@@ -84,7 +84,7 @@
 	t.undecided = make(map[registrar.Incarnation]map[uint64]struct{})
 	t.shared = make(map[uint64]struct{})
 	t.reporting.unreported = make(map[key]Loss)
-	t.isUnsaved = make(map[uint64]struct{})
+	t.saving.requests = make(map[uint64]struct{})
 }
 
 // forgetLocked removes what is kept of a request besides its losses.
@@ -96,7 +96,7 @@
 		delete(t.reporting.unreported, keyOf(l.Loss))
 	}
 	delete(t.shared, fingerprint)
-	delete(t.isUnsaved, fingerprint)
+	delete(t.saving.requests, fingerprint)
 }
 
 // indexLocked updates the index of undecided losses after a change of a loss.
@@ -159,14 +159,12 @@
 	if c != Learned {
 		t.reporting.unreported[keyOf(known.Loss)] = known.Loss
 	}
-	counted, confirmed := r.numLosses()
+	counted, _ := r.numLosses()
 	if counted >= SharedThreshold {
 		t.shared[l.Fingerprint] = struct{}{}
 		t.sharedVersion++
 	}
-	if confirmed >= PoisonThreshold && !r.isSaved {
-		t.isUnsaved[l.Fingerprint] = struct{}{}
-	}
+	t.updateSavingLocked(l.Fingerprint, r)
 	return []event{{known.Loss, c, counted}}
 }
 
@@ -186,7 +184,7 @@
 		t.indexLocked(r, l.Loss)
 		delete(t.reporting.unreported, keyOf(l.Loss))
 	}
-	delete(t.isUnsaved, fingerprint)
+	t.updateSavingLocked(fingerprint, r)
 	if _, isShared := t.shared[fingerprint]; isShared {
 		delete(t.shared, fingerprint)
 		t.sharedVersion++
@@ -258,6 +256,7 @@
 	r.losses = slices.DeleteFunc(r.losses, func(x *loss) bool { return x == l })
 	t.indexLocked(r, l.Loss)
 	delete(t.reporting.unreported, keyOf(l.Loss))
+	t.updateSavingLocked(l.Fingerprint, r)
 	counted, _ := r.numLosses()
 	if _, isShared := t.shared[l.Fingerprint]; isShared {
 		t.sharedVersion++
--- a/internal/losstracker/losstracker_test.go
+++ b/internal/losstracker/losstracker_test.go
@@ -196,5 +196,5 @@
 	require.Equal(t, maxRequests, tr.requests.Len())
 	require.Len(t, tr.shared, maxRequests)
 	require.Len(t, tr.undecided[inc(2)], maxRequests)
-	require.Len(t, tr.isUnsaved, maxRequests)
+	require.Len(t, tr.saving.requests, maxRequests)
 }
--- a/internal/losstracker/saver.go
+++ b/internal/losstracker/saver.go
@@ -2,19 +2,20 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"go.uber.org/zap"
 
 	"github.com/primrosedrift/primrosedrift/internal/logger"
-	"github.com/primrosedrift/primrosedrift/internal/registrar"
 	"github.com/primrosedrift/primrosedrift/internal/sleeper"
 )
 
 const (
-	// saveInterval is the time between two checks for poison requests to save.
-	saveInterval = time.Second
-	// loadRetryInterval is the time between two attempts to load the saved ones.
+	// minSaveInterval is the least time between two calls that save poison requests.
+	minSaveInterval = 100 * time.Millisecond
+	// loadRetryInterval is the time between two attempts to load the saved ones, and
+	// between two checks for requests that could not be saved.
 	loadRetryInterval = 2 * time.Second
 	// storeTimeout bounds a call to the store.
 	storeTimeout = 800 * time.Millisecond
@@ -23,8 +24,8 @@
 // Poison is a poison request as it is kept in the platform's log.
 type Poison struct {
 	Fingerprint uint64
-	// Ended are the upstreams that ended while they ran it, one as often as it ended.
-	Ended []registrar.Incarnation
+	// Losses are those that count, none if the request is no poison request any more.
+	Losses []Loss
 	// At is the time of its latest loss.
 	At time.Time
 }
@@ -34,7 +35,7 @@
 	// Load returns the saved poison requests, and the errors of the records that are
 	// malformed.
 	Load func(context.Context) (list []Poison, malformed []error, err error)
-	// Save saves poison requests, and removes those without any ended upstreams.
+	// Save saves poison requests, and removes those without losses.
 	Save func(context.Context, []Poison) error
 }
 
@@ -46,30 +47,64 @@
 	// IsHolder reports whether this instance holds the lease. The holder also saves
 	// the requests that only other instances have observed, and removes the old ones.
 	IsHolder func() bool
-	Log      *zap.Logger
+	// After, if not nil, is closed when the first load may begin.
+	After <-chan struct{}
+	Log   *zap.Logger
 
-	isLoaded bool
+	isLoaded  bool
+	initOnce  sync.Once
+	firstLoad chan struct{} // closed after the first load, whatever its result
 }
 
-// Run loads the saved poison requests, and saves new ones until ctx ends and once more
-// then.
+// saving is what is to be saved or removed.
+type saving struct {
+	requests map[uint64]struct{}
+	wake     chan struct{}
+}
+
+// Run loads the saved poison requests, and saves new ones as soon as they are known until
+// ctx ends, and once more then.
 func (s *Saver) Run(ctx context.Context) {
-	for ctx.Err() == nil {
-		wait := saveInterval
+	if s.After != nil {
+		select {
+		case <-s.After:
+		case <-ctx.Done():
+			return
+		}
+	}
+	tick := time.NewTicker(loadRetryInterval)
+	defer tick.Stop()
+	for isFirst := true; ctx.Err() == nil; isFirst = false {
 		if !s.isLoaded {
 			if err := s.load(ctx, time.Now()); err != nil {
 				s.Log.Warn("poison requests could not be loaded", logger.Error(err))
-				wait = loadRetryInterval
 			}
 		}
+		if isFirst {
+			close(s.firstLoaded())
+		}
 		s.save(ctx)
-		sleeper.Sleep(ctx, wait)
+		sleeper.Sleep(ctx, minSaveInterval)
+		select {
+		case <-ctx.Done():
+		case <-tick.C:
+		case <-s.Tracker.saveWake():
+		}
 	}
 	last, cancel := context.WithTimeout(context.WithoutCancel(ctx), storeTimeout)
 	defer cancel()
 	s.save(last)
 }
 
+// FirstLoad returns a channel that is closed after the first attempt to load the saved
+// poison requests.
+func (s *Saver) FirstLoad() <-chan struct{} { return s.firstLoaded() }
+
+func (s *Saver) firstLoaded() chan struct{} {
+	s.initOnce.Do(func() { s.firstLoad = make(chan struct{}) })
+	return s.firstLoad
+}
+
 func (s *Saver) load(ctx context.Context, now time.Time) error {
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
@@ -104,6 +139,33 @@
 	s.Log.Info("poison requests saved", zap.Int("requests", len(list)))
 }
 
+// updateSavingLocked marks a request to be saved if it has become a poison request, and to
+// be removed if it is none any more.
+func (t *Tracker) updateSavingLocked(fingerprint uint64, r *request) {
+	if counted, _ := r.numLosses(); (counted >= PoisonThreshold) == r.isSaved {
+		delete(t.saving.requests, fingerprint)
+		return
+	}
+	t.saving.requests[fingerprint] = struct{}{}
+	select {
+	case t.saveWakeLocked() <- struct{}{}:
+	default:
+	}
+}
+
+func (t *Tracker) saveWake() <-chan struct{} {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.saveWakeLocked()
+}
+
+func (t *Tracker) saveWakeLocked() chan struct{} {
+	if t.saving.wake == nil {
+		t.saving.wake = make(chan struct{}, 1)
+	}
+	return t.saving.wake
+}
+
 // mergeSaved merges the saved poison requests, and returns the expired ones without
 // their losses.
 func (t *Tracker) mergeSaved(list []Poison, now time.Time) (expired []Poison) {
@@ -114,18 +176,12 @@
 			expired = append(expired, Poison{Fingerprint: p.Fingerprint})
 			continue
 		}
-		for n, i := range p.Ended {
-			repeat := 0
-			for _, earlier := range p.Ended[:n] {
-				if earlier == i {
-					repeat++
-				}
-			}
-			events = append(events, t.addLocked(loss{Loss: Loss{p.Fingerprint, i, repeat, true}, learnedAt: now}, Learned, now)...)
+		for _, l := range p.Losses {
+			events = append(events, t.addLocked(loss{Loss: l, learnedAt: now}, Learned, now)...)
 		}
 		if r := t.requestLocked(p.Fingerprint, now); r != nil {
 			r.isSaved = true
-			delete(t.isUnsaved, p.Fingerprint)
+			t.updateSavingLocked(p.Fingerprint, r)
 		}
 	}
 	t.mu.Unlock()
@@ -133,21 +189,23 @@
 	return expired
 }
 
-// unsaved returns the poison requests to save: those with a loss that this instance
-// observed, or all.
+// unsaved returns the poison requests to save or remove: those with a loss that this
+// instance observed, or all.
 func (t *Tracker) unsaved(all bool) []Poison {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	var out []Poison
-	for f := range t.isUnsaved {
+	for f := range t.saving.requests {
 		r, _ := t.requests.Peek(f)
 		if !all && !r.isOwn || len(out) == maxReported {
 			continue
 		}
 		p := Poison{Fingerprint: f, At: r.latestAt}
-		for _, l := range r.losses {
-			if l.IsConfirmed && l.counts() {
-				p.Ended = append(p.Ended, l.Incarnation)
+		if counted, _ := r.numLosses(); counted >= PoisonThreshold {
+			for _, l := range r.losses {
+				if l.counts() {
+					p.Losses = append(p.Losses, l.Loss)
+				}
 			}
 		}
 		out = append(out, p)
@@ -160,8 +218,8 @@
 	defer t.mu.Unlock()
 	for _, p := range list {
 		if r, ok := t.requests.Peek(p.Fingerprint); ok {
-			r.isSaved = true
-			delete(t.isUnsaved, p.Fingerprint)
+			r.isSaved = len(p.Losses) > 0
+			t.updateSavingLocked(p.Fingerprint, r)
 		}
 	}
 }
@@ -177,8 +235,6 @@
 	for _, f := range t.requests.Keys() {
 		r, _ := t.requests.Peek(f)
 		r.isSaved = false
-		if _, confirmed := r.numLosses(); confirmed >= PoisonThreshold {
-			t.isUnsaved[f] = struct{}{}
-		}
+		t.updateSavingLocked(f, r)
 	}
 }
--- a/internal/losstracker/saver_test.go
+++ b/internal/losstracker/saver_test.go
@@ -41,7 +41,7 @@
 		},
 		Save: func(_ context.Context, list []Poison) error {
 			for _, p := range list {
-				if f.err() == nil && len(p.Ended) > 0 {
+				if f.err() == nil && len(p.Losses) > 0 {
 					f.saved[p.Fingerprint] = p
 				} else if f.err() == nil {
 					delete(f.saved, p.Fingerprint)
@@ -161,7 +161,7 @@
 		f.trackers[0].RecordEnd(inc(n), start)
 	}
 	f.savers[0].save(t.Context())
-	require.Len(t, f.saved[poison].Ended, PoisonThreshold)
+	require.Len(t, f.saved[poison].Losses, PoisonThreshold)
 	clear(f.saved)
 	f.savers[0].save(t.Context())
 	require.Empty(t, f.saved, "it is saved once")
@@ -176,7 +176,7 @@
 func TestExpiredPoisonRequestsAreRemovedByTheHolder(t *testing.T) {
 	f := newFleet(2)
 	f.saved = map[uint64]Poison{
-		poison: {poison, []registrar.Incarnation{inc(1)}, start.Add(-2 * lossTTL)}, 8: {8, []registrar.Incarnation{inc(1)}, start},
+		poison: {poison, []Loss{{poison, inc(1), 0, true}}, start.Add(-2 * lossTTL)}, 8: {8, []Loss{{8, inc(1), 0, true}}, start},
 	}
 	f.start(t, 1, start)
 	require.Len(t, f.saved, 2)
@@ -185,3 +185,50 @@
 	require.Equal(t, [2]int{1, 1}, f.trackers[1].counts(8, start))
 	require.Equal(t, [2]int{0, 0}, f.trackers[1].counts(poison, start))
 }
+
+// TestPoisonRequestIsSavedBeforeItsLossesAreConfirmed guards against a restart of all
+// instances in the moment after the third upstream has ended.
+func TestPoisonRequestIsSavedBeforeItsLossesAreConfirmed(t *testing.T) {
+	f := newFleet(2)
+	f.start(t, 0, start)
+	for n := range PoisonThreshold {
+		f.trackers[0].Begin(inc(n), poison).End(Broken, start)
+	}
+	require.Len(t, f.trackers[0].saveWake(), 1, "it is saved at once")
+	f.savers[0].save(t.Context())
+	f.start(t, 1, start)
+	require.Equal(t, [2]int{PoisonThreshold, 0}, f.trackers[1].counts(poison, start))
+
+	f.trackers[0].RecordRegistration(inc(0), start.Add(delay+1))
+	f.savers[0].save(t.Context())
+	require.Empty(t, f.saved, "it is none any more")
+	f.savers[0].save(t.Context())
+	f.trackers[0].Begin(inc(9), poison).End(Broken, start)
+	f.savers[0].save(t.Context())
+	require.Len(t, f.saved, 1)
+}
+
+// TestSaverLoadsAfterAnother checks that the saver waits until it may load, and says when it
+// has tried.
+func TestSaverLoadsAfterAnother(t *testing.T) {
+	f := newFleet(1)
+	f.start(t, 0, start)
+	s, after := f.savers[0], make(chan struct{})
+	s.After, s.isLoaded = after, false
+	f.isAway = true
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan struct{})
+	go func() {
+		s.Run(ctx)
+		close(done)
+	}()
+	select {
+	case <-s.FirstLoad():
+		t.Error("loaded too early")
+	default:
+	}
+	close(after)
+	<-s.FirstLoad()
+	cancel()
+	<-done
+}
