--- a/internal/relayer/attempt.go
+++ b/internal/relayer/attempt.go
@@ -47,6 +47,7 @@
 	began := time.Now()
 	tracked := c.Losses.Begin(u.Incarnation(), c.fingerprint)
 	c.headLatency, c.isRetryCharged = 0, false
+	eventsBefore := c.stream.numEvents
 	res := c.exchange(ctx, slot, began)
 	if res.isRefused {
 		slot.Shed()
@@ -76,7 +77,8 @@
 	c.Metrics.attempts.WithLabelValues(c.admission.Service, "failed").Inc()
 	c.Log.Info("attempt failed", zap.String("request", c.requestInfo.ID), zap.String("upstream", u.ID),
 		zap.String("content", FormatFingerprint(c.fingerprint)), zap.Int64("born", u.StartedAtMs), zap.Int64("orders", u.NumOrders),
-		zap.Bool("not-run", res.isNotRun), zap.Bool("left", isCanceled), zap.String("why", res.reason), zap.Duration("took", time.Since(began)))
+		zap.Bool("not-run", res.isNotRun), zap.Bool("left", isCanceled),
+		zap.Strings("parts", c.loggedParts()), zap.Int("events", c.stream.numEvents-eventsBefore), zap.String("why", res.reason), zap.Duration("took", time.Since(began)))
 	if isCanceled || res.isNotRun || c.route.MayRetry() || c.route.IsStream && c.route.IsResumable {
 		return false, nil
 	}
--- a/internal/relayer/poison.go
+++ b/internal/relayer/poison.go
@@ -33,5 +33,13 @@
 	return quarantiner.Fingerprint(c.req.Method, c.req.Host, c.req.Target, string(c.req.Body))
 }
 
+// maxLoggedParts bounds the parts of a prompt in a line of the log.
+const maxLoggedParts = 8
+
+// loggedParts returns the first parts of the prompt.
+func (c *call) loggedParts() []string {
+	return c.requestInfo.Parts[:min(len(c.requestInfo.Parts), maxLoggedParts)]
+}
+
 // FormatFingerprint returns the fingerprint of a request as it stands in logs.
 func FormatFingerprint(f uint64) string { return strconv.FormatUint(f, 16) }
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -49,7 +49,10 @@
 	Model, Adapter string
 	PromptTokens   int
 	// Prefix identifies the part of the prompt that is shared with other requests.
-	Prefix      string
+	Prefix string
+	// Parts are the ids of the parts of the prompt in order, without the last, which
+	// belongs to this request alone.
+	Parts       []string
 	LastEventID string // set if the client resumes a stream
 }
 
@@ -338,6 +341,9 @@
 	if c.stream.hasStarted {
 		fields = append(fields, zap.Int("events", c.stream.numEvents), zap.Duration("longest-pause", c.stream.longestGap), zap.Duration("most-pause", c.route.MaxEventGap))
 	}
+	if len(c.requestInfo.Parts) > 0 {
+		fields = append(fields, zap.Strings("parts", c.loggedParts()))
+	}
 	if c.cfg != nil {
 		fields = append(fields, zap.Int64("config", c.cfg.Version))
 	}
