internal/losstracker: refutations of losses are passed on

Cause: only the instance at which a request ran to its end took back its losses. The others went on counting them, and refused the request for up to an hour. Change: a loss carries that it is refuted. It is reported to the conductor, contained in the view and in the responses to peers for 30 s, and removed from the log by the instance that saved it or by the holder. An instance that hears of a refuted loss again says so again.

--- a/internal/losstracker/attempt.go
+++ b/internal/losstracker/attempt.go
@@ -63,7 +63,7 @@
 	case Succeeded:
 		events = t.refuteLocked(a.fingerprint, now)
 	default:
-		events = t.addLocked(loss{Loss: Loss{a.fingerprint, a.incarnation, a.repeat, false}, learnedAt: now, isOwn: true, isUncounted: e == Left}, Suspected, now)
+		events = t.addLocked(loss{Loss: Loss{Fingerprint: a.fingerprint, Incarnation: a.incarnation, Repeat: a.repeat}, learnedAt: now, isOwn: true, isUncounted: e == Left}, Suspected, now)
 	}
 	t.mu.Unlock()
 	t.notify(events)
--- a/internal/losstracker/bench_test.go
+++ b/internal/losstracker/bench_test.go
@@ -21,7 +21,7 @@
 		tr := newTracker()
 		for n := range maxRequests {
 			for k := range PoisonThreshold {
-				tr.MergeReport([]Loss{{uint64(n), inc(k), 0, false}}, start)
+				tr.MergeReport([]Loss{{Fingerprint: uint64(n), Incarnation: inc(k)}}, start)
 			}
 		}
 		b.ReportMetric(float64(heapBytes()-before)/maxRequests, "B/request")
@@ -33,7 +33,7 @@
 func BenchmarkLosses(b *testing.B) {
 	tr := newTracker()
 	for n := range maxRequests {
-		tr.MergeReport([]Loss{{uint64(n), inc(1), 0, true}}, start)
+		tr.MergeReport([]Loss{{Fingerprint: uint64(n), Incarnation: inc(1), IsConfirmed: true}}, start)
 	}
 	n := uint64(0)
 	for b.Loop() {
--- a/internal/losstracker/doc.go
+++ b/internal/losstracker/doc.go
@@ -16,9 +16,9 @@
 //     withdrawn when the incarnation has registered itself later. Every instance decides
 //     this from the registrations that it reads, so neither has to be sent. An
 //     undecided loss has no other time limit.
-//   - A request that runs to its end is no poison request: its losses so far are refuted
-//     at this instance. Many callers may send the same content, which then runs on
-//     every upstream that ends.
+//   - A request that runs to its end is no poison request: its losses so far are refuted.
+//     Many callers may send the same content, which then runs on every upstream that
+//     ends. All instances that know these losses are told.
 //   - Losses are merged, never replaced: a message that comes late or from an earlier
 //     conductor cannot take back a later one.
 //   - Losses of a request count until lossTTL after the latest of them.
--- a/internal/losstracker/exchange.go
+++ b/internal/losstracker/exchange.go
@@ -31,7 +31,7 @@
 
 // Unreported returns losses that were not reported to the conductor yet. Another
 // incarnation of a conductor has received none.
-func (t *Tracker) Unreported(conductor string) []Loss {
+func (t *Tracker) Unreported(conductor string, now time.Time) []Loss {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.initLocked()
@@ -39,7 +39,7 @@
 		t.reporting.conductor = conductor
 		for _, r := range t.requests.Values() {
 			for _, l := range r.losses {
-				if l.counts() {
+				if l.isTold(now) {
 					t.reporting.unreported[keyOf(l.Loss)] = l.Loss
 				}
 			}
@@ -69,7 +69,16 @@
 
 func (t *Tracker) recordReportedLocked(losses []Loss) {
 	for _, l := range losses {
-		if u, ok := t.reporting.unreported[keyOf(l)]; ok && (l.IsConfirmed || !u.IsConfirmed) {
+		u, ok := t.reporting.unreported[keyOf(l)]
+		if !ok {
+			continue
+		}
+		if r, ok := t.requests.Peek(l.Fingerprint); ok {
+			if known := r.find(keyOf(l)); known != nil {
+				known.isExchanged = true
+			}
+		}
+		if hasChanged := u.IsConfirmed && !l.IsConfirmed || u.IsRefuted && !l.IsRefuted; !hasChanged {
 			delete(t.reporting.unreported, keyOf(l))
 		}
 	}
@@ -99,7 +108,7 @@
 func (t *Tracker) mergeLocked(losses []Loss, now time.Time) []event {
 	var events []event
 	for _, l := range losses {
-		events = append(events, t.addLocked(loss{Loss: l, learnedAt: now}, Learned, now)...)
+		events = append(events, t.addLocked(loss{Loss: l, learnedAt: now, isExchanged: true}, Learned, now)...)
 	}
 	return events
 }
@@ -129,11 +138,16 @@
 		if now.Sub(r.latestAt) > lossTTL {
 			continue
 		}
+		numBefore := len(out)
 		for _, l := range r.losses {
-			if l.counts() {
+			if l.isTold(now) {
+				l.isExchanged = true
 				out = append(out, l.Loss)
 			}
 		}
+		if len(out) == numBefore {
+			delete(t.shared, f) // all are refuted
+		}
 	}
 	return out
 }
@@ -154,7 +168,8 @@
 			continue
 		}
 		for _, l := range r.losses {
-			if l.counts() {
+			if l.isTold(now) {
+				l.isExchanged = true
 				out = append(out, l.Loss)
 			}
 		}
--- a/internal/losstracker/loss.go
+++ b/internal/losstracker/loss.go
@@ -18,6 +18,8 @@
 	Repeat int
 	// IsConfirmed says that the incarnation is known to have ended.
 	IsConfirmed bool
+	// IsRefuted says that the request has run to its end since.
+	IsRefuted bool
 }
 
 // Change says what happened to a loss.
@@ -45,13 +47,14 @@
 	Loss
 	learnedAt time.Time
 	isOwn     bool // observed by this instance
-	// isRefuted says that the request has run to its end since.
-	isRefuted bool
+	// isExchanged says that another instance knows the loss.
+	isExchanged bool
+	refutedAt   time.Time // when this instance learned that it is refuted
 	// isUncounted says that the attempt was not seen to break, since its client left.
 	isUncounted bool
 }
 
-func (l *loss) counts() bool { return !l.isRefuted && (l.IsConfirmed || !l.isUncounted) }
+func (l *loss) counts() bool { return !l.IsRefuted && (l.IsConfirmed || !l.isUncounted) }
 
 // numLosses returns the number of losses that count, and of the confirmed ones.
 func (r *request) numLosses() (counted, confirmed int) {
@@ -59,13 +62,19 @@
 		if l.counts() {
 			counted++
 		}
-		if l.IsConfirmed && !l.isRefuted {
+		if l.IsConfirmed && !l.IsRefuted {
 			confirmed++
 		}
 	}
 	return counted, confirmed
 }
 
+// isTold reports whether others are told of the loss: one that counts, or one that they
+// may count although it is refuted.
+func (l *loss) isTold(now time.Time) bool {
+	return l.counts() || l.IsRefuted && l.isExchanged && now.Sub(l.refutedAt) <= refutationTTL
+}
+
 func (r *request) find(k key) *loss {
 	for _, l := range r.losses {
 		if keyOf(l.Loss) == k {
@@ -79,7 +88,7 @@
 func (r *request) undecided(i registrar.Incarnation) []*loss {
 	var out []*loss
 	for _, l := range r.losses {
-		if l.Incarnation == i && !l.IsConfirmed && !l.isRefuted {
+		if l.Incarnation == i && !l.IsConfirmed && !l.IsRefuted {
 			out = append(out, l)
 		}
 	}
@@ -88,5 +97,5 @@
 
 // removeRefuted removes the refuted losses, to make room for others.
 func (r *request) removeRefuted() {
-	r.losses = slices.DeleteFunc(r.losses, func(l *loss) bool { return l.isRefuted })
+	r.losses = slices.DeleteFunc(r.losses, func(l *loss) bool { return l.IsRefuted })
 }
--- a/internal/losstracker/losstracker.go
+++ b/internal/losstracker/losstracker.go
@@ -24,6 +24,8 @@
 	maxLosses = 8
 	// lossTTL is how long the losses of a request count after the latest of them.
 	lossTTL = time.Hour
+	// refutationTTL is how long other instances are told that a loss is refuted.
+	refutationTTL = 30 * time.Second
 )
 
 // Tracker keeps the losses that one instance knows. Its zero value is ready to use.
@@ -140,7 +142,22 @@
 		return nil
 	case known == nil:
 		known = &l
+		known.refutedAt = now
 		r.losses = append(r.losses, known)
+	case l.IsRefuted && !known.IsRefuted:
+		events := []event{{known.Loss, Refuted, 0}}
+		t.refuteLossLocked(r, known, now)
+		t.updateSavingLocked(l.Fingerprint, r)
+		t.sharedVersion++
+		return events
+	case known.IsRefuted:
+		if !l.IsRefuted && l.isExchanged { // the sender still counts it
+			known.isExchanged, known.refutedAt = true, now
+			t.reporting.unreported[keyOf(known.Loss)] = known.Loss
+			t.shared[l.Fingerprint] = struct{}{}
+			t.sharedVersion++
+		}
+		return nil
 	case l.IsConfirmed && !known.IsConfirmed:
 		known.IsConfirmed = true
 		if c != Learned {
@@ -169,7 +186,7 @@
 }
 
 // refuteLocked takes back the losses of a request that has run to its end. They are kept
-// as refuted, so that other instances do not bring them back.
+// as refuted, so that other instances do not bring them back, and these are told.
 func (t *Tracker) refuteLocked(fingerprint uint64, now time.Time) []event {
 	r := t.requestLocked(fingerprint, now)
 	if r == nil {
@@ -177,21 +194,30 @@
 	}
 	var events []event
 	for _, l := range r.losses {
+		if l.IsRefuted {
+			continue
+		}
 		if l.counts() {
 			events = append(events, event{l.Loss, Refuted, 0})
 		}
-		l.isRefuted = true
-		t.indexLocked(r, l.Loss)
-		delete(t.reporting.unreported, keyOf(l.Loss))
+		t.refuteLossLocked(r, l, now)
 	}
 	t.updateSavingLocked(fingerprint, r)
-	if _, isShared := t.shared[fingerprint]; isShared {
-		delete(t.shared, fingerprint)
-		t.sharedVersion++
-	}
+	t.sharedVersion++
 	return events
 }
 
+func (t *Tracker) refuteLossLocked(r *request, l *loss, now time.Time) {
+	l.IsRefuted, l.refutedAt = true, now
+	t.indexLocked(r, l.Loss)
+	if l.isExchanged {
+		t.reporting.unreported[keyOf(l.Loss)] = l.Loss
+		t.shared[l.Fingerprint] = struct{}{}
+	} else {
+		delete(t.reporting.unreported, keyOf(l.Loss))
+	}
+}
+
 func (t *Tracker) notify(events []event) {
 	if t.OnChange == nil {
 		return
@@ -206,7 +232,7 @@
 	t.mu.Lock()
 	var events []event
 	for a := range t.running[i] {
-		events = append(events, t.addLocked(loss{Loss: Loss{a.fingerprint, i, a.repeat, true}, learnedAt: now, isOwn: true}, Confirmed, now)...)
+		events = append(events, t.addLocked(loss{Loss: Loss{Fingerprint: a.fingerprint, Incarnation: i, Repeat: a.repeat, IsConfirmed: true}, learnedAt: now, isOwn: true}, Confirmed, now)...)
 	}
 	events = append(events, t.confirmLocked(i, now)...)
 	t.mu.Unlock()
@@ -219,7 +245,7 @@
 	for _, f := range t.undecidedLocked(i) {
 		r, _ := t.requests.Peek(f)
 		for _, l := range r.undecided(i) {
-			events = append(events, t.addLocked(loss{Loss: Loss{f, i, l.Repeat, true}, learnedAt: now}, Confirmed, now)...)
+			events = append(events, t.addLocked(loss{Loss: Loss{Fingerprint: f, Incarnation: i, Repeat: l.Repeat, IsConfirmed: true}, learnedAt: now}, Confirmed, now)...)
 		}
 	}
 	return events
@@ -284,7 +310,7 @@
 			for _, l := range r.undecided(i) {
 				// The registration of a new upstream may not have been read yet.
 				if now.Sub(l.learnedAt) > t.RegistrationDelay {
-					events = append(events, t.addLocked(loss{Loss: Loss{f, i, l.Repeat, true}, learnedAt: now}, Confirmed, now)...)
+					events = append(events, t.addLocked(loss{Loss: Loss{Fingerprint: f, Incarnation: i, Repeat: l.Repeat, IsConfirmed: true}, learnedAt: now}, Confirmed, now)...)
 				}
 			}
 		}
--- a/internal/losstracker/losstracker_test.go
+++ b/internal/losstracker/losstracker_test.go
@@ -63,10 +63,10 @@
 	tr := newTracker()
 	tr.Begin(inc(1), poison).End(Left, start)
 	require.Equal(t, [2]int{0, 0}, tr.counts(poison, start))
-	require.Empty(t, tr.Unreported("c"))
+	require.Empty(t, tr.Unreported("c", start))
 	tr.RecordEnd(inc(1), start)
 	require.Equal(t, [2]int{1, 1}, tr.counts(poison, start))
-	require.Len(t, tr.Unreported("c"), 1)
+	require.Len(t, tr.Unreported("c", start), 1)
 }
 
 // TestRestartsThatAreNotRegisteredCount guards against upstreams of one id that crash
@@ -79,7 +79,7 @@
 	require.Equal(t, [2]int{1, 0}, tr.counts(poison, start), "both ran when it ended")
 	tr.Begin(inc(1), poison).End(Broken, start)
 	require.Equal(t, [2]int{2, 0}, tr.counts(poison, start))
-	peer.MergeReport(tr.Unreported("c"), start)
+	peer.MergeReport(tr.Unreported("c", start), start)
 	peer.Begin(inc(1), poison).End(Broken, start)
 	require.Equal(t, [2]int{3, 0}, peer.counts(poison, start))
 	tr.MergeReport(peer.Shared(start), start)
@@ -127,8 +127,8 @@
 	require.Equal(t, [2]int{0, 0}, tr.counts(poison, start))
 	require.Greater(t, tr.SharedVersion(), version)
 	require.Empty(t, tr.Shared(start))
-	require.Empty(t, tr.Unreported("c"))
-	tr.MergeReport([]Loss{{poison, inc(0), 0, true}, {poison, inc(1), 0, true}, {poison, inc(2), 0, false}}, start)
+	require.Empty(t, tr.Unreported("c", start))
+	tr.MergeReport([]Loss{{Fingerprint: poison, Incarnation: inc(0), IsConfirmed: true}, {Fingerprint: poison, Incarnation: inc(1), IsConfirmed: true}, {Fingerprint: poison, Incarnation: inc(2)}}, start)
 	require.Equal(t, [2]int{0, 0}, tr.counts(poison, start), "others do not bring them back")
 	for n := range maxLosses {
 		tr.Begin(inc(10+n), poison).End(Broken, start)
@@ -139,7 +139,7 @@
 
 func TestUnregisteredIncarnationHasEnded(t *testing.T) {
 	tr := newTracker()
-	tr.MergeReport([]Loss{{poison, inc(1), 0, false}, {poison, inc(2), 0, false}}, start)
+	tr.MergeReport([]Loss{{Fingerprint: poison, Incarnation: inc(1)}, {Fingerprint: poison, Incarnation: inc(2)}}, start)
 	isRegistered := func(i registrar.Incarnation) bool { return i == inc(1) }
 	tr.Sweep(isRegistered, start.Add(delay))
 	require.Equal(t, [2]int{2, 0}, tr.counts(poison, start), "its registration may not have been read yet")
@@ -154,32 +154,32 @@
 	for n := range maxReported + 10 {
 		tr.Begin(inc(1), uint64(n)).End(Broken, start)
 	}
-	first := tr.Unreported("c1")
+	first := tr.Unreported("c1", start)
 	require.Len(t, first, maxReported)
 	require.True(t, tr.RecordReported("c1", first))
-	rest := tr.Unreported("c1")
+	rest := tr.Unreported("c1", start)
 	require.Len(t, rest, 10)
 	tr.RecordEnd(inc(1), start)
 	tr.RecordReported("c1", rest)
-	require.NotEmpty(t, tr.Unreported("c1"), "confirmed after the report was built")
-	for len(tr.Unreported("c1")) > 0 {
-		tr.RecordReported("c1", tr.Unreported("c1"))
+	require.NotEmpty(t, tr.Unreported("c1", start), "confirmed after the report was built")
+	for len(tr.Unreported("c1", start)) > 0 {
+		tr.RecordReported("c1", tr.Unreported("c1", start))
 	}
-	require.Len(t, tr.Unreported("c2"), maxReported)
+	require.Len(t, tr.Unreported("c2", start), maxReported)
 	require.False(t, tr.RecordReported("c1", first), "an earlier conductor's response")
-	tr.MergeView("c2", []Loss{{3, inc(1), 0, true}}, start)
-	require.NotContains(t, tr.Unreported("c2"), Loss{3, inc(1), 0, true})
+	tr.MergeView("c2", []Loss{{Fingerprint: 3, Incarnation: inc(1), IsConfirmed: true}}, start)
+	require.NotContains(t, tr.Unreported("c2", start), Loss{Fingerprint: 3, Incarnation: inc(1), IsConfirmed: true})
 }
 
 func TestOnlyRequestsWithSeveralLossesAreShared(t *testing.T) {
 	tr := newTracker()
 	before := tr.SharedVersion()
-	tr.MergeReport([]Loss{{1, inc(1), 0, true}, {2, inc(1), 0, true}}, start)
+	tr.MergeReport([]Loss{{Fingerprint: 1, Incarnation: inc(1), IsConfirmed: true}, {Fingerprint: 2, Incarnation: inc(1), IsConfirmed: true}}, start)
 	require.Empty(t, tr.Shared(start))
 	require.Equal(t, before, tr.SharedVersion())
 	require.Len(t, tr.Recent(start), 2, "peers without a conductor are told new ones, too")
-	tr.MergeReport([]Loss{{2, inc(2), 0, false}}, start)
-	require.ElementsMatch(t, []Loss{{2, inc(1), 0, true}, {2, inc(2), 0, false}}, tr.Shared(start))
+	tr.MergeReport([]Loss{{Fingerprint: 2, Incarnation: inc(2)}}, start)
+	require.ElementsMatch(t, []Loss{{Fingerprint: 2, Incarnation: inc(1), IsConfirmed: true}, {Fingerprint: 2, Incarnation: inc(2)}}, tr.Shared(start))
 	version := tr.SharedVersion()
 	require.Greater(t, version, before)
 	require.Len(t, tr.Recent(start.Add(recentAge+1)), 2)
@@ -191,7 +191,7 @@
 func TestKeptRequestsAreBounded(t *testing.T) {
 	tr := newTracker()
 	for n := range 2 * maxRequests {
-		tr.MergeReport([]Loss{{uint64(n), inc(1), 0, true}, {uint64(n), inc(2), 0, false}, {uint64(n), inc(3), 0, true}, {uint64(n), inc(4), 0, true}}, start)
+		tr.MergeReport([]Loss{{Fingerprint: uint64(n), Incarnation: inc(1), IsConfirmed: true}, {Fingerprint: uint64(n), Incarnation: inc(2)}, {Fingerprint: uint64(n), Incarnation: inc(3), IsConfirmed: true}, {Fingerprint: uint64(n), Incarnation: inc(4), IsConfirmed: true}}, start)
 	}
 	require.Equal(t, maxRequests, tr.requests.Len())
 	require.Len(t, tr.shared, maxRequests)
--- a/internal/losstracker/saver_test.go
+++ b/internal/losstracker/saver_test.go
@@ -73,7 +73,7 @@
 func (f *fleet) exchange(conductor int, now time.Time) {
 	name := fmt.Sprint(conductor, "/", f.starts[conductor])
 	for _, tr := range f.trackers {
-		list := tr.Unreported(name)
+		list := tr.Unreported(name, now)
 		f.trackers[conductor].MergeReport(list, now)
 		tr.RecordReported(name, list)
 	}
@@ -176,7 +176,7 @@
 func TestExpiredPoisonRequestsAreRemovedByTheHolder(t *testing.T) {
 	f := newFleet(2)
 	f.saved = map[uint64]Poison{
-		poison: {poison, []Loss{{poison, inc(1), 0, true}}, start.Add(-2 * lossTTL)}, 8: {8, []Loss{{8, inc(1), 0, true}}, start},
+		poison: {poison, []Loss{{Fingerprint: poison, Incarnation: inc(1), IsConfirmed: true}}, start.Add(-2 * lossTTL)}, 8: {8, []Loss{{Fingerprint: 8, Incarnation: inc(1), IsConfirmed: true}}, start},
 	}
 	f.start(t, 1, start)
 	require.Len(t, f.saved, 2)
--- a/internal/syncer/client.go
+++ b/internal/syncer/client.go
@@ -240,7 +240,7 @@
 		c.Server.ApplyReport(r, time.Now())
 		return
 	}
-	losses := c.Losses.Unreported(claim.Incarnation)
+	losses := c.Losses.Unreported(claim.Incarnation, time.Now())
 	r.Losses = encodeLosses(losses)
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
