internal/losstracker: expired losses are not reported to a new conductor

Cause: losses expire when their request is looked up. Those of a request that did not come again were kept, and reported to each new conductor, at which they counted for another hour. TestExpiredLossesAreNotReported fails without the change.

--- a/internal/losstracker/exchange.go
+++ b/internal/losstracker/exchange.go
@@ -38,6 +38,9 @@
 	if t.reporting.conductor != conductor {
 		t.reporting.conductor = conductor
 		for _, r := range t.requests.Values() {
+			if now.Sub(r.latestAt) > lossTTL {
+				continue
+			}
 			for _, l := range r.losses {
 				if l.isTold(now) {
 					t.reporting.unreported[keyOf(l.Loss)] = l.Loss
@@ -46,10 +49,14 @@
 		}
 	}
 	out := make([]Loss, 0, min(len(t.reporting.unreported), maxReported))
-	for _, l := range t.reporting.unreported {
+	for k, l := range t.reporting.unreported {
 		if len(out) == maxReported {
 			break
 		}
+		if r, ok := t.requests.Peek(l.Fingerprint); !ok || now.Sub(r.latestAt) > lossTTL {
+			delete(t.reporting.unreported, k)
+			continue
+		}
 		out = append(out, l)
 	}
 	return out
--- a/internal/losstracker/losstracker_test.go
+++ b/internal/losstracker/losstracker_test.go
@@ -198,3 +198,13 @@
 	require.Len(t, tr.undecided[inc(2)], maxRequests)
 	require.Len(t, tr.saving.requests, maxRequests)
 }
+
+// TestExpiredLossesAreNotReported guards against losses that a new conductor learns after
+// they have expired, and that count for another hour.
+func TestExpiredLossesAreNotReported(t *testing.T) {
+	tr := newTracker()
+	tr.Begin(inc(1), poison).End(Broken, start)
+	require.Len(t, tr.Unreported("c1", start), 1)
+	require.Empty(t, tr.Unreported("c1", start.Add(lossTTL+1)))
+	require.Empty(t, tr.Unreported("c2", start.Add(lossTTL+1)))
+}
