internal/losstracker: deadly parts of prompts are found by group testing, and refused

Cause: the tracker knew the content of whole requests only, and no two of these are alike. Class: what is counted is not what causes the ends. Change: an attempt is lost for each part of its prompt as well, until its response has begun and gone on for 50 ms. That refutes the losses of its parts, here and at all instances, so that the sound parts of a broken request are acquitted. Losses of a part count in rounds: upstreams that crash together accuse a part once. Ruled out by the traces before: a count of ends alone (8 to 18 parts reach three upstreams).

The play of TestDeadlyPartEndsFewUpstreams ends more than three upstreams after the fifth if instances do not tell each other.

--- a/internal/assembler/assembler.go
+++ b/internal/assembler/assembler.go
@@ -165,6 +165,7 @@
 	a.relayer = &relayer.Relayer{
 		Codec: a.Codec, Config: a.config.Load, Upstreams: a.upstreamTable, Queue: a.queue, Pool: a.pool, RetryBudget: a.budget,
 		Losses: a.losses, Log: a.Log.Named("relayer"), Metrics: relayer.NewMetrics(a.registry),
+		MayTry:     func() bool { return a.lease.IsHolder() },
 		ViewAge:    func() time.Duration { return a.client.ViewAge() },
 		IsStopping: a.isStopping.Load, IsClosed: a.isClosed.Load,
 	}
@@ -392,6 +393,9 @@
 		case now := <-tick.C:
 			a.pool.Sweep(now)
 			a.upstreamTable.Sweep(now)
+			if a.losses.Tick(now) {
+				a.client.ReportNow()
+			}
 			if a.upstreamTable.IsComplete(now) {
 				a.losses.Sweep(a.upstreamTable.IsRegistered, now)
 			}
--- a/internal/losstracker/attempt.go
+++ b/internal/losstracker/attempt.go
@@ -17,6 +17,8 @@
 	Succeeded
 	// Left means that the client left or its time was over while the upstream responded.
 	Left
+	// Abandoned means that the client left after a long wait without a response.
+	Abandoned
 	// Broken means that the upstream did not respond, or not completely.
 	Broken
 )
@@ -25,22 +27,59 @@
 type Attempt struct {
 	tracker     *Tracker
 	incarnation registrar.Incarnation
-	fingerprint uint64
-	repeat      int // see Loss.Repeat
+	fingerprint uint64 // of the content
+	repeat      int    // see Loss.Repeat
+	parts       []partMark
+	hasSurvived bool // see RecordSurvival
 }
 
-// Begin records the start of an attempt.
-func (t *Tracker) Begin(i registrar.Incarnation, fingerprint uint64) *Attempt {
+// partMark is what was known of a part when an attempt began.
+type partMark struct {
+	fingerprint   uint64
+	repeat, round int // see Loss
+	// request holds the losses of the part, nil if there were none.
+	request *request
+}
+
+// leave records that the attempt is over, or has survived.
+func (m partMark) leave() {
+	if m.request != nil {
+		m.request.numRunning--
+	}
+}
+
+// Begin records the start of an attempt of a request with a content and parts of a prompt
+// that other requests may share.
+func (t *Tracker) Begin(i registrar.Incarnation, content uint64, parts ...uint64) *Attempt {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	return t.beginLocked(i, content, parts)
+}
+
+// TryBegin is Begin, unless the request is a poison request (see Find).
+func (t *Tracker) TryBegin(i registrar.Incarnation, content uint64, parts []uint64, mayTry bool, now time.Time) (*Attempt, Finding) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if f, isPoison := t.findLocked(content, parts, mayTry, now); isPoison {
+		return nil, f
+	}
+	return t.beginLocked(i, content, parts), Finding{}
+}
+
+func (t *Tracker) beginLocked(i registrar.Incarnation, content uint64, parts []uint64) *Attempt {
 	t.initLocked()
-	a := &Attempt{t, i, fingerprint, 0}
-	if r, ok := t.requests.Peek(fingerprint); ok {
-		for _, l := range r.losses {
-			if l.Incarnation == i && l.counts() {
-				a.repeat++
-			}
+	a := &Attempt{tracker: t, incarnation: i, fingerprint: content}
+	if r, ok := t.requests.Peek(content); ok {
+		a.repeat = r.numRepeats(i)
+	}
+	for _, p := range parts {
+		m := partMark{fingerprint: p, round: 1}
+		if r, ok := t.requests.Peek(p); ok {
+			m.repeat, m.round = r.numRepeats(i), r.lastRound()+1
+			r.numRunning++
+			m.request = r
 		}
+		a.parts = append(a.parts, m)
 	}
 	if t.running[i] == nil {
 		t.running[i] = make(map[*Attempt]struct{})
@@ -49,6 +88,29 @@
 	return a
 }
 
+// RecordSurvival records that the upstream has gone on after it began its response, so no
+// part of the request crashes upstreams.
+func (a *Attempt) RecordSurvival(now time.Time) {
+	t := a.tracker
+	t.mu.Lock()
+	events := a.surviveLocked(now)
+	t.mu.Unlock()
+	t.notify(events)
+}
+
+func (a *Attempt) surviveLocked(now time.Time) []event {
+	if a.hasSurvived {
+		return nil
+	}
+	a.hasSurvived = true
+	var events []event
+	for _, p := range a.parts {
+		p.leave()
+		events = append(events, a.tracker.acquitLocked(p.fingerprint, now)...)
+	}
+	return events
+}
+
 // End records the end of the attempt.
 func (a *Attempt) End(e Ending, now time.Time) {
 	t := a.tracker
@@ -57,14 +119,36 @@
 	if len(t.running[a.incarnation]) == 0 {
 		delete(t.running, a.incarnation)
 	}
+	if !a.hasSurvived && e != Succeeded {
+		for _, p := range a.parts {
+			p.leave()
+		}
+	}
 	var events []event
 	switch e {
 	case Completed:
 	case Succeeded:
-		events = t.refuteLocked(a.fingerprint, now)
+		events = append(a.surviveLocked(now), t.refuteLocked(a.fingerprint, now)...)
 	default:
-		events = t.addLocked(loss{Loss: Loss{Fingerprint: a.fingerprint, Incarnation: a.incarnation, Repeat: a.repeat}, learnedAt: now, isOwn: true, isUncounted: e == Left}, Suspected, now)
+		l := loss{Loss: Loss{Incarnation: a.incarnation}, learnedAt: now, isOwn: true}
+		events = a.loseLocked(l, e, Suspected, now)
 	}
 	t.mu.Unlock()
 	t.notify(events)
 }
+
+// loseLocked adds the losses of the request and of its parts.
+func (a *Attempt) loseLocked(l loss, e Ending, c Change, now time.Time) []event {
+	l.Fingerprint, l.Repeat, l.isUncounted = a.fingerprint, a.repeat, e == Left
+	events := a.tracker.addLocked(l, c, now)
+	if a.hasSurvived {
+		return events
+	}
+	l.isUncounted = e != Broken
+	for _, p := range a.parts {
+		l.Fingerprint, l.Repeat, l.Round = p.fingerprint, p.repeat, p.round
+		l.IsRelapse = a.tracker.isAcquittedLocked(p.fingerprint)
+		events = append(events, a.tracker.addLocked(l, c, now)...)
+	}
+	return events
+}
--- a/internal/losstracker/doc.go
+++ b/internal/losstracker/doc.go
@@ -1,5 +1,6 @@
 // Package losstracker detects poison requests, which crash the upstreams that run
-// them, across all instances.
+// them, and deadly parts of prompts, which crash the upstreams that begin a response to
+// any request with them, across all instances.
 //
 // A loss states that an incarnation of an upstream has ended, or may have, while it ran
 // a request. Each instance keeps all losses that it has observed or received from
@@ -19,6 +20,16 @@
 //   - A request that runs to its end is no poison request: its losses so far are refuted.
 //     Many callers may send the same content, which then runs on every upstream that
 //     ends. All instances that know these losses are told.
+//   - A part of a prompt is lost with an attempt whose response has not begun. A response
+//     that has begun, on an upstream that goes on, refutes the losses of all parts of its
+//     request. So most parts of the requests that one crash breaks are acquitted at once.
+//   - Losses of a part are counted in rounds: each round begins with an attempt that knew
+//     of the losses before. Upstreams that crash together accuse no part more than once.
+//   - A part that was refuted before takes more rounds than one that never was: it may be
+//     sent together with a deadly one all the time.
+//   - Requests with a deadly part are refused. One at a time is sent again, at most three
+//     times, by the instance that holds the lease, to learn whether the part is still
+//     deadly, or ever was.
 //   - Losses are merged, never replaced: a message that comes late or from an earlier
 //     conductor cannot take back a later one.
 //   - Losses of a request count until lossTTL after the latest of them.
--- a/internal/losstracker/exchange.go
+++ b/internal/losstracker/exchange.go
@@ -1,6 +1,9 @@
 package losstracker
 
 import (
+	"cmp"
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/primrosedrift/primrosedrift/internal/registrar"
@@ -134,13 +137,33 @@
 	return t.sharedVersion
 }
 
+// mostSharedLocked returns at most maxReported of the shared requests, the poison requests
+// before others.
+func (t *Tracker) mostSharedLocked() []uint64 {
+	out := slices.Collect(maps.Keys(t.shared))
+	if len(out) <= maxReported {
+		return out
+	}
+	isPoison := make(map[uint64]bool, len(out))
+	for _, f := range out {
+		r, _ := t.requests.Peek(f)
+		isPoison[f] = r.isPoison()
+	}
+	slices.SortFunc(out, func(a, b uint64) int {
+		if isPoison[a] != isPoison[b] {
+			if isPoison[a] {
+				return -1
+			}
+			return 1
+		}
+		return cmp.Compare(a, b)
+	})
+	return out[:maxReported]
+}
+
 func (t *Tracker) sharedLocked(now time.Time) []Loss {
 	var out []Loss
-	n := 0
-	for f := range t.shared {
-		if n++; n > maxReported {
-			break
-		}
+	for _, f := range t.mostSharedLocked() {
 		r, _ := t.requests.Peek(f)
 		if now.Sub(r.latestAt) > lossTTL {
 			continue
--- a/internal/losstracker/loss.go
+++ b/internal/losstracker/loss.go
@@ -7,9 +7,10 @@
 	"github.com/primrosedrift/primrosedrift/internal/registrar"
 )
 
-// Loss states that an incarnation of an upstream ended while it ran a request.
+// Loss states that an incarnation of an upstream ended while it ran a request, or before
+// it had begun the response to a request with a part of a prompt.
 type Loss struct {
-	Fingerprint uint64 // of the request
+	Fingerprint uint64 // of the content of the request, or of the part
 	// Incarnation is the one that was known when the attempt began.
 	Incarnation registrar.Incarnation
 	// Repeat is the number of earlier losses of the request at this incarnation that
@@ -18,8 +19,16 @@
 	Repeat int
 	// IsConfirmed says that the incarnation is known to have ended.
 	IsConfirmed bool
-	// IsRefuted says that the request has run to its end since.
+	// IsRefuted says that the request has run to its end since, or that a response to a
+	// request with the part has begun and its upstream lived on.
 	IsRefuted bool
+	// Round is 0 for a content. For a part it is one more than the greatest round of the
+	// losses that were known when the attempt began. Losses of one round may have one
+	// cause: upstreams that crash together.
+	Round int
+	// IsRelapse says that the part had been refuted before at the instance that observed
+	// the loss.
+	IsRelapse bool
 }
 
 // Change says what happened to a loss.
@@ -34,10 +43,13 @@
 	Learned   Change = "learned" // from another instance or from the log
 )
 
-// request holds the losses of a request.
+// request holds the losses of a content or of a part.
 type request struct {
 	losses   []*loss
+	isPart   bool
 	latestAt time.Time
+	// numRunning is the number of attempts with the part that have not survived yet.
+	numRunning int
 	// isOwn says that this instance observed one of them.
 	isOwn   bool
 	isSaved bool // in the log
@@ -50,14 +62,36 @@
 	// isExchanged says that another instance knows the loss.
 	isExchanged bool
 	refutedAt   time.Time // when this instance learned that it is refuted
+	// isDeferred says that others are told later, unless it is refuted by then.
+	isDeferred bool
 	// isUncounted says that the attempt was not seen to break, since its client left.
 	isUncounted bool
 }
 
+// confirmed returns the loss as confirmed.
+func (l *loss) confirmed() Loss {
+	out := l.Loss
+	out.IsConfirmed = true
+	return out
+}
+
 func (l *loss) counts() bool { return !l.IsRefuted && (l.IsConfirmed || !l.isUncounted) }
 
-// numLosses returns the number of losses that count, and of the confirmed ones.
+// isPoison reports whether the request is a poison request, or the part is deadly.
+func (r *request) isPoison() bool {
+	if r.isPart {
+		return r.excessRounds() >= 0
+	}
+	counted, _ := r.numLosses()
+	return counted >= PoisonThreshold
+}
+
+// numLosses returns the number of losses that count, and of the confirmed ones; for a part
+// the numbers of rounds with such losses.
 func (r *request) numLosses() (counted, confirmed int) {
+	if r.isPart {
+		return r.numRounds(func(*loss) bool { return true }), r.numRounds(func(l *loss) bool { return l.IsConfirmed })
+	}
 	for _, l := range r.losses {
 		if l.counts() {
 			counted++
@@ -72,6 +106,9 @@
 // isTold reports whether others are told of the loss: one that counts, or one that they
 // may count although it is refuted.
 func (l *loss) isTold(now time.Time) bool {
+	if l.isDeferred {
+		return false
+	}
 	return l.counts() || l.IsRefuted && l.isExchanged && now.Sub(l.refutedAt) <= refutationTTL
 }
 
@@ -99,3 +136,8 @@
 func (r *request) removeRefuted() {
 	r.losses = slices.DeleteFunc(r.losses, func(l *loss) bool { return l.IsRefuted })
 }
+
+// removeUnexchanged removes the refuted losses that no other instance knows.
+func (r *request) removeUnexchanged() {
+	r.losses = slices.DeleteFunc(r.losses, func(l *loss) bool { return l.IsRefuted && !l.isExchanged })
+}
--- a/internal/losstracker/losstracker.go
+++ b/internal/losstracker/losstracker.go
@@ -20,7 +20,7 @@
 	SharedThreshold = 2
 	// maxRequests bounds the requests whose losses are kept.
 	maxRequests = 4096
-	// maxLosses bounds the losses that are kept of a request.
+	// maxLosses bounds the losses that are kept of a content.
 	maxLosses = 8
 	// lossTTL is how long the losses of a request count after the latest of them.
 	lossTTL = time.Hour
@@ -46,8 +46,13 @@
 	// shared holds the requests with SharedThreshold losses or more.
 	shared        map[uint64]struct{}
 	sharedVersion uint64
-	reporting     reporting
-	saving        saving
+	// acquitted holds the parts with which a response has begun on an upstream that lived
+	// on.
+	acquitted *simplelru.LRU[uint64, struct{}]
+	// deferred holds the parts with deferred losses, and the end of their deferral.
+	deferred  map[uint64]time.Time
+	reporting reporting
+	saving    saving
 }
 
 // Losses returns how many upstreams ended, or may have, while they ran the request, and
@@ -82,6 +87,8 @@
 		return
 	}
 	t.requests, _ = simplelru.NewLRU(maxRequests, t.forgetLocked) // fails only for a size below one
+	t.acquitted, _ = simplelru.NewLRU[uint64, struct{}](maxAcquitted, nil)
+	t.deferred = make(map[uint64]time.Time)
 	t.running = make(map[registrar.Incarnation]map[*Attempt]struct{})
 	t.undecided = make(map[registrar.Incarnation]map[uint64]struct{})
 	t.shared = make(map[uint64]struct{})
@@ -98,6 +105,7 @@
 		delete(t.reporting.unreported, keyOf(l.Loss))
 	}
 	delete(t.shared, fingerprint)
+	delete(t.deferred, fingerprint)
 	delete(t.saving.requests, fingerprint)
 }
 
@@ -128,16 +136,16 @@
 	t.initLocked()
 	r := t.requestLocked(l.Fingerprint, now)
 	if r == nil {
-		r = &request{}
+		r = &request{isPart: l.Round > 0}
 		t.requests.Add(l.Fingerprint, r)
 	}
 	r.isOwn = r.isOwn || l.isOwn
 	known := r.find(keyOf(l.Loss))
-	if known == nil && len(r.losses) >= maxLosses {
+	if known == nil && r.isFull() {
 		r.removeRefuted()
 	}
 	switch {
-	case known == nil && len(r.losses) >= maxLosses:
+	case known == nil && r.isFull(), known == nil && r.isPart && r.isRoundFull(l.Round):
 		r.latestAt = now
 		return nil
 	case known == nil:
@@ -170,19 +178,42 @@
 	}
 	r.latestAt = now
 	t.indexLocked(r, known.Loss)
+	if r.isPart && known.IsRefuted {
+		t.acquitted.Add(l.Fingerprint, struct{}{})
+	}
 	if !known.counts() {
 		return nil
 	}
-	if c != Learned {
-		t.reporting.unreported[keyOf(known.Loss)] = known.Loss
+	if r.isPart && l.isExchanged && !known.IsRelapse && t.isAcquittedLocked(l.Fingerprint) {
+		// The instance that observed the loss does not know that the part is sound.
+		t.refuteLossLocked(r, known, now)
+		t.sharedVersion++
+		return []event{{known.Loss, Refuted, 0}}
 	}
+	if c == Suspected && known.Round == 1 {
+		known.isDeferred = true
+		t.deferred[l.Fingerprint] = now.Add(deferral)
+		return nil
+	}
+	known.isDeferred = false
+	t.updateSavingLocked(l.Fingerprint, r)
 	counted, _ := r.numLosses()
-	if counted >= SharedThreshold {
+	return t.tellLocked(r, known, c, counted)
+}
+
+// tellLocked marks a loss to be told to others.
+func (t *Tracker) tellLocked(r *request, l *loss, c Change, counted int) []event {
+	if c != Learned {
+		t.reporting.unreported[keyOf(l.Loss)] = l.Loss
+	}
+	if r.isPart || counted >= SharedThreshold {
 		t.shared[l.Fingerprint] = struct{}{}
 		t.sharedVersion++
 	}
-	t.updateSavingLocked(l.Fingerprint, r)
-	return []event{{known.Loss, c, counted}}
+	if r.isPart && r.isPoison() {
+		t.acquitted.Remove(l.Fingerprint)
+	}
+	return []event{{l.Loss, c, counted}}
 }
 
 // refuteLocked takes back the losses of a request that has run to its end. They are kept
@@ -197,7 +228,7 @@
 		if l.IsRefuted {
 			continue
 		}
-		if l.counts() {
+		if l.counts() && !l.isDeferred {
 			events = append(events, event{l.Loss, Refuted, 0})
 		}
 		t.refuteLossLocked(r, l, now)
@@ -232,7 +263,7 @@
 	t.mu.Lock()
 	var events []event
 	for a := range t.running[i] {
-		events = append(events, t.addLocked(loss{Loss: Loss{Fingerprint: a.fingerprint, Incarnation: i, Repeat: a.repeat, IsConfirmed: true}, learnedAt: now, isOwn: true}, Confirmed, now)...)
+		events = append(events, a.loseLocked(loss{Loss: Loss{Incarnation: i, IsConfirmed: true}, learnedAt: now, isOwn: true}, Broken, Confirmed, now)...)
 	}
 	events = append(events, t.confirmLocked(i, now)...)
 	t.mu.Unlock()
@@ -245,7 +276,7 @@
 	for _, f := range t.undecidedLocked(i) {
 		r, _ := t.requests.Peek(f)
 		for _, l := range r.undecided(i) {
-			events = append(events, t.addLocked(loss{Loss: Loss{Fingerprint: f, Incarnation: i, Repeat: l.Repeat, IsConfirmed: true}, learnedAt: now}, Confirmed, now)...)
+			events = append(events, t.addLocked(loss{Loss: l.confirmed(), learnedAt: now}, Confirmed, now)...)
 		}
 	}
 	return events
@@ -286,11 +317,11 @@
 	counted, _ := r.numLosses()
 	if _, isShared := t.shared[l.Fingerprint]; isShared {
 		t.sharedVersion++
-		if counted < SharedThreshold {
+		if counted < SharedThreshold && !r.isPart || counted == 0 {
 			delete(t.shared, l.Fingerprint)
 		}
 	}
-	if !l.counts() {
+	if !l.counts() || l.isDeferred {
 		return nil
 	}
 	return []event{{l.Loss, Withdrawn, counted}}
@@ -310,7 +341,7 @@
 			for _, l := range r.undecided(i) {
 				// The registration of a new upstream may not have been read yet.
 				if now.Sub(l.learnedAt) > t.RegistrationDelay {
-					events = append(events, t.addLocked(loss{Loss: Loss{Fingerprint: f, Incarnation: i, Repeat: l.Repeat, IsConfirmed: true}, learnedAt: now}, Confirmed, now)...)
+					events = append(events, t.addLocked(loss{Loss: l.confirmed(), learnedAt: now}, Confirmed, now)...)
 				}
 			}
 		}
--- a/internal/losstracker/saver.go
+++ b/internal/losstracker/saver.go
@@ -142,7 +142,7 @@
 // updateSavingLocked marks a request to be saved if it has become a poison request, and to
 // be removed if it is none any more.
 func (t *Tracker) updateSavingLocked(fingerprint uint64, r *request) {
-	if counted, _ := r.numLosses(); (counted >= PoisonThreshold) == r.isSaved {
+	if r.isPoison() == r.isSaved {
 		delete(t.saving.requests, fingerprint)
 		return
 	}
@@ -201,7 +201,7 @@
 			continue
 		}
 		p := Poison{Fingerprint: f, At: r.latestAt}
-		if counted, _ := r.numLosses(); counted >= PoisonThreshold {
+		if r.isPoison() {
 			for _, l := range r.losses {
 				if l.counts() {
 					p.Losses = append(p.Losses, l.Loss)
--- a/internal/relayer/attempt.go
+++ b/internal/relayer/attempt.go
@@ -45,7 +45,6 @@
 	u := slot.Upstream
 	c.lastUpstream = u.ID
 	began := time.Now()
-	tracked := c.Losses.Begin(u.Incarnation(), c.fingerprint)
 	c.headLatency, c.isRetryCharged = 0, false
 	eventsBefore := c.stream.numEvents
 	res := c.exchange(ctx, slot, began)
@@ -55,7 +54,7 @@
 	slot.Release()
 	c.lastFailure = res.reason
 	isCanceled := ctx.Err() != nil
-	tracked.End(c.ending(res, isCanceled, time.Since(began)), time.Now())
+	c.tracked.End(c.ending(res, isCanceled, time.Since(began)), time.Now())
 	if !res.isNotRun {
 		c.numMayHaveRun++
 	}
@@ -94,7 +93,7 @@
 		return losstracker.Completed
 	case isCanceled || !res.hasFailed:
 		if c.headLatency == 0 && took > noResponseTimeout {
-			return losstracker.Broken
+			return losstracker.Abandoned
 		}
 		return losstracker.Left
 	}
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -99,6 +99,9 @@
 	Losses      *losstracker.Tracker
 	Log         *zap.Logger
 	Metrics     *Metrics
+	// MayTry, if set, reports whether this instance tries whether a part of a prompt still
+	// crashes upstreams. It must return true at one instance only.
+	MayTry func() bool
 	// ViewAge returns the age of this instance's view of the upstreams.
 	ViewAge func() time.Duration
 	// IsStopping reports whether the instance is shutting down. Client connections
@@ -121,7 +124,9 @@
 	deadline time.Time
 	// admission is the request to the queue for a slot.
 	admission   queuer.Request
-	fingerprint uint64 // of the content
+	fingerprint uint64   // of the content
+	parts       []uint64 // fingerprints of the parts
+	tracked     *losstracker.Attempt
 
 	w              http.ResponseWriter
 	numMayHaveRun  int // attempts that may have run
@@ -237,7 +242,7 @@
 		Priority: c.route.Priority, Objective: c.arrived.Add(c.route.Objective), StartBy: limit,
 		Prefix: c.requestInfo.Prefix, Tokens: c.requestInfo.PromptTokens, Tried: make(map[string]bool),
 	}
-	c.fingerprint = fingerprint(c)
+	c.fingerprint, c.parts = fingerprint(c), partFingerprints(c.requestInfo.Parts)
 	c.Queue.Arrive(c.admission)
 	c.RetryBudget.Deposit()
 }
@@ -260,9 +265,10 @@
 			return c.withEarlierAttempts(verdict.FromError(err))
 		}
 		// More losses may have become known while the request waited.
-		if err := c.refusePoison(); err != nil {
+		var found losstracker.Finding
+		if c.tracked, found = c.Losses.TryBegin(slot.Upstream.Incarnation(), c.fingerprint, c.parts, c.mayTry(), time.Now()); c.tracked == nil {
 			slot.Release()
-			return err
+			return c.refuseFinding(found)
 		}
 		c.numSends++
 		done, err := c.attempt(ctx, slot)
--- a/internal/relayer/stream.go
+++ b/internal/relayer/stream.go
@@ -18,6 +18,9 @@
 	streamReadBytes = 4 << 10
 	// maxEventBytes bounds the size of one event.
 	maxEventBytes = 1 << 20
+	// survivalDelay is how long an upstream must go on after its first event until the
+	// request counts as one that does not crash it.
+	survivalDelay = 50 * time.Millisecond
 )
 
 // streamState is the progress of forwarding a stream of events.
@@ -40,6 +43,7 @@
 	out := http.NewResponseController(c.w)
 	var pending []byte
 	buf := make([]byte, streamReadBytes)
+	var firstEventAt time.Time
 	for {
 		n, rerr := resp.Body.Read(buf)
 		pending = append(pending, buf[:n]...)
@@ -49,6 +53,11 @@
 				return attemptResult{err: truncatedError{err}}
 			}
 			pending = append(pending[:0], pending[end:]...)
+			if now := time.Now(); firstEventAt.IsZero() {
+				firstEventAt = now
+			} else if now.Sub(firstEventAt) >= survivalDelay {
+				c.tracked.RecordSurvival(now)
+			}
 		}
 		switch {
 		case errors.Is(rerr, io.EOF) && !c.stream.hasStarted:
--- a/internal/syncer/loss.go
+++ b/internal/syncer/loss.go
@@ -33,7 +33,7 @@
 func encodeLosses(list []losstracker.Loss) []*peerv1.Loss {
 	var out []*peerv1.Loss
 	for _, l := range list {
-		out = append(out, &peerv1.Loss{Fingerprint: l.Fingerprint, Incarnation: formatIncarnation(l.Incarnation), IsSuspected: !l.IsConfirmed, Repeat: uint32(l.Repeat), IsRefuted: l.IsRefuted})
+		out = append(out, &peerv1.Loss{Fingerprint: l.Fingerprint, Incarnation: formatIncarnation(l.Incarnation), IsSuspected: !l.IsConfirmed, Repeat: uint32(l.Repeat), IsRefuted: l.IsRefuted, Round: uint32(l.Round), IsRelapse: l.IsRelapse})
 	}
 	return out
 }
@@ -47,7 +47,7 @@
 			log.Warn("loss from a peer is malformed", logger.Error(err))
 			continue
 		}
-		out = append(out, losstracker.Loss{Fingerprint: l.GetFingerprint(), Incarnation: i, IsConfirmed: !l.GetIsSuspected(), Repeat: int(l.GetRepeat()), IsRefuted: l.GetIsRefuted()})
+		out = append(out, losstracker.Loss{Fingerprint: l.GetFingerprint(), Incarnation: i, IsConfirmed: !l.GetIsSuspected(), Repeat: int(l.GetRepeat()), IsRefuted: l.GetIsRefuted(), Round: int(l.GetRound()), IsRelapse: l.GetIsRelapse()})
 	}
 	return out
 }
