internal/losstracker: parts beside a suspected one are not accused

Cause: an attempt was lost for all parts of its prompt. Where a deadly part is always sent together with another, and upstreams crash faster than responses begin, the other one reached five rounds as well, and all requests with it would be refused. Change: a part with which responses have begun is not lost with an attempt that has another part with losses and no begun response.

Trials that were reverted: a request with a suspected part waits until another with the same part at this instance has begun.

--- a/internal/losstracker/attempt.go
+++ b/internal/losstracker/attempt.go
@@ -145,10 +145,28 @@
 		return events
 	}
 	l.isUncounted = e != Broken
+	isExplained := a.hasSuspectLocked()
 	for _, p := range a.parts {
 		l.Fingerprint, l.Repeat, l.Round = p.fingerprint, p.repeat, p.round
 		l.IsRelapse = a.tracker.isAcquittedLocked(p.fingerprint)
+		if l.IsRelapse && isExplained {
+			continue
+		}
 		events = append(events, a.tracker.addLocked(l, c, now)...)
 	}
 	return events
 }
+
+// hasSuspectLocked reports whether the request has a part with other losses that was never
+// refuted, which explains why the attempt broke.
+func (a *Attempt) hasSuspectLocked() bool {
+	for _, p := range a.parts {
+		if a.tracker.isAcquittedLocked(p.fingerprint) {
+			continue
+		}
+		if r, ok := a.tracker.requests.Peek(p.fingerprint); ok && r.lastRound() > 0 {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/losstracker/doc.go
+++ b/internal/losstracker/doc.go
@@ -26,7 +26,8 @@
 //   - Losses of a part are counted in rounds: each round begins with an attempt that knew
 //     of the losses before. Upstreams that crash together accuse no part more than once.
 //   - A part that was refuted before takes more rounds than one that never was: it may be
-//     sent together with a deadly one all the time.
+//     sent together with a deadly one all the time. It is not lost with an attempt that
+//     another part explains, which has losses and was never refuted.
 //   - Requests with a deadly part are refused. One at a time is sent again, at most three
 //     times, by the instance that holds the lease, to learn whether the part is still
 //     deadly, or ever was.
--- a/internal/losstracker/part_test.go
+++ b/internal/losstracker/part_test.go
@@ -90,6 +90,19 @@
 	require.True(t, tr.isPoison(start, deadly))
 }
 
+// TestPartsBesideADeadlyOneAreNotAccused guards against the refusal of all requests with a
+// common part because a deadly one is only sent together with it, to many upstreams at once.
+func TestPartsBesideADeadlyOneAreNotAccused(t *testing.T) {
+	tr := newTracker()
+	tr.run(0, start, first, subject)
+	for n := range 2 * RelapseThreshold {
+		tr.Begin(inc(n), uint64(n), first, subject, deadly).End(Broken, start)
+		tr.RecordEnd(inc(n), start)
+	}
+	require.True(t, tr.isPoison(start, deadly))
+	require.False(t, tr.isPoison(start, first, subject))
+}
+
 func TestClientsThatLeaveAccuseNoPart(t *testing.T) {
 	tr := newTracker()
 	for n := range 2 * RelapseThreshold {
