internal/losstracker: the end of an upstream accuses no part of what runs at its successor

Cause: when a registration showed that an upstream had ended, each attempt that ran there was counted as lost, confirmed. Change: such an attempt accuses its parts only when it breaks, or when its client leaves before its response begins.

--- a/internal/losstracker/attempt.go
+++ b/internal/losstracker/attempt.go
@@ -31,6 +31,9 @@
 	repeat      int    // see Loss.Repeat
 	parts       []partMark
 	hasSurvived bool // see RecordSurvival
+	// hasEnded says that the incarnation has ended since the attempt began. Another
+	// incarnation may run the request.
+	hasEnded bool
 }
 
 // partMark is what was known of a part when an attempt began.
@@ -139,12 +142,12 @@
 
 // loseLocked adds the losses of the request and of its parts.
 func (a *Attempt) loseLocked(l loss, e Ending, c Change, now time.Time) []event {
-	l.Fingerprint, l.Repeat, l.isUncounted = a.fingerprint, a.repeat, e == Left
-	events := a.tracker.addLocked(l, c, now)
+	events := a.loseContentLocked(l, e, c, now)
 	if a.hasSurvived {
 		return events
 	}
-	l.isUncounted = e != Broken
+	l.isUncounted = e != Broken && !a.hasEnded
+	l.IsConfirmed = a.hasEnded
 	isExplained := a.hasSuspectLocked()
 	for _, p := range a.parts {
 		l.Fingerprint, l.Repeat, l.Round = p.fingerprint, p.repeat, p.round
@@ -157,6 +160,11 @@
 	return events
 }
 
+func (a *Attempt) loseContentLocked(l loss, e Ending, c Change, now time.Time) []event {
+	l.Fingerprint, l.Repeat, l.isUncounted = a.fingerprint, a.repeat, e == Left
+	return a.tracker.addLocked(l, c, now)
+}
+
 // hasSuspectLocked reports whether the request has a part with other losses that was never
 // refuted, which explains why the attempt broke.
 func (a *Attempt) hasSuspectLocked() bool {
--- a/internal/losstracker/losstracker.go
+++ b/internal/losstracker/losstracker.go
@@ -263,7 +263,8 @@
 	t.mu.Lock()
 	var events []event
 	for a := range t.running[i] {
-		events = append(events, a.loseLocked(loss{Loss: Loss{Incarnation: i, IsConfirmed: true}, learnedAt: now, isOwn: true}, Broken, Confirmed, now)...)
+		a.hasEnded = true
+		events = append(events, a.loseContentLocked(loss{Loss: Loss{Incarnation: i, IsConfirmed: true}, learnedAt: now, isOwn: true}, Broken, Confirmed, now)...)
 	}
 	events = append(events, t.confirmLocked(i, now)...)
 	t.mu.Unlock()
