internal/losstracker: a part that crashed five upstreams at once is sent by one instance

Six upstreams had crashed within 0.45 s, in two rounds, and no upstream was left. The deadly requests waited, and when the upstreams were back at 8.1 s five were sent at once. Cause: rounds grow only with attempts that knew of the losses before; upstreams can crash faster than that. Change: a part with which no response has ever begun counts as deadly once five upstreams were lost with it, in however few rounds. They may have crashed together for another reason, so the holder of the lease tries such a part after 1 s.

--- a/internal/losstracker/doc.go
+++ b/internal/losstracker/doc.go
@@ -25,6 +25,8 @@
 //     request. So most parts of the requests that one crash breaks are acquitted at once.
 //   - Losses of a part are counted in rounds: each round begins with an attempt that knew
 //     of the losses before. Upstreams that crash together accuse no part more than once.
+//     Only if five upstreams were lost with a part that never began, in however few rounds,
+//     it counts as deadly until the first trial, a second later.
 //   - A part that was refuted before takes more rounds than one that never was: it may be
 //     sent together with a deadly one all the time. It is not lost with an attempt that
 //     another part explains, which has losses and was never refuted.
--- a/internal/losstracker/loss.go
+++ b/internal/losstracker/loss.go
@@ -80,7 +80,7 @@
 // isPoison reports whether the request is a poison request, or the part is deadly.
 func (r *request) isPoison() bool {
 	if r.isPart {
-		return r.excessRounds() >= 0
+		return r.suspicion().isDeadly
 	}
 	counted, _ := r.numLosses()
 	return counted >= PoisonThreshold
--- a/internal/losstracker/part.go
+++ b/internal/losstracker/part.go
@@ -1,6 +1,8 @@
 package losstracker
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/primrosedrift/primrosedrift/internal/registrar"
@@ -11,8 +13,11 @@
 	// deadly although a response to a request with it had begun before. Such a part may
 	// be used together with a deadly one all the time.
 	RelapseThreshold = 5
+	// WideThreshold is the number of losses from which on a part that never began counts as
+	// deadly, in however few rounds.
+	WideThreshold = 5
 	// maxLossesPerRound bounds the losses of a part that are kept of one round.
-	maxLossesPerRound = 2
+	maxLossesPerRound = WideThreshold
 	// maxPartLosses bounds the losses that are kept of a part: those of all rounds that
 	// matter.
 	maxPartLosses = maxLossesPerRound * (RelapseThreshold + maxTrials)
@@ -27,6 +32,9 @@
 	// Each further one takes trialBackoff times as long.
 	firstTrialDelay = 30 * time.Second
 	trialBackoff    = 6
+	// wideTrialDelay takes the place of firstTrialDelay if the upstreams may have crashed
+	// together.
+	wideTrialDelay = time.Second
 	// maxAcquitted bounds the parts that are known not to be deadly.
 	maxAcquitted = 16384
 )
@@ -64,26 +72,57 @@
 	return len(rounds)
 }
 
-// excessRounds returns by how many rounds the part exceeds those from which on it counts
-// as deadly, less than 0 if it does not count as deadly.
-func (r *request) excessRounds() int {
-	return max(r.numRounds(func(l *loss) bool { return !l.IsRelapse })-PoisonThreshold,
-		r.numRounds(func(*loss) bool { return true })-RelapseThreshold)
+// suspicion is how far the losses of a part accuse it.
+type suspicion struct {
+	// isDeadly says that requests with the part are not sent, except for trials.
+	isDeadly bool
+	// isWide says that this is because of many upstreams in fewer than PoisonThreshold
+	// rounds. They may have crashed together for another reason.
+	isWide bool
+	// excess is the number of rounds after those that made it deadly: trials that failed.
+	excess int
+}
+
+// suspicion returns how far the losses accuse the part.
+func (r *request) suspicion() suspicion {
+	fresh, all := make(map[int]int), make(map[int]struct{}) // losses by round
+	for _, l := range r.losses {
+		if !l.counts() {
+			continue
+		}
+		all[l.Round] = struct{}{}
+		if !l.IsRelapse {
+			fresh[l.Round]++
+		}
+	}
+	s := suspicion{isDeadly: len(all) >= RelapseThreshold, excess: len(all) - RelapseThreshold}
+	numLosses := 0
+	for n, round := range slices.Sorted(maps.Keys(fresh)) {
+		numLosses += fresh[round]
+		if n+1 >= PoisonThreshold || numLosses >= WideThreshold {
+			excess := len(fresh) - (n + 1)
+			return suspicion{isDeadly: true, isWide: len(fresh) < PoisonThreshold, excess: max(excess, s.excess)}
+		}
+	}
+	return s
 }
 
 // isTrialDue reports whether a request with the part may be sent to learn whether the part
 // is still deadly. If numDeadly of the parts of that request are, it says less about each of
 // them, and waits longer.
 func (r *request) isTrialDue(numDeadly int, now time.Time) bool {
-	n := r.excessRounds()
-	if n >= maxTrials || r.numRunning > 0 {
+	s := r.suspicion()
+	if s.excess >= maxTrials || r.numRunning > 0 {
 		return false
 	}
-	delay := firstTrialDelay * time.Duration(numDeadly)
-	for range n {
+	delay := firstTrialDelay
+	if s.isWide {
+		delay = wideTrialDelay
+	}
+	for range s.excess {
 		delay *= trialBackoff
 	}
-	return now.Sub(r.latestAt) >= delay
+	return now.Sub(r.latestAt) >= delay*time.Duration(numDeadly)
 }
 
 // isFull reports whether no more losses are kept.
--- a/internal/losstracker/part_test.go
+++ b/internal/losstracker/part_test.go
@@ -47,20 +47,63 @@
 	require.False(t, tr.isPoison(start.Add(lossTTL+1), deadly))
 }
 
+// crashTogether plays a crash of many upstreams with a request each.
+func (t *Tracker) crashTogether(numUpstreams int, now time.Time, parts ...uint64) {
+	var running []*Attempt
+	for n := range numUpstreams {
+		running = append(running, t.Begin(inc(n), uint64(n), parts...))
+	}
+	for n, a := range running {
+		a.End(Broken, now)
+		t.RecordEnd(inc(n), now)
+	}
+}
+
 // TestPartsOnUpstreamsThatCrashTogetherAreNotAccused guards against a rack or a power
 // failure that makes all requests with a part refused.
 func TestPartsOnUpstreamsThatCrashTogetherAreNotAccused(t *testing.T) {
 	tr := newTracker()
 	for range 2 {
-		var running []*Attempt
-		for n := range 20 {
-			running = append(running, tr.Begin(inc(n), uint64(n), first, subject))
+		tr.crashTogether(WideThreshold-1, start, subject)
+		require.False(t, tr.isPoison(start, subject))
+		tr.run(0, start, first, subject)
+	}
+	for range RelapseThreshold - 1 {
+		tr.crashTogether(50, start, first, subject)
+		require.False(t, tr.isPoison(start, first, subject), "responses with these parts have begun")
+	}
+}
+
+// TestPartThatCrashedManyUpstreamsIsSentByOneInstance guards against several deadly
+// requests that are sent at once when the upstreams that they have crashed are back.
+func TestPartThatCrashedManyUpstreamsIsSentByOneInstance(t *testing.T) {
+	for _, isDeadly := range []bool{false, true} {
+		tr := newTracker()
+		tr.crashTogether(50, start, first)
+		now, numSent := start, 0
+		for range 600 {
+			now = now.Add(time.Second)
+			require.Equal(t, isDeadly || numSent == 0, tr.isPoison(now, first), "at other instances")
+			a, _ := tr.TryBegin(inc(100+numSent), uint64(now.UnixNano()), []uint64{first}, true, now)
+			if a == nil {
+				continue
+			}
+			if numSent++; numSent == 1 {
+				require.Equal(t, start.Add(wideTrialDelay), now)
+				second, _ := tr.TryBegin(inc(99), 99, []uint64{first}, true, now)
+				require.Nil(t, second)
+			}
+			if isDeadly {
+				a.End(Broken, now)
+			} else {
+				a.End(Succeeded, now)
+			}
 		}
-		for n, a := range running {
-			a.End(Broken, start)
-			tr.RecordEnd(inc(n), start)
+		if isDeadly {
+			require.LessOrEqual(t, numSent, maxTrials)
+		} else {
+			require.Equal(t, 600, numSent)
 		}
-		require.False(t, tr.isPoison(start, first, subject))
 	}
 }
 
