platform, internal/registrar, internal/relayer: limits that upstreams state, in lines and counters

The header Server-Limit was read nowhere, so that neither a line nor a counter could tell whether an instance knew of a limit. It is decoded, logged when it changes, and counted. Nothing is decided by it yet.

--- a/internal/assembler/assembler.go
+++ b/internal/assembler/assembler.go
@@ -153,6 +153,9 @@
 			a.conductor.Wake()
 		}
 	}
+	a.upstreamTable.OnLimit = func(i registrar.Incarnation, isLimited bool, rate float64) {
+		a.Log.Info("upstream limits its requests", zap.String("upstream", i.ID), zap.Int64("born", i.StartedAtMs), zap.Bool("limited", isLimited), zap.Float64("rate", rate))
+	}
 	a.pool = &courier.Pool{IDHeader: a.Codec.IDHeader, OnDial: func(address string, took time.Duration, err error) {
 		a.metrics.dials.Inc()
 		if err != nil {
--- a/internal/registrar/notice.go
+++ b/internal/registrar/notice.go
@@ -9,6 +9,10 @@
 	// RetryAfter is how long the upstream accepts nothing from this instance, zero if it
 	// does not say.
 	RetryAfter time.Duration
+	// IsLimited reports whether the upstream limits the requests that it takes from all
+	// instances together, to RequestRate a second.
+	IsLimited   bool
+	RequestRate float64
 }
 
 // maxPause bounds how long an upstream may keep this instance from sending to it.
@@ -34,6 +38,7 @@
 
 // ApplyNotice applies a notice of an incarnation.
 func (t *Table) ApplyNotice(id string, startedAtMs int64, n Notice, now time.Time) {
+	t.recordLimit(Incarnation{id, startedAtMs}, n)
 	if n.IsLeaving {
 		t.RecordLeaving(id, startedAtMs, now)
 	}
--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -123,6 +123,9 @@
 	// OnLeaving, if set, is called for each incarnation that is found to be leaving
 	// before its registration says so.
 	OnLeaving func(Incarnation)
+	// OnLimit, if set, is called when an incarnation has changed the limit of the requests
+	// that it takes, in requests per second.
+	OnLimit func(i Incarnation, isLimited bool, rate float64)
 
 	mu             sync.Mutex
 	registrations  map[string]*Upstream
@@ -131,6 +134,7 @@
 	gone           map[string]int64 // id to the start time of the incarnation that is known to be gone
 	leaving        map[string]int64 // id to the start time of the incarnation that has responded that it is leaving
 	pauses         map[string]pause
+	limits         map[string]limit
 	vanished       map[string]struct{} // ids of registrations that vanished and are kept for now
 	isPlatformLost bool
 	keepUntil      time.Time // vanished registrations are kept until then
@@ -312,6 +316,7 @@
 	t.gone = make(map[string]int64)
 	t.leaving = make(map[string]int64)
 	t.pauses = make(map[string]pause)
+	t.limits = make(map[string]limit)
 	t.vanished = make(map[string]struct{})
 }
 
@@ -323,6 +328,7 @@
 	delete(t.gone, id)
 	delete(t.leaving, id)
 	delete(t.pauses, id)
+	delete(t.limits, id)
 	delete(t.vanished, id)
 	return e
 }
--- a/internal/relayer/attempt.go
+++ b/internal/relayer/attempt.go
@@ -123,6 +123,9 @@
 	slot.RecordPrefill()
 	c.headLatency = time.Since(began)
 	r := c.Codec.ParseResponse(resp.Status, resp.Header)
+	if r.IsLimited {
+		c.Metrics.limited.WithLabelValues(c.admission.Service).Inc()
+	}
 	// A misdirected request may have reached another upstream at the same address.
 	if r.Upstream == u.ID || r.Upstream == "" && resp.Status != http.StatusMisdirectedRequest {
 		c.Upstreams.ApplyNotice(u.ID, u.StartedAtMs, r.Notice, time.Now())
--- a/internal/relayer/metrics.go
+++ b/internal/relayer/metrics.go
@@ -17,6 +17,7 @@
 	headLatency *prometheus.HistogramVec
 	queueTime   *prometheus.HistogramVec
 	losses      *prometheus.CounterVec
+	limited     *prometheus.CounterVec
 }
 
 // NewMetrics returns the metrics, registered with r.
@@ -35,11 +36,14 @@
 		losses: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "primrosedrift_losses_total", Help: "Changes of losses: attempts during which an upstream ended, or may have.",
 		}, []string{"change"}),
+		limited: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "primrosedrift_limited_responses_total", Help: "Responses in which the upstream limits the requests that it takes.",
+		}, []string{"service"}),
 		duration:    histogram("primrosedrift_relayed_seconds", "Time from a request's arrival to its end."),
 		headLatency: histogram("primrosedrift_relayed_first_byte_seconds", "Time from an attempt to the head of its answer."),
 		queueTime:   histogram("primrosedrift_relayed_wait_seconds", "Time in the queue."),
 	}
-	r.MustRegister(m.requests, m.attempts, m.duration, m.headLatency, m.queueTime, m.losses)
+	r.MustRegister(m.requests, m.attempts, m.duration, m.headLatency, m.queueTime, m.losses, m.limited)
 	return m
 }
 
