internal/queuer, internal/registrar, internal/arranger: limits that upstreams state are kept

What the upstreams saw: two that had named a limit of 2.2 requests a second went on to get 6.5 and 7.0, and up to 37 in 4 s. Cause: the header Server-Limit was read nowhere. Class: a statement that an upstream makes of itself in any response, which only one instance sees and all must keep. Change: the newest statement holds, whichever instance received it; it is exchanged by reports, the view, and probes. A response to a request that was sent before the statement can only lower it, since responses overtake each other. All instances share the limit evenly, each with a bucket of one token; if there are more instances than 3 + 2 for each request a second, only these send. A request that has only limited upstreams waits for its turn if it comes in time, and is refused at once otherwise. The conductor does not count replicas there and loads their models elsewhere if the limit is below what a replica serves.

--- a/internal/arranger/adapter.go
+++ b/internal/arranger/adapter.go
@@ -32,8 +32,13 @@
 	return moves
 }
 
+// isAdapterLoaded reports whether an upstream has the adapter loaded. One that takes few
+// requests counts only if no other has the adapter's model.
 func (p *planner) isAdapterLoaded(d Demand) bool {
 	for _, u := range p.Upstreams {
+		if u.IsLimited && p.replicas[d.Model] > 0 {
+			continue
+		}
 		for _, r := range u.Models {
 			if r.Model == d.Model && slices.ContainsFunc(r.Adapters, func(a Adapter) bool { return a.Name == d.Adapter }) {
 				return true
@@ -49,7 +54,7 @@
 	var best Move
 	bestCost := math.Inf(1)
 	for _, u := range p.Upstreams {
-		if u.IsBusy || p.planned[u.ID] || !u.holds(d.Model) {
+		if u.IsBusy || p.planned[u.ID] || !u.holds(d.Model) || u.IsLimited && p.replicas[d.Model] > 0 {
 			continue
 		}
 		m := Move{Upstream: u.ID, Reason: fmt.Sprintf("adapter requested but not loaded on any upstream: waiting %d", d.Waiting)}
--- a/internal/arranger/arranger.go
+++ b/internal/arranger/arranger.go
@@ -11,8 +11,8 @@
 )
 
 const (
-	// replicaRate is how many requests per second one replica of a model serves.
-	replicaRate = 24.0
+	// ReplicaRate is how many requests per second one replica of a model serves.
+	ReplicaRate = 24.0
 	// targetSlotUse is the share of a replica's slots that running and waiting
 	// requests may fill before the model needs another replica.
 	targetSlotUse = 0.8
@@ -117,8 +117,10 @@
 	p.replicasAt, p.weightsAt, p.localWeights = make(map[modelAt]int), make(map[string]int), make(map[string]int)
 	for _, u := range f.Upstreams {
 		for _, r := range u.Models {
-			p.replicas[r.Model]++
-			p.replicasAt[modelAt{r.Model, u.DataCentre}]++
+			if !u.IsLimited {
+				p.replicas[r.Model]++
+				p.replicasAt[modelAt{r.Model, u.DataCentre}]++
+			}
 			if !slices.Contains(u.InHostMemory, r.Model) && !slices.Contains(u.OnDisk, r.Model) {
 				p.weightsAt[r.Model]++
 			}
@@ -165,7 +167,7 @@
 // requests, which the slots limit, and by the adapters that are in use at once,
 // which the adapter slots limit.
 func (p *planner) replicasNeeded(d Demand) int {
-	n := d.Rate / replicaRate
+	n := d.Rate / ReplicaRate
 	if p.Engine.Slots > 0 {
 		n = max(n, float64(d.Running+d.Waiting)/(targetSlotUse*float64(p.Engine.Slots)))
 	}
--- a/internal/arranger/arranger_test.go
+++ b/internal/arranger/arranger_test.go
@@ -288,3 +288,28 @@
 	f.Demands, f.IsIdle = nil, true
 	require.Len(t, loadOrders(Plan(f)), 1, "before the first request the store has nothing else to do")
 }
+
+// TestModelsOfALimitedUpstreamAreLoadedElsewhere guards against a model whose only upstream
+// takes few requests, while others have room.
+func TestModelsOfALimitedUpstreamAreLoadedElsewhere(t *testing.T) {
+	f := fleet(3, 3)
+	f.addModels(0, "m0")
+	f.addModels(1, "m1")
+	f.addModels(2, "m2")
+	f.addDemand("m0", "", 5, 3)
+	require.Empty(t, loadOrders(Plan(f)))
+	f.Upstreams[0].IsLimited = true
+	orders := loadOrders(Plan(f))
+	require.Len(t, orders, 1)
+	require.Contains(t, []string{"e1 m0", "e2 m0"}, orders[0])
+	f.Upstreams[1].IsLimited = true
+	require.Equal(t, []string{"e2 m0"}, loadOrders(Plan(f)))
+
+	f = fleet(2, 1)
+	f.addModels(0, "m0")
+	f.addModels(1, "m0")
+	f.Upstreams[0].IsLimited, f.Upstreams[0].Models[0].Adapters = true, []Adapter{{Name: "a1"}}
+	f.addDemand("m0", "", 5, 0)
+	f.addDemand("m0", "a1", 5, 1)
+	require.Equal(t, []string{"e1 m0a1"}, loadOrders(Plan(f)))
+}
--- a/internal/arranger/fleet.go
+++ b/internal/arranger/fleet.go
@@ -28,9 +28,12 @@
 	ID         string
 	DataCentre string
 	// IsBusy reports that an order is in flight or that the upstream accepts none.
-	IsBusy               bool
-	BusyFor              time.Duration // estimated remaining time, negative if overdue
-	Running              int
+	IsBusy  bool
+	BusyFor time.Duration // estimated remaining time, negative if overdue
+	Running int
+	// IsLimited reports that the upstream takes so few requests that its models count as
+	// not loaded for the number of replicas, and that no model is loaded there.
+	IsLimited            bool
 	Models               []Resident
 	InHostMemory, OnDisk []string
 }
--- a/internal/arranger/place.go
+++ b/internal/arranger/place.go
@@ -16,7 +16,7 @@
 	best, bestCost := -1, math.Inf(1)
 	var bestVictims []string
 	for i, u := range p.Upstreams {
-		if u.holds(c.model.Name) || p.isReserved(u, c.model.Name) {
+		if u.IsLimited || u.holds(c.model.Name) || p.isReserved(u, c.model.Name) {
 			continue
 		}
 		tier, loadDuration := u.tier(c.model)
--- a/internal/assembler/assembler.go
+++ b/internal/assembler/assembler.go
@@ -155,6 +155,11 @@
 	}
 	a.upstreamTable.OnLimit = func(i registrar.Incarnation, isLimited bool, rate float64) {
 		a.Log.Info("upstream limits its requests", zap.String("upstream", i.ID), zap.Int64("born", i.StartedAtMs), zap.Bool("limited", isLimited), zap.Float64("rate", rate))
+		a.server.NotifyLimits()
+		a.client.ReportNow()
+		if a.lease.IsHolder() {
+			a.conductor.Wake()
+		}
 	}
 	a.pool = &courier.Pool{IDHeader: a.Codec.IDHeader, OnDial: func(address string, took time.Duration, err error) {
 		a.metrics.dials.Inc()
@@ -402,12 +407,22 @@
 			if a.upstreamTable.IsComplete(now) {
 				a.losses.Sweep(a.upstreamTable.IsRegistered, now)
 			}
-			n := max(len(a.client.Members()), minReserveMembers)
+			members := a.client.Members()
+			a.queue.SetInstances(a.Instance, instanceNames(members))
+			n := max(len(members), minReserveMembers)
 			a.budget.SetReserve(usedReserveFraction * a.RetryReserve / float64(n))
 		}
 	}
 }
 
+func instanceNames(members []*peerv1.Member) []string {
+	out := make([]string, 0, len(members))
+	for _, m := range members {
+		out = append(out, m.GetInstance())
+	}
+	return out
+}
+
 // handlers returns the HTTP handlers by listen address: for callers, readiness
 // checks of the platform, clients of the directory, peers, and metrics.
 func (a *Assembler) handlers() map[string]http.Handler {
--- a/internal/conductor/fleet.go
+++ b/internal/conductor/fleet.go
@@ -52,7 +52,8 @@
 	running := c.totals.running
 	u := arranger.Upstream{
 		ID: e.up.ID, DataCentre: e.up.DataCentre, IsBusy: e.isBusy || now.Before(e.retryAt) || e.up.IsPaused(now),
-		BusyFor: max(e.doneAt.Sub(now), e.retryAt.Sub(now), e.up.PausedUntil.Sub(now)), InHostMemory: e.inHostMemory, OnDisk: e.onDisk,
+		IsLimited: e.up.IsLimited && e.up.RequestRate < arranger.ReplicaRate,
+		BusyFor:   max(e.doneAt.Sub(now), e.retryAt.Sub(now), e.up.PausedUntil.Sub(now)), InHostMemory: e.inHostMemory, OnDisk: e.onDisk,
 	}
 	draining := e.draining(now)
 	for _, m := range e.models {
--- a/internal/queuer/choose.go
+++ b/internal/queuer/choose.go
@@ -37,6 +37,7 @@
 	}
 	t.demandOf(req.key()).running[u.ID]++
 	t.running[u.ID]++
+	t.recordStart(u, now)
 	t.prefill[u.ID] += req.Tokens
 	h := t.healthOf(u)
 	h.breaker = h.breaker.WithAttempt(now)
@@ -58,7 +59,7 @@
 	upstreams := make([]*registrar.Upstream, 0, len(list))
 	prefixUpstream, _ := t.prefixes.Get(req.Prefix)
 	for _, u := range list {
-		if u.IsPaused(now) || req.Model != "" && !u.Holds(req.Model, req.Adapter) {
+		if u.IsPaused(now) || !t.canStart(u, now) || req.Model != "" && !u.Holds(req.Model, req.Adapter) {
 			continue
 		}
 		prefill := t.prefill[u.ID]
--- a/internal/queuer/doc.go
+++ b/internal/queuer/doc.go
@@ -17,6 +17,9 @@
 //   - A request goes only to an upstream that has its model and adapter loaded,
 //     as far as this instance knows, and that has a free slot, counting the
 //     requests of peers.
+//   - An upstream may limit the requests that it takes from all instances together. They
+//     share the limit evenly, each with a token bucket of one request. If the limit is
+//     too low for that, only some send to it, chosen by hash of upstream and instance.
 //   - Waiting requests are granted by priority, then by objective.
 //   - A request that cannot start by its latest start time, given the remaining
 //     load duration of its model, is refused at once with a retry delay.
--- a/internal/queuer/queuer.go
+++ b/internal/queuer/queuer.go
@@ -145,6 +145,14 @@
 	}
 }
 
+// SetInstances sets the names of this instance and of all live ones, which share the
+// limits of upstreams.
+func (q *Queue) SetInstances(self string, all []string) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.Table.SetInstances(self, all)
+}
+
 // Run grants waiting requests whenever the known state of the upstreams changes
 // and every grantInterval, until ctx ends.
 func (q *Queue) Run(ctx context.Context) {
--- a/internal/queuer/table.go
+++ b/internal/queuer/table.go
@@ -97,6 +97,11 @@
 	health    map[string]health
 	shedUntil map[shedKey]time.Time          // end of the shed delay
 	prefixes  *simplelru.LRU[string, string] // prefix to the upstream that processed it last
+
+	self             string
+	instances        []string // names of the live ones, sorted
+	instancesVersion uint64
+	shares           map[string]share // of limited upstreams, by id
 }
 
 // Waiter is a waiting request.
@@ -134,12 +139,24 @@
 
 // Estimate returns when a request that has no slot yet could start.
 func (t *Table) Estimate(req Request, s *registrar.Snapshot, cfg *matcher.Config, now time.Time) StartEstimate {
+	ahead := 0
+	for _, w := range t.waiting {
+		if w.Request.Service == req.Service && w.Request.Model == req.Model {
+			ahead++
+		}
+	}
+	return t.estimateBehind(ahead, req, s, cfg, now)
+}
+
+// estimateBehind is Estimate for a request that starts after some others of its model.
+func (t *Table) estimateBehind(ahead int, req Request, s *registrar.Snapshot, cfg *matcher.Config, now time.Time) StartEstimate {
+	t.init()
 	svc, ok := cfg.Services[req.Service]
 	if !ok {
 		return StartEstimate{}
 	}
 	if req.Model == "" || svc.Engine == nil {
-		return StartEstimate{Delay: shortestPause(s.ByService[req.Service], now)}
+		return StartEstimate{Delay: t.plainDelay(ahead, s.ByService[req.Service], now)}
 	}
 	model := svc.Engine.Models[req.Model]
 	best := shortestPause(s.ByService[req.Service], now) + model.StoreLoadDuration + swapOverhead
@@ -148,27 +165,57 @@
 		// No conductor sends orders at present.
 		best += failoverDelay
 	}
+	var limited limitedDelay
 	for _, u := range s.ByService[req.Service] {
 		if m, ok := u.Model(req.Model); ok {
 			if req.Adapter == "" || slices.Contains(m.Adapters, req.Adapter) {
+				if u.IsLimited && m.ReadyAt.IsZero() && !u.IsPaused(now) {
+					limited.add(t.bucketOf(u, now), now)
+					continue
+				}
 				isLoaded = isLoaded || m.ReadyAt.IsZero()
 				best = min(best, max(readyIn(m, now), pauseOf(u, now)))
-			} else if t.HasConductor {
+			} else if t.HasConductor && t.canStart(u, now) {
 				best = min(best, max(readyIn(m, now), pauseOf(u, now))+adapterLoadDelay)
 			}
 			continue
 		}
 		switch {
-		case !t.HasConductor:
+		case !t.HasConductor || u.IsLimited:
 		case slices.Contains(u.InHostMemory, req.Model):
 			best = min(best, model.HostLoadDuration+swapOverhead)
 		case slices.Contains(u.OnDisk, req.Model):
 			best = min(best, model.DiskLoadDuration+swapOverhead)
 		}
 	}
+	if limited.count > 0 {
+		delay := limited.after(ahead)
+		isLoaded = isLoaded || delay == 0
+		best = min(best, delay)
+	}
 	return StartEstimate{Delay: best, NeedsLoad: !isLoaded}
 }
 
+// plainDelay returns when an upstream without a model engine takes a request.
+func (t *Table) plainDelay(ahead int, list []*registrar.Upstream, now time.Time) time.Duration {
+	var limited limitedDelay
+	var others []*registrar.Upstream
+	for _, u := range list {
+		if u.IsLimited && !u.IsPaused(now) {
+			limited.add(t.bucketOf(u, now), now)
+		} else {
+			others = append(others, u)
+		}
+	}
+	switch {
+	case limited.count == 0:
+		return shortestPause(list, now)
+	case len(others) == 0:
+		return limited.after(ahead)
+	}
+	return min(shortestPause(others, now), limited.after(ahead))
+}
+
 // pauseOf returns how long the upstream accepts nothing from this instance.
 func pauseOf(u *registrar.Upstream, now time.Time) time.Duration {
 	return max(0, u.PausedUntil.Sub(now))
@@ -201,12 +248,15 @@
 // upstreams.
 func (t *Table) Expire(s *registrar.Snapshot, cfg *matcher.Config, now time.Time) {
 	kept := t.waiting[:0]
+	ahead := make(map[key]int) // waiting requests before this one, by service and model
 	for _, w := range t.waiting {
-		e := t.Estimate(w.Request, s, cfg, now)
+		k := key{service: w.Request.Service, model: w.Request.Model}
+		e := t.estimateBehind(ahead[k], w.Request, s, cfg, now)
 		if now.Add(e.Delay).After(w.Request.StartBy) {
 			w.refused <- e
 			continue
 		}
+		ahead[k]++
 		kept = append(kept, w)
 	}
 	clear(t.waiting[len(kept):])
@@ -214,6 +264,7 @@
 	if len(t.health) > 2*len(s.ByID)+maxStaleHealth {
 		maps.DeleteFunc(t.health, func(id string, _ health) bool { return s.ByID[id] == nil })
 	}
+	maps.DeleteFunc(t.shares, func(id string, _ share) bool { return s.ByID[id] == nil })
 }
 
 // Wait inserts a request into the waiting requests, by priority and objective.
@@ -301,6 +352,7 @@
 	t.running = make(map[string]int)
 	t.prefill = make(map[string]int)
 	t.health = make(map[string]health)
+	t.shares = make(map[string]share)
 	t.shedUntil = make(map[shedKey]time.Time)
 	t.prefixes, _ = simplelru.NewLRU[string, string](maxPrefixes, nil) // fails only for a size below one
 	if t.Rand == nil {
--- a/internal/registrar/notice.go
+++ b/internal/registrar/notice.go
@@ -13,6 +13,11 @@
 	// instances together, to RequestRate a second.
 	IsLimited   bool
 	RequestRate float64
+	// IsAuthentic reports whether the response is the upstream's own for sure. If it
+	// states no limit, an earlier one is over.
+	IsAuthentic bool
+	// SentAt is when the request was sent, zero if it is not known.
+	SentAt time.Time
 }
 
 // maxPause bounds how long an upstream may keep this instance from sending to it.
@@ -38,7 +43,7 @@
 
 // ApplyNotice applies a notice of an incarnation.
 func (t *Table) ApplyNotice(id string, startedAtMs int64, n Notice, now time.Time) {
-	t.recordLimit(Incarnation{id, startedAtMs}, n)
+	t.recordLimit(Incarnation{id, startedAtMs}, n, now)
 	if n.IsLeaving {
 		t.RecordLeaving(id, startedAtMs, now)
 	}
--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -15,6 +15,8 @@
 //   - An upstream that has responded that it is leaving gets no new requests either,
 //     as long as its incarnation lives.
 //   - An upstream may accept nothing from this instance for some time.
+//   - An upstream may limit the requests that it takes from all instances together. The
+//     newest statement holds, whichever instance received it.
 //   - A model or adapter that an upstream turns out not to hold counts as absent
 //     for a while, or until the upstream has accepted another order.
 //   - A registration that vanishes while the platform is unreachable may return. It
@@ -50,6 +52,10 @@
 	// PausedUntil is the time until which the upstream accepts nothing from this
 	// instance, zero for none.
 	PausedUntil time.Time
+	// IsLimited reports whether the upstream limits the requests that it takes from all
+	// instances together, to RequestRate a second.
+	IsLimited   bool
+	RequestRate float64
 	// ColdRemaining is how much longer the upstream is slow after its start.
 	ColdRemaining time.Duration
 	Models        []Model
@@ -383,6 +389,9 @@
 	if p, ok := t.pauses[e.ID]; ok && p.startedAtMs == e.StartedAtMs {
 		u.PausedUntil = p.until
 	}
+	if l, ok := t.limits[e.ID]; ok && l.startedAtMs == e.StartedAtMs && l.isLimited {
+		u.IsLimited, u.RequestRate = true, l.rate
+	}
 	valid := t.absences[e.ID][:0]
 	for _, a := range t.absences[e.ID] {
 		if a.startedAt == u.StartedAtMs && a.numOrders >= u.NumOrders && t.latest.Before(a.until) {
--- a/internal/relayer/attempt.go
+++ b/internal/relayer/attempt.go
@@ -128,6 +128,7 @@
 	}
 	// A misdirected request may have reached another upstream at the same address.
 	if r.Upstream == u.ID || r.Upstream == "" && resp.Status != http.StatusMisdirectedRequest {
+		r.SentAt, r.IsAuthentic = began, resp.IsMatched && (r.IsStamped || r.NotRun)
 		c.Upstreams.ApplyNotice(u.ID, u.StartedAtMs, r.Notice, time.Now())
 	}
 	switch {
--- a/internal/syncer/client.go
+++ b/internal/syncer/client.go
@@ -156,6 +156,7 @@
 				c.Lease.Observe(claim)
 			}
 			c.Losses.MergeReport(decodeLosses(v.GetLosses(), c.Log), time.Now())
+			c.Upstreams.MergeLimits(decodeLimits(v.GetLimits()), time.Now())
 			c.mu.Lock()
 			defer c.mu.Unlock()
 			if c.respondedAt == nil {
@@ -274,6 +275,7 @@
 		})
 	}
 	r.Leaving = encodeLeaving(c.Upstreams.Leaving())
+	r.Limits = encodeLimits(c.Upstreams.Limits(time.Now()))
 	return r
 }
 
@@ -413,6 +415,7 @@
 	for _, l := range v.GetLeaving() {
 		c.Upstreams.RecordLeaving(l.GetUpstream(), l.GetBorn(), now)
 	}
+	c.Upstreams.MergeLimits(decodeLimits(v.GetLimits()), now)
 	if len(v.GetLosses()) > 0 {
 		c.Losses.MergeView(v.GetIncarnation(), decodeLosses(v.GetLosses(), c.Log), now)
 	}
--- a/internal/syncer/server.go
+++ b/internal/syncer/server.go
@@ -112,6 +112,7 @@
 	s.syncLossesLocked()
 	s.mu.Unlock()
 	s.recordLeaving(r.GetLeaving(), now)
+	s.Conductor.Upstreams.MergeLimits(decodeLimits(r.GetLimits()), now)
 	s.mu.Lock()
 	s.watcherLocked(m.GetInstance()).requests = requestsOf(r)
 	s.mu.Unlock()
@@ -147,6 +148,14 @@
 	s.notifyWatchersLocked()
 }
 
+// NotifyLimits passes a changed limit of an upstream on to the watchers.
+func (s *Server) NotifyLimits() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.delta.limitsVersion = s.version + 1
+	s.notifyWatchersLocked()
+}
+
 // Claim implements peerv1.FleetCommands.
 func (s *Server) Claim(ctx context.Context, r *peerv1.ClaimRequest) (*peerv1.ClaimResponse, error) {
 	if r.GetClaim() == nil {
@@ -311,6 +320,7 @@
 			out.Claim = encodeClaim(c)
 		}
 		out.Losses = encodeLosses(s.Losses.Recent(now))
+		out.Limits = encodeLimits(s.Conductor.Upstreams.Limits(now))
 		return out
 	}
 	own := s.Conductor.RunningOf(instance)
@@ -319,7 +329,7 @@
 	version := s.version
 	s.mu.Unlock()
 	views := s.currentViews(version, now)
-	leaving := s.Conductor.Upstreams.Leaving()
+	leaving, limits := s.Conductor.Upstreams.Leaving(), s.Conductor.Upstreams.Limits(now)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	out.Version = s.version
@@ -339,6 +349,9 @@
 	if out.Base == 0 || s.delta.leavingVersion > out.Base {
 		out.Leaving = encodeLeaving(leaving)
 	}
+	if out.Base == 0 || s.delta.limitsVersion > out.Base {
+		out.Limits = encodeLimits(limits)
+	}
 	if out.Base == 0 || s.delta.lossesVersion > out.Base {
 		out.HasLosses, out.Losses = true, encodeLosses(s.Losses.Shared(now))
 	}
