internal/relayer, internal/retrier: a retry budget for each service

What was seen: repeats at a service beyond what its own requests permit. Cause: an instance had one budget for all services. A model service with most of the traffic paid for repeats at a small plain service; the limit is for each. Change: a budget for each service, each with the ratio and the instance's share of the slack, which are the limits for each service.

--- a/internal/assembler/assembler.go
+++ b/internal/assembler/assembler.go
@@ -104,7 +104,7 @@
 	queue            *queuer.Queue
 	losses           *losstracker.Tracker
 	poisonSaver      *losstracker.Saver
-	budget           *retrier.Budget
+	retryBudgets     *retrier.Budgets
 	relayer          *relayer.Relayer
 	conductor        *conductor.Conductor
 	lease            *leaser.Lease
@@ -169,9 +169,9 @@
 	}}
 	a.queue = &queuer.Queue{Upstreams: a.upstreamTable, Config: a.config.Load, OnDemandChange: func() { a.client.ReportNow() }, HasConductor: func() bool { return a.client.HasConductor() }}
 	a.queue.Table.DataCentre = a.DataCentre
-	a.budget = &retrier.Budget{Ratio: usedRetryFraction * a.RetryRatio, Reserve: usedReserveFraction * a.RetryReserve / minReserveMembers}
+	a.retryBudgets = &retrier.Budgets{Ratio: usedRetryFraction * a.RetryRatio, Reserve: usedReserveFraction * a.RetryReserve / minReserveMembers}
 	a.relayer = &relayer.Relayer{
-		Codec: a.Codec, Config: a.config.Load, Upstreams: a.upstreamTable, Queue: a.queue, Pool: a.pool, RetryBudget: a.budget,
+		Codec: a.Codec, Config: a.config.Load, Upstreams: a.upstreamTable, Queue: a.queue, Pool: a.pool, RetryBudgets: a.retryBudgets,
 		Losses: a.losses, Log: a.Log.Named("relayer"), Metrics: relayer.NewMetrics(a.registry),
 		MayTry:     func() bool { return a.lease.IsHolder() },
 		ViewAge:    func() time.Duration { return a.client.ViewAge() },
@@ -410,7 +410,7 @@
 			members := a.client.Members()
 			a.queue.SetInstances(a.Instance, instanceNames(members))
 			n := max(len(members), minReserveMembers)
-			a.budget.SetReserve(usedReserveFraction * a.RetryReserve / float64(n))
+			a.retryBudgets.SetReserve(usedReserveFraction * a.RetryReserve / float64(n))
 		}
 	}
 }
--- a/internal/relayer/attempt.go
+++ b/internal/relayer/attempt.go
@@ -171,7 +171,7 @@
 		return attemptResult{hasFailed: true, reason: "status " + strconv.Itoa(resp.Status) + " on resumption"}
 	case err != nil:
 		return attemptResult{hasFailed: true, reason: "answer broke off: " + err.Error()}
-	case canRetry && isComplete && c.RetryBudget.TryWithdraw():
+	case canRetry && isComplete && c.retryBudget().TryWithdraw():
 		c.isRetryCharged, c.fallback = true, &plainResponse{resp.Status, resp.Header, body}
 		return attemptResult{hasFailed: true, isComplete: true, reason: "status 500"}
 	}
--- a/internal/relayer/doc.go
+++ b/internal/relayer/doc.go
@@ -15,7 +15,7 @@
 //     is forwarded in whole events; if it is interrupted, it resumes at another
 //     upstream where the route allows that, and otherwise the connection to the
 //     client is closed.
-//   - Retries, those of refused requests included, are bounded by the retry
-//     budget of this instance.
+//   - Retries, those of refused requests included, are bounded by this instance's
+//     retry budget for the service.
 //   - When a client disconnects, its request is canceled at the upstream.
 package relayer
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -90,15 +90,15 @@
 
 // Relayer serves requests. All fields must be set.
 type Relayer struct {
-	Codec       Codec
-	Config      func() *matcher.Config
-	Upstreams   *registrar.Table
-	Queue       *queuer.Queue
-	Pool        *courier.Pool
-	RetryBudget *retrier.Budget
-	Losses      *losstracker.Tracker
-	Log         *zap.Logger
-	Metrics     *Metrics
+	Codec        Codec
+	Config       func() *matcher.Config
+	Upstreams    *registrar.Table
+	Queue        *queuer.Queue
+	Pool         *courier.Pool
+	RetryBudgets *retrier.Budgets
+	Losses       *losstracker.Tracker
+	Log          *zap.Logger
+	Metrics      *Metrics
 	// MayTry, if set, reports whether this instance tries whether a part of a prompt still
 	// crashes upstreams. It must return true at one instance only.
 	MayTry func() bool
@@ -244,7 +244,7 @@
 	}
 	c.fingerprint, c.parts = fingerprint(c), partFingerprints(c.requestInfo.Parts)
 	c.Queue.Arrive(c.admission)
-	c.RetryBudget.Deposit()
+	c.retryBudget().Deposit()
 }
 
 // serve makes attempts until a response is forwarded or no further attempt is
@@ -292,12 +292,15 @@
 	case c.isUnsent && c.numSends < maxUnreachableSends:
 	case c.numSends >= maxSends || c.numMayHaveRun >= max(c.route.MaxAttempts, 1):
 		return c.refuse(verdict.ReasonUpstreamFailed, minRetryAfter, "%d attempts: %s", c.numSends, c.lastFailure)
-	case !c.isUnsent && !c.isRetryCharged && !c.RetryBudget.TryWithdraw():
+	case !c.isUnsent && !c.isRetryCharged && !c.retryBudget().TryWithdraw():
 		return c.refuse(verdict.ReasonUpstreamFailed, time.Second, "retry budget used up: %s", c.lastFailure)
 	}
 	return nil
 }
 
+// retryBudget returns the budget of the service that the request is for.
+func (c *call) retryBudget() *retrier.Budget { return c.RetryBudgets.Of(c.admission.Service) }
+
 func (c *call) refuse(reason verdict.Reason, retryAfter time.Duration, format string, args ...any) error {
 	return c.withEarlierAttempts(verdict.Refuse(reason, retryAfter, format, args...))
 }
--- a/internal/relayer/relayer_test.go
+++ b/internal/relayer/relayer_test.go
@@ -169,9 +169,9 @@
 	config := func() *matcher.Config { return cfg }
 	g.Relayer = &Relayer{
 		Codec: testCodec, Config: config, Upstreams: table,
-		Queue:       &queuer.Queue{Upstreams: table, Config: config, HasConductor: func() bool { return true }},
-		Pool:        &courier.Pool{IDHeader: hID},
-		RetryBudget: &retrier.Budget{}, Losses: &losstracker.Tracker{}, Log: zap.NewNop(), Metrics: NewMetrics(prometheus.NewRegistry()),
+		Queue:        &queuer.Queue{Upstreams: table, Config: config, HasConductor: func() bool { return true }},
+		Pool:         &courier.Pool{IDHeader: hID},
+		RetryBudgets: &retrier.Budgets{}, Losses: &losstracker.Tracker{}, Log: zap.NewNop(), Metrics: NewMetrics(prometheus.NewRegistry()),
 		ViewAge:    func() time.Duration { return 0 },
 		IsStopping: func() bool { return g.isClosing }, IsClosed: func() bool { return g.isClosing },
 	}
@@ -414,8 +414,8 @@
 	bad := func(_ int, r *http.Request, _ string) (string, bool) { return response(r, 503, notRun, ""), false }
 	ups := []*upstream{newUpstream(t, bad), newUpstream(t, bad)}
 	g := newFixture(t, ups...)
-	g.RetryBudget.Reserve = 3
-	g.RetryBudget.Ratio = 0.001
+	g.RetryBudgets.Reserve = 3
+	g.RetryBudgets.Ratio = 0.001
 	for range 5 {
 		resp, _ := g.do(g.request("POST", "/once/", ""))
 		require.Equal(t, 503, resp.StatusCode)
@@ -492,10 +492,10 @@
 		t.Run(name, func(t *testing.T) {
 			first, second := newUpstream(t, status500), newUpstream(t, tt.second)
 			g := newFixture(t, first, second)
-			g.RetryBudget.Reserve, g.RetryBudget.Ratio = tt.reserve, 0.001
+			g.RetryBudgets.Reserve, g.RetryBudgets.Ratio = tt.reserve, 0.001
 			var resp *http.Response
 			for first.count() == 0 { // until a first attempt selects this upstream
-				g.RetryBudget = &retrier.Budget{Reserve: tt.reserve, Ratio: 0.001}
+				g.RetryBudgets = &retrier.Budgets{Reserve: tt.reserve, Ratio: 0.001}
 				resp, _ = g.do(g.request("GET", "/again/", ""))
 			}
 			require.Equal(t, tt.want, resp.StatusCode)
