internal/retrier, internal/assembler: an instance that starts has to earn its retry reserve

What was seen: repeats beyond the budget on real processes, where instances restart. Cause: each start of an instance permitted as many retries as its share of the reserve, at once. The share is 0.6 of the slack over 6; a few restarts within ten seconds exceed the rest. Change: the reserve of an instance is empty at its start and filled by first attempts.

--- a/internal/assembler/assembler.go
+++ b/internal/assembler/assembler.go
@@ -169,7 +169,7 @@
 	}}
 	a.queue = &queuer.Queue{Upstreams: a.upstreamTable, Config: a.config.Load, OnDemandChange: func() { a.client.ReportNow() }, HasConductor: func() bool { return a.client.HasConductor() }}
 	a.queue.Table.DataCentre = a.DataCentre
-	a.retryBudgets = &retrier.Budgets{Ratio: usedRetryFraction * a.RetryRatio, Reserve: usedReserveFraction * a.RetryReserve / minReserveMembers}
+	a.retryBudgets = &retrier.Budgets{Ratio: usedRetryFraction * a.RetryRatio, Reserve: usedReserveFraction * a.RetryReserve / minReserveMembers, StartsEmpty: true}
 	a.relayer = &relayer.Relayer{
 		Codec: a.Codec, Config: a.config.Load, Upstreams: a.upstreamTable, Queue: a.queue, Pool: a.pool, RetryBudgets: a.retryBudgets,
 		Losses: a.losses, Log: a.Log.Named("relayer"), Metrics: relayer.NewMetrics(a.registry),
--- a/internal/retrier/budgets.go
+++ b/internal/retrier/budgets.go
@@ -7,6 +7,9 @@
 type Budgets struct {
 	Ratio   float64
 	Reserve float64
+	// StartsEmpty says that the reserve has to be earned by first attempts. Otherwise each
+	// restart of a process permits as many retries as the reserve.
+	StartsEmpty bool
 
 	mu        sync.Mutex
 	byService map[string]*Budget
@@ -22,6 +25,9 @@
 			b.byService = make(map[string]*Budget)
 		}
 		s = &Budget{Ratio: b.Ratio, Reserve: b.Reserve}
+		if b.StartsEmpty {
+			s.spent = s.reserve()
+		}
 		b.byService[service] = s
 	}
 	return s
--- a/internal/retrier/retrier.go
+++ b/internal/retrier/retrier.go
@@ -52,11 +52,7 @@
 func (b *Budget) TryWithdraw() bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	reserve := b.Reserve
-	if reserve == 0 {
-		reserve = DefaultReserve
-	}
-	if b.spent+1 > reserve {
+	if b.spent+1 > b.reserve() {
 		return false
 	}
 	b.spent++
@@ -64,6 +60,13 @@
 	return true
 }
 
+func (b *Budget) reserve() float64 {
+	if b.Reserve == 0 {
+		return DefaultReserve
+	}
+	return b.Reserve
+}
+
 // Counts returns the numbers of first attempts and of retries so far.
 func (b *Budget) Counts() (firstAttempts, retries uint64) {
 	b.mu.Lock()
