internal/courier: the head of a response is bounded

Cause: http.ReadResponse has no bound; http.Transport, which has one, is not used here. Change: at most 16 kB are read for a head, each informational response and each late response to another request included.

--- a/internal/courier/courier.go
+++ b/internal/courier/courier.go
@@ -142,7 +142,9 @@
 // requests.
 func (x *exchange) readHead(req *Request) (*http.Response, bool, error) {
 	for range maxSkippedResponses + 1 {
+		x.conn.head.begin()
 		httpResp, err := http.ReadResponse(x.conn.r, &http.Request{Method: req.Method})
+		x.conn.head.end()
 		if err != nil {
 			return nil, false, err
 		}
--- a/internal/courier/pool.go
+++ b/internal/courier/pool.go
@@ -51,8 +51,9 @@
 // conn is a connection that carries one request at a time.
 type conn struct {
 	net.Conn
-	r        *bufio.Reader
-	isReused bool // an earlier request has completed on it
+	head     *headLimiter
+	r        *bufio.Reader // reads from head
+	isReused bool          // an earlier request has completed on it
 	idleAt   time.Time
 	maxIdle  time.Duration
 }
@@ -95,7 +96,8 @@
 	if err != nil {
 		return nil, &Error{Address: address, Err: err, IsDial: true}
 	}
-	return &conn{Conn: nc, r: bufio.NewReaderSize(nc, readBufferBytes), maxIdle: orDefault(p.MaxIdle, DefaultMaxIdle)}, nil
+	head := &headLimiter{r: nc}
+	return &conn{Conn: nc, head: head, r: bufio.NewReaderSize(head, readBufferBytes), maxIdle: orDefault(p.MaxIdle, DefaultMaxIdle)}, nil
 }
 
 // put adds a connection whose response was read to its end to the idle ones.
