internal/courier: a response to a call that is too long is an error

Cause: a body was cut at 4 MB and taken for complete, and as many calls run at once as there are upstreams. Change: a body of more than 256 kB ends the call with an error.

--- a/internal/courier/courier.go
+++ b/internal/courier/courier.go
@@ -235,12 +235,16 @@
 		return Reply{}, err
 	}
 	defer resp.Body.Close()
-	out, err := io.ReadAll(io.LimitReader(resp.Body, maxCallResponseBytes))
+	out, err := io.ReadAll(io.LimitReader(resp.Body, maxCallResponseBytes+1))
+	if err == nil && len(out) > maxCallResponseBytes {
+		err = errors.Newf("response of more than %d bytes", maxCallResponseBytes)
+	}
 	if err != nil {
 		return Reply{}, &Error{Address: address, Err: err, IsSent: true}
 	}
 	return Reply{resp.Status, resp.Header, out}, nil
 }
 
-// maxCallResponseBytes bounds the response bodies of Call.
-const maxCallResponseBytes = 4 << 20
+// maxCallResponseBytes bounds the response bodies of Call: the state of an upstream with
+// all its models, adapters and runs takes some 10 kB.
+const maxCallResponseBytes = 256 << 10
