--- a/internal/assembler/listen.go
+++ b/internal/assembler/listen.go
@@ -14,6 +14,7 @@
 	"github.com/primrosedrift/primrosedrift/internal/courier"
 	"github.com/primrosedrift/primrosedrift/internal/logger"
 	"github.com/primrosedrift/primrosedrift/internal/sleeper"
+	"github.com/primrosedrift/primrosedrift/internal/syncer"
 	peerv1 "github.com/primrosedrift/primrosedrift/pkg/api/peer/v1"
 )
 
@@ -55,7 +56,7 @@
 	queries := peerv1.NewFleetQueriesServer(a.server)
 	mux.Handle(commands.PathPrefix(), commands)
 	mux.Handle(queries.PathPrefix(), queries)
-	return mux
+	return http.MaxBytesHandler(mux, syncer.MaxMessageBytes)
 }
 
 func (a *Assembler) metricsHandler() http.Handler {
--- a/internal/syncer/client.go
+++ b/internal/syncer/client.go
@@ -43,6 +43,9 @@
 	// round: the first of the data centre, and others.
 	maxReadersProbed = 3
 	maxOthersProbed  = 9
+	// MaxMessageBytes bounds a message between instances. The registrations of 10,000
+	// upstreams take about half of it.
+	MaxMessageBytes = 16 << 20
 	// peerUserTimeout is how long bytes sent to a peer may stay unacknowledged
 	// (TCP_USER_TIMEOUT).
 	peerUserTimeout = time.Second
@@ -51,9 +54,11 @@
 // NewHTTPClient returns the HTTP client for peers.
 func NewHTTPClient() *http.Client {
 	d := &net.Dialer{Timeout: callTimeout, KeepAlive: -1, Control: courier.UserTimeoutControl(peerUserTimeout)}
-	return &http.Client{Transport: &http.Transport{
+	transport := &http.Transport{
 		DialContext: d.DialContext, MaxIdleConnsPerHost: 4, IdleConnTimeout: time.Minute, DisableCompression: true,
-	}}
+		MaxResponseHeaderBytes: courier.MaxTransportHeadBytes,
+	}
+	return &http.Client{Transport: courier.LimitedTransport{RoundTripper: transport, MaxBodyBytes: MaxMessageBytes}}
 }
 
 // Client reports to the conductor and watches its view. Its exported fields
