--- a/internal/relayer/relayer_test.go
+++ b/internal/relayer/relayer_test.go
@@ -156,8 +156,10 @@
 	stream.Name, stream.Prefix, stream.IsStream = "stream", "/stream/", true
 	resumable := stream
 	resumable.Name, resumable.Prefix, resumable.IsResumable = "resumable", "/resumable/", true
-	cfg := matcher.New(1, []matcher.Route{onceRoute, idempotent, stream, resumable},
-		map[string]matcher.Service{"s": {Name: "s"}}, matcher.Limits{MaxBodyBytes: 1 << 20})
+	second := onceRoute
+	second.Name, second.Prefix, second.MaxAttempts, second.Targets = "second", "/second/", 4, []matcher.Target{{Service: "t"}}
+	cfg := matcher.New(1, []matcher.Route{onceRoute, idempotent, stream, resumable, second},
+		map[string]matcher.Service{"s": {Name: "s"}, "t": {Name: "t"}}, matcher.Limits{MaxBodyBytes: 1 << 20})
 	g := &fixture{t: t}
 	table := &registrar.Table{}
 	entries := make(map[string]*registrar.Upstream)
--- a/internal/relayer/repeat_test.go
+++ b/internal/relayer/repeat_test.go
@@ -7,7 +7,6 @@
 
 	"github.com/stretchr/testify/require"
 
-	"github.com/primrosedrift/primrosedrift/internal/matcher"
 	"github.com/primrosedrift/primrosedrift/internal/registrar"
 	"github.com/primrosedrift/primrosedrift/internal/retrier"
 )
@@ -19,11 +18,6 @@
 	refuse := func(_ int, r *http.Request, _ string) (string, bool) { return response(r, 503, notRun, ""), false }
 	full := []*upstream{newUpstream(t, refuse), newUpstream(t, refuse), newUpstream(t, refuse)}
 	g := newFixture(t, sound)
-	other := onceRoute
-	other.Name, other.Prefix, other.MaxAttempts, other.Targets = "other", "/other/", 4, []matcher.Target{{Service: "t"}}
-	cfg := matcher.New(1, []matcher.Route{onceRoute, other}, map[string]matcher.Service{"s": {Name: "s"}, "t": {Name: "t"}}, matcher.Limits{MaxBodyBytes: 1 << 20})
-	config := func() *matcher.Config { return cfg }
-	g.Config, g.Queue.Config = config, config
 	list := make(map[string]*registrar.Upstream)
 	for n, u := range full {
 		id := string(rune('a' + n))
@@ -36,7 +30,7 @@
 			resp, _ := g.do(g.request("POST", "/once/", ""))
 			require.Equal(t, http.StatusOK, resp.StatusCode)
 		}
-		resp, _ := g.do(g.request("POST", "/other/", ""))
+		resp, _ := g.do(g.request("POST", "/second/", ""))
 		require.Equal(t, http.StatusServiceUnavailable, resp.StatusCode)
 	}
 	arrivals := 0
