internal/relayer: what is held of responses is bounded over all requests

Cause: an event of up to 1 MB, or 256 kB of a plain response, was held for each running request; with one upstream for each slot that is more than the memory of a process. The end of an event was searched from the start at each read. Change: buffers beyond 4 kB are taken from a bound of all requests, a tenth of the memory limit. A stream for which there is none is interrupted, a plain response is passed on as it comes. Each byte is searched once. An event that is too long is an interruption as well, so that a resumable stream goes on elsewhere.

--- a/internal/assembler/assembler.go
+++ b/internal/assembler/assembler.go
@@ -59,6 +59,9 @@
 	// set as the soft memory limit of the Go runtime. Above it, the garbage
 	// collector runs more often.
 	softMemoryLimitFraction = 0.6
+	// bufferMemoryFraction is the fraction of the process's memory limit that responses
+	// may hold before they are forwarded.
+	bufferMemoryFraction = 0.1
 	// usedReserveFraction is the fraction of the shared retry reserve that is
 	// divided among the instances, and usedRetryFraction the fraction of the
 	// shared retry ratio that each instance uses. The rest is headroom while
@@ -177,6 +180,7 @@
 		ViewAge:    func() time.Duration { return a.client.ViewAge() },
 		IsStopping: a.isStopping.Load, IsClosed: a.isClosed.Load,
 	}
+	a.relayer.Buffers.MaxBytes = int64(bufferMemoryFraction * float64(a.MemoryBytes))
 	a.losses.OnChange = func(l losstracker.Loss, change losstracker.Change, known int) {
 		a.relayer.Metrics.RecordLoss(change)
 		a.Log.Named("losstracker").Info("loss "+string(change), zap.String("content", relayer.FormatFingerprint(l.Fingerprint)), zap.String("upstream", l.Incarnation.ID),
--- a/internal/relayer/attempt.go
+++ b/internal/relayer/attempt.go
@@ -22,6 +22,9 @@
 // response is truncated.
 const maxBufferedBytes = 256 << 10
 
+// minReadBytes is the size of the buffer that a plain response is first read into.
+const minReadBytes = 2 << 10
+
 // noResponseTimeout is the time after which an attempt without any response
 // counts against the upstream even if the client has disconnected. Responses
 // usually begin within about 100 ms.
@@ -164,8 +167,13 @@
 	// An idempotent request that failed with status 500 is retried at another upstream.
 	canRetry := resp.Status == http.StatusInternalServerError && c.route.MayRetry() && c.numMayHaveRun+1 < c.route.MaxAttempts &&
 		time.Until(c.deadline) > minUpstreamTime
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxBufferedBytes))
-	isComplete := err == nil && len(body) < maxBufferedBytes
+	held := buffer{of: &c.Buffers}
+	defer held.release()
+	body, err := readHeld(resp.Body, &held)
+	isComplete := errors.Is(err, io.EOF)
+	if isComplete || errors.Is(err, errBuffersFull) {
+		err = nil
+	}
 	switch {
 	case c.stream.hasStarted:
 		return attemptResult{hasFailed: true, reason: "status " + strconv.Itoa(resp.Status) + " on resumption"}
@@ -192,6 +200,26 @@
 	return attemptResult{isForwarded: true, hasFailed: failed, isComplete: true}
 }
 
+// readHeld reads a body until it has ended with io.EOF, or failed, or until no more of it
+// can be held: then the error is errBuffersFull.
+func readHeld(r io.Reader, held *buffer) ([]byte, error) {
+	body := make([]byte, 0, minReadBytes)
+	for {
+		if len(body) == cap(body) {
+			grown := min(2*cap(body), maxBufferedBytes)
+			if grown == cap(body) || held.resize(grown) != nil {
+				return body, errBuffersFull
+			}
+			body = append(make([]byte, 0, grown), body...)
+		}
+		n, err := r.Read(body[len(body):cap(body)])
+		body = body[:len(body)+n]
+		if err != nil {
+			return body, err
+		}
+	}
+}
+
 // plainResponse is a complete response that is kept while the request is retried.
 type plainResponse struct {
 	status int
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -97,8 +97,10 @@
 	Pool         *courier.Pool
 	RetryBudgets *retrier.Budgets
 	Losses       *losstracker.Tracker
-	Log          *zap.Logger
-	Metrics      *Metrics
+	// Buffers bounds what is held of responses.
+	Buffers Buffers
+	Log     *zap.Logger
+	Metrics *Metrics
 	// MayTry, if set, reports whether this instance tries whether a part of a prompt still
 	// crashes upstreams. It must return true at one instance only.
 	MayTry func() bool
--- a/internal/relayer/stream.go
+++ b/internal/relayer/stream.go
@@ -42,12 +42,15 @@
 func (c *call) forwardStream(ctx context.Context, resp *courier.Response) attemptResult {
 	out := http.NewResponseController(c.w)
 	var pending []byte
+	var finder eventFinder
+	held := buffer{of: &c.Buffers}
+	defer held.release()
 	buf := make([]byte, streamReadBytes)
 	var firstEventAt time.Time
 	for {
 		n, rerr := resp.Body.Read(buf)
 		pending = append(pending, buf[:n]...)
-		end := lastEventEnd(pending)
+		end := finder.find(pending)
 		if end > 0 {
 			if err := c.forwardEvents(out, resp, pending[:end]); err != nil {
 				return attemptResult{err: truncatedError{err}}
@@ -59,6 +62,9 @@
 				c.tracked.RecordSurvival(now)
 			}
 		}
+		if err := held.resize(cap(pending)); err != nil {
+			return c.interrupted(ctx, err)
+		}
 		switch {
 		case errors.Is(rerr, io.EOF) && !c.stream.hasStarted:
 			return attemptResult{hasFailed: true, reason: "stream without an event"}
@@ -69,7 +75,7 @@
 		case rerr != nil:
 			return c.interrupted(ctx, rerr)
 		case len(pending) > maxEventBytes:
-			return attemptResult{hasFailed: true, err: truncatedError{errors.New("event too long")}}
+			return c.interrupted(ctx, errors.New("event too long"))
 		}
 	}
 }
@@ -109,6 +115,22 @@
 
 var eventEnd = []byte("\n\n")
 
+// eventFinder finds the last whole event in bytes that grow at their end and are cut at
+// their start after each event. It searches each byte once.
+type eventFinder struct{ searched int }
+
+// find returns the index after the last whole event, 0 if there is none.
+func (f *eventFinder) find(b []byte) int {
+	// The end of an event may have begun before the new bytes.
+	from := max(0, min(f.searched, len(b))-len("\r\n\r"))
+	end := lastEventEnd(b[from:])
+	if end > 0 {
+		end += from
+	}
+	f.searched = len(b) - end
+	return end
+}
+
 // lastEventEnd returns the index after the last whole event, 0 if there is none.
 func lastEventEnd(b []byte) int {
 	i := bytes.LastIndex(b, eventEnd)
