internal/losstracker: the holder of the lease removes old poison requests from the log

Cause: they were removed only by an instance that held the lease when it loaded them, right after its start, which is rarely so. TestExpiredPoisonRequestsAreRemovedByALaterHolder needs a name that the code before lacks; without the call in Run nothing is removed.

--- a/internal/losstracker/saver.go
+++ b/internal/losstracker/saver.go
@@ -14,6 +14,8 @@
 const (
 	// minSaveInterval is the least time between two calls that save poison requests.
 	minSaveInterval = 100 * time.Millisecond
+	// tidyInterval is the time between two removals of old poison requests by the holder.
+	tidyInterval = lossTTL / 4
 	// loadRetryInterval is the time between two attempts to load the saved ones, and
 	// between two checks for requests that could not be saved.
 	loadRetryInterval = 2 * time.Second
@@ -52,6 +54,7 @@
 	Log   *zap.Logger
 
 	isLoaded  bool
+	tidiedAt  time.Time // zero while this instance does not hold the lease
 	initOnce  sync.Once
 	firstLoad chan struct{} // closed after the first load, whatever its result
 }
@@ -83,6 +86,7 @@
 		if isFirst {
 			close(s.firstLoaded())
 		}
+		s.tidy(ctx, time.Now())
 		s.save(ctx)
 		sleeper.Sleep(ctx, minSaveInterval)
 		select {
@@ -118,10 +122,31 @@
 	s.isLoaded = true
 	old := s.Tracker.mergeSaved(list, now)
 	s.Log.Info("poison requests loaded", zap.Int("requests", len(list)), zap.Int("expired", len(old)))
-	if len(old) == 0 || !s.IsHolder() {
+	if !s.IsHolder() {
 		return nil
 	}
-	return s.Store.Save(ctx, old)
+	if len(old) > 0 {
+		if err := s.Store.Save(ctx, old); err != nil {
+			return err
+		}
+	}
+	s.tidiedAt = now
+	return nil
+}
+
+// tidy removes the poison requests that have expired from the log, if this instance holds
+// the lease: soon after it took it, and every tidyInterval.
+func (s *Saver) tidy(ctx context.Context, now time.Time) {
+	switch {
+	case !s.IsHolder():
+		s.tidiedAt = time.Time{}
+		return
+	case !s.isLoaded || !s.tidiedAt.IsZero() && now.Sub(s.tidiedAt) < tidyInterval:
+		return
+	}
+	if err := s.load(ctx, now); err != nil {
+		s.Log.Warn("old poison requests could not be removed", logger.Error(err))
+	}
 }
 
 func (s *Saver) save(ctx context.Context) {
--- a/internal/losstracker/saver_test.go
+++ b/internal/losstracker/saver_test.go
@@ -232,3 +232,34 @@
 	cancel()
 	<-done
 }
+
+// TestExpiredPoisonRequestsAreRemovedByALaterHolder guards against old records that stay in
+// the log because no instance held the lease when it loaded them.
+func TestExpiredPoisonRequestsAreRemovedByALaterHolder(t *testing.T) {
+	f := newFleet(1)
+	isHolder := false
+	f.saved = map[uint64]Poison{poison: {Fingerprint: poison, Losses: []Loss{{Fingerprint: poison, Incarnation: inc(1)}}, At: start.Add(-2 * lossTTL)}}
+	f.start(t, 0, start)
+	s := f.savers[0]
+	s.IsHolder = func() bool { return isHolder }
+	f.saved[poison] = Poison{Fingerprint: poison, Losses: []Loss{{Fingerprint: poison, Incarnation: inc(1)}}, At: start.Add(-2 * lossTTL)}
+	numLoads := 0
+	load := s.Store.Load
+	s.Store.Load = func(ctx context.Context) ([]Poison, []error, error) {
+		numLoads++
+		return load(ctx)
+	}
+	s.tidy(t.Context(), start)
+	require.Len(t, f.saved, 1)
+	isHolder = true
+	f.isAway = true
+	s.tidy(t.Context(), start)
+	f.isAway = false
+	s.tidy(t.Context(), start)
+	require.Empty(t, f.saved)
+	s.tidy(t.Context(), start.Add(time.Minute))
+	require.Equal(t, 2, numLoads, "not again at once")
+	f.saved[8] = Poison{Fingerprint: 8, Losses: []Loss{{Fingerprint: 8, Incarnation: inc(1)}}, At: start}
+	s.tidy(t.Context(), start.Add(lossTTL+1))
+	require.Empty(t, f.saved, "those that expire while the lease is held")
+}
