internal/syncer, platform, deploy: an instance that starts in an outage of the store asks seeds

Cause: instances find each other through the store only. TestInstanceThatStartsInAnOutageOfTheStoreServes does not end without the seeds.

--- a/cmd/primrosedrift/entry.go
+++ b/cmd/primrosedrift/entry.go
@@ -62,8 +62,9 @@
 	return assembler.Deployment{
 		Instance: s.Instance, DataCentre: s.DataCentre, MemoryBytes: s.MemoryBytes, Cores: s.Cores,
 		Listen: assembler.Listen{
-			Caller: s.Caller, Ready: s.Ready, Directory: s.Directory, Peer: s.Peer, Metrics: s.Metrics,
+			Caller: s.Caller, Ready: s.Ready, Directory: s.Directory, Peer: s.Peer, Metrics: s.Metrics, Seed: s.Seed,
 		},
+		Seeds:     otherSeeds(s),
 		StopGrace: s.Grace, AddressTTL: s.ResolveLife, MaxDrainDelay: s.Drain, MaxApplyDelay: s.Apply, MinOrderGap: s.OrderGap,
 		RetryRatio: s.RetryShare, RetryReserve: s.RetryReserve,
 		ConfigTopic: store.ConfigTopic(), UpstreamTopic: store.UpstreamTopic(), LeaseStore: store.LeaseStore(), PoisonStore: store.PoisonStore(),
@@ -74,6 +75,17 @@
 	}
 }
 
+// otherSeeds returns the seeds without this instance.
+func otherSeeds(s platform.Settings) []string {
+	var out []string
+	for _, seed := range s.Seeds {
+		if seed != "" && seed != s.Seed {
+			out = append(out, seed)
+		}
+	}
+	return out
+}
+
 // settingsPollInterval is the interval at which the settings file is read, as it
 // may change without a signal.
 const settingsPollInterval = 2 * time.Second
--- a/internal/assembler/assembler.go
+++ b/internal/assembler/assembler.go
@@ -219,7 +219,7 @@
 	}
 	a.client = &syncer.Client{
 		Self: self, HTTP: syncer.NewHTTPClient(), Lease: a.lease, Server: a.server, Queue: a.queue, Upstreams: a.upstreamTable,
-		Losses: a.losses, IsStopping: a.isStopping.Load, Log: a.Log.Named("syncer"),
+		Losses: a.losses, Seeds: a.Seeds, IsStopping: a.isStopping.Load, Log: a.Log.Named("syncer"),
 	}
 	a.lease.PeerStore = a.client.PeerStore()
 }
@@ -430,11 +430,15 @@
 // handlers returns the HTTP handlers by listen address: for callers, readiness
 // checks of the platform, clients of the directory, peers, and metrics.
 func (a *Assembler) handlers() map[string]http.Handler {
-	return map[string]http.Handler{
+	out := map[string]http.Handler{
 		a.Listen.Caller:    a.relayer,
 		a.Listen.Ready:     a.NewReadyHandler(a.isReady),
 		a.Listen.Directory: a.NewDirectoryHandler(a.locate),
 		a.Listen.Peer:      a.peerHandler(),
 		a.Listen.Metrics:   a.metricsHandler(),
 	}
+	if a.Listen.Seed != "" {
+		out[a.Listen.Seed] = a.peerHandler()
+	}
+	return out
 }
--- a/internal/assembler/deployment.go
+++ b/internal/assembler/deployment.go
@@ -20,6 +20,9 @@
 	Instance   string
 	DataCentre string
 	Listen     Listen
+	// Seeds are the Seed addresses of some instances. An instance that starts while it
+	// cannot reach the platform finds the others through them. They may be out of date.
+	Seeds []string
 	// MemoryBytes is the memory limit of the process. 0 means no limit.
 	MemoryBytes int64
 	// Cores is the processor time that the process may use, in cores. 0 means no limit.
@@ -58,4 +61,6 @@
 // Listen holds the listen addresses of the instance, as host:port.
 type Listen struct {
 	Caller, Ready, Directory, Peer, Metrics string
+	// Seed is another address for peers, empty for none.
+	Seed string
 }
--- a/internal/syncer/client.go
+++ b/internal/syncer/client.go
@@ -71,6 +71,8 @@
 	Queue     *queuer.Queue
 	Upstreams *registrar.Table
 	Losses    *losstracker.Tracker
+	// Seeds are addresses of instances that are called while no member is known.
+	Seeds []string
 	// IsStopping reports whether this instance is shutting down. It still accepts
 	// new requests until its queue is closed.
 	IsStopping func() bool
@@ -173,6 +175,42 @@
 	wg.Wait()
 }
 
+// probeSeeds learns from the seeds who holds the lease, while this instance knows no member.
+func (c *Client) probeSeeds(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	var wg sync.WaitGroup
+	for _, address := range c.Seeds {
+		wg.Go(func() {
+			v, err := peerv1.NewFleetQueriesProtobufClient("http://"+address, c.HTTP).Watch(ctx, &peerv1.WatchRequest{Instance: c.Self.GetInstance()})
+			if err != nil {
+				c.Log.Debug("seed does not respond", zap.String("seed", address), logger.Error(err))
+				return
+			}
+			if claim, ok := claimIn(v); ok && c.Lease.Newest().IsZero() {
+				c.Log.Info("conductor found through a seed", zap.String("seed", address), zap.String("conductor", claim.Holder), zap.Int64("token", claim.Token()))
+				c.Lease.Observe(claim)
+			}
+		})
+	}
+	wg.Wait()
+}
+
+// claimIn returns the claim of the lease that a response names: that of the responding
+// instance, or the newest that it knows.
+func claimIn(v *peerv1.WatchResponse) (leaser.Claim, bool) {
+	if !v.GetIsConductor() {
+		claim := decodeClaim(v.GetClaim())
+		return claim, !claim.IsZero()
+	}
+	for _, m := range v.GetMembers() {
+		if m.GetIncarnation() == v.GetIncarnation() {
+			return leaser.Claim{Position: sequencer.FromToken(v.GetToken()), Holder: m.GetInstance(), Incarnation: m.GetIncarnation(), Address: m.GetPeerAddress()}, true
+		}
+	}
+	return leaser.Claim{}, false
+}
+
 // membersToProbe returns the members that an instance probes in one round: the first
 // ones of its data centre by name, one of which reads the log for it, and a random
 // sample of the others. If every instance probed every other one, the probes of a
@@ -208,8 +246,12 @@
 	wg.Go(func() { c.runWatch(ctx) })
 	wg.Go(func() {
 		for ctx.Err() == nil {
-			if !c.HasConductor() {
+			switch {
+			case c.HasConductor():
+			case len(c.Members()) > 0:
 				c.probeMembers(ctx)
+			default:
+				c.probeSeeds(ctx)
 			}
 			sleeper.Sleep(ctx, probeInterval)
 		}
--- a/internal/syncer/peer.go
+++ b/internal/syncer/peer.go
@@ -81,9 +81,15 @@
 	return lastErr
 }
 
-// addresses returns the addresses of the peers to call, at most maxPeersTried.
+// addresses returns the addresses of the peers to call, at most maxPeersTried: the seeds
+// only if no other is known.
 func (c *Client) addresses() []string {
 	out := []string{c.Lease.Newest().Address}
+	if len(c.Members()) == 0 {
+		// The holder may be gone for good.
+		out = append(slices.Clone(c.Seeds[:min(len(c.Seeds), maxPeersTried)]), out[0])
+		return slices.DeleteFunc(out, func(a string) bool { return a == "" })
+	}
 	for _, m := range c.Members() {
 		out = append(out, m.GetPeerAddress())
 	}
