--- a/internal/assembler/assembler.go
+++ b/internal/assembler/assembler.go
@@ -184,7 +184,7 @@
 	a.losses.OnChange = func(l losstracker.Loss, change losstracker.Change, known int) {
 		a.relayer.Metrics.RecordLoss(change)
 		a.Log.Named("losstracker").Info("loss "+string(change), zap.String("content", relayer.FormatFingerprint(l.Fingerprint)), zap.String("upstream", l.Incarnation.ID),
-			zap.Int64("born", l.Incarnation.StartedAtMs), zap.Bool("ended", l.IsConfirmed), zap.Int("known", known))
+			zap.Int64("born", l.Incarnation.StartedAtMs), zap.Bool("ended", l.IsConfirmed), zap.Int("round", l.Round), zap.Int("known", known))
 		if change != losstracker.Learned && change != losstracker.Withdrawn {
 			a.client.ReportNow()
 		}
