internal/losstracker: a part that is deadly in its first round is saved

Cause: losses of the first round are told to others a moment later, and the part was marked to be saved only when another loss came. After a restart of all instances it was unknown. TestPartThatIsWideAtOnceIsSaved failed before.

--- a/internal/losstracker/part.go
+++ b/internal/losstracker/part.go
@@ -181,6 +181,7 @@
 				events = append(events, t.tellLocked(r, l, Suspected, counted)...)
 			}
 		}
+		t.updateSavingLocked(part, r)
 	}
 	t.mu.Unlock()
 	t.notify(events)
--- a/internal/losstracker/part_test.go
+++ b/internal/losstracker/part_test.go
@@ -380,3 +380,22 @@
 	}
 	require.Equal(t, maxAcquitted, tr.acquitted.Len())
 }
+
+// TestPartThatIsWideAtOnceIsSaved guards against a deadly part that is forgotten when all
+// instances restart, because its losses were all of the first round.
+func TestPartThatIsWideAtOnceIsSaved(t *testing.T) {
+	f := newFleet(1)
+	f.start(t, 0, start)
+	var running []*Attempt
+	for n := range WideThreshold {
+		running = append(running, f.trackers[0].Begin(inc(n), uint64(n), deadly))
+	}
+	for _, a := range running {
+		a.End(Broken, start)
+	}
+	f.trackers[0].Tick(start.Add(deferral))
+	f.savers[0].save(t.Context())
+	require.Contains(t, f.saved, deadly)
+	f.start(t, 0, start)
+	require.True(t, f.trackers[0].isPoison(start, deadly))
+}
