internal/losstracker: losses that others repeat do not renew a request

Cause: a loss that is not kept, since there are enough of its request, renewed the time of the latest loss each time a message repeated it. Trials were put off as long as messages came. TestLossesThatOthersRepeatDelayNoTrial failed before.

--- a/internal/losstracker/losstracker.go
+++ b/internal/losstracker/losstracker.go
@@ -146,7 +146,9 @@
 	}
 	switch {
 	case known == nil && r.isFull(), known == nil && r.isPart && r.isRoundFull(l.Round):
-		r.latestAt = now
+		if !l.isExchanged { // others repeat the losses that they know
+			r.latestAt = now
+		}
 		return nil
 	case known == nil:
 		known = &l
--- a/internal/losstracker/part_test.go
+++ b/internal/losstracker/part_test.go
@@ -399,3 +399,15 @@
 	f.start(t, 0, start)
 	require.True(t, f.trackers[0].isPoison(start, deadly))
 }
+
+// TestLossesThatOthersRepeatDelayNoTrial guards against a part that is never tried because
+// messages repeat losses that are not kept.
+func TestLossesThatOthersRepeatDelayNoTrial(t *testing.T) {
+	tr := newTracker()
+	tr.crashTogether(WideThreshold, start, deadly)
+	for now := start; now.Before(start.Add(time.Minute)); now = now.Add(time.Second) {
+		tr.MergeView("c", []Loss{{Fingerprint: deadly, Incarnation: inc(77), Round: 1, IsConfirmed: true}}, now)
+	}
+	a, _ := tr.TryBegin(inc(50), 1, []uint64{deadly}, true, start.Add(59*time.Second+time.Millisecond))
+	require.NotNil(t, a)
+}
