internal/losstracker: trials that are refused are rare, too

Cause: a trial of a deadly part that its upstream refused without a run could be repeated at once; each of these requests reaches an upstream. Change: the time to the next trial grows with each one that was sent, whatever came of it. TestRefusedTrialsAreRare failed before.

--- a/internal/losstracker/attempt.go
+++ b/internal/losstracker/attempt.go
@@ -66,6 +66,7 @@
 	if f, isPoison := t.findLocked(content, parts, mayTry, now); isPoison {
 		return nil, f
 	}
+	t.recordTrialsLocked(parts, now)
 	return t.beginLocked(i, content, parts), Finding{}
 }
 
--- a/internal/losstracker/loss.go
+++ b/internal/losstracker/loss.go
@@ -50,6 +50,9 @@
 	latestAt time.Time
 	// numRunning is the number of attempts with the part that have not survived yet.
 	numRunning int
+	// numTrials and triedAt are of the trials by this instance since it knows the part.
+	numTrials int
+	triedAt   time.Time
 	// isOwn says that this instance observed one of them.
 	isOwn   bool
 	isSaved bool // in the log
--- a/internal/losstracker/part.go
+++ b/internal/losstracker/part.go
@@ -25,8 +25,8 @@
 	// crash breaks the requests with many parts, and most of them begin elsewhere by
 	// then.
 	deferral = 150 * time.Millisecond
-	// maxTrials bounds the requests that are sent with a deadly part to learn whether it
-	// still is. Each may crash an upstream.
+	// maxTrials bounds the requests with a deadly part that crash upstreams when it is
+	// tried whether it still is.
 	maxTrials = 3
 	// firstTrialDelay is the time from the latest loss of a deadly part to its first trial.
 	// Each further one takes trialBackoff times as long.
@@ -119,10 +119,14 @@
 	if s.isWide {
 		delay = wideTrialDelay
 	}
-	for range s.excess {
+	for range max(s.excess, r.numTrials) {
 		delay *= trialBackoff
 	}
-	return now.Sub(r.latestAt) >= delay*time.Duration(numDeadly)
+	latest := r.latestAt
+	if r.triedAt.After(latest) {
+		latest = r.triedAt
+	}
+	return now.Sub(latest) >= delay*time.Duration(numDeadly)
 }
 
 // isFull reports whether no more losses are kept.
@@ -232,6 +236,16 @@
 	return Finding{}, false
 }
 
+// recordTrialsLocked records that a request with the parts is sent, whatever comes of it.
+func (t *Tracker) recordTrialsLocked(parts []uint64, now time.Time) {
+	for _, p := range parts {
+		if r := t.requestLocked(p, now); r != nil && r.isPoison() {
+			r.numTrials++
+			r.triedAt = now
+		}
+	}
+}
+
 func newFinding(r *request, fingerprint uint64) Finding {
 	counted, confirmed := r.numLosses()
 	return Finding{Fingerprint: fingerprint, Counted: counted, Confirmed: confirmed, IsCertain: confirmed >= PoisonThreshold}
--- a/internal/losstracker/part_test.go
+++ b/internal/losstracker/part_test.go
@@ -240,11 +240,8 @@
 		tr.RecordEnd(inc(n), start)
 	}
 	isRefused := func(now time.Time, mayTry bool, parts ...uint64) bool {
-		a, _ := tr.TryBegin(inc(9), uint64(now.UnixNano()), parts, mayTry, now)
-		if a != nil {
-			defer a.End(Completed, now)
-		}
-		return a == nil
+		_, isPoison := tr.Find(uint64(now.UnixNano()), parts, mayTry, now)
+		return isPoison
 	}
 	require.True(t, isRefused(start.Add(firstTrialDelay-1), true, first))
 	require.True(t, isRefused(start.Add(firstTrialDelay), false, first), "another instance tries")
@@ -400,6 +397,21 @@
 	require.True(t, f.trackers[0].isPoison(start, deadly))
 }
 
+// TestRefusedTrialsAreRare guards against many requests with a deadly part that reach
+// upstreams because each trial is refused without a run.
+func TestRefusedTrialsAreRare(t *testing.T) {
+	tr := newTracker()
+	tr.crashTogether(WideThreshold, start, deadly)
+	var sent []time.Duration
+	for now := start; now.Before(start.Add(lossTTL)); now = now.Add(time.Second) {
+		if a, _ := tr.TryBegin(inc(50), uint64(now.UnixNano()), []uint64{deadly}, true, now); a != nil {
+			sent = append(sent, now.Sub(start))
+			a.End(Completed, now)
+		}
+	}
+	require.Equal(t, []time.Duration{time.Second, 7 * time.Second, 43 * time.Second, 259 * time.Second, 1555 * time.Second}, sent)
+}
+
 // TestLossesThatOthersRepeatDelayNoTrial guards against a part that is never tried because
 // messages repeat losses that are not kept.
 func TestLossesThatOthersRepeatDelayNoTrial(t *testing.T) {
