--- a/internal/losstracker/bench_test.go
+++ b/internal/losstracker/bench_test.go
@@ -53,3 +53,29 @@
 }
 
 var inc1 = inc(1)
+
+// BenchmarkAcquittedBytes reports the memory of the parts that are known to be sound, by
+// part.
+func BenchmarkAcquittedBytes(b *testing.B) {
+	for b.Loop() {
+		before := heapBytes()
+		tr := newTracker()
+		for n := range maxAcquitted {
+			tr.Begin(inc1, 1, uint64(n)).End(Succeeded, start)
+		}
+		b.ReportMetric(float64(heapBytes()-before)/maxAcquitted, "B/part")
+		runtime.KeepAlive(tr)
+	}
+}
+
+// BenchmarkAttemptWithParts measures what an attempt with three parts costs.
+func BenchmarkAttemptWithParts(b *testing.B) {
+	tr := newTracker()
+	n := uint64(0)
+	for b.Loop() {
+		a, _ := tr.TryBegin(inc1, n, []uint64{1, 2 + n%240, 1000 + n}, false, start)
+		a.RecordSurvival(start)
+		a.End(Succeeded, start)
+		n++
+	}
+}
