internal/retrier: an empty reserve that shrinks stays empty, not overdrawn

Cause, by reading: an instance assumes six instances until it knows how many there are, so its reserve at the start was 43 retries of 430, all of them to be earned. With 195 instances it is 1.3, but the 43 stayed spent: 270 requests of a service before its first retry. Change: no more than the reserve counts as spent. TestReserveThatShrinksIsEarnedSooner failed before.

--- a/internal/retrier/restart_test.go
+++ b/internal/retrier/restart_test.go
@@ -44,3 +44,16 @@
 	}
 	require.NotEmpty(t, retries)
 }
+
+// TestReserveThatShrinksIsEarnedSooner guards against an instance that permits no retries for
+// minutes after its start, because it learns then that many instances share the reserve.
+func TestReserveThatShrinksIsEarnedSooner(t *testing.T) {
+	b := &Budgets{Ratio: 0.16, Reserve: 43, StartsEmpty: true}
+	require.False(t, b.Of("s").TryWithdraw())
+	b.SetReserve(1.3)
+	require.False(t, b.Of("s").TryWithdraw())
+	for range 7 {
+		b.Of("s").Deposit()
+	}
+	require.True(t, b.Of("s").TryWithdraw())
+}
--- a/internal/retrier/retrier.go
+++ b/internal/retrier/retrier.go
@@ -45,6 +45,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.Reserve = reserve
+	b.spent = min(b.spent, b.reserve())
 }
 
 // TryWithdraw reports whether the budget allows a retry, and takes it from the
