internal/losstracker: two losses of a request outlive all instances

Cause, by its logs: two instances sent it at the same moment to both upstreams, which crashed twice each but were known to have ended once; two losses were known, which were not in the log; all instances were killed 0.6 s later, and the count started anew. Change: a request (or part) with two losses is kept in the log as well, and saved again when it becomes a poison request. TestTwoLossesOutliveTheInstances fails without it.

--- a/internal/losstracker/loss.go
+++ b/internal/losstracker/loss.go
@@ -54,8 +54,9 @@
 	numTrials int
 	triedAt   time.Time
 	// isOwn says that this instance observed one of them.
-	isOwn   bool
-	isSaved bool // in the log
+	isOwn bool
+	// savedLevel is what the platform's log says of the request.
+	savedLevel level
 }
 
 type loss struct {
--- a/internal/losstracker/part.go
+++ b/internal/losstracker/part.go
@@ -159,7 +159,7 @@
 		return nil
 	}
 	events := t.refuteLocked(part, now)
-	if r.removeUnexchanged(); len(r.losses) == 0 && !r.isSaved {
+	if r.removeUnexchanged(); len(r.losses) == 0 && r.savedLevel == harmless {
 		t.requests.Remove(part)
 	}
 	return events
--- a/internal/losstracker/saver.go
+++ b/internal/losstracker/saver.go
@@ -30,6 +30,8 @@
 	Losses []Loss
 	// At is the time of its latest loss.
 	At time.Time
+
+	level level
 }
 
 // Store keeps poison requests in the platform's log.
@@ -164,10 +166,31 @@
 	s.Log.Info("poison requests saved", zap.Int("requests", len(list)))
 }
 
-// updateSavingLocked marks a request to be saved if it has become a poison request, and to
-// be removed if it is none any more.
+// level is how much is known against a request.
+type level uint8
+
+const (
+	harmless level = iota
+	// suspect means that another loss may make it a poison request. It is kept in the log
+	// as well, since all instances that know of its losses may end.
+	suspect
+	poisonous
+)
+
+func (r *request) level() level {
+	counted, _ := r.numLosses()
+	switch {
+	case r.isPoison():
+		return poisonous
+	case counted >= SharedThreshold:
+		return suspect
+	}
+	return harmless
+}
+
+// updateSavingLocked marks a request to be saved or removed if its level has changed.
 func (t *Tracker) updateSavingLocked(fingerprint uint64, r *request) {
-	if r.isPoison() == r.isSaved {
+	if r.level() == r.savedLevel {
 		delete(t.saving.requests, fingerprint)
 		return
 	}
@@ -205,7 +228,10 @@
 			events = append(events, t.addLocked(loss{Loss: l, learnedAt: now}, Learned, now)...)
 		}
 		if r := t.requestLocked(p.Fingerprint, now); r != nil {
-			r.isSaved = true
+			r.savedLevel = suspect
+			if len(p.Losses) >= PoisonThreshold {
+				r.savedLevel = poisonous
+			}
 			t.updateSavingLocked(p.Fingerprint, r)
 		}
 	}
@@ -226,7 +252,7 @@
 			continue
 		}
 		p := Poison{Fingerprint: f, At: r.latestAt}
-		if r.isPoison() {
+		if p.level = r.level(); p.level != harmless {
 			for _, l := range r.losses {
 				if l.counts() {
 					p.Losses = append(p.Losses, l.Loss)
@@ -243,7 +269,7 @@
 	defer t.mu.Unlock()
 	for _, p := range list {
 		if r, ok := t.requests.Peek(p.Fingerprint); ok {
-			r.isSaved = len(p.Losses) > 0
+			r.savedLevel = p.level
 			t.updateSavingLocked(p.Fingerprint, r)
 		}
 	}
@@ -259,7 +285,7 @@
 	}
 	for _, f := range t.requests.Keys() {
 		r, _ := t.requests.Peek(f)
-		r.isSaved = false
+		r.savedLevel = harmless
 		t.updateSavingLocked(f, r)
 	}
 }
