internal/losstracker, internal/syncer: only changed losses are told, and few refutations

Cause: each change of one loss sent all shared losses to all 195 instances, refuted ones for 30 s; and each instance that knew an accused part to be sound reported that. Change: a response has the losses that have changed since the last one that the instance received. An instance that knows better reports it only for a part that was accused in a second round, or three times.

--- a/internal/losstracker/exchange.go
+++ b/internal/losstracker/exchange.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"maps"
 	"slices"
 	"time"
 
@@ -123,11 +122,14 @@
 	return events
 }
 
-// Shared returns the losses that the view contains, of at most maxReported requests.
-func (t *Tracker) Shared(now time.Time) []Loss {
+// Shared returns the losses that a whole view contains, of at most maxReported requests.
+func (t *Tracker) Shared(now time.Time) []Loss { return t.SharedSince(0, now) }
+
+// SharedSince returns the losses of the requests that have changed after a SharedVersion.
+func (t *Tracker) SharedSince(version uint64, now time.Time) []Loss {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.sharedLocked(now)
+	return t.sharedLocked(version, now)
 }
 
 // SharedVersion returns a number that changes with the losses that Shared returns.
@@ -137,10 +139,15 @@
 	return t.sharedVersion
 }
 
-// mostSharedLocked returns at most maxReported of the shared requests, the poison requests
-// before others.
-func (t *Tracker) mostSharedLocked() []uint64 {
-	out := slices.Collect(maps.Keys(t.shared))
+// mostSharedLocked returns at most maxReported of the shared requests that have changed
+// after a version, the poison requests before others.
+func (t *Tracker) mostSharedLocked(version uint64) []uint64 {
+	var out []uint64
+	for f := range t.shared {
+		if r, _ := t.requests.Peek(f); r.sharedAt > version {
+			out = append(out, f)
+		}
+	}
 	if len(out) <= maxReported {
 		return out
 	}
@@ -161,9 +168,9 @@
 	return out[:maxReported]
 }
 
-func (t *Tracker) sharedLocked(now time.Time) []Loss {
+func (t *Tracker) sharedLocked(version uint64, now time.Time) []Loss {
 	var out []Loss
-	for _, f := range t.mostSharedLocked() {
+	for _, f := range t.mostSharedLocked(version) {
 		r, _ := t.requests.Peek(f)
 		if now.Sub(r.latestAt) > lossTTL {
 			continue
@@ -187,7 +194,7 @@
 func (t *Tracker) Recent(now time.Time) []Loss {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	out := t.sharedLocked(now)
+	out := t.sharedLocked(0, now)
 	if t.requests == nil {
 		return out
 	}
--- a/internal/losstracker/loss.go
+++ b/internal/losstracker/loss.go
@@ -55,6 +55,8 @@
 	triedAt   time.Time
 	// isOwn says that this instance observed one of them.
 	isOwn bool
+	// sharedAt is the Tracker.sharedVersion of the last change that others are told.
+	sharedAt uint64
 	// savedLevel is what the platform's log says of the request.
 	savedLevel level
 }
--- a/internal/losstracker/losstracker.go
+++ b/internal/losstracker/losstracker.go
@@ -158,14 +158,12 @@
 		events := []event{{known.Loss, Refuted, 0}}
 		t.refuteLossLocked(r, known, now)
 		t.updateSavingLocked(l.Fingerprint, r)
-		t.sharedVersion++
 		return events
 	case known.IsRefuted:
-		if !l.IsRefuted && l.isExchanged { // the sender still counts it
+		if !l.IsRefuted && l.isExchanged && r.isWorthTelling() { // the sender still counts it
 			known.isExchanged, known.refutedAt = true, now
 			t.reporting.unreported[keyOf(known.Loss)] = known.Loss
-			t.shared[l.Fingerprint] = struct{}{}
-			t.sharedVersion++
+			t.shareLocked(r, l.Fingerprint)
 		}
 		return nil
 	case l.IsConfirmed && !known.IsConfirmed:
@@ -189,7 +187,13 @@
 	if r.isPart && l.isExchanged && !known.IsRelapse && t.isAcquittedLocked(l.Fingerprint) {
 		// The instance that observed the loss does not know that the part is sound.
 		t.refuteLossLocked(r, known, now)
-		t.sharedVersion++
+		if !r.isWorthTelling() {
+			for _, l := range r.losses {
+				delete(t.reporting.unreported, keyOf(l.Loss))
+			}
+			delete(t.shared, l.Fingerprint)
+			return nil
+		}
 		return []event{{known.Loss, Refuted, 0}}
 	}
 	if c == Suspected && known.Round == 1 {
@@ -209,8 +213,7 @@
 		t.reporting.unreported[keyOf(l.Loss)] = l.Loss
 	}
 	if r.isPart || counted >= SharedThreshold {
-		t.shared[l.Fingerprint] = struct{}{}
-		t.sharedVersion++
+		t.shareLocked(r, l.Fingerprint)
 	}
 	if r.isPart && r.isPoison() {
 		t.acquitted.Remove(l.Fingerprint)
@@ -236,16 +239,25 @@
 		t.refuteLossLocked(r, l, now)
 	}
 	t.updateSavingLocked(fingerprint, r)
-	t.sharedVersion++
+	if _, isShared := t.shared[fingerprint]; isShared {
+		t.shareLocked(r, fingerprint)
+	}
 	return events
 }
 
+// shareLocked marks a request whose losses others have to be told.
+func (t *Tracker) shareLocked(r *request, fingerprint uint64) {
+	t.shared[fingerprint] = struct{}{}
+	t.sharedVersion++
+	r.sharedAt = t.sharedVersion
+}
+
 func (t *Tracker) refuteLossLocked(r *request, l *loss, now time.Time) {
 	l.IsRefuted, l.refutedAt = true, now
 	t.indexLocked(r, l.Loss)
 	if l.isExchanged {
 		t.reporting.unreported[keyOf(l.Loss)] = l.Loss
-		t.shared[l.Fingerprint] = struct{}{}
+		t.shareLocked(r, l.Fingerprint)
 	} else {
 		delete(t.reporting.unreported, keyOf(l.Loss))
 	}
@@ -319,7 +331,7 @@
 	t.updateSavingLocked(l.Fingerprint, r)
 	counted, _ := r.numLosses()
 	if _, isShared := t.shared[l.Fingerprint]; isShared {
-		t.sharedVersion++
+		t.shareLocked(r, l.Fingerprint)
 		if counted < SharedThreshold && !r.isPart || counted == 0 {
 			delete(t.shared, l.Fingerprint)
 		}
--- a/internal/losstracker/part.go
+++ b/internal/losstracker/part.go
@@ -129,6 +129,21 @@
 	return now.Sub(latest) >= delay*time.Duration(numDeadly)
 }
 
+// isWorthTelling reports whether an instance that knows better tells those that count
+// losses. A crash accuses many parts that hundreds of instances know to be sound; few are
+// accused again.
+func (r *request) isWorthTelling() bool {
+	if !r.isPart {
+		return true
+	}
+	for _, l := range r.losses {
+		if l.Round > 1 {
+			return true
+		}
+	}
+	return len(r.losses) >= PoisonThreshold
+}
+
 // isFull reports whether no more losses are kept.
 func (r *request) isFull() bool {
 	if r.isPart {
--- a/internal/syncer/delta.go
+++ b/internal/syncer/delta.go
@@ -37,6 +37,8 @@
 	number  uint64
 	version uint64
 	running map[string]int // number of attempts of other instances, by upstream
+	// lossesTold is the version of the losses up to which the instance was told.
+	lossesTold uint64
 }
 
 // viewChanges holds what was loaded at some upstream, and what was removed from one.
@@ -138,5 +140,12 @@
 			out.Runs = append(out.Runs, &peerv1.CopyRun{Number: d.views[v.ID].number, Running: uint32(n)})
 		}
 	}
-	d.responses[instance] = response{out.Answer, out.Version, running}
+	d.responses[instance] = response{number: out.Answer, version: out.Version, running: running}
+}
+
+func (d *delta) recordLossesTold(instance string, version uint64) {
+	if r, ok := d.responses[instance]; ok {
+		r.lossesTold = version
+		d.responses[instance] = r
+	}
 }
--- a/internal/syncer/server.go
+++ b/internal/syncer/server.go
@@ -335,7 +335,12 @@
 	out.Version = s.version
 	s.recordLocked(views)
 	out.Base = s.delta.base(instance, responseNumber)
+	lossesTold := s.delta.responses[instance].lossesTold
+	if out.Base == 0 {
+		lossesTold = 0
+	}
 	s.delta.fill(out, instance, views, own, now)
+	s.delta.recordLossesTold(instance, s.lossesSeen)
 	for _, m := range s.members {
 		if out.Base == 0 || m.version > out.Base {
 			out.Members = append(out.Members, m.Member)
@@ -353,7 +358,7 @@
 		out.Limits = encodeLimits(limits)
 	}
 	if out.Base == 0 || s.delta.lossesVersion > out.Base {
-		out.HasLosses, out.Losses = true, encodeLosses(s.Losses.Shared(now))
+		out.HasLosses, out.Losses = true, encodeLosses(s.Losses.SharedSince(lossesTold, now))
 	}
 	return out
 }
