--- a/internal/losstracker/part.go
+++ b/internal/losstracker/part.go
@@ -129,8 +129,8 @@
 	return now.Sub(latest) >= delay*time.Duration(numDeadly)
 }
 
-// isWorthTelling reports whether an instance that knows better tells those that count
-// losses. A crash accuses many parts that hundreds of instances know to be sound; few are
+// isWorthTelling reports whether a refutation by an earlier response is sent to instances
+// that still count the losses. A crash accuses many parts that hundreds of instances know to be sound; few are
 // accused again.
 func (r *request) isWorthTelling() bool {
 	if !r.isPart {
@@ -180,7 +180,7 @@
 	return events
 }
 
-// Tick tells others of the losses whose deferral is over. It reports whether there are any.
+// Tick marks the losses whose deferral is over to be sent to others. It reports whether there are any.
 func (t *Tracker) Tick(now time.Time) bool {
 	t.mu.Lock()
 	var events []event
--- a/internal/losstracker/part_test.go
+++ b/internal/losstracker/part_test.go
@@ -352,7 +352,7 @@
 	rapid.Check(t, func(t *rapid.T) { require.LessOrEqual(t, playPart(t, true), 3) })
 }
 
-// The same play ends many upstreams if instances do not tell each other.
+// The same play ends many upstreams if losses are not exchanged.
 func TestDeadlyPartEndsManyUpstreamsWithoutExchange(t *testing.T) {
 	most := 0
 	rapid.Check(t, func(t *rapid.T) { most = max(most, playPart(t, false)) })
--- a/internal/registrar/limit.go
+++ b/internal/registrar/limit.go
@@ -14,7 +14,7 @@
 	at          time.Time // of the newest response that says so
 }
 
-// LimitStatement is what instances tell each other of a limit.
+// LimitStatement is a limit as instances exchange it.
 type LimitStatement struct {
 	Incarnation
 	IsLimited bool
@@ -80,8 +80,7 @@
 	return true
 }
 
-// Limits returns the limits to tell other instances, and those that are over since a short
-// time.
+// Limits returns the limits to send to other instances, and those that ended within overTTL.
 func (t *Table) Limits(now time.Time) []LimitStatement {
 	t.mu.Lock()
 	defer t.mu.Unlock()
