platform, internal/relayer, internal/assembler: logs name software versions and resumptions

Both are now in the lines that end an attempt and a request, and in 'upstream found'. Nothing else changes.

--- a/internal/assembler/assembler.go
+++ b/internal/assembler/assembler.go
@@ -331,7 +331,7 @@
 		case u == nil:
 		case old == nil || old.StartedAtMs != u.StartedAtMs:
 			a.Log.Info("upstream found", zap.String("upstream", id), zap.String("service", u.Service),
-				zap.Int64("born", u.StartedAtMs), zap.String("data-centre", u.DataCentre), zap.Int("models", len(u.Models)))
+				zap.Int64("born", u.StartedAtMs), zap.String("software", u.Software), zap.String("data-centre", u.DataCentre), zap.Int("models", len(u.Models)))
 		case u.IsLeaving && !old.IsLeaving:
 			a.Log.Info("upstream leaves", zap.String("upstream", id), zap.Int64("born", u.StartedAtMs))
 		}
--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -40,6 +40,9 @@
 	DataCentre string
 	Service    string
 	Slots      int
+	// Software is the version of the upstream's software, empty if it states none. Versions
+	// have no order: they are equal or not.
+	Software string
 	// StartedAtMs is the start time of the upstream's process in Unix milliseconds.
 	// ID and StartedAtMs together identify one incarnation.
 	StartedAtMs int64
--- a/internal/relayer/attempt.go
+++ b/internal/relayer/attempt.go
@@ -46,7 +46,7 @@
 // and returns an error if the request must end.
 func (c *call) attempt(ctx context.Context, slot *queuer.Slot) (done bool, err error) {
 	u := slot.Upstream
-	c.lastUpstream = u.ID
+	c.lastUpstream, c.lastSoftware = u.ID, u.Software
 	began := time.Now()
 	c.headLatency, c.isRetryCharged = 0, false
 	eventsBefore := c.stream.numEvents
@@ -77,7 +77,7 @@
 		return res.isForwarded, res.err
 	}
 	c.Metrics.attempts.WithLabelValues(c.admission.Service, "failed").Inc()
-	c.Log.Info("attempt failed", zap.String("request", c.requestInfo.ID), zap.String("upstream", u.ID),
+	c.Log.Info("attempt failed", zap.String("request", c.requestInfo.ID), zap.String("upstream", u.ID), zap.String("software", u.Software),
 		zap.String("content", FormatFingerprint(c.fingerprint)), zap.Int64("born", u.StartedAtMs), zap.Int64("orders", u.NumOrders),
 		zap.Bool("not-run", res.isNotRun), zap.Bool("left", isCanceled),
 		zap.Strings("parts", c.loggedParts()), zap.Int("events", c.stream.numEvents-eventsBefore), zap.String("why", res.reason), zap.Duration("took", time.Since(began)))
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -54,6 +54,9 @@
 	// belongs to this request alone.
 	Parts       []string
 	LastEventID string // set if the client resumes a stream
+	// Resumes is the id of the request that brought the first event of that stream, empty
+	// if the client does not state it.
+	Resumes string
 }
 
 // Attempt holds the values that an attempt adds to the request's headers.
@@ -138,6 +141,7 @@
 	fallback       *plainResponse // sent if the retry fails
 	queueTime      time.Duration
 	lastUpstream   string // id of the upstream of the last attempt
+	lastSoftware   string // version of its software
 	lastFailure    string // reason why the last attempt failed
 	stream         streamState
 	status         int
@@ -345,7 +349,7 @@
 	fields := []zap.Field{
 		zap.String("request", c.requestInfo.ID), zap.String("route", c.route.Name), zap.String("outcome", outcome),
 		zap.Int("status", c.status), zap.String("service", c.admission.Service), zap.String("model", c.requestInfo.Model),
-		zap.String("adapter", c.requestInfo.Adapter), zap.String("upstream", c.lastUpstream), zap.Int("attempts", c.numSends),
+		zap.String("adapter", c.requestInfo.Adapter), zap.String("upstream", c.lastUpstream), zap.String("software", c.lastSoftware), zap.Int("attempts", c.numSends),
 		zap.Duration("view-age", c.ViewAge()), zap.Duration("waited", c.queueTime), zap.Duration("first", c.headLatency), zap.Duration("took", took),
 		zap.Duration("objective", c.route.Objective),
 	}
@@ -355,6 +359,9 @@
 	if len(c.requestInfo.Parts) > 0 {
 		fields = append(fields, zap.Strings("parts", c.loggedParts()))
 	}
+	if c.requestInfo.LastEventID != "" {
+		fields = append(fields, zap.String("resumes", c.requestInfo.Resumes), zap.String("after-event", c.requestInfo.LastEventID))
+	}
 	if c.cfg != nil {
 		fields = append(fields, zap.Int64("config", c.cfg.Version))
 	}
