--- a/cmd/primrosedrift/entry.go
+++ b/cmd/primrosedrift/entry.go
@@ -68,6 +68,7 @@
 		StopGrace: s.Grace, AddressTTL: s.ResolveLife, MaxDrainDelay: s.Drain, MaxApplyDelay: s.Apply, MinOrderGap: s.OrderGap,
 		RetryRatio: s.RetryShare, RetryReserve: s.RetryReserve,
 		ConfigTopic: store.ConfigTopic(), UpstreamTopic: store.UpstreamTopic(), LeaseStore: store.LeaseStore(), PoisonStore: store.PoisonStore(),
+		SoftwareStore: store.SoftwareStore(),
 		IsOlderConfig: platform.IsOlderConfig, IsOlderRegistration: platform.IsOlderRegistration,
 		DecodeConfig: platform.DecodeConfig, DecodeUpstream: platform.DecodeUpstream, Codec: platform.Codec(),
 		NewRemote:           func(p *courier.Pool) conductor.Remote { return platform.NewRemote(p, s.Instance) },
--- a/internal/arranger/adapter.go
+++ b/internal/arranger/adapter.go
@@ -36,7 +36,7 @@
 // requests counts only if no other has the adapter's model.
 func (p *planner) isAdapterLoaded(d Demand) bool {
 	for _, u := range p.Upstreams {
-		if u.IsLimited && p.replicas[d.Model] > 0 {
+		if u.IsLimited && p.replicas[d.Model] > 0 || !d.mayRunAt(u) {
 			continue
 		}
 		for _, r := range u.Models {
@@ -54,7 +54,7 @@
 	var best Move
 	bestCost := math.Inf(1)
 	for _, u := range p.Upstreams {
-		if u.IsBusy || p.planned[u.ID] || !u.holds(d.Model) || u.IsLimited && p.replicas[d.Model] > 0 {
+		if u.IsBusy || p.planned[u.ID] || !u.holds(d.Model) || u.IsLimited && p.replicas[d.Model] > 0 || !d.mayRunAt(u) {
 			continue
 		}
 		m := Move{Upstream: u.ID, Reason: fmt.Sprintf("adapter requested but not loaded on any upstream: waiting %d", d.Waiting)}
--- a/internal/arranger/arranger.go
+++ b/internal/arranger/arranger.go
@@ -90,6 +90,9 @@
 	Fleet
 	demand   map[string]Demand // by model, adapters included
 	replicas map[string]int    // by model
+	// bound counts the waiting requests for a model, adapters included, that may run at one
+	// software version only, and replicasWith its replicas there.
+	bound, replicasWith map[modelWith]int
 	// activeAdapters is the expected number of adapters in use at once, by model.
 	activeAdapters  map[string]float64
 	planned         map[string]bool // IDs of upstreams that have a planned move
@@ -101,14 +104,20 @@
 	weightsAt, localWeights map[string]int
 }
 
+// modelWith is a model at a software version.
+type modelWith struct{ model, software string }
+
 // modelAt is a model in a data centre.
 type modelAt struct{ model, dataCentre string }
 
 // Plan returns the moves whose benefit exceeds their cost now.
 func Plan(f Fleet) []Move {
 	p := &planner{Fleet: f, demand: make(map[string]Demand), replicas: make(map[string]int), activeAdapters: make(map[string]float64), planned: make(map[string]bool), candidateModels: make(map[string]bool)}
+	p.bound, p.replicasWith = make(map[modelWith]int), make(map[modelWith]int)
 	for _, d := range f.Demands {
-		if d.Adapter == "" {
+		if d.Software != nil {
+			p.bound[modelWith{d.Model, *d.Software}] += d.Waiting
+		} else if d.Adapter == "" {
 			p.demand[d.Model] = d
 		} else {
 			p.activeAdapters[d.Model] += 1 - math.Exp(-d.Rate*adapterRequestTime.Seconds())
@@ -119,6 +128,7 @@
 		for _, r := range u.Models {
 			if !u.IsLimited {
 				p.replicas[r.Model]++
+				p.replicasWith[modelWith{r.Model, u.Software}]++
 				p.replicasAt[modelAt{r.Model, u.DataCentre}]++
 			}
 			if !slices.Contains(u.InHostMemory, r.Model) && !slices.Contains(u.OnDisk, r.Model) {
@@ -159,7 +169,9 @@
 	loadShare float64 // limit of concurrent store loads, as a multiple of Fleet.StoreLoadLimit
 	// isPrefetch reports that no request for the model has arrived, while others have.
 	isPrefetch bool
-	reason     string
+	// software, if not nil, is the only software version where the replica helps.
+	software *string
+	reason   string
 }
 
 // replicasNeeded returns how many replicas a model needs, the most of three
@@ -203,6 +215,7 @@
 			})
 		}
 	}
+	out = append(out, p.boundCandidates()...)
 	slices.SortFunc(out, func(a, b candidate) int {
 		if c := cmp.Compare(b.benefit, a.benefit); c != 0 {
 			return c
@@ -211,3 +224,21 @@
 	})
 	return out
 }
+
+// boundCandidates returns the replicas that requests wait for that may run at one software
+// version only, where no upstream of that version has the model.
+func (p *planner) boundCandidates() []candidate {
+	var out []candidate
+	for _, m := range p.Engine.Models {
+		for k, waiting := range p.bound {
+			if k.model != m.Name || p.replicasWith[k] > 0 {
+				continue
+			}
+			out = append(out, candidate{
+				model: m, benefit: waitingWeight * float64(waiting), delayed: float64(waiting), loadShare: requestedLoadShare, software: &k.software,
+				reason: fmt.Sprintf("requested for the rest of streams but not loaded at software version %q: waiting %d", k.software, waiting),
+			})
+		}
+	}
+	return out
+}
--- a/internal/arranger/arranger_test.go
+++ b/internal/arranger/arranger_test.go
@@ -313,3 +313,55 @@
 	f.addDemand("m0", "a1", 5, 1)
 	require.Equal(t, []string{"e1 m0a1"}, loadOrders(Plan(f)))
 }
+
+// The load: streams that began at one software version wait, while the model is loaded only at
+// another one, or at none.
+func TestModelIsLoadedAtTheVersionThatStreamsWaitFor(t *testing.T) {
+	v1 := "v1"
+	newFleet := func() Fleet {
+		f := fleet(3, 6)
+		f.Upstreams[0].Software, f.Upstreams[1].Software, f.Upstreams[2].Software = "v2", "v1", "v2"
+		f.addModels(1, "m2", "m3")
+		f.Demands = append(f.Demands, Demand{Model: "m0", Software: &v1, Waiting: 2})
+		return f
+	}
+	for name, prepare := range map[string]func(f *Fleet){
+		"loaded at the other version": func(f *Fleet) { f.addModels(0, "m0") },
+		"loaded nowhere":              func(*Fleet) {},
+		"weights at the other version": func(f *Fleet) {
+			f.Upstreams[0].OnDisk = append(f.Upstreams[0].OnDisk, "m0")
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFleet()
+			prepare(&f)
+			require.Contains(t, loadOrders(Plan(f)), "e1 m0")
+		})
+	}
+	f := newFleet()
+	f.addModels(0, "m0")
+	f.addDemand("m0", "", 1, 0)
+	f.Upstreams[1].Models = []Resident{{Model: "m0"}, {Model: "m2"}}
+	f.addDemand("m4", "", 1, 1)
+	for _, m := range Plan(f) {
+		for _, o := range m.Orders {
+			require.False(t, o.Operation == Unload && o.Model == "m0" && m.Upstream == "e1", "streams wait for it")
+		}
+	}
+	f = newFleet()
+	f.Upstreams[0].Models = []Resident{{Model: "m0", Adapters: []Adapter{{Name: "a"}}}}
+	f.Upstreams[1].Models = []Resident{{Model: "m0"}}
+	f.Demands = []Demand{{Model: "m0", Adapter: "a", Software: &v1, Waiting: 1}}
+	require.Equal(t, []string{"e1 m0a"}, loadOrders(adapterOrders(Plan(f))))
+}
+
+// adapterOrders returns the moves that load adapters.
+func adapterOrders(moves []Move) []Move {
+	var out []Move
+	for _, m := range moves {
+		if m.Orders[len(m.Orders)-1].Adapter != "" {
+			out = append(out, m)
+		}
+	}
+	return out
+}
--- a/internal/arranger/fleet.go
+++ b/internal/arranger/fleet.go
@@ -12,7 +12,7 @@
 	Engine    matcher.Engine
 	Upstreams []Upstream
 	// Demands holds one entry for each model, with an empty Adapter, and one for
-	// each requested adapter.
+	// each requested adapter. Each of these may have others for a software version.
 	Demands []Demand
 	// StoreLoads is how many loads from the weight store are in flight.
 	StoreLoads int
@@ -27,6 +27,8 @@
 type Upstream struct {
 	ID         string
 	DataCentre string
+	// Software is the version of the upstream's software.
+	Software string
 	// IsBusy reports that an order is in flight or that the upstream accepts none.
 	IsBusy  bool
 	BusyFor time.Duration // estimated remaining time, negative if overdue
@@ -59,11 +61,17 @@
 // Demand is the demand for a model, adapters included, or for one adapter.
 type Demand struct {
 	Model, Adapter string
+	// Software, if not nil, is the only software version at which the requests may run. They
+	// are for the rest of streams that began there, and only those that wait are counted.
+	Software *string
 	// Rate is in requests per second.
 	Rate             float64
 	Waiting, Running int
 }
 
+// mayRunAt reports whether the requests may run at the upstream.
+func (d Demand) mayRunAt(u Upstream) bool { return d.Software == nil || u.Software == *d.Software }
+
 // Operation is the kind of an order.
 type Operation string
 
--- a/internal/arranger/place.go
+++ b/internal/arranger/place.go
@@ -16,7 +16,7 @@
 	best, bestCost := -1, math.Inf(1)
 	var bestVictims []string
 	for i, u := range p.Upstreams {
-		if u.IsLimited || u.holds(c.model.Name) || p.isReserved(u, c.model.Name) {
+		if u.IsLimited || u.holds(c.model.Name) || p.isReserved(u, c.model.Name) || c.software != nil && u.Software != *c.software {
 			continue
 		}
 		tier, loadDuration := u.tier(c.model)
@@ -59,8 +59,10 @@
 		return m, true
 	}
 	p.replicas[c.model.Name]++
+	p.replicasWith[modelWith{c.model.Name, u.Software}]++
 	for _, v := range bestVictims {
 		p.replicas[v]--
+		p.replicasWith[modelWith{v, u.Software}]--
 	}
 	return m, true
 }
@@ -157,6 +159,9 @@
 	list := make([]victim, 0, len(u.Models))
 	for _, r := range u.Models {
 		v := victim{r, p.unloadCost(r)}
+		if k := (modelWith{r.Model, u.Software}); p.replicasWith[k] == 1 {
+			v.cost += waitingWeight * float64(p.bound[k])
+		}
 		if tier == FromStore && p.replicas[r.Model] == 1 {
 			v.cost += p.unavailableCost(r.Model, u)
 		}
--- a/internal/assembler/assembler.go
+++ b/internal/assembler/assembler.go
@@ -28,6 +28,7 @@
 	"github.com/primrosedrift/primrosedrift/internal/relayer"
 	"github.com/primrosedrift/primrosedrift/internal/retrier"
 	"github.com/primrosedrift/primrosedrift/internal/sequencer"
+	"github.com/primrosedrift/primrosedrift/internal/streamtracker"
 	"github.com/primrosedrift/primrosedrift/internal/syncer"
 	peerv1 "github.com/primrosedrift/primrosedrift/pkg/api/peer/v1"
 )
@@ -107,6 +108,8 @@
 	queue            *queuer.Queue
 	losses           *losstracker.Tracker
 	poisonSaver      *losstracker.Saver
+	streams          *streamtracker.Keeper
+	softwareSaver    *streamtracker.Saver
 	retryBudgets     *retrier.Budgets
 	relayer          *relayer.Relayer
 	conductor        *conductor.Conductor
@@ -127,6 +130,7 @@
 		Instance: d.Instance, Incarnation: newIncarnation(d.Instance, time.Now(), rand.Reader), DataCentre: d.DataCentre,
 		PeerAddress: d.Listen.Peer, CallerAddress: d.Listen.Caller,
 	}
+	a.wireStreams()
 	a.wireRequests()
 	a.wireOrders(self)
 	a.wireFollowers()
@@ -140,6 +144,35 @@
 	return instance + "/" + ulid.MustNew(ulid.Timestamp(startedAt), entropy).String()
 }
 
+// wireStreams creates the components that keep which software versions began streams.
+func (a *Assembler) wireStreams() {
+	log := a.Log.Named("streamtracker")
+	history := &streamtracker.History{OnChange: func(service string, versions []string) {
+		log.Info("software versions of a service", zap.String("service", service), zap.Strings("versions", versions))
+		a.softwareSaver.Wake()
+		if len(versions) > 1 {
+			a.streams.Spread(service)
+		}
+	}}
+	a.softwareSaver = streamtracker.NewSaver(history, a.SoftwareStore, func() bool { return a.lease.IsHolder() }, log)
+	a.streams = &streamtracker.Keeper{
+		Tracker: &streamtracker.Tracker{}, History: history, Load: a.SoftwareStore.LoadService, Log: log,
+		Send: func(list []streamtracker.Origin) streamtracker.Delivery { return a.client.SendOrigins(list) },
+		Ask: func(ctx context.Context, stream, service string) ([]streamtracker.Answer, int) {
+			return a.client.AskForOrigin(ctx, stream, service)
+		},
+		IsFresh: func() bool {
+			age, ok := a.upstreamFollower.Age()
+			return ok && age < a.MaxDrainDelay
+		},
+	}
+}
+
+// observeSoftware records the software versions that are registered now.
+func (a *Assembler) observeSoftware(now time.Time) {
+	a.streams.History.Observe(a.upstreamTable.SoftwareVersions(), a.upstreamTable.IsComplete(now), now)
+}
+
 // wireRequests creates the components that serve requests.
 func (a *Assembler) wireRequests() {
 	a.losses = &losstracker.Tracker{RegistrationDelay: a.MaxDrainDelay}
@@ -175,7 +208,7 @@
 	a.retryBudgets = &retrier.Budgets{Ratio: usedRetryFraction * a.RetryRatio, Reserve: usedReserveFraction * a.RetryReserve / minReserveMembers, StartsEmpty: true}
 	a.relayer = &relayer.Relayer{
 		Codec: a.Codec, Config: a.config.Load, Upstreams: a.upstreamTable, Queue: a.queue, Pool: a.pool, RetryBudgets: a.retryBudgets,
-		Losses: a.losses, Log: a.Log.Named("relayer"), Metrics: relayer.NewMetrics(a.registry),
+		Losses: a.losses, Streams: a.streams, Log: a.Log.Named("relayer"), Metrics: relayer.NewMetrics(a.registry),
 		MayTry:     func() bool { return a.lease.IsHolder() },
 		ViewAge:    func() time.Duration { return a.client.ViewAge() },
 		IsStopping: a.isStopping.Load, IsClosed: a.isClosed.Load,
@@ -215,7 +248,7 @@
 	a.server = &syncer.Server{
 		Self: self, Conductor: a.conductor, IsHolder: a.lease.IsHolder, Store: a.LeaseStore,
 		Token: func() int64 { return a.lease.Newest().Token() }, NewestClaim: func() leaser.Claim { return a.lease.Newest() },
-		Losses: a.losses, Log: a.Log.Named("syncer"),
+		Losses: a.losses, Streams: a.streams, Log: a.Log.Named("syncer"),
 	}
 	a.client = &syncer.Client{
 		Self: self, HTTP: syncer.NewHTTPClient(), Lease: a.lease, Server: a.server, Queue: a.queue, Upstreams: a.upstreamTable,
@@ -259,6 +292,7 @@
 			if isRestored {
 				a.upstreamTable.RecordRestore(time.Now())
 				a.losses.RecordRestore()
+				a.softwareSaver.RecordRestore()
 			}
 		},
 	}
@@ -304,6 +338,7 @@
 		a.upstreamTable.ApplyRegistrations(changes, now)
 		a.recordRegistrations(changes, now)
 	}
+	a.observeSoftware(now)
 	if a.lease.IsHolder() {
 		a.conductor.Wake()
 	}
@@ -381,7 +416,7 @@
 	defer end()
 	var wg sync.WaitGroup
 	for _, run := range []func(context.Context){
-		a.configFollower.Run, a.upstreamFollower.Run, a.queue.Run, a.lease.Run, a.conductor.Run, a.client.Run, a.poisonSaver.Run, a.sweepPeriodically,
+		a.configFollower.Run, a.upstreamFollower.Run, a.queue.Run, a.lease.Run, a.conductor.Run, a.client.Run, a.poisonSaver.Run, a.softwareSaver.Run, a.sweepPeriodically,
 	} {
 		wg.Go(func() { run(work) })
 	}
@@ -405,6 +440,8 @@
 		case now := <-tick.C:
 			a.pool.Sweep(now)
 			a.upstreamTable.Sweep(now)
+			a.observeSoftware(now)
+			a.streams.Tracker.Sweep(now)
 			if a.losses.Tick(now) {
 				a.client.ReportNow()
 			}
--- a/internal/assembler/deployment.go
+++ b/internal/assembler/deployment.go
@@ -12,6 +12,7 @@
 	"github.com/primrosedrift/primrosedrift/internal/matcher"
 	"github.com/primrosedrift/primrosedrift/internal/registrar"
 	"github.com/primrosedrift/primrosedrift/internal/relayer"
+	"github.com/primrosedrift/primrosedrift/internal/streamtracker"
 )
 
 // Deployment configures one instance for the platform on which it is deployed:
@@ -47,6 +48,7 @@
 	ConfigTopic, UpstreamTopic follower.Topic
 	LeaseStore                 leaser.Store
 	PoisonStore                losstracker.Store
+	SoftwareStore              streamtracker.Store
 	DecodeConfig               func([]follower.Record) (*matcher.Config, error)
 	DecodeUpstream             func(id string, value []byte) (*registrar.Upstream, error)
 	// IsOlderConfig and IsOlderRegistration report whether the value a is of an older
--- a/internal/conductor/conductor.go
+++ b/internal/conductor/conductor.go
@@ -87,6 +87,8 @@
 	Service, Model, Adapter string
 	Arrived, Waiting        int
 	Running                 map[string]int // by upstream ID
+	// Software, if not nil, is the only software version at which the requests may run.
+	Software *string
 }
 
 // Conductor sends orders while Token returns a fencing token. Its exported fields
--- a/internal/conductor/fleet.go
+++ b/internal/conductor/fleet.go
@@ -51,7 +51,7 @@
 func (c *Conductor) upstreamLocked(e *engine, now time.Time) arranger.Upstream {
 	running := c.totals.running
 	u := arranger.Upstream{
-		ID: e.up.ID, DataCentre: e.up.DataCentre, IsBusy: e.isBusy || now.Before(e.retryAt) || e.up.IsPaused(now),
+		ID: e.up.ID, DataCentre: e.up.DataCentre, Software: e.up.Software, IsBusy: e.isBusy || now.Before(e.retryAt) || e.up.IsPaused(now),
 		IsLimited: e.up.IsLimited && e.up.RequestRate < arranger.ReplicaRate,
 		BusyFor:   max(e.doneAt.Sub(now), e.retryAt.Sub(now), e.up.PausedUntil.Sub(now)), InHostMemory: e.inHostMemory, OnDisk: e.onDisk,
 	}
@@ -89,10 +89,19 @@
 	runningByModel map[key]int
 	runningAt      map[string]int // by upstream
 	waiting        map[key]int    // of a model, those for its adapters included
+	// boundWaiting counts the waiting requests that may run at one software version only,
+	// which are not in waiting.
+	boundWaiting map[boundKey]int
+}
+
+// boundKey identifies a model or adapter at a software version.
+type boundKey struct {
+	key
+	software string
 }
 
 func newTotals() totals {
-	return totals{make(map[runKey]int), make(map[key]int), make(map[string]int), make(map[key]int)}
+	return totals{make(map[runKey]int), make(map[key]int), make(map[string]int), make(map[key]int), make(map[boundKey]int)}
 }
 
 // add adds demands, or removes them if the sign is -1.
@@ -103,6 +112,10 @@
 			addTo(t.runningByModel, key{d.Service, d.Model, ""}, sign*n)
 			addTo(t.runningAt, id, sign*n)
 		}
+		if d.Software != nil {
+			addTo(t.boundWaiting, boundKey{key{d.Service, d.Model, d.Adapter}, *d.Software}, sign*d.Waiting)
+			continue
+		}
 		addTo(t.waiting, key{d.Service, d.Model, d.Adapter}, sign*d.Waiting)
 		if d.Adapter != "" {
 			addTo(t.waiting, key{d.Service, d.Model, ""}, sign*d.Waiting)
@@ -137,6 +150,11 @@
 		}
 		out = append(out, arranger.Demand{Model: k.model, Adapter: k.adapter, Rate: r.Forecast(now), Waiting: waiting[k], Running: runningByModel[k]})
 	}
+	for k, n := range c.totals.boundWaiting {
+		if k.service == service && k.model != "" {
+			out = append(out, arranger.Demand{Model: k.model, Adapter: k.adapter, Software: &k.software, Waiting: n})
+		}
+	}
 	return out
 }
 
--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -130,6 +130,14 @@
 	firstRead      chan struct{} // closed after the first read
 }
 
+// Age returns the time since the log was last read, here or by a peer. It reports false if
+// it never was.
+func (f *Follower) Age() (time.Duration, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return time.Since(f.readAt), f.hasRead
+}
+
 // Run follows the topic until ctx ends.
 func (f *Follower) Run(ctx context.Context) {
 	if f.After != nil {
--- a/internal/queuer/choose.go
+++ b/internal/queuer/choose.go
@@ -35,6 +35,7 @@
 	if u == nil {
 		return nil
 	}
+	t.versionsSeen[version{req.Service, u.Software}] = now
 	t.demandOf(req.key()).running[u.ID]++
 	t.running[u.ID]++
 	t.recordStart(u, now)
@@ -54,7 +55,7 @@
 func (t *Table) choose(req Request, s *registrar.Snapshot, cfg *matcher.Config, now time.Time) *registrar.Upstream {
 	t.init()
 	svc := cfg.Services[req.Service]
-	list := s.ByService[req.Service]
+	list := req.candidates(s)
 	cands := make([]router.Candidate, 0, len(list))
 	upstreams := make([]*registrar.Upstream, 0, len(list))
 	prefixUpstream, _ := t.prefixes.Get(req.Prefix)
--- a/internal/queuer/demand.go
+++ b/internal/queuer/demand.go
@@ -8,7 +8,9 @@
 // Demand is the demand of this instance for one model or adapter.
 type Demand struct {
 	Service, Model, Adapter string
-	Arrived                 int // since the last call of Demands
+	// Software, if not nil, is the only software version at which the requests may run.
+	Software *string
+	Arrived  int // since the last call of Demands
 	// Waiting counts the waiting requests and the refused ones whose clients may
 	// still retry.
 	Waiting int
@@ -60,6 +62,9 @@
 			Service: k.service, Model: k.model, Adapter: k.adapter, Arrived: d.arrived, Waiting: len(objectives),
 			Running: make(map[string]int, len(d.running)),
 		}
+		if k.isBound {
+			o.Software = &k.software
+		}
 		if len(objectives) > 0 {
 			o.Objective = slices.Min(objectives)
 		}
--- a/internal/queuer/queuer.go
+++ b/internal/queuer/queuer.go
@@ -133,6 +133,9 @@
 }
 
 func refusal(e StartEstimate, retryAfter time.Duration, req Request) error {
+	if e.Delay == absentVersionDelay {
+		return verdict.Refuse(verdict.ReasonNoUpstream, retryAfter, "service %s: no upstream of software version %q, which began the stream", req.Service, *req.Software)
+	}
 	if e.NeedsLoad {
 		return verdict.Refuse(verdict.ReasonNoUpstream, retryAfter, "model %s adapter %q: not loaded, ready in %v", req.Model, req.Adapter, e.Delay)
 	}
--- a/internal/queuer/table.go
+++ b/internal/queuer/table.go
@@ -54,6 +54,12 @@
 	latencyWeight = 0.2
 	// maxPrefixes is the number of prompt prefixes whose last upstream is kept.
 	maxPrefixes = 1024
+	// versionReturnTime is how long after the last upstream of a software version has
+	// vanished one may still return: a crashed upstream is back after some seconds.
+	versionReturnTime = 6 * time.Second
+	// absentVersionDelay is the estimated delay of a request for a software version that no
+	// upstream has: longer than any request waits.
+	absentVersionDelay = 24 * time.Hour
 	// minRetryDelay keeps refused clients from retrying at once.
 	minRetryDelay = 200 * time.Millisecond
 )
@@ -72,14 +78,43 @@
 	Tokens int
 	// Tried holds the ids of upstreams that have failed the request.
 	Tried map[string]bool
+	// Software, if not nil, is the only software version whose upstreams may run the
+	// request: it is for the rest of a stream that began there.
+	Software *string
 }
 
-// key identifies a service, or a model or adapter of it.
+// key identifies a service, or a model or adapter of it, at any software version or at one.
 type key struct {
 	service, model, adapter string
+	isBound                 bool // to one software version
+	software                string
 }
 
-func (req Request) key() key { return key{req.Service, req.Model, req.Adapter} }
+func (req Request) key() key {
+	k := key{service: req.Service, model: req.Model, adapter: req.Adapter}
+	if req.Software != nil {
+		k.isBound, k.software = true, *req.Software
+	}
+	return k
+}
+
+// version identifies a software version of a service.
+type version struct{ service, software string }
+
+// candidates returns the upstreams that may run the request.
+func (req Request) candidates(s *registrar.Snapshot) []*registrar.Upstream {
+	list := s.ByService[req.Service]
+	if req.Software == nil {
+		return list
+	}
+	var out []*registrar.Upstream
+	for _, u := range list {
+		if u.Software == *req.Software {
+			out = append(out, u)
+		}
+	}
+	return out
+}
 
 // Table holds the running and the waiting requests of an instance. Its zero
 // value is ready to use; it is not safe for concurrent use.
@@ -102,6 +137,8 @@
 	instances        []string // names of the live ones, sorted
 	instancesVersion uint64
 	shares           map[string]share // of limited upstreams, by id
+	// versionsSeen holds when an upstream of a software version was last in a snapshot.
+	versionsSeen map[version]time.Time
 }
 
 // Waiter is a waiting request.
@@ -155,18 +192,26 @@
 	if !ok {
 		return StartEstimate{}
 	}
+	list := req.candidates(s)
+	if req.Software != nil {
+		if v := (version{req.Service, *req.Software}); len(list) > 0 {
+			t.versionsSeen[v] = now
+		} else if now.Sub(t.versionsSeen[v]) > versionReturnTime {
+			return StartEstimate{Delay: absentVersionDelay}
+		}
+	}
 	if req.Model == "" || svc.Engine == nil {
-		return StartEstimate{Delay: t.plainDelay(ahead, s.ByService[req.Service], now)}
+		return StartEstimate{Delay: t.plainDelay(ahead, list, now)}
 	}
 	model := svc.Engine.Models[req.Model]
-	best := shortestPause(s.ByService[req.Service], now) + model.StoreLoadDuration + swapOverhead
+	best := shortestPause(list, now) + model.StoreLoadDuration + swapOverhead
 	isLoaded := false
 	if !t.HasConductor {
 		// No conductor sends orders at present.
 		best += failoverDelay
 	}
 	var limited limitedDelay
-	for _, u := range s.ByService[req.Service] {
+	for _, u := range list {
 		if m, ok := u.Model(req.Model); ok {
 			if req.Adapter == "" || slices.Contains(m.Adapters, req.Adapter) {
 				if u.IsLimited && m.ReadyAt.IsZero() && !u.IsPaused(now) {
@@ -264,6 +309,7 @@
 	if len(t.health) > 2*len(s.ByID)+maxStaleHealth {
 		maps.DeleteFunc(t.health, func(id string, _ health) bool { return s.ByID[id] == nil })
 	}
+	maps.DeleteFunc(t.versionsSeen, func(_ version, at time.Time) bool { return now.Sub(at) > versionReturnTime })
 	maps.DeleteFunc(t.shares, func(id string, _ share) bool { return s.ByID[id] == nil })
 }
 
@@ -353,6 +399,7 @@
 	t.prefill = make(map[string]int)
 	t.health = make(map[string]health)
 	t.shares = make(map[string]share)
+	t.versionsSeen = make(map[version]time.Time)
 	t.shedUntil = make(map[shedKey]time.Time)
 	t.prefixes, _ = simplelru.NewLRU[string, string](maxPrefixes, nil) // fails only for a size below one
 	if t.Rand == nil {
--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -414,3 +414,17 @@
 	e, ok := t.registrations[id]
 	return e, ok
 }
+
+// SoftwareVersions returns the software versions of the registered upstreams, by service.
+// Those that are leaving or do not respond are included.
+func (t *Table) SoftwareVersions() map[string][]string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	out := make(map[string][]string)
+	for _, e := range t.registrations {
+		if !slices.Contains(out[e.Service], e.Software) {
+			out[e.Service] = append(out[e.Service], e.Software)
+		}
+	}
+	return out
+}
--- a/internal/relayer/attempt.go
+++ b/internal/relayer/attempt.go
@@ -50,6 +50,7 @@
 	began := time.Now()
 	c.headLatency, c.isRetryCharged = 0, false
 	eventsBefore := c.stream.numEvents
+	c.recordOrigin(u)
 	res := c.exchange(ctx, slot, began)
 	if res.isRefused {
 		slot.Shed()
--- /dev/null
+++ b/internal/relayer/origin.go
@@ -0,0 +1,59 @@
+package relayer
+
+import (
+	"context"
+	"time"
+
+	"github.com/primrosedrift/primrosedrift/internal/registrar"
+	"github.com/primrosedrift/primrosedrift/internal/streamtracker"
+)
+
+// originMargin is how much longer than its deadline the origin of a stream is kept.
+const originMargin = 5 * time.Second
+
+// originState is what is known of the software version that begins a stream.
+type originState struct {
+	delivery     *streamtracker.Delivery // of the record of the last attempt
+	software     string                  // in that record
+	hasRecord    bool
+	isCorrection bool // an earlier attempt was at another version
+}
+
+func (c *call) isResumable() bool { return c.route.IsStream && c.route.IsResumable }
+
+// resolveOrigin restricts a request for the rest of a stream to the software version that
+// began it.
+func (c *call) resolveOrigin(ctx context.Context) error {
+	if !c.isResumable() || c.requestInfo.LastEventID == "" {
+		return nil
+	}
+	software, err := c.Streams.Resolve(ctx, c.requestInfo.Resumes, c.admission.Service)
+	if err != nil {
+		return err
+	}
+	c.admission.Software = &software
+	return nil
+}
+
+// recordOrigin records the software version of an upstream that may begin the stream.
+func (c *call) recordOrigin(u *registrar.Upstream) {
+	if !c.isResumable() || c.admission.Software != nil {
+		return
+	}
+	o := &c.origin
+	o.isCorrection = o.isCorrection || o.hasRecord && o.software != u.Software
+	o.software, o.hasRecord = u.Software, true
+	o.delivery = c.Streams.Begin(streamtracker.Origin{
+		Stream: c.requestInfo.ID, Service: c.admission.Service, Software: u.Software, Attempt: c.numSends,
+		TTL: max(c.requestInfo.Deadline, time.Until(c.deadline)) + originMargin,
+	})
+}
+
+// bindToOrigin restricts a stream that begins to the software version of its upstream.
+func (c *call) bindToOrigin(ctx context.Context) {
+	if !c.isResumable() || c.admission.Software != nil {
+		return
+	}
+	c.Streams.Await(ctx, c.origin.delivery, c.origin.isCorrection)
+	c.admission.Software = &c.origin.software
+}
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -17,6 +17,7 @@
 	"github.com/primrosedrift/primrosedrift/internal/queuer"
 	"github.com/primrosedrift/primrosedrift/internal/registrar"
 	"github.com/primrosedrift/primrosedrift/internal/retrier"
+	"github.com/primrosedrift/primrosedrift/internal/streamtracker"
 	"github.com/primrosedrift/primrosedrift/pkg/verdict"
 )
 
@@ -100,6 +101,8 @@
 	Pool         *courier.Pool
 	RetryBudgets *retrier.Budgets
 	Losses       *losstracker.Tracker
+	// Streams knows which software versions began streams.
+	Streams *streamtracker.Keeper
 	// Buffers bounds what is held of responses.
 	Buffers Buffers
 	Log     *zap.Logger
@@ -134,6 +137,7 @@
 	tracked     *losstracker.Attempt
 
 	w              http.ResponseWriter
+	origin         originState
 	numMayHaveRun  int // attempts that may have run
 	numSends       int
 	isUnsent       bool           // the last attempt did not reach its upstream
@@ -256,6 +260,9 @@
 // serve makes attempts until a response is forwarded or no further attempt is
 // allowed.
 func (c *call) serve(ctx context.Context) error {
+	if err := c.resolveOrigin(ctx); err != nil {
+		return err
+	}
 	for {
 		if err := c.refusePoison(); err != nil {
 			return err
--- a/internal/relayer/relayer_test.go
+++ b/internal/relayer/relayer_test.go
@@ -24,6 +24,7 @@
 	"github.com/primrosedrift/primrosedrift/internal/queuer"
 	"github.com/primrosedrift/primrosedrift/internal/registrar"
 	"github.com/primrosedrift/primrosedrift/internal/retrier"
+	"github.com/primrosedrift/primrosedrift/internal/streamtracker"
 )
 
 // upstream is a fake upstream that responds with scripted bytes.
@@ -173,7 +174,7 @@
 		Codec: testCodec, Config: config, Upstreams: table,
 		Queue:        &queuer.Queue{Upstreams: table, Config: config, HasConductor: func() bool { return true }},
 		Pool:         &courier.Pool{IDHeader: hID},
-		RetryBudgets: &retrier.Budgets{}, Losses: &losstracker.Tracker{}, Log: zap.NewNop(), Metrics: NewMetrics(prometheus.NewRegistry()),
+		RetryBudgets: &retrier.Budgets{}, Losses: &losstracker.Tracker{}, Streams: &streamtracker.Keeper{Tracker: &streamtracker.Tracker{}, History: &streamtracker.History{}}, Log: zap.NewNop(), Metrics: NewMetrics(prometheus.NewRegistry()),
 		ViewAge:    func() time.Duration { return 0 },
 		IsStopping: func() bool { return g.isClosing }, IsClosed: func() bool { return g.isClosing },
 	}
--- /dev/null
+++ b/internal/streamtracker/keeper.go
@@ -0,0 +1,168 @@
+package streamtracker
+
+import (
+	"context"
+	"maps"
+	"slices"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/primrosedrift/primrosedrift/internal/logger"
+	"github.com/primrosedrift/primrosedrift/pkg/verdict"
+)
+
+const (
+	// maxHold bounds how long the first event of a stream waits until another instance
+	// knows its version.
+	maxHold = 50 * time.Millisecond
+	// maxCorrectionHold bounds it if an earlier attempt at another version was recorded: no
+	// home may then have only the record of that.
+	maxCorrectionHold = 150 * time.Millisecond
+	// askTimeout bounds the questions to the homes of a stream.
+	askTimeout = 200 * time.Millisecond
+	// loadTimeout bounds the read of the saved versions.
+	loadTimeout = 300 * time.Millisecond
+	// unknownRetryAfter is the retry delay of a stream that no instance knows.
+	unknownRetryAfter = 8 * time.Second
+)
+
+// Delivery is a record on its way to its homes.
+type Delivery struct {
+	// First is closed when one home has it, or no home can be reached. All is closed when
+	// each home has it or has failed.
+	First, All <-chan struct{}
+}
+
+// Answer is the answer of another instance to a question about a stream.
+type Answer struct {
+	Origin  Origin
+	IsKnown bool // the origin
+	// Versions are those of the service that the other instance knows of, and IsFresh
+	// reports whether it has read the registrations lately.
+	Versions Versions
+	IsFresh  bool
+}
+
+// Keeper records and finds the software versions of streams. Its fields must be set.
+type Keeper struct {
+	Tracker *Tracker
+	History *History
+	// Send sends origins to their homes.
+	Send func([]Origin) Delivery
+	// Ask asks the homes of a stream, and returns how many it has asked.
+	Ask func(ctx context.Context, stream, service string) (answers []Answer, numAsked int)
+	// Load returns the versions of a service that are saved in the platform's log.
+	Load func(ctx context.Context, service string) (Versions, error)
+	// IsFresh reports whether this instance has read the registrations lately.
+	IsFresh func() bool
+	Log     *zap.Logger
+}
+
+// Begin records that an attempt to begin a stream is made. It returns nil if no other
+// instance has to know.
+func (k *Keeper) Begin(o Origin) *Delivery {
+	k.Tracker.Record(o, time.Now())
+	if !k.History.HasSeveral(o.Service) {
+		return nil
+	}
+	d := k.Send([]Origin{o})
+	return &d
+}
+
+// Await waits before the first event of a stream until the record is at another instance, for
+// a bounded time. isCorrection says that an earlier attempt was at another version.
+func (k *Keeper) Await(ctx context.Context, d *Delivery, isCorrection bool) {
+	if d == nil {
+		return
+	}
+	done, limit := d.First, maxHold
+	if isCorrection {
+		done, limit = d.All, maxCorrectionHold
+	}
+	timer := time.NewTimer(limit)
+	defer timer.Stop()
+	select {
+	case <-done:
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
+// Spread sends the streams of a service that this instance knows to their homes.
+func (k *Keeper) Spread(service string) {
+	if list := k.Tracker.OfService(service, time.Now()); len(list) > 0 {
+		k.Send(list)
+	}
+}
+
+// Resolve returns the software version at which a stream began. It returns a refusal if
+// that is not known and the service has had several.
+func (k *Keeper) Resolve(ctx context.Context, stream, service string) (string, error) {
+	if o, ok := k.Tracker.Find(stream, time.Now()); ok && o.Service == service {
+		return o.Software, nil
+	}
+	actx, cancel := context.WithTimeout(ctx, askTimeout)
+	answers, numAsked := k.Ask(actx, stream, service)
+	cancel()
+	now := time.Now()
+	if o, ok := latest(answers); ok && o.Service == service {
+		k.Tracker.Record(o, now)
+		return o.Software, nil
+	}
+	versions, err := k.onlyVersion(ctx, service, answers, numAsked)
+	k.Log.Info("stream of unknown version taken up", zap.String("stream", stream), zap.String("service", service),
+		zap.Int("asked", numAsked), zap.Int("answers", len(answers)), zap.Strings("versions", versions), logger.Error(err))
+	if err != nil {
+		return "", err
+	}
+	return versions[0], nil
+}
+
+// latest returns the origin of the latest attempt.
+func latest(answers []Answer) (best Origin, ok bool) {
+	for _, a := range answers {
+		if a.IsKnown && (!ok || a.Origin.Attempt > best.Attempt) {
+			best, ok = a.Origin, true
+		}
+	}
+	return best, ok
+}
+
+// onlyVersion returns the versions that a service has had as far as this and the responding
+// instances know. It returns a refusal unless it is known to be a single one.
+func (k *Keeper) onlyVersion(ctx context.Context, service string, answers []Answer, numAsked int) ([]string, error) {
+	now := time.Now()
+	isFresh := k.IsFresh()
+	for _, a := range answers {
+		isFresh = isFresh || a.IsFresh
+		k.History.Merge(service, a.Versions, now)
+	}
+	known := k.History.Versions(service, now)
+	if len(known.Ages) == 1 && !known.IsComplete() {
+		lctx, cancel := context.WithTimeout(ctx, loadTimeout)
+		saved, err := k.Load(lctx, service)
+		cancel()
+		if err != nil {
+			k.Log.Info("saved software versions not loaded", logger.Error(err))
+		} else {
+			k.History.Merge(service, saved, time.Now())
+			known = k.History.Versions(service, time.Now())
+		}
+	}
+	list := slices.Sorted(maps.Keys(known.Ages))
+	switch {
+	case len(list) != 1:
+		return list, refuse("the service has had %d software versions", len(list))
+	case !known.IsComplete():
+		return list, refuse("software versions of the service are known for %v only", known.Covered.Round(time.Millisecond))
+	case !isFresh && 2*len(answers) < numAsked || !isFresh && numAsked == 0:
+		// Instances that are cut off together would miss a new version.
+		return list, refuse("registrations are old, and %d of %d instances answer", len(answers), numAsked)
+	}
+	return list, nil
+}
+
+func refuse(format string, args ...any) error {
+	return verdict.Refuse(verdict.ReasonUnknownOrigin, unknownRetryAfter, "it is not known which version began the stream: "+format, args...)
+}
--- /dev/null
+++ b/internal/streamtracker/keeper_test.go
@@ -0,0 +1,143 @@
+package streamtracker
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
+
+	"github.com/primrosedrift/primrosedrift/pkg/verdict"
+)
+
+func versions(covered time.Duration, list ...string) Versions {
+	v := Versions{Ages: make(map[string]time.Duration), Covered: covered}
+	for _, x := range list {
+		v.Ages[x] = 0
+	}
+	return v
+}
+
+func answer(v Versions, origins ...Origin) Answer {
+	a := Answer{Versions: v}
+	if len(origins) > 0 {
+		a.Origin, a.IsKnown = origins[0], true
+	}
+	return a
+}
+
+func TestResolve(t *testing.T) {
+	origin := func(software string, attempt int) Origin {
+		return Origin{Stream: "r", Service: service, Software: software, Attempt: attempt, TTL: time.Minute}
+	}
+	outage := errors.New("the platform is away")
+	all := versions(StreamMemory, "v1")
+	for name, tt := range map[string]struct {
+		own      []Origin
+		current  []string
+		answers  []Answer
+		numAsked int
+		isOld    bool // the registrations
+		saved    Versions
+		loadErr  error
+		want     string // empty for a refusal
+	}{
+		"own record":                       {own: []Origin{origin("v2", 1)}, current: []string{"v1", "v2"}, want: "v2"},
+		"latest own record":                {own: []Origin{origin("v1", 2), origin("v2", 1)}, current: []string{"v1", "v2"}, want: "v1"},
+		"a home knows":                     {answers: []Answer{answer(all), answer(all, origin("v2", 1))}, numAsked: 3, current: []string{"v1", "v2"}, want: "v2"},
+		"homes differ":                     {answers: []Answer{answer(all, origin("v2", 1)), answer(all, origin("v1", 2))}, numAsked: 3, current: []string{"v1", "v2"}, want: "v1"},
+		"of another service":               {own: []Origin{{Stream: "r", Service: "other", Software: "v2", TTL: time.Minute}}, current: []string{"v1"}, saved: all, want: "v1"},
+		"unknown, two versions":            {current: []string{"v1", "v2"}, saved: all},
+		"unknown, another saw a second":    {current: []string{"v1"}, answers: []Answer{answer(versions(time.Second, "v2"))}, numAsked: 1, saved: all},
+		"unknown, a second is saved":       {current: []string{"v1"}, saved: versions(StreamMemory, "v1", "v2")},
+		"unknown, one is saved":            {current: []string{"v1"}, saved: all, want: "v1"},
+		"unknown, covered by another":      {current: []string{"v1"}, answers: []Answer{answer(all)}, numAsked: 1, loadErr: outage, want: "v1"},
+		"unknown, nobody covers":           {current: []string{"v1"}, answers: []Answer{answer(versions(time.Second, "v1"))}, numAsked: 1, loadErr: outage},
+		"unknown, cut off":                 {current: []string{"v1"}, saved: all, isOld: true},
+		"unknown, cut off with a minority": {current: []string{"v1"}, saved: all, isOld: true, answers: []Answer{answer(all)}, numAsked: 3},
+		"unknown, outage for all":          {current: []string{"v1"}, saved: all, isOld: true, answers: []Answer{answer(all), answer(all)}, numAsked: 3, want: "v1"},
+		"no version in sight":              {saved: versions(StreamMemory)},
+	} {
+		t.Run(name, func(t *testing.T) {
+			k := &Keeper{
+				Tracker: &Tracker{}, History: &History{}, Log: zap.NewNop(),
+				Ask:     func(context.Context, string, string) ([]Answer, int) { return tt.answers, tt.numAsked },
+				Load:    func(context.Context, string) (Versions, error) { return tt.saved, tt.loadErr },
+				IsFresh: func() bool { return !tt.isOld },
+			}
+			k.History.Observe(map[string][]string{service: tt.current}, true, time.Now())
+			for _, o := range tt.own {
+				k.Tracker.Record(o, time.Now())
+			}
+			got, err := k.Resolve(t.Context(), "r", service)
+			require.Equal(t, tt.want, got)
+			if tt.want != "" {
+				require.NoError(t, err)
+				return
+			}
+			r := verdict.FromError(err)
+			require.Equal(t, verdict.ReasonUnknownOrigin, r.Reason)
+			require.Equal(t, verdict.NotRun, r.Ran)
+		})
+	}
+}
+
+func TestOriginsAreKeptAsLongAsTheStreamMayLast(t *testing.T) {
+	var k Tracker
+	now := time.Now()
+	k.Record(Origin{Stream: "r", TTL: time.Second}, now)
+	_, ok := k.Find("r", now.Add(999*time.Millisecond))
+	require.True(t, ok)
+	_, ok = k.Find("r", now.Add(time.Second))
+	require.False(t, ok)
+	k.Sweep(now.Add(time.Second))
+	require.Zero(t, k.origins.Len())
+}
+
+// TestFirstEventWaitsForARecord guards against events that a client has before another
+// instance knows the version that wrote them.
+func TestFirstEventWaitsForARecord(t *testing.T) {
+	first, all := make(chan struct{}), make(chan struct{})
+	k := &Keeper{
+		Tracker: &Tracker{}, History: &History{},
+		Send: func([]Origin) Delivery { return Delivery{First: first, All: all} },
+	}
+	o := Origin{Stream: "r", Service: service, Software: "v1", TTL: time.Minute}
+	k.History.Observe(map[string][]string{service: {"v1"}}, true, time.Now())
+	require.Nil(t, k.Begin(o), "one version only")
+	k.Await(t.Context(), nil, false)
+	k.History.Observe(map[string][]string{service: {"v1", "v2"}}, true, time.Now())
+	d := k.Begin(o)
+	require.NotNil(t, d)
+	waited := func(isCorrection bool) time.Duration {
+		began := time.Now()
+		k.Await(t.Context(), d, isCorrection)
+		return time.Since(began)
+	}
+	require.GreaterOrEqual(t, waited(false), maxHold, "no home has it")
+	close(first)
+	require.GreaterOrEqual(t, waited(true), maxCorrectionHold, "one home may have only the earlier record")
+	close(all)
+	k.Await(t.Context(), d, true)
+}
+
+// TestHolderThatStartsKeepsTheVersionsOfBefore guards against a holder of the lease that saves
+// only the versions that it sees itself.
+func TestHolderThatStartsKeepsTheVersionsOfBefore(t *testing.T) {
+	store := map[string][]string{service: {"v1"}}
+	h := &History{}
+	s := NewSaver(h, Store{
+		Load: func(context.Context) (map[string][]string, error) { return store, nil },
+		Save: func(_ context.Context, all map[string][]string) error { store = all; return nil },
+	}, func() bool { return true }, zap.NewNop())
+	h.Observe(map[string][]string{service: {"v2"}}, true, time.Now())
+	require.NoError(t, s.round(t.Context()))
+	require.Equal(t, map[string][]string{service: {"v1", "v2"}}, store)
+	require.True(t, h.Versions(service, time.Now()).IsComplete())
+	store = map[string][]string{} // the log came back from an older copy
+	s.RecordRestore()
+	require.NoError(t, s.round(t.Context()))
+	require.Equal(t, map[string][]string{service: {"v1", "v2"}}, store)
+}
--- /dev/null
+++ b/internal/streamtracker/saver.go
@@ -0,0 +1,142 @@
+package streamtracker
+
+import (
+	"context"
+	"maps"
+	"slices"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/primrosedrift/primrosedrift/internal/logger"
+	"github.com/primrosedrift/primrosedrift/internal/sleeper"
+)
+
+const (
+	// saveInterval is the least time between two rounds of a saver.
+	saveInterval = 200 * time.Millisecond
+	// checkInterval is the longest time between two rounds.
+	checkInterval = 2 * time.Second
+	// storeTimeout bounds a call to the store.
+	storeTimeout = 800 * time.Millisecond
+)
+
+// Store keeps the software versions of services in the platform's log.
+type Store struct {
+	// Load returns the saved versions by service.
+	Load func(context.Context) (map[string][]string, error)
+	// Save replaces the versions of services.
+	Save func(context.Context, map[string][]string) error
+}
+
+// LoadService returns the saved versions of a service, to be merged into a History. What is
+// saved is complete: the holder of the lease saves each change before upstreams of a new
+// version have a model loaded. A service without a record has had no stream.
+func (s Store) LoadService(ctx context.Context, service string) (Versions, error) {
+	all, err := s.Load(ctx)
+	if err != nil {
+		return Versions{}, err
+	}
+	return savedVersions(all[service]), nil
+}
+
+func savedVersions(list []string) Versions {
+	v := Versions{Ages: make(map[string]time.Duration), Covered: StreamMemory}
+	for _, x := range list {
+		v.Ages[x] = 0
+	}
+	return v
+}
+
+// Saver saves the versions of a History while this instance holds the lease. Its exported
+// fields must be set before Run.
+type Saver struct {
+	History  *History
+	Store    Store
+	IsHolder func() bool
+	Log      *zap.Logger
+
+	wake       chan struct{}
+	isRestored atomic.Bool
+	saved      map[string][]string // nil if not known
+}
+
+// NewSaver returns a saver.
+func NewSaver(h *History, s Store, isHolder func() bool, log *zap.Logger) *Saver {
+	return &Saver{History: h, Store: s, IsHolder: isHolder, Log: log, wake: make(chan struct{}, 1)}
+}
+
+// Wake saves changes soon.
+func (s *Saver) Wake() {
+	select {
+	case s.wake <- struct{}{}:
+	default:
+	}
+}
+
+// Run saves changes until ctx ends.
+func (s *Saver) Run(ctx context.Context) {
+	tick := time.NewTicker(checkInterval)
+	defer tick.Stop()
+	for ctx.Err() == nil {
+		if err := s.round(ctx); err != nil {
+			s.Log.Warn("software versions not saved", logger.Error(err))
+		}
+		sleeper.Sleep(ctx, saveInterval)
+		select {
+		case <-ctx.Done():
+		case <-tick.C:
+		case <-s.wake:
+		}
+	}
+}
+
+// round saves the versions that differ from the saved ones, after it has merged those into
+// the history: a holder that has just started does not know the versions of before.
+func (s *Saver) round(ctx context.Context) error {
+	if s.isRestored.Swap(false) || !s.IsHolder() {
+		s.saved = nil
+	}
+	if !s.IsHolder() {
+		return nil
+	}
+	if s.saved == nil {
+		lctx, cancel := context.WithTimeout(ctx, storeTimeout)
+		defer cancel()
+		saved, err := s.Store.Load(lctx)
+		if err != nil {
+			return err
+		}
+		s.saved = make(map[string][]string)
+		for service, list := range saved {
+			s.saved[service] = slices.Sorted(slices.Values(list))
+			s.History.Merge(service, savedVersions(list), time.Now())
+		}
+	}
+	changed := make(map[string][]string)
+	for service, list := range s.History.All(time.Now()) {
+		if !slices.Equal(list, s.saved[service]) {
+			changed[service] = list
+		}
+	}
+	if len(changed) == 0 {
+		return nil
+	}
+	sctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	if err := s.Store.Save(sctx, changed); err != nil {
+		s.saved = nil // whether it was saved is not known
+		return err
+	}
+	maps.Copy(s.saved, changed)
+	s.Log.Info("software versions saved", zap.Any("versions", changed))
+	return nil
+}
+
+// RecordRestore makes the saver read what is saved again: the platform's log came back from
+// an older copy.
+func (s *Saver) RecordRestore() {
+	s.isRestored.Store(true)
+	s.Wake()
+}
--- /dev/null
+++ b/internal/streamtracker/tracker.go
@@ -0,0 +1,101 @@
+package streamtracker
+
+import (
+	"sync"
+	"time"
+
+	"github.com/hashicorp/golang-lru/v2/simplelru"
+)
+
+const (
+	// StreamMemory is how long a service counts as having a software version after the last
+	// upstream with it has ended. No stream lasts longer.
+	StreamMemory = 2 * time.Minute
+	// maxOrigins bounds the streams of which an instance knows the version.
+	maxOrigins = 1 << 16
+)
+
+// Origin is the software version at which a stream began.
+type Origin struct {
+	// Stream is the id of the request that brought the first event.
+	Stream            string
+	Service, Software string
+	// Attempt is the number of the attempt that began the stream. If an attempt fails before
+	// its first event, the next one may be at another version.
+	Attempt int
+	// TTL is how long the stream may still be taken up.
+	TTL time.Duration
+}
+
+// Tracker holds the origins that one instance knows. Its zero value is ready to use.
+type Tracker struct {
+	mu      sync.Mutex
+	origins *simplelru.LRU[string, expiring] // by stream
+}
+
+type expiring struct {
+	Origin
+	until time.Time
+}
+
+// Record adds an origin, unless that of a later attempt of the stream is known.
+func (t *Tracker) Record(o Origin, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.origins == nil {
+		t.origins, _ = simplelru.NewLRU[string, expiring](maxOrigins, nil) // fails only for a size below one
+	}
+	if known, ok := t.origins.Peek(o.Stream); ok && known.Attempt > o.Attempt && now.Before(known.until) {
+		return
+	}
+	t.origins.Add(o.Stream, expiring{o, now.Add(min(o.TTL, StreamMemory))})
+}
+
+// Find returns the origin of a stream.
+func (t *Tracker) Find(stream string, now time.Time) (Origin, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.origins == nil {
+		return Origin{}, false
+	}
+	e, ok := t.origins.Peek(stream)
+	if !ok || !now.Before(e.until) {
+		return Origin{}, false
+	}
+	e.TTL = e.until.Sub(now)
+	return e.Origin, true
+}
+
+// OfService returns the origins of the streams of a service.
+func (t *Tracker) OfService(service string, now time.Time) []Origin {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.origins == nil {
+		return nil
+	}
+	var out []Origin
+	for _, e := range t.origins.Values() {
+		if e.Service == service && now.Before(e.until) {
+			e.TTL = e.until.Sub(now)
+			out = append(out, e.Origin)
+		}
+	}
+	return out
+}
+
+// Sweep drops the origins that have expired.
+func (t *Tracker) Sweep(now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.origins == nil {
+		return
+	}
+	// The oldest records are not always those that expire first, so some stay longer.
+	for {
+		_, e, ok := t.origins.GetOldest()
+		if !ok || now.Before(e.until) {
+			return
+		}
+		t.origins.RemoveOldest()
+	}
+}
--- a/internal/syncer/client.go
+++ b/internal/syncer/client.go
@@ -78,6 +78,8 @@
 	IsStopping func() bool
 	Log        *zap.Logger
 
+	origins originSender
+
 	mu              sync.Mutex
 	wake            chan struct{}
 	members         []*peerv1.Member
@@ -309,7 +311,7 @@
 	for _, u := range demands {
 		x := &peerv1.CopyUse{
 			Service: u.Service, Model: u.Model, Adapter: u.Adapter, Arrived: uint32(u.Arrived),
-			Waiting: uint32(u.Waiting), ObjectiveMs: uint32(max(0, u.Objective.Milliseconds())),
+			Waiting: uint32(u.Waiting), ObjectiveMs: uint32(max(0, u.Objective.Milliseconds())), Software: u.Software,
 		}
 		for id, n := range u.Running {
 			x.Runs = append(x.Runs, &peerv1.CopyRun{Upstream: id, Running: uint32(n)})
--- a/internal/syncer/limit.go
+++ b/internal/syncer/limit.go
@@ -1,7 +1,6 @@
 package syncer
 
 import (
-	"math"
 	"time"
 
 	"github.com/primrosedrift/primrosedrift/internal/registrar"
@@ -12,7 +11,7 @@
 	var out []*peerv1.Limit
 	for _, l := range list {
 		out = append(out, &peerv1.Limit{
-			Upstream: l.ID, Born: l.StartedAtMs, IsLimited: l.IsLimited, Rate: l.Rate, AgeMs: uint32(min(max(0, l.Age.Milliseconds()), math.MaxUint32)),
+			Upstream: l.ID, Born: l.StartedAtMs, IsLimited: l.IsLimited, Rate: l.Rate, AgeMs: milliseconds(l.Age),
 		})
 	}
 	return out
--- a/internal/syncer/server.go
+++ b/internal/syncer/server.go
@@ -18,6 +18,7 @@
 	"github.com/primrosedrift/primrosedrift/internal/registrar"
 	"github.com/primrosedrift/primrosedrift/internal/sequencer"
 	"github.com/primrosedrift/primrosedrift/internal/sleeper"
+	"github.com/primrosedrift/primrosedrift/internal/streamtracker"
 	peerv1 "github.com/primrosedrift/primrosedrift/pkg/api/peer/v1"
 )
 
@@ -55,7 +56,9 @@
 	Store leaser.Store
 	// Losses are the losses that this instance knows.
 	Losses *losstracker.Tracker
-	Log    *zap.Logger
+	// Streams are the streams whose software versions this instance keeps.
+	Streams *streamtracker.Keeper
+	Log     *zap.Logger
 
 	mu       sync.Mutex
 	members  map[string]member
@@ -124,7 +127,7 @@
 		}
 		demands = append(demands, conductor.Demand{
 			Service: u.GetService(), Model: u.GetModel(), Adapter: u.GetAdapter(),
-			Arrived: int(u.GetArrived()), Waiting: int(u.GetWaiting()), Running: running,
+			Arrived: int(u.GetArrived()), Waiting: int(u.GetWaiting()), Running: running, Software: u.Software,
 		})
 	}
 	s.Conductor.Report(m.GetInstance(), demands, now)
--- a/pkg/verdict/verdict.go
+++ b/pkg/verdict/verdict.go
@@ -48,6 +48,9 @@
 	ReasonNotReady        Reason = "not-ready"
 	ReasonCanceled        Reason = "canceled"
 	ReasonIncompleteReply Reason = "incomplete-reply"
+	// ReasonUnknownOrigin refuses the rest of a stream that cannot go on, because it is not
+	// known which software version began it.
+	ReasonUnknownOrigin Reason = "unknown-origin"
 )
 
 // Refusal is the verdict on a request that was not answered. It implements
