internal/relayer: attempts that reach nobody do not use up the attempts

Cause: an upstream that restarts refuses connections and is registered anew only seconds later. Four attempts that no upstream received counted like four that one had rejected, so the first rejection after its return ended the request. They have had a bound of their own, which counted both kinds too.

TestAttemptsThatReachNobodyAreNotCharged failed before (503).

--- a/internal/relayer/attempt.go
+++ b/internal/relayer/attempt.go
@@ -62,7 +62,9 @@
 	if !res.isNotRun {
 		c.numMayHaveRun++
 	}
-	c.isUnsent = res.isUnsent
+	if c.isUnsent = res.isUnsent; c.isUnsent {
+		c.numUnreachable++
+	}
 	if !res.isRefused {
 		c.admission.Tried[u.ID] = true
 	}
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -30,11 +30,11 @@
 	// responseGrace is how long after the deadline to wait for the upstream's
 	// own response.
 	responseGrace = 150 * time.Millisecond
-	// maxSends bounds the attempts for a request, including those that provably
-	// did not run.
+	// maxSends bounds the attempts for a request that reach an upstream, including those
+	// that provably did not run.
 	maxSends = 4
-	// maxUnreachableSends bounds the attempts for a request whose last attempt did
-	// not reach its upstream. Its next attempt is not charged to the retry budget.
+	// maxUnreachableSends bounds the attempts for a request that do not reach their
+	// upstream. The next attempt after one of these is not charged to the retry budget.
 	maxUnreachableSends = 8
 	// maxRetryAfter bounds the Retry-After header.
 	maxRetryAfter = 8 * time.Second
@@ -140,6 +140,7 @@
 	origin         originState
 	numMayHaveRun  int // attempts that may have run
 	numSends       int
+	numUnreachable int            // sends that did not reach their upstream
 	isUnsent       bool           // the last attempt did not reach its upstream
 	isRetryCharged bool           // the retry budget was charged for the next attempt
 	fallback       *plainResponse // sent if the retry fails
@@ -302,10 +303,10 @@
 		return c.refuse(verdict.ReasonCanceled, 0, "the client left")
 	case remaining < minUpstreamTime:
 		return c.refuse(verdict.ReasonDeadline, 0, "no time left after %d attempts: %s", c.numSends, c.lastFailure)
-	case c.isUnsent && c.numSends < maxUnreachableSends:
-	case c.numSends >= maxSends || c.numMayHaveRun >= max(c.route.MaxAttempts, 1):
+	case c.isUnsent && c.numUnreachable < maxUnreachableSends:
+	case c.isUnsent || c.numSends-c.numUnreachable >= maxSends || c.numMayHaveRun >= max(c.route.MaxAttempts, 1):
 		return c.refuse(verdict.ReasonUpstreamFailed, minRetryAfter, "%d attempts: %s", c.numSends, c.lastFailure)
-	case !c.isUnsent && !c.isRetryCharged && !c.retryBudget().TryWithdraw():
+	case !c.isRetryCharged && !c.retryBudget().TryWithdraw():
 		return c.refuse(verdict.ReasonUpstreamFailed, time.Second, "retry budget used up: %s", c.lastFailure)
 	}
 	return nil
--- a/internal/relayer/relayer_test.go
+++ b/internal/relayer/relayer_test.go
@@ -11,6 +11,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -586,3 +587,27 @@
 	}
 	require.Equal(t, fingerprint(newCall("1", "m1", "p1")), fingerprint(newCall("2", "m2", "p2")))
 }
+
+// TestAttemptsThatReachNobodyAreNotCharged guards against a request that is refused with time
+// left, because its attempts failed to connect while its upstream restarted.
+func TestAttemptsThatReachNobodyAreNotCharged(t *testing.T) {
+	restarted := newUpstream(t, func(n int, r *http.Request, _ string) (string, bool) {
+		if n == 1 {
+			return response(r, 421, hUpstream+": u0\r\n", ""), false // its model is not loaded yet
+		}
+		return response(r, 200, stamped, "fine"), false
+	})
+	down := newUpstream(t, nil)
+	require.NoError(t, down.listen.Close())
+	g := newFixture(t, down)
+	var numFailed atomic.Int32
+	g.Pool.OnDial = func(_ string, _ time.Duration, err error) {
+		if err != nil && numFailed.Add(1) == maxSends {
+			u := *g.Upstreams.Snapshot().ByID["u0"]
+			u.Address, u.StartedAtMs = restarted.listen.Addr().String(), 2
+			g.Upstreams.ApplyRegistrations(map[string]*registrar.Upstream{"u0": &u}, time.Now())
+		}
+	}
+	resp, _ := g.do(g.request("POST", "/once/", "x"))
+	require.Equal(t, 200, resp.StatusCode)
+}
