internal/losstracker: a stream that makes progress at each upstream is no poison request

Cause: each end of an upstream is a loss of the content that ran there, whatever the upstream had sent. A request that ends upstreams at some point of its stream never gets past that point, so an attempt for the rest of a stream that did go on is no longer a loss. The first attempt still is one, and so is each that starts over, or that gets nothing.

TestStreamThatMakesProgressIsNoPoison failed before (4 losses instead of 1).

--- a/internal/losstracker/attempt.go
+++ b/internal/losstracker/attempt.go
@@ -31,6 +31,8 @@
 	repeat      int    // see Loss.Repeat
 	parts       []partMark
 	hasSurvived bool // see RecordSurvival
+	// isContinuation says that the attempt is for the rest of a stream.
+	isContinuation bool
 	// hasEnded says that the incarnation has ended since the attempt began. Another
 	// incarnation may run the request.
 	hasEnded bool
@@ -115,6 +117,15 @@
 	return events
 }
 
+// MarkContinuation marks the attempt as one for the rest of a stream that has begun. If the
+// upstream goes on with it for a while and then breaks off, the request has got past the point
+// at which earlier attempts broke off, so they did not break because of it.
+func (a *Attempt) MarkContinuation() {
+	a.tracker.mu.Lock()
+	defer a.tracker.mu.Unlock()
+	a.isContinuation = true
+}
+
 // End records the end of the attempt.
 func (a *Attempt) End(e Ending, now time.Time) {
 	t := a.tracker
@@ -162,6 +173,9 @@
 }
 
 func (a *Attempt) loseContentLocked(l loss, e Ending, c Change, now time.Time) []event {
+	if a.isContinuation && a.hasSurvived {
+		return nil
+	}
 	l.Fingerprint, l.Repeat, l.isUncounted = a.fingerprint, a.repeat, e == Left
 	return a.tracker.addLocked(l, c, now)
 }
--- a/internal/losstracker/doc.go
+++ b/internal/losstracker/doc.go
@@ -17,6 +17,8 @@
 //     withdrawn when the incarnation has registered itself later. Every instance decides
 //     this from the registrations that it reads, so neither has to be sent. An
 //     undecided loss has no other time limit.
+//   - An attempt for the rest of a stream is no loss if the upstream has gone on with the
+//     stream: a request that crashes upstreams does not get past the point where it does.
 //   - A request that runs to its end is no poison request: its losses so far are refuted.
 //     Many callers may send the same content, which then runs on every upstream that
 //     ends. All instances that know these losses are told.
--- a/internal/losstracker/losstracker_test.go
+++ b/internal/losstracker/losstracker_test.go
@@ -208,3 +208,36 @@
 	require.Empty(t, tr.Unreported("c1", start.Add(lossTTL+1)))
 	require.Empty(t, tr.Unreported("c2", start.Add(lossTTL+1)))
 }
+
+// TestStreamThatMakesProgressIsNoPoison guards against a stream that is refused after three
+// upstreams have crashed beneath it, each after it had sent some of the stream.
+func TestStreamThatMakesProgressIsNoPoison(t *testing.T) {
+	const content = 7
+	for name, tt := range map[string]struct {
+		makesProgress, isContinuation bool
+		want                          int // losses that count
+	}{
+		"progress":              {true, true, 1},
+		"no progress":           {false, true, 4},
+		"always from the start": {true, false, 4},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var k Tracker
+			now := time.Unix(1000, 0)
+			for n := range int64(4) {
+				i := registrar.Incarnation{ID: "u", StartedAtMs: n}
+				a := k.Begin(i, content)
+				if n > 0 && tt.isContinuation {
+					a.MarkContinuation()
+				}
+				if n == 0 || tt.makesProgress {
+					a.RecordSurvival(now)
+				}
+				a.End(Broken, now)
+				k.RecordEnd(i, now)
+			}
+			counted, _ := k.Losses(content, now)
+			require.Equal(t, tt.want, counted)
+		})
+	}
+}
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -284,6 +284,9 @@
 			slot.Release()
 			return c.refuseFinding(found)
 		}
+		if c.admission.Software != nil {
+			c.tracked.MarkContinuation()
+		}
 		c.numSends++
 		done, err := c.attempt(ctx, slot)
 		if done || err != nil {
