internal/losstracker, internal/relayer: a request that did not run is not lost with its upstream

One crash gave a stream two or three losses.

Cause: an attempt that finds another process at its upstream's address (421, so it did not run) reports that the upstream has ended, and while it did so it was itself among the requests that ran there. So each request that was the first to learn of an end was accused of it. It now ends first. An attempt that ended without having run takes back the loss that the end of its upstream had added, for those that learn of it from elsewhere.

TestMisdirectedRequestIsNotLost and TestRequestThatDidNotRunIsNotLostWithItsUpstream failed before (one confirmed loss each).

--- a/internal/losstracker/attempt.go
+++ b/internal/losstracker/attempt.go
@@ -142,6 +142,9 @@
 	var events []event
 	switch e {
 	case Completed:
+		if a.hasEnded {
+			events = a.refuteOwnLocked(now)
+		}
 	case Succeeded:
 		events = append(a.surviveLocked(now), t.refuteLocked(a.fingerprint, now)...)
 	default:
@@ -152,6 +155,22 @@
 	t.notify(events)
 }
 
+// refuteOwnLocked takes back the loss that was added when the incarnation ended.
+func (a *Attempt) refuteOwnLocked(now time.Time) []event {
+	t := a.tracker
+	r := t.requestLocked(a.fingerprint, now)
+	if r == nil {
+		return nil
+	}
+	l := r.find(keyOf(Loss{Fingerprint: a.fingerprint, Incarnation: a.incarnation, Repeat: a.repeat}))
+	if l == nil || l.IsRefuted {
+		return nil
+	}
+	t.refuteLossLocked(r, l, now)
+	t.updateSavingLocked(a.fingerprint, r)
+	return []event{{l.Loss, Refuted, 0}}
+}
+
 // loseLocked adds the losses of the request and of its parts.
 func (a *Attempt) loseLocked(l loss, e Ending, c Change, now time.Time) []event {
 	events := a.loseContentLocked(l, e, c, now)
--- a/internal/losstracker/losstracker_test.go
+++ b/internal/losstracker/losstracker_test.go
@@ -241,3 +241,21 @@
 		})
 	}
 }
+
+// TestRequestThatDidNotRunIsNotLostWithItsUpstream guards against an attempt that counts as
+// lost because its upstream's end became known before its response, which says that it did not
+// run.
+func TestRequestThatDidNotRunIsNotLostWithItsUpstream(t *testing.T) {
+	var k Tracker
+	now := time.Unix(1000, 0)
+	i := registrar.Incarnation{ID: "u", StartedAtMs: 1}
+	notRun, ran := k.Begin(i, 7), k.Begin(i, 8)
+	k.RecordEnd(i, now)
+	notRun.End(Completed, now)
+	ran.End(Broken, now)
+	for content, want := range map[uint64]int{7: 0, 8: 1} {
+		counted, confirmed := k.Losses(content, now)
+		require.Equal(t, want, counted)
+		require.Equal(t, want, confirmed)
+	}
+}
--- a/internal/relayer/attempt.go
+++ b/internal/relayer/attempt.go
@@ -32,13 +32,15 @@
 
 // attemptResult describes how an attempt ended.
 type attemptResult struct {
-	isForwarded bool   // a response was forwarded to the client
-	err         error  // ends the request
-	hasFailed   bool   // counts as a failure of the upstream
-	isNotRun    bool   // the upstream provably did not run the request
-	isUnsent    bool   // no byte of the request reached the upstream
-	isRefused   bool   // the upstream refused it because it is full or busy with an order
-	isComplete  bool   // the upstream's response was complete
+	isForwarded bool  // a response was forwarded to the client
+	err         error // ends the request
+	hasFailed   bool  // counts as a failure of the upstream
+	isNotRun    bool  // the upstream provably did not run the request
+	isUnsent    bool  // no byte of the request reached the upstream
+	isRefused   bool  // the upstream refused it because it is full or busy with an order
+	isComplete  bool  // the upstream's response was complete
+	// misdirected is the response of an upstream that refused the request as misdirected.
+	misdirected *ResponseInfo
 	reason      string // why the attempt failed, for the log
 }
 
@@ -52,13 +54,17 @@
 	eventsBefore := c.stream.numEvents
 	c.recordOrigin(u)
 	res := c.exchange(ctx, slot, began)
+	isCanceled := ctx.Err() != nil
+	c.tracked.End(c.ending(res, isCanceled, time.Since(began)), time.Now())
+	if res.misdirected != nil {
+		// After the end of the attempt, which would be lost with the upstream otherwise.
+		c.recordMisdirected(u, *res.misdirected)
+	}
 	if res.isRefused {
 		slot.Shed()
 	}
 	slot.Release()
 	c.lastFailure = res.reason
-	isCanceled := ctx.Err() != nil
-	c.tracked.End(c.ending(res, isCanceled, time.Since(began)), time.Now())
 	if !res.isNotRun {
 		c.numMayHaveRun++
 	}
@@ -139,8 +145,7 @@
 	}
 	switch {
 	case resp.Status == http.StatusMisdirectedRequest:
-		c.recordMisdirected(u, r)
-		return attemptResult{isNotRun: true, reason: "misdirected"}
+		return attemptResult{isNotRun: true, misdirected: &r, reason: "misdirected"}
 	case r.NotRun: // an unmatched response comes only on a new connection, so it is to this request
 		return attemptResult{isNotRun: true, isRefused: true, reason: "upstream refused with status " + strconv.Itoa(resp.Status)}
 	case !resp.IsMatched:
--- a/internal/relayer/relayer_test.go
+++ b/internal/relayer/relayer_test.go
@@ -611,3 +611,18 @@
 	resp, _ := g.do(g.request("POST", "/once/", "x"))
 	require.Equal(t, 200, resp.StatusCode)
 }
+
+// TestMisdirectedRequestIsNotLost guards against a request that is accused of the end of an
+// upstream, because it found another one at the upstream's address.
+func TestMisdirectedRequestIsNotLost(t *testing.T) {
+	up := newUpstream(t, func(_ int, r *http.Request, _ string) (string, bool) {
+		return response(r, 421, hUpstream+": other\r\n", ""), false
+	})
+	g := newFixture(t, up)
+	g.Upstreams.OnIncarnationEnd = func(u *registrar.Upstream, _ string) { g.Losses.RecordEnd(u.Incarnation(), time.Now()) }
+	var changes []losstracker.Change
+	g.Losses.OnChange = func(_ losstracker.Loss, c losstracker.Change, _ int) { changes = append(changes, c) }
+	g.do(g.request("POST", "/once/", "x"))
+	require.Equal(t, 1, up.count())
+	require.Empty(t, changes)
+}
