internal/courier: idle connections of an upstream that has just crashed are not reused

Cause: the retry went out on another idle connection of the same process, whose end had not arrived yet. It may have run, so it used up the attempts of the route, and counted as another loss of the request. A connection that ends early or is reset now closes the idle ones to the address; the next attempt dials.

--- a/internal/courier/courier.go
+++ b/internal/courier/courier.go
@@ -94,6 +94,7 @@
 		return resp, nil
 	}
 	x.end(false)
+	p.closeIfLost(address, err)
 	if cause := context.Cause(ctx); cause != nil {
 		err = errors.CombineErrors(cause, err)
 	}
@@ -196,6 +197,7 @@
 	n, err := b.ReadCloser.Read(p)
 	if err != nil {
 		b.x.end(b.isReusable && errors.Is(err, io.EOF))
+		b.x.pool.closeIfLost(b.x.address, err)
 	}
 	return n, err
 }
--- a/internal/courier/courier_test.go
+++ b/internal/courier/courier_test.go
@@ -138,3 +138,37 @@
 	require.Error(t, err)
 	require.False(t, errors.Is(err, io.EOF))
 }
+
+// TestIdleConnectionsOfABrokenUpstreamAreNotReused guards against a request that is sent, and may
+// have run, on an idle connection of an upstream that has just crashed.
+func TestIdleConnectionsOfABrokenUpstreamAreNotReused(t *testing.T) {
+	crash := make(chan struct{})
+	address := serve(t, func(n int, c net.Conn) {
+		_, _ = http.ReadRequest(bufio.NewReader(c))
+		if n == 0 {
+			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf")
+			<-crash
+			_ = c.Close()
+			return
+		}
+		_, _ = io.WriteString(c, emptyOK)
+		_, _ = c.Read(make([]byte, 1)) // its own end is not noticed yet
+	})
+	var numDials int
+	p := &Pool{OnDial: func(string, time.Duration, error) { numDials++ }}
+	resp, err := p.Do(t.Context(), address, &Request{Method: http.MethodGet, Target: "/"})
+	require.NoError(t, err)
+	defer resp.Body.Close()
+	status, err := call(t, p, address)
+	require.NoError(t, err)
+	require.Equal(t, http.StatusOK, status)
+	require.Equal(t, 2, numDials)
+	close(crash)
+	_, err = io.ReadAll(resp.Body)
+	require.ErrorIs(t, err, io.ErrUnexpectedEOF)
+	ctx, cancel := context.WithTimeout(t.Context(), time.Second) // the other connection is never answered
+	defer cancel()
+	_, err = p.Call(ctx, address, http.MethodGet, "/", nil, nil)
+	require.NoError(t, err)
+	require.Equal(t, 3, numDials, "not on the idle connection")
+}
--- a/internal/courier/pool.go
+++ b/internal/courier/pool.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"io"
 	"net"
 	"net/http"
 	"strconv"
@@ -146,6 +147,15 @@
 	}
 }
 
+// closeIfLost closes the idle connections to an address after an error that shows that the
+// upstream may have ended. Their own end may not have arrived yet, and a request that is sent
+// on one of them may have run.
+func (p *Pool) closeIfLost(address string, err error) {
+	if errors.IsAny(err, io.ErrUnexpectedEOF, syscall.ECONNRESET, syscall.EPIPE) {
+		p.CloseIdle(address)
+	}
+}
+
 // isOpenAndEmpty reports whether the connection is open and no unread bytes are
 // pending on it.
 func (c *conn) isOpenAndEmpty() bool {
