internal/linkwatcher, internal/relayer: instances without links to upstreams hand requests on

Cause: an instance took its cut links for many broken upstreams. It kept requests in its queue until they were refused, though its peers reached the upstreams. Class: one instance's trouble taken for that of what it depends on.

Now connections to two upstreams that fail are a doubt, settled by a round of connections to others. While the links are cut, requests are handed on to a peer that reaches the upstreams, once, with the time and the attempts that are left; those that wait are released for that. The members say whether they are cut off; callers are directed to the others, and failures of the links are not reported as failures of upstreams.

--- a/internal/assembler/assembler.go
+++ b/internal/assembler/assembler.go
@@ -2,8 +2,9 @@
 
 import (
 	"context"
-	"crypto/rand"
+	cryptorand "crypto/rand"
 	"io"
+	"math/rand/v2"
 	"net/http"
 	"runtime/debug"
 	"sync"
@@ -19,6 +20,7 @@
 	"github.com/primrosedrift/primrosedrift/internal/courier"
 	"github.com/primrosedrift/primrosedrift/internal/follower"
 	"github.com/primrosedrift/primrosedrift/internal/leaser"
+	"github.com/primrosedrift/primrosedrift/internal/linkwatcher"
 	"github.com/primrosedrift/primrosedrift/internal/locator"
 	"github.com/primrosedrift/primrosedrift/internal/logger"
 	"github.com/primrosedrift/primrosedrift/internal/losstracker"
@@ -109,6 +111,7 @@
 	losses           *losstracker.Tracker
 	poisonSaver      *losstracker.Saver
 	streams          *streamtracker.Keeper
+	links            *linkwatcher.Watcher
 	softwareSaver    *streamtracker.Saver
 	retryBudgets     *retrier.Budgets
 	relayer          *relayer.Relayer
@@ -127,10 +130,11 @@
 	a.registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	a.metrics = newMetrics(a.registry)
 	self := &peerv1.Member{
-		Instance: d.Instance, Incarnation: newIncarnation(d.Instance, time.Now(), rand.Reader), DataCentre: d.DataCentre,
+		Instance: d.Instance, Incarnation: newIncarnation(d.Instance, time.Now(), cryptorand.Reader), DataCentre: d.DataCentre,
 		PeerAddress: d.Listen.Peer, CallerAddress: d.Listen.Caller,
 	}
 	a.wireStreams()
+	a.wireLinks()
 	a.wireRequests()
 	a.wireOrders(self)
 	a.wireFollowers()
@@ -173,6 +177,22 @@
 	a.streams.History.Observe(a.upstreamTable.SoftwareVersions(), a.upstreamTable.IsComplete(now), now)
 }
 
+// wireLinks creates the component that watches the links to the upstreams.
+func (a *Assembler) wireLinks() {
+	a.links = &linkwatcher.Watcher{
+		Addresses: func() []string {
+			var out []string
+			for _, u := range a.upstreamTable.Snapshot().ByID {
+				out = append(out, u.Address)
+			}
+			return out
+		},
+		Dial:     func(ctx context.Context, address string) error { return a.pool.TryConnect(ctx, address) },
+		OnChange: func(bool) { a.client.ReportNow() },
+		Log:      a.Log.Named("linkwatcher"),
+	}
+}
+
 // wireRequests creates the components that serve requests.
 func (a *Assembler) wireRequests() {
 	a.losses = &losstracker.Tracker{RegistrationDelay: a.MaxDrainDelay}
@@ -199,16 +219,18 @@
 	}
 	a.pool = &courier.Pool{IDHeader: a.Codec.IDHeader, OnDial: func(address string, took time.Duration, err error) {
 		a.metrics.dials.Inc()
+		a.links.Record(address, err, time.Now())
 		if err != nil {
 			a.Log.Info("connection to upstream failed", zap.String("address", address), zap.Duration("took", took), logger.Error(err))
 		}
 	}}
-	a.queue = &queuer.Queue{Upstreams: a.upstreamTable, Config: a.config.Load, OnDemandChange: func() { a.client.ReportNow() }, HasConductor: func() bool { return a.client.HasConductor() }}
+	a.queue = &queuer.Queue{Upstreams: a.upstreamTable, Config: a.config.Load, OnDemandChange: func() { a.client.ReportNow() }, HasConductor: func() bool { return a.client.HasConductor() }, LinksCut: a.links.Cut}
 	a.queue.Table.DataCentre = a.DataCentre
 	a.retryBudgets = &retrier.Budgets{Ratio: usedRetryFraction * a.RetryRatio, Reserve: usedReserveFraction * a.RetryReserve / minReserveMembers, StartsEmpty: true}
 	a.relayer = &relayer.Relayer{
 		Codec: a.Codec, Config: a.config.Load, Upstreams: a.upstreamTable, Queue: a.queue, Pool: a.pool, RetryBudgets: a.retryBudgets,
-		Losses: a.losses, Streams: a.streams, Log: a.Log.Named("relayer"), Metrics: relayer.NewMetrics(a.registry),
+		Losses: a.losses, Streams: a.streams, Links: a.links, Peers: a.peersToHandOn,
+		PeerPool: &courier.Pool{IDHeader: a.Codec.IDHeader, UserTimeout: peerUserTimeout}, Log: a.Log.Named("relayer"), Metrics: relayer.NewMetrics(a.registry),
 		MayTry:     func() bool { return a.lease.IsHolder() },
 		ViewAge:    func() time.Duration { return a.client.ViewAge() },
 		IsStopping: a.isStopping.Load, IsClosed: a.isClosed.Load,
@@ -252,7 +274,7 @@
 	}
 	a.client = &syncer.Client{
 		Self: self, HTTP: syncer.NewHTTPClient(), Lease: a.lease, Server: a.server, Queue: a.queue, Upstreams: a.upstreamTable,
-		Losses: a.losses, Seeds: a.Seeds, IsStopping: a.isStopping.Load, Log: a.Log.Named("syncer"),
+		Losses: a.losses, Seeds: a.Seeds, IsStopping: a.isStopping.Load, Links: a.links, Log: a.Log.Named("syncer"),
 	}
 	a.lease.PeerStore = a.client.PeerStore()
 }
@@ -378,10 +400,29 @@
 	return a.config.Load() != nil && !a.isStopping.Load()
 }
 
+// peersToHandOn returns the addresses of the peers that reach the upstreams, in a random order,
+// those of this data centre first.
+func (a *Assembler) peersToHandOn() []string {
+	var local, others []string
+	for _, m := range a.client.Members() {
+		switch {
+		case m.GetInstance() == a.Instance || m.GetIsStopping() || m.GetIsCutOff():
+		case m.GetDataCentre() == a.DataCentre:
+			local = append(local, m.GetPeerAddress())
+		default:
+			others = append(others, m.GetPeerAddress())
+		}
+	}
+	for _, list := range [][]string{local, others} {
+		rand.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
+	}
+	return append(local, others...)
+}
+
 // locate returns the addresses of entry instances for a caller in a data centre
 // and how long the caller may cache them.
 func (a *Assembler) locate(dataCentre string) ([]string, time.Duration) {
-	var instances []locator.Instance
+	var instances, cutOff []locator.Instance
 	hasSelf := false
 	for _, m := range a.client.Members() {
 		if m.GetIsStopping() {
@@ -393,7 +434,15 @@
 				continue
 			}
 		}
-		instances = append(instances, locator.Instance{Address: m.GetCallerAddress(), DataCentre: m.GetDataCentre()})
+		i := locator.Instance{Address: m.GetCallerAddress(), DataCentre: m.GetDataCentre()}
+		if m.GetIsCutOff() {
+			cutOff = append(cutOff, i) // it serves through others
+			continue
+		}
+		instances = append(instances, i)
+	}
+	if len(instances) == 0 {
+		instances = cutOff
 	}
 	if !hasSelf && a.isReady() {
 		instances = append(instances, locator.Instance{Address: a.Listen.Caller, DataCentre: a.DataCentre})
@@ -416,7 +465,7 @@
 	defer end()
 	var wg sync.WaitGroup
 	for _, run := range []func(context.Context){
-		a.configFollower.Run, a.upstreamFollower.Run, a.queue.Run, a.lease.Run, a.conductor.Run, a.client.Run, a.poisonSaver.Run, a.softwareSaver.Run, a.sweepPeriodically,
+		a.configFollower.Run, a.upstreamFollower.Run, a.queue.Run, a.lease.Run, a.conductor.Run, a.client.Run, a.poisonSaver.Run, a.softwareSaver.Run, a.links.Run, a.sweepPeriodically,
 	} {
 		wg.Go(func() { run(work) })
 	}
@@ -439,6 +488,7 @@
 			return
 		case now := <-tick.C:
 			a.pool.Sweep(now)
+			a.relayer.PeerPool.Sweep(now)
 			a.upstreamTable.Sweep(now)
 			a.observeSoftware(now)
 			a.streams.Tracker.Sweep(now)
--- a/internal/assembler/listen.go
+++ b/internal/assembler/listen.go
@@ -13,6 +13,7 @@
 
 	"github.com/primrosedrift/primrosedrift/internal/courier"
 	"github.com/primrosedrift/primrosedrift/internal/logger"
+	"github.com/primrosedrift/primrosedrift/internal/relayer"
 	"github.com/primrosedrift/primrosedrift/internal/sleeper"
 	"github.com/primrosedrift/primrosedrift/internal/syncer"
 	peerv1 "github.com/primrosedrift/primrosedrift/pkg/api/peer/v1"
@@ -29,6 +30,9 @@
 	// callerUserTimeout is the TCP user timeout of connections from clients: how
 	// long sent data may stay unacknowledged.
 	callerUserTimeout = 4 * time.Second
+	// peerUserTimeout is the TCP user timeout of connections to peers that serve requests in
+	// place of this instance.
+	peerUserTimeout = time.Second
 	// stopAcceptDuration is how long a stopping instance accepts new requests.
 	// Callers keep using a cached address for some time after the directory has
 	// dropped it.
@@ -56,7 +60,14 @@
 	queries := peerv1.NewFleetQueriesServer(a.server)
 	mux.Handle(commands.PathPrefix(), commands)
 	mux.Handle(queries.PathPrefix(), queries)
-	return http.MaxBytesHandler(mux, syncer.MaxMessageBytes)
+	h := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.Header.Get(relayer.HeaderHandedOn) != "" {
+			a.relayer.ServeHTTP(w, r) // not through mux, which changes paths
+			return
+		}
+		mux.ServeHTTP(w, r)
+	})
+	return http.MaxBytesHandler(h, syncer.MaxMessageBytes)
 }
 
 func (a *Assembler) metricsHandler() http.Handler {
--- a/internal/courier/pool.go
+++ b/internal/courier/pool.go
@@ -87,10 +87,8 @@
 }
 
 func (p *Pool) dial(ctx context.Context, address string) (*conn, error) {
-	timeout := orDefault(p.DialTimeout, DefaultDialTimeout)
-	d := net.Dialer{Timeout: timeout, KeepAlive: -1, Control: UserTimeoutControl(orDefault(p.UserTimeout, DefaultUserTimeout))}
 	began := time.Now()
-	nc, err := d.DialContext(ctx, "tcp4", address)
+	nc, err := p.connect(ctx, address)
 	if p.OnDial != nil {
 		p.OnDial(address, time.Since(began), err)
 	}
@@ -101,6 +99,22 @@
 	return &conn{Conn: nc, head: head, r: bufio.NewReaderSize(head, readBufferBytes), maxIdle: orDefault(p.MaxIdle, DefaultMaxIdle)}, nil
 }
 
+// TryConnect opens a connection to an address and closes it. It does not call OnDial.
+func (p *Pool) TryConnect(ctx context.Context, address string) error {
+	c, err := p.connect(ctx, address)
+	if err != nil {
+		return err
+	}
+	return c.Close()
+}
+
+func (p *Pool) connect(ctx context.Context, address string) (net.Conn, error) {
+	d := net.Dialer{
+		Timeout: orDefault(p.DialTimeout, DefaultDialTimeout), KeepAlive: -1, Control: UserTimeoutControl(orDefault(p.UserTimeout, DefaultUserTimeout)),
+	}
+	return d.DialContext(ctx, "tcp4", address)
+}
+
 // put adds a connection whose response was read to its end to the idle ones.
 func (p *Pool) put(address string, c *conn) {
 	c.idleAt = time.Now()
--- a/internal/queuer/queuer.go
+++ b/internal/queuer/queuer.go
@@ -25,6 +25,9 @@
 	// starts to wait, is refused at once, or ends on an upstream that gets no new
 	// requests for the model, because the model drains there.
 	OnDemandChange func()
+	// LinksCut, if set, returns a channel that is closed when this instance has lost its links
+	// to the upstreams. Waiting requests are then refused.
+	LinksCut func() <-chan struct{}
 
 	mu     sync.Mutex
 	Table  Table
@@ -90,6 +93,10 @@
 	q.mu.Unlock()
 	q.notifyDemand()
 
+	var cut <-chan struct{}
+	if q.LinksCut != nil && !req.IgnoresCut {
+		cut = q.LinksCut()
+	}
 	timer := time.NewTimer(time.Until(req.StartBy))
 	defer timer.Stop()
 	select {
@@ -101,6 +108,7 @@
 	case <-timer.C:
 	case <-ctx.Done():
 	case <-closed:
+	case <-cut:
 	}
 	q.mu.Lock()
 	removed := q.Table.Remove(w)
@@ -119,6 +127,8 @@
 	select {
 	case <-closed:
 		return nil, verdict.Refuse(verdict.ReasonStopping, 0, "the instance stops")
+	case <-cut:
+		return nil, verdict.Refuse(verdict.ReasonNoUpstream, minRetryDelay, "the links to the upstreams are cut")
 	default:
 	}
 	return nil, refusal(estimate, max(estimate.Delay, minRetryDelay), req)
--- a/internal/queuer/table.go
+++ b/internal/queuer/table.go
@@ -81,6 +81,9 @@
 	// Software, if not nil, is the only software version whose upstreams may run the
 	// request: it is for the rest of a stream that began there.
 	Software *string
+	// IgnoresCut makes the request wait although the links to the upstreams are cut: no other
+	// instance takes it.
+	IgnoresCut bool
 }
 
 // key identifies a service, or a model or adapter of it, at any software version or at one.
--- a/internal/relayer/attempt.go
+++ b/internal/relayer/attempt.go
@@ -39,6 +39,7 @@
 	isUnsent    bool  // no byte of the request reached the upstream
 	isRefused   bool  // the upstream refused it because it is full or busy with an order
 	isComplete  bool  // the upstream's response was complete
+	isPeerCut   bool  // the peer to which it was handed on has lost its links, too
 	// misdirected is the response of an upstream that refused the request as misdirected.
 	misdirected *ResponseInfo
 	reason      string // why the attempt failed, for the log
@@ -173,7 +174,7 @@
 // forwardPlain forwards a response that is not a stream.
 func (c *call) forwardPlain(resp *courier.Response) attemptResult {
 	// An idempotent request that failed with status 500 is retried at another upstream.
-	canRetry := resp.Status == http.StatusInternalServerError && c.route.MayRetry() && c.numMayHaveRun+1 < c.route.MaxAttempts &&
+	canRetry := resp.Status == http.StatusInternalServerError && c.route.MayRetry() && !c.handOn.isRunning && c.numMayHaveRun+1 < c.route.MaxAttempts &&
 		time.Until(c.deadline) > minUpstreamTime
 	held := buffer{of: &c.Buffers}
 	defer held.release()
--- /dev/null
+++ b/internal/relayer/handon.go
@@ -0,0 +1,165 @@
+package relayer
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"go.uber.org/zap"
+
+	"github.com/primrosedrift/primrosedrift/internal/courier"
+	"github.com/primrosedrift/primrosedrift/internal/logger"
+	"github.com/primrosedrift/primrosedrift/pkg/verdict"
+)
+
+// HeaderHandedOn is the header of a request that a peer has handed on. It holds the number of
+// attempts that may run. Such a request is not handed on again.
+const HeaderHandedOn = "Primrosedrift-Handed-On"
+
+// headerCutOff is in the response of a peer that has lost its own links to the upstreams.
+const headerCutOff = "Primrosedrift-Cut-Off"
+
+// maxPeersTried bounds the peers to which a request is sent, each after the one before
+// provably did not receive it or refused it.
+const maxPeersTried = 3
+
+// handOnState says whether a request comes from a peer or goes to one.
+type handOnState struct {
+	isReceived bool   // from a peer
+	isRunning  bool   // an exchange with a peer runs
+	peer       string // address of the last peer to which it was sent
+	hasGivenUp bool   // no peer has received it
+}
+
+// receiveHandedOn applies what a peer says about a request that it has handed on.
+func (c *call) receiveHandedOn(r *http.Request) error {
+	v := r.Header.Get(HeaderHandedOn)
+	if v == "" {
+		return nil
+	}
+	attempts, err := strconv.Atoi(v)
+	if err != nil || attempts < 1 {
+		return errors.Newf("malformed header %s: %q", HeaderHandedOn, v)
+	}
+	r.Header.Del(HeaderHandedOn) // not for the upstream
+	c.handOn.isReceived = true
+	c.route.MaxAttempts = min(max(c.route.MaxAttempts, 1), attempts)
+	return nil
+}
+
+// shouldHandOn reports whether a peer should serve the request: the links of this instance to
+// the upstreams are cut, and an attempt is left.
+func (c *call) shouldHandOn() bool {
+	return !c.handOn.isReceived && c.handOn.peer == "" && !c.handOn.hasGivenUp && c.attemptsLeft() > 0 && c.Links.IsCut()
+}
+
+func (c *call) attemptsLeft() int { return max(c.route.MaxAttempts, 1) - c.numMayHaveRun }
+
+// tryPeers hands the request on. It reports done if a response was forwarded, and neither done
+// nor an error if no peer has received it.
+func (c *call) tryPeers(ctx context.Context) (done bool, err error) {
+	peers := c.Peers()
+	for _, address := range peers[:min(len(peers), maxPeersTried)] {
+		if ctx.Err() != nil || time.Until(c.deadline) < minUpstreamTime {
+			break
+		}
+		began := time.Now()
+		res, refusal := c.exchangeWithPeer(ctx, address)
+		c.lastFailure = res.reason
+		if !res.isNotRun {
+			c.numMayHaveRun++
+		}
+		c.Log.Info("request handed on", zap.String("request", c.requestInfo.ID), zap.String("peer", address), zap.Bool("forwarded", res.isForwarded),
+			zap.Bool("not-run", res.isNotRun), zap.Bool("left", ctx.Err() != nil), zap.String("why", res.reason), zap.Duration("took", time.Since(began)), logger.Error(res.err))
+		c.Metrics.handedOn.WithLabelValues(c.admission.Service, handOnOutcome(res)).Inc()
+		switch {
+		case res.isForwarded || res.err != nil:
+			return res.isForwarded, res.err
+		case res.isPeerCut:
+			c.handOn.peer = ""
+			continue
+		case refusal != nil:
+			return false, c.withEarlierAttempts(*refusal)
+		case res.isUnsent:
+			continue
+		case c.stream.hasStarted && c.isResumable() && c.attemptsLeft() > 0 && c.retryBudget().TryWithdraw():
+			return false, nil // the rest, from wherever it can be served now
+		}
+		return false, c.withEarlierAttempts(incompleteReply("%s", res.reason))
+	}
+	c.handOn.hasGivenUp, c.admission.IgnoresCut = true, true
+	return false, nil
+}
+
+// refuseIfCut refuses a request that a peer has handed on, if this instance has lost its links
+// as well. The peer then tries another one.
+func (c *call) refuseIfCut() error {
+	if !c.handOn.isReceived || !c.Links.IsCut() || c.stream.hasStarted {
+		return nil
+	}
+	c.w.Header().Set(headerCutOff, "1")
+	return c.refuse(verdict.ReasonNoUpstream, minRetryAfter, "the links to the upstreams are cut")
+}
+
+// handOnOutcome returns the result of an exchange with a peer, for metrics.
+func handOnOutcome(res attemptResult) string {
+	switch {
+	case res.isForwarded:
+		return "forwarded"
+	case res.isNotRun:
+		return "not-run"
+	}
+	return "failed"
+}
+
+// exchangeWithPeer sends the request to a peer once and forwards its response. It returns a
+// refusal if the peer has refused the request.
+func (c *call) exchangeWithPeer(ctx context.Context, address string) (attemptResult, *verdict.Refusal) {
+	c.handOn.isRunning = true
+	defer func() { c.handOn.isRunning = false }()
+	left := time.Until(c.deadline)
+	actx, cancel := context.WithTimeout(ctx, left+2*responseGrace)
+	defer cancel()
+	resumes := c.requestInfo.Resumes
+	if resumes == "" && c.stream.hasStarted {
+		resumes = c.requestInfo.ID
+	}
+	req := c.req
+	req.Header = c.Codec.HandOnHeader(c.clientHeader, left, c.stream.lastEventID, resumes)
+	req.Header.Set(HeaderHandedOn, strconv.Itoa(c.attemptsLeft()))
+	resp, err := c.PeerPool.Do(actx, address, &req)
+	if err != nil {
+		unsent := !courier.WasSent(err)
+		return attemptResult{isNotRun: unsent, isUnsent: unsent, reason: "peer: " + err.Error()}, nil
+	}
+	defer resp.Body.Close()
+	c.handOn.peer = address
+	r := c.Codec.ParseResponse(resp.Status, resp.Header)
+	switch {
+	case !resp.IsMatched:
+		return attemptResult{reason: "peer: answer without the request's id"}, nil
+	case r.IsStamped && resp.Status < http.StatusMultipleChoices && c.route.IsStream:
+		return c.forwardStream(actx, resp), nil
+	case r.IsStamped:
+		return c.forwardPlain(resp), nil
+	case resp.Status == http.StatusServiceUnavailable && resp.Header.Get(headerCutOff) != "":
+		return attemptResult{isNotRun: true, isPeerCut: true, reason: "peer: cut off as well"}, nil
+	case resp.Status == http.StatusServiceUnavailable:
+		refusal := verdict.Refuse(verdict.ReasonNoUpstream, retryAfterOf(resp.Header), "refused by the peer at %s", address)
+		return attemptResult{isNotRun: true, reason: "peer: refused"}, &refusal
+	case resp.Status >= http.StatusBadRequest && resp.Status < http.StatusInternalServerError:
+		return attemptResult{isNotRun: true, err: statusError{status: resp.Status, reason: "rejected by the peer at " + address}}, nil
+	}
+	return attemptResult{reason: "peer: status " + strconv.Itoa(resp.Status)}, nil
+}
+
+// retryAfterOf returns the retry delay that a peer states.
+func retryAfterOf(h http.Header) time.Duration {
+	s, err := strconv.ParseFloat(h.Get("Retry-After"), 64)
+	if err != nil || s < 0 {
+		return minRetryAfter
+	}
+	return min(time.Duration(s*float64(time.Second)), maxRetryAfter)
+}
--- a/internal/relayer/metrics.go
+++ b/internal/relayer/metrics.go
@@ -18,6 +18,7 @@
 	queueTime   *prometheus.HistogramVec
 	losses      *prometheus.CounterVec
 	limited     *prometheus.CounterVec
+	handedOn    *prometheus.CounterVec
 }
 
 // NewMetrics returns the metrics, registered with r.
@@ -39,11 +40,14 @@
 		limited: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "primrosedrift_limited_responses_total", Help: "Responses in which the upstream limits the requests that it takes.",
 		}, []string{"service"}),
+		handedOn: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "primrosedrift_handed_on_requests_total", Help: "Requests that were sent to a peer because the links to the upstreams are cut, by result.",
+		}, []string{"service", "result"}),
 		duration:    histogram("primrosedrift_relayed_seconds", "Time from a request's arrival to its end."),
 		headLatency: histogram("primrosedrift_relayed_first_byte_seconds", "Time from an attempt to the head of its answer."),
 		queueTime:   histogram("primrosedrift_relayed_wait_seconds", "Time in the queue."),
 	}
-	r.MustRegister(m.requests, m.attempts, m.duration, m.headLatency, m.queueTime, m.losses, m.limited)
+	r.MustRegister(m.requests, m.attempts, m.duration, m.headLatency, m.queueTime, m.losses, m.limited, m.handedOn)
 	return m
 }
 
--- a/internal/relayer/origin.go
+++ b/internal/relayer/origin.go
@@ -51,9 +51,22 @@
 
 // bindToOrigin restricts a stream that begins to the software version of its upstream.
 func (c *call) bindToOrigin(ctx context.Context) {
-	if !c.isResumable() || c.admission.Software != nil {
+	if !c.isResumable() || c.admission.Software != nil || c.handOn.isRunning {
 		return
 	}
 	c.Streams.Await(ctx, c.origin.delivery, c.origin.isCorrection)
 	c.admission.Software = &c.origin.software
 }
+
+// resolveOriginAtPeer restricts a stream that has begun at a peer to its software version.
+func (c *call) resolveOriginAtPeer(ctx context.Context) error {
+	if !c.stream.hasStarted || !c.isResumable() || c.admission.Software != nil {
+		return nil
+	}
+	software, err := c.Streams.Resolve(ctx, c.requestInfo.ID, c.admission.Service)
+	if err != nil {
+		return err
+	}
+	c.admission.Software = &software
+	return nil
+}
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -12,6 +12,7 @@
 	"go.uber.org/zap"
 
 	"github.com/primrosedrift/primrosedrift/internal/courier"
+	"github.com/primrosedrift/primrosedrift/internal/linkwatcher"
 	"github.com/primrosedrift/primrosedrift/internal/losstracker"
 	"github.com/primrosedrift/primrosedrift/internal/matcher"
 	"github.com/primrosedrift/primrosedrift/internal/queuer"
@@ -86,6 +87,9 @@
 	ParseRequest func(r *http.Request) (RequestInfo, error)
 	// OutgoingHeader returns the headers to send to the upstream.
 	OutgoingHeader func(in http.Header, a Attempt) http.Header
+	// HandOnHeader returns the headers to send to a peer that serves the request in place of
+	// this instance. If an event id is given, the peer continues the stream after it.
+	HandOnHeader func(in http.Header, timeLeft time.Duration, lastEventID, resumes string) http.Header
 	// ParseResponse parses the status and headers of an upstream's response.
 	ParseResponse func(status int, h http.Header) ResponseInfo
 	// IDHeader names the header that carries the request's id; a response repeats it.
@@ -103,6 +107,13 @@
 	Losses       *losstracker.Tracker
 	// Streams knows which software versions began streams.
 	Streams *streamtracker.Keeper
+	// Links knows whether this instance reaches the upstreams. While it does not, requests
+	// are handed on to peers.
+	Links *linkwatcher.Watcher
+	// Peers returns the addresses of the instances to which requests may be handed on, the
+	// preferred ones first, and PeerPool holds the connections to them.
+	Peers    func() []string
+	PeerPool *courier.Pool
 	// Buffers bounds what is held of responses.
 	Buffers Buffers
 	Log     *zap.Logger
@@ -138,6 +149,7 @@
 
 	w              http.ResponseWriter
 	origin         originState
+	handOn         handOnState
 	numMayHaveRun  int // attempts that may have run
 	numSends       int
 	numUnreachable int            // sends that did not reach their upstream
@@ -208,6 +220,9 @@
 		return statusError{status: http.StatusNotFound, reason: "no route"}
 	}
 	c.route = route
+	if err := c.receiveHandedOn(r); err != nil {
+		return statusError{status: http.StatusBadRequest, reason: err.Error()}
+	}
 	limit := c.cfg.Limits.MaxBodyBytes
 	if limit == 0 {
 		limit = defaultMaxBodyBytes
@@ -255,7 +270,9 @@
 	}
 	c.fingerprint, c.parts = fingerprint(c), partFingerprints(c.requestInfo.Parts)
 	c.Queue.Arrive(c.admission)
-	c.retryBudget().Deposit()
+	if !c.handOn.isReceived { // the instance that has handed it on counts it
+		c.retryBudget().Deposit()
+	}
 }
 
 // serve makes attempts until a response is forwarded or no further attempt is
@@ -272,10 +289,24 @@
 			// The events so far arrived in time; only the deadline applies now.
 			c.admission.StartBy = c.deadline
 		}
+		if err := c.refuseIfCut(); err != nil {
+			return err
+		}
+		if c.shouldHandOn() {
+			if done, err := c.tryPeers(ctx); done || err != nil {
+				return err
+			}
+		}
+		if err := c.resolveOriginAtPeer(ctx); err != nil {
+			return c.withEarlierAttempts(verdict.FromError(err))
+		}
 		began := time.Now()
 		slot, err := c.Queue.Acquire(ctx, c.admission)
 		c.queueTime += time.Since(began)
 		if err != nil {
+			if ctx.Err() == nil && c.shouldHandOn() {
+				continue // the links were cut meanwhile
+			}
 			return c.withEarlierAttempts(verdict.FromError(err))
 		}
 		// More losses may have become known while the request waited.
@@ -370,6 +401,12 @@
 	if len(c.requestInfo.Parts) > 0 {
 		fields = append(fields, zap.Strings("parts", c.loggedParts()))
 	}
+	if c.handOn.peer != "" {
+		fields = append(fields, zap.String("handed-on-to", c.handOn.peer))
+	}
+	if c.handOn.isReceived {
+		fields = append(fields, zap.String("handed-on-by", r.RemoteAddr))
+	}
 	if c.requestInfo.LastEventID != "" {
 		fields = append(fields, zap.String("resumes", c.requestInfo.Resumes), zap.String("after-event", c.requestInfo.LastEventID))
 	}
--- a/internal/relayer/relayer_test.go
+++ b/internal/relayer/relayer_test.go
@@ -135,6 +135,14 @@
 		}
 		return out
 	},
+	HandOnHeader: func(in http.Header, left time.Duration, lastEventID, resumes string) http.Header {
+		out := Forwardable(in)
+		out.Set(hTimeLeft, strconv.FormatInt(left.Milliseconds(), 10))
+		if lastEventID != "" {
+			out.Set(hLastEventID, lastEventID)
+		}
+		return out
+	},
 	ParseResponse: func(_ int, h http.Header) ResponseInfo {
 		return ResponseInfo{NotRun: h.Get(hNotRun) != "", Upstream: h.Get(hUpstream), IsStamped: h.Get(hStamp) != ""}
 	},
--- a/internal/relayer/stream.go
+++ b/internal/relayer/stream.go
@@ -58,7 +58,7 @@
 			pending = append(pending[:0], pending[end:]...)
 			if now := time.Now(); firstEventAt.IsZero() {
 				firstEventAt = now
-			} else if now.Sub(firstEventAt) >= survivalDelay {
+			} else if now.Sub(firstEventAt) >= survivalDelay && !c.handOn.isRunning {
 				c.tracked.RecordSurvival(now)
 			}
 		}
--- a/internal/syncer/client.go
+++ b/internal/syncer/client.go
@@ -14,6 +14,7 @@
 
 	"github.com/primrosedrift/primrosedrift/internal/courier"
 	"github.com/primrosedrift/primrosedrift/internal/leaser"
+	"github.com/primrosedrift/primrosedrift/internal/linkwatcher"
 	"github.com/primrosedrift/primrosedrift/internal/logger"
 	"github.com/primrosedrift/primrosedrift/internal/losstracker"
 	"github.com/primrosedrift/primrosedrift/internal/queuer"
@@ -76,7 +77,9 @@
 	// IsStopping reports whether this instance is shutting down. It still accepts
 	// new requests until its queue is closed.
 	IsStopping func() bool
-	Log        *zap.Logger
+	// Links knows whether this instance reaches the upstreams.
+	Links *linkwatcher.Watcher
+	Log   *zap.Logger
 
 	origins originSender
 
@@ -318,7 +321,11 @@
 		}
 		r.Uses = append(r.Uses, x)
 	}
-	for _, o := range c.Queue.Outcomes() {
+	outcomes := c.Queue.Outcomes()
+	if c.Links.IsDoubtful() {
+		outcomes = nil // failures of the links, not of the upstreams
+	}
+	for _, o := range outcomes {
 		r.Outcomes = append(r.Outcomes, &peerv1.Outcomes{
 			Upstream: o.Upstream, Born: o.StartedAtMs, Attempts: uint32(o.Attempts), Failures: uint32(o.Failures),
 		})
@@ -332,6 +339,7 @@
 	return &peerv1.Member{
 		Instance: c.Self.GetInstance(), Incarnation: c.Self.GetIncarnation(), DataCentre: c.Self.GetDataCentre(),
 		PeerAddress: c.Self.GetPeerAddress(), CallerAddress: c.Self.GetCallerAddress(), IsStopping: c.IsStopping(),
+		IsCutOff: c.Links.IsCut(),
 	}
 }
 
--- a/internal/syncer/server.go
+++ b/internal/syncer/server.go
@@ -99,7 +99,7 @@
 		s.members, s.removed = make(map[string]member), make(map[string]uint64)
 	}
 	old, isKnown := s.members[m.GetInstance()]
-	hasChanged := !isKnown || old.GetIncarnation() != m.GetIncarnation() || old.GetIsStopping() != m.GetIsStopping()
+	hasChanged := !isKnown || old.GetIncarnation() != m.GetIncarnation() || old.GetIsStopping() != m.GetIsStopping() || old.GetIsCutOff() != m.GetIsCutOff()
 	changedIn := old.version
 	if hasChanged {
 		changedIn = s.version + 1
