internal/leaser: a holder without links to the upstreams yields the lease

It now releases the lease after 2 s, and an instance that is cut off leaves a free lease to the others for 5 s.

TestHolderThatCannotSendOrdersYieldsTheLease failed before.

--- a/internal/assembler/assembler.go
+++ b/internal/assembler/assembler.go
@@ -253,6 +253,7 @@
 		Store:        a.LeaseStore,
 		Self:         leaser.Claim{Holder: self.GetInstance(), Incarnation: self.GetIncarnation(), Address: self.GetPeerAddress()},
 		HasConductor: func() bool { return a.client.HasConductor() },
+		IsUnsuited:   a.links.IsCut,
 		Log:          a.Log.Named("leaser"),
 		Times:        leaser.Timing{LeaseDuration: leaseDuration, HandoverGap: a.MinOrderGap + inFlightOrderMargin, ExpiryMargin: leaseExpiryMargin, RenewAfter: leaseRenewAge},
 	}
--- a/internal/leaser/leaser.go
+++ b/internal/leaser/leaser.go
@@ -14,6 +14,12 @@
 )
 
 const (
+	// yieldDelay is how long a holder keeps the lease that could send no orders. It is longer
+	// than its last orders are in flight.
+	yieldDelay = 2 * time.Second
+	// unsuitedClaimDelay is how long an instance that could send no orders leaves a free lease
+	// to others.
+	unsuitedClaimDelay = 5 * time.Second
 	// checkInterval is the time between two checks of the lease.
 	checkInterval = 100 * time.Millisecond
 	// storeTimeout bounds a call to the store, which responds within a few
@@ -64,6 +70,9 @@
 	// be free. It is longer than readInterval on an instance that is less suited to
 	// hold the lease.
 	ClaimDelay time.Duration
+	// IsUnsuited, if set, reports whether this instance could not send orders at present. It
+	// releases the lease after a while, and claims it only if no other instance does.
+	IsUnsuited func() bool
 	// OnHolderChange, if set, is called after the holder has changed.
 	OnHolderChange func(Claim)
 
@@ -74,6 +83,7 @@
 
 	// Used only by the goroutine in Run.
 	unreachableSince time.Duration // when the holder stopped responding, 0 while it responds
+	unsuitedSince    time.Duration // 0 while it is suited
 	freeSince        time.Duration // when a read found that the lease is free, 0 if it is not
 	readAt           time.Duration // the last read of the lease
 	renewTriedAt     time.Duration // the last attempt to renew
@@ -101,6 +111,7 @@
 	l.mu.Lock()
 	isHolder, isDue, isReleasing := l.state.IsHolder(), l.state.IsRenewalDue(now), l.isReleasing
 	isInEra := l.state.era == l.state.newest.Era
+	isUnsuited := l.isUnsuited(now)
 	interval := readInterval
 	if !l.state.CanClaim(now) {
 		interval = idleReadInterval
@@ -108,6 +119,8 @@
 	l.mu.Unlock()
 	switch {
 	case isReleasing:
+	case isHolder && isUnsuited && now-l.unsuitedSince >= yieldDelay:
+		l.release(ctx)
 	case isHolder && isDue && now-l.renewTriedAt < renewRetryInterval && l.renewTriedAt != 0:
 	case isHolder && isDue && isInEra:
 		l.renewTriedAt = now
@@ -123,6 +136,17 @@
 	}
 }
 
+// isUnsuited reports whether this instance is unsuited to hold the lease.
+func (l *Lease) isUnsuited(now time.Duration) bool {
+	switch {
+	case l.IsUnsuited == nil || !l.IsUnsuited():
+		l.unsuitedSince = 0
+	case l.unsuitedSince == 0:
+		l.unsuitedSince = now
+	}
+	return l.unsuitedSince != 0
+}
+
 // claimInNewEra renews the lease after a restore of the log, at the end that the topic
 // has now.
 func (l *Lease) claimInNewEra(ctx context.Context) {
@@ -161,7 +185,7 @@
 	} else if l.freeSince == 0 {
 		l.freeSince = now
 	}
-	if isFree && now-l.freeSince < l.ClaimDelay {
+	if isFree && now-l.freeSince < l.ClaimDelay || isFree && l.unsuitedSince != 0 && now-l.freeSince < unsuitedClaimDelay {
 		return
 	}
 	isOwnOrNone := c.Holder == l.Self.Holder || c.IsZero()
@@ -354,6 +378,12 @@
 func (l *Lease) Release(ctx context.Context) {
 	l.mu.Lock()
 	l.isReleasing = true
+	l.mu.Unlock()
+	l.release(ctx)
+}
+
+func (l *Lease) release(ctx context.Context) {
+	l.mu.Lock()
 	isHolder := l.state.IsHolder()
 	c := l.Self
 	c.Position = l.state.Newest().Next()
--- a/internal/leaser/leaser_test.go
+++ b/internal/leaser/leaser_test.go
@@ -55,3 +55,32 @@
 	require.Equal(t, 1, numAppends)
 	require.True(t, l.IsHolder())
 }
+
+// TestHolderThatCannotSendOrdersYieldsTheLease guards against a conductor without links to the
+// upstreams that keeps the others from sending orders.
+func TestHolderThatCannotSendOrdersYieldsTheLease(t *testing.T) {
+	numAppends := 0
+	c := claimOf("b", "b1", 4)
+	l := leaseOn(&c, &numAppends)
+	l.ClaimDelay = 0
+	isUnsuited := false
+	l.IsUnsuited = func() bool { return isUnsuited }
+	now := clocker.SinceStart()
+	l.state.RecordAcquired(claimOf("a", "a1", 5), now, now)
+	l.step(t.Context())
+	require.True(t, l.IsHolder())
+	isUnsuited = true
+	l.step(t.Context())
+	require.True(t, l.IsHolder(), "for a while")
+	l.unsuitedSince -= yieldDelay
+	l.step(t.Context())
+	require.False(t, l.IsHolder())
+	require.Equal(t, 1, numAppends, "the release")
+	_, ok := l.Token()
+	require.False(t, ok)
+	l.state.seenAt -= testTimes.LeaseDuration // the lease is free for this instance, too
+	l.readAndClaim(t.Context(), now)
+	require.False(t, l.IsHolder(), "left to others")
+	l.readAndClaim(t.Context(), now+unsuitedClaimDelay)
+	require.Equal(t, 2, numAppends, "taken if nobody else does")
+}
