internal/queuer, internal/relayer: one instance sends the requests for a model of brittle upstreams

Cause: each instance sends by its own count and an old one of the others, so in a rush hundreds of instances send one request too many each. Class: a bound over all instances that each one keeps by itself (the same as for Server-Limit). The header was not read either.

Now an instance that reads it tells the others. While a service is brittle, the requests for a model are handed on to one instance, its home, by the path that instances without links use; the home sends at most the model's part of an upstream's slots. Requests without a model have the home of an upstream that their id selects.

Weighed against it: a share of the slots for each instance does not exist with 195 instances and 12 slots; choosing some senders, as for limits, leaves most instances without an upstream if all of a service are brittle.

--- a/internal/assembler/assembler.go
+++ b/internal/assembler/assembler.go
@@ -217,6 +217,11 @@
 			a.conductor.Wake()
 		}
 	}
+	a.upstreamTable.OnBrittle = func(service string) {
+		a.Log.Warn("upstreams are brittle", zap.String("service", service))
+		a.server.NotifyBrittle()
+		a.client.ReportNow()
+	}
 	a.pool = &courier.Pool{IDHeader: a.Codec.IDHeader, OnDial: func(address string, took time.Duration, err error) {
 		a.metrics.dials.Inc()
 		a.links.Record(address, err, time.Now())
@@ -225,11 +230,11 @@
 		}
 	}}
 	a.queue = &queuer.Queue{Upstreams: a.upstreamTable, Config: a.config.Load, OnDemandChange: func() { a.client.ReportNow() }, HasConductor: func() bool { return a.client.HasConductor() }, LinksCut: a.links.Cut}
-	a.queue.Table.DataCentre = a.DataCentre
+	a.queue.Table.DataCentre, a.queue.Table.IsBrittle = a.DataCentre, a.upstreamTable.IsBrittle
 	a.retryBudgets = &retrier.Budgets{Ratio: usedRetryFraction * a.RetryRatio, Reserve: usedReserveFraction * a.RetryReserve / minReserveMembers, StartsEmpty: true}
 	a.relayer = &relayer.Relayer{
 		Codec: a.Codec, Config: a.config.Load, Upstreams: a.upstreamTable, Queue: a.queue, Pool: a.pool, RetryBudgets: a.retryBudgets,
-		Losses: a.losses, Streams: a.streams, Links: a.links, Peers: a.peersToHandOn,
+		Losses: a.losses, Streams: a.streams, Links: a.links, Peers: a.peersToHandOn, PeerOf: a.peerAddress,
 		PeerPool: &courier.Pool{IDHeader: a.Codec.IDHeader, UserTimeout: peerUserTimeout}, Log: a.Log.Named("relayer"), Metrics: relayer.NewMetrics(a.registry),
 		MayTry:     func() bool { return a.lease.IsHolder() },
 		ViewAge:    func() time.Duration { return a.client.ViewAge() },
@@ -420,6 +425,16 @@
 	return append(local, others...)
 }
 
+// peerAddress returns the address of a live peer.
+func (a *Assembler) peerAddress(instance string) (string, bool) {
+	for _, m := range a.client.Members() {
+		if m.GetInstance() == instance {
+			return m.GetPeerAddress(), true
+		}
+	}
+	return "", false
+}
+
 // locate returns the addresses of entry instances for a caller in a data centre
 // and how long the caller may cache them.
 func (a *Assembler) locate(dataCentre string) ([]string, time.Duration) {
--- a/internal/queuer/choose.go
+++ b/internal/queuer/choose.go
@@ -59,10 +59,14 @@
 	cands := make([]router.Candidate, 0, len(list))
 	upstreams := make([]*registrar.Upstream, 0, len(list))
 	prefixUpstream, _ := t.prefixes.Get(req.Prefix)
+	isBrittle := t.isBrittle(req.Service, now)
 	for _, u := range list {
 		if u.IsPaused(now) || !t.canStart(u, now) || req.Model != "" && !u.Holds(req.Model, req.Adapter) {
 			continue
 		}
+		if isBrittle && !t.hasBrittleRoom(req, u, now) {
+			continue
+		}
 		prefill := t.prefill[u.ID]
 		if prefill > 0 && prefill+req.Tokens > maxPrefillTokens {
 			continue
@@ -72,7 +76,7 @@
 			continue
 		}
 		slots := u.Slots
-		if svc.Engine == nil {
+		if svc.Engine == nil && !isBrittle {
 			slots += plainQueueLength
 		}
 		c := router.Candidate{
@@ -114,6 +118,9 @@
 // Shed records that an upstream refused a request without running it, because
 // it is full or an order for the model is in progress there.
 func (t *Table) Shed(req Request, upstream string, now time.Time) {
+	if t.isBrittle(req.Service, now) {
+		t.brittlePauses[upstream] = now.Add(brittlePause)
+	}
 	t.shedUntil[shedKey{upstream, req.key()}] = now.Add(shedDelay)
 	if len(t.shedUntil) > maxShedEntries {
 		for k, until := range t.shedUntil {
--- a/internal/queuer/queuer.go
+++ b/internal/queuer/queuer.go
@@ -143,6 +143,9 @@
 }
 
 func refusal(e StartEstimate, retryAfter time.Duration, req Request) error {
+	if e.IsElsewhere {
+		return verdict.Refuse(verdict.ReasonNoUpstream, retryAfter, "service %s: its upstreams are brittle, and another instance has to send the request", req.Service)
+	}
 	if e.Delay == absentVersionDelay {
 		return verdict.Refuse(verdict.ReasonNoUpstream, retryAfter, "service %s: no upstream of software version %q, which began the stream", req.Service, *req.Software)
 	}
@@ -158,6 +161,14 @@
 	}
 }
 
+// Home returns the instance that has to send a request to a brittle service, empty if this
+// instance may.
+func (q *Queue) Home(req Request) string {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.Table.Home(req, q.Upstreams.Snapshot(), time.Now())
+}
+
 // SetInstances sets the names of this instance and of all live ones, which share the
 // limits of upstreams.
 func (q *Queue) SetInstances(self string, all []string) {
--- a/internal/queuer/queuer_test.go
+++ b/internal/queuer/queuer_test.go
@@ -122,7 +122,7 @@
 	for _, tt := range tests {
 		table := newTable()
 		table.HasConductor = tt.hasConductor
-		require.Equal(t, StartEstimate{tt.start, tt.needsLoad}, table.Estimate(tt.request, snapshot(tt.u), config(), start), tt.name)
+		require.Equal(t, StartEstimate{Delay: tt.start, NeedsLoad: tt.needsLoad}, table.Estimate(tt.request, snapshot(tt.u), config(), start), tt.name)
 	}
 }
 
--- a/internal/queuer/table.go
+++ b/internal/queuer/table.go
@@ -84,6 +84,11 @@
 	// IgnoresCut makes the request wait although the links to the upstreams are cut: no other
 	// instance takes it.
 	IgnoresCut bool
+	// ID is the id of the request.
+	ID string
+	// IsHandedOn says that this instance has to send the request to a brittle service, because
+	// another instance has handed it on.
+	IsHandedOn bool
 }
 
 // key identifies a service, or a model or adapter of it, at any software version or at one.
@@ -126,6 +131,8 @@
 	// HasConductor says that a conductor currently sends orders, which load missing
 	// models.
 	HasConductor bool
+	// IsBrittle, if set, reports whether the upstreams of a service are brittle.
+	IsBrittle func(service string, now time.Time) bool
 	Rand         *rand.Rand
 
 	waiting   []*Waiter // in the order of their grants
@@ -142,6 +149,8 @@
 	shares           map[string]share // of limited upstreams, by id
 	// versionsSeen holds when an upstream of a software version was last in a snapshot.
 	versionsSeen map[version]time.Time
+	// brittlePauses holds until when nothing is sent to brittle upstreams, by id.
+	brittlePauses map[string]time.Time
 }
 
 // Waiter is a waiting request.
@@ -175,6 +184,8 @@
 	Delay time.Duration
 	// NeedsLoad says that no upstream has the model and the adapter loaded.
 	NeedsLoad bool
+	// IsElsewhere says that another instance has to send the request.
+	IsElsewhere bool
 }
 
 // Estimate returns when a request that has no slot yet could start.
@@ -299,6 +310,10 @@
 	ahead := make(map[key]int) // waiting requests before this one, by service and model
 	for _, w := range t.waiting {
 		k := key{service: w.Request.Service, model: w.Request.Model}
+		if t.Home(w.Request, s, now) != "" {
+			w.refused <- StartEstimate{IsElsewhere: true}
+			continue
+		}
 		e := t.estimateBehind(ahead[k], w.Request, s, cfg, now)
 		if now.Add(e.Delay).After(w.Request.StartBy) {
 			w.refused <- e
@@ -312,6 +327,7 @@
 	if len(t.health) > 2*len(s.ByID)+maxStaleHealth {
 		maps.DeleteFunc(t.health, func(id string, _ health) bool { return s.ByID[id] == nil })
 	}
+	maps.DeleteFunc(t.brittlePauses, func(_ string, until time.Time) bool { return now.After(until) })
 	maps.DeleteFunc(t.versionsSeen, func(_ version, at time.Time) bool { return now.Sub(at) > versionReturnTime })
 	maps.DeleteFunc(t.shares, func(id string, _ share) bool { return s.ByID[id] == nil })
 }
@@ -403,6 +419,7 @@
 	t.health = make(map[string]health)
 	t.shares = make(map[string]share)
 	t.versionsSeen = make(map[version]time.Time)
+	t.brittlePauses = make(map[string]time.Time)
 	t.shedUntil = make(map[shedKey]time.Time)
 	t.prefixes, _ = simplelru.NewLRU[string, string](maxPrefixes, nil) // fails only for a size below one
 	if t.Rand == nil {
--- a/internal/registrar/notice.go
+++ b/internal/registrar/notice.go
@@ -13,6 +13,10 @@
 	// instances together, to RequestRate a second.
 	IsLimited   bool
 	RequestRate float64
+	// IsBrittle reports whether the upstream says that it falls over if it has to turn away
+	// more than MaxRefusals requests in a second.
+	IsBrittle   bool
+	MaxRefusals int
 	// IsAuthentic reports whether the response is the upstream's own for sure. If it
 	// states no limit, an earlier one is over.
 	IsAuthentic bool
@@ -44,6 +48,9 @@
 // ApplyNotice applies a notice of an incarnation.
 func (t *Table) ApplyNotice(id string, startedAtMs int64, n Notice, now time.Time) {
 	t.recordLimit(Incarnation{id, startedAtMs}, n, now)
+	if n.IsBrittle {
+		t.recordBrittle(id, now)
+	}
 	if n.IsLeaving {
 		t.RecordLeaving(id, startedAtMs, now)
 	}
--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -135,6 +135,8 @@
 	// OnLimit, if set, is called when an incarnation has changed the limit of the requests
 	// that it takes, in requests per second.
 	OnLimit func(i Incarnation, isLimited bool, rate float64)
+	// OnBrittle, if set, is called when the upstreams of a service are found to be brittle.
+	OnBrittle func(service string)
 
 	mu             sync.Mutex
 	registrations  map[string]*Upstream
@@ -144,6 +146,7 @@
 	leaving        map[string]int64 // id to the start time of the incarnation that has responded that it is leaving
 	pauses         map[string]pause
 	limits         map[string]limit
+	brittleAt      map[string]time.Time // by service: when an upstream last said that it is brittle
 	vanished       map[string]struct{} // ids of registrations that vanished and are kept for now
 	isPlatformLost bool
 	keepUntil      time.Time // vanished registrations are kept until then
--- a/internal/relayer/handon.go
+++ b/internal/relayer/handon.go
@@ -49,18 +49,29 @@
 	return nil
 }
 
-// shouldHandOn reports whether a peer should serve the request: the links of this instance to
-// the upstreams are cut, and an attempt is left.
-func (c *call) shouldHandOn() bool {
-	return !c.handOn.isReceived && c.handOn.peer == "" && !c.handOn.hasGivenUp && c.attemptsLeft() > 0 && c.Links.IsCut()
+// peersToTry returns the peers that should serve the request: the one that sends such requests
+// if the upstreams are brittle, and any if the links of this instance to the upstreams are cut.
+func (c *call) peersToTry() []string {
+	if c.handOn.isReceived || c.handOn.peer != "" || c.handOn.hasGivenUp || c.attemptsLeft() <= 0 {
+		return nil
+	}
+	var out []string
+	if home := c.Queue.Home(c.admission); home != "" {
+		if address, ok := c.PeerOf(home); ok {
+			out = append(out, address)
+		}
+	}
+	if c.Links.IsCut() {
+		out = append(out, c.Peers()...)
+	}
+	return out
 }
 
 func (c *call) attemptsLeft() int { return max(c.route.MaxAttempts, 1) - c.numMayHaveRun }
 
 // tryPeers hands the request on. It reports done if a response was forwarded, and neither done
 // nor an error if no peer has received it.
-func (c *call) tryPeers(ctx context.Context) (done bool, err error) {
-	peers := c.Peers()
+func (c *call) tryPeers(ctx context.Context, peers []string) (done bool, err error) {
 	for _, address := range peers[:min(len(peers), maxPeersTried)] {
 		if ctx.Err() != nil || time.Until(c.deadline) < minUpstreamTime {
 			break
@@ -89,7 +100,7 @@
 		}
 		return false, c.withEarlierAttempts(incompleteReply("%s", res.reason))
 	}
-	c.handOn.hasGivenUp, c.admission.IgnoresCut = true, true
+	c.handOn.hasGivenUp, c.admission.IgnoresCut, c.admission.IsHandedOn = true, true, true
 	return false, nil
 }
 
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -114,6 +114,8 @@
 	// preferred ones first, and PeerPool holds the connections to them.
 	Peers    func() []string
 	PeerPool *courier.Pool
+	// PeerOf returns the address of a peer.
+	PeerOf func(instance string) (address string, ok bool)
 	// Buffers bounds what is held of responses.
 	Buffers Buffers
 	Log     *zap.Logger
@@ -267,6 +269,7 @@
 		Service: c.route.Service(c.requestInfo.ID), Model: c.requestInfo.Model, Adapter: c.requestInfo.Adapter,
 		Priority: c.route.Priority, Objective: c.arrived.Add(c.route.Objective), StartBy: limit,
 		Prefix: c.requestInfo.Prefix, Tokens: c.requestInfo.PromptTokens, Tried: make(map[string]bool),
+		ID: c.requestInfo.ID, IsHandedOn: c.handOn.isReceived,
 	}
 	c.fingerprint, c.parts = fingerprint(c), partFingerprints(c.requestInfo.Parts)
 	c.Queue.Arrive(c.admission)
@@ -292,8 +295,8 @@
 		if err := c.refuseIfCut(); err != nil {
 			return err
 		}
-		if c.shouldHandOn() {
-			if done, err := c.tryPeers(ctx); done || err != nil {
+		if peers := c.peersToTry(); len(peers) > 0 {
+			if done, err := c.tryPeers(ctx, peers); done || err != nil {
 				return err
 			}
 		}
@@ -304,8 +307,8 @@
 		slot, err := c.Queue.Acquire(ctx, c.admission)
 		c.queueTime += time.Since(began)
 		if err != nil {
-			if ctx.Err() == nil && c.shouldHandOn() {
-				continue // the links were cut meanwhile
+			if ctx.Err() == nil && len(c.peersToTry()) > 0 {
+				continue // the links were cut meanwhile, or the upstreams have become brittle
 			}
 			return c.withEarlierAttempts(verdict.FromError(err))
 		}
--- a/internal/syncer/client.go
+++ b/internal/syncer/client.go
@@ -169,6 +169,7 @@
 			}
 			c.Losses.MergeReport(decodeLosses(v.GetLosses(), c.Log), time.Now())
 			c.Upstreams.MergeLimits(decodeLimits(v.GetLimits()), time.Now())
+			c.Upstreams.MergeBrittle(decodeBrittle(v.GetBrittle()), time.Now())
 			c.mu.Lock()
 			defer c.mu.Unlock()
 			if c.respondedAt == nil {
@@ -332,6 +333,7 @@
 	}
 	r.Leaving = encodeLeaving(c.Upstreams.Leaving())
 	r.Limits = encodeLimits(c.Upstreams.Limits(time.Now()))
+	r.Brittle = encodeBrittle(c.Upstreams.Brittle(time.Now()))
 	return r
 }
 
@@ -473,6 +475,7 @@
 		c.Upstreams.RecordLeaving(l.GetUpstream(), l.GetBorn(), now)
 	}
 	c.Upstreams.MergeLimits(decodeLimits(v.GetLimits()), now)
+	c.Upstreams.MergeBrittle(decodeBrittle(v.GetBrittle()), now)
 	if len(v.GetLosses()) > 0 {
 		c.Losses.MergeView(v.GetIncarnation(), decodeLosses(v.GetLosses(), c.Log), now)
 	}
--- a/internal/syncer/limit.go
+++ b/internal/syncer/limit.go
@@ -27,3 +27,19 @@
 	}
 	return out
 }
+
+func encodeBrittle(list []registrar.BrittleService) []*peerv1.BrittleService {
+	var out []*peerv1.BrittleService
+	for _, b := range list {
+		out = append(out, &peerv1.BrittleService{Service: b.Service, AgeMs: milliseconds(b.Age)})
+	}
+	return out
+}
+
+func decodeBrittle(list []*peerv1.BrittleService) []registrar.BrittleService {
+	var out []registrar.BrittleService
+	for _, b := range list {
+		out = append(out, registrar.BrittleService{Service: b.GetService(), Age: time.Duration(b.GetAgeMs()) * time.Millisecond})
+	}
+	return out
+}
--- a/internal/syncer/server.go
+++ b/internal/syncer/server.go
@@ -116,6 +116,7 @@
 	s.mu.Unlock()
 	s.recordLeaving(r.GetLeaving(), now)
 	s.Conductor.Upstreams.MergeLimits(decodeLimits(r.GetLimits()), now)
+	s.Conductor.Upstreams.MergeBrittle(decodeBrittle(r.GetBrittle()), now)
 	s.mu.Lock()
 	s.watcherLocked(m.GetInstance()).requests = requestsOf(r)
 	s.mu.Unlock()
@@ -159,6 +160,13 @@
 	s.notifyWatchersLocked()
 }
 
+// NotifyBrittle passes a brittle service on to the watchers.
+func (s *Server) NotifyBrittle() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.notifyWatchersLocked()
+}
+
 // Claim implements peerv1.FleetCommands.
 func (s *Server) Claim(ctx context.Context, r *peerv1.ClaimRequest) (*peerv1.ClaimResponse, error) {
 	if r.GetClaim() == nil {
@@ -324,6 +332,7 @@
 		}
 		out.Losses = encodeLosses(s.Losses.Recent(now))
 		out.Limits = encodeLimits(s.Conductor.Upstreams.Limits(now))
+		out.Brittle = encodeBrittle(s.Conductor.Upstreams.Brittle(now))
 		return out
 	}
 	own := s.Conductor.RunningOf(instance)
@@ -333,6 +342,7 @@
 	s.mu.Unlock()
 	views := s.currentViews(version, now)
 	leaving, limits := s.Conductor.Upstreams.Leaving(), s.Conductor.Upstreams.Limits(now)
+	out.Brittle = encodeBrittle(s.Conductor.Upstreams.Brittle(now)) // a few at most, with their ages
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	out.Version = s.version
