internal/registrar: an old registration does not stand for the next incarnation under its id

An instance that had not read the new registration took it for the old one; as soon as the conductor had loaded the model there, the rest of a stream could go to the wrong version. The conductor's view names the incarnation, so a registration older than the view is not used any more.

TestUpstreamThatRestartedUnderItsIDIsNotUsedByItsOldRegistration failed before.

--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -362,6 +362,9 @@
 		if startedAt, ok := t.gone[id]; ok && startedAt == e.StartedAtMs {
 			continue
 		}
+		if v, ok := t.views[id]; ok && v.StartedAtMs > e.StartedAtMs {
+			continue // restarted under its id; its registration has not been read yet
+		}
 		u := t.mergeLocked(e)
 		next.ByID[id] = u
 		if !u.IsLeaving {
--- a/internal/registrar/registrar_test.go
+++ b/internal/registrar/registrar_test.go
@@ -120,3 +120,17 @@
 	<-s.Changed
 	require.NotSame(t, s, table.Snapshot())
 }
+
+// TestUpstreamThatRestartedUnderItsIDIsNotUsedByItsOldRegistration guards against requests for
+// an incarnation that reach the next one, which may be of another software version.
+func TestUpstreamThatRestartedUnderItsIDIsNotUsedByItsOldRegistration(t *testing.T) {
+	var table Table
+	now := time.Unix(1000, 0)
+	table.ApplyRegistrations(map[string]*Upstream{"u": {ID: "u", Service: "s", StartedAtMs: 1, Software: "v1"}}, now)
+	table.ApplyViews([]View{{ID: "u", StartedAtMs: 2}}, now)
+	require.Empty(t, table.Snapshot().ByService["s"], "the conductor knows a later incarnation")
+	table.ApplyRegistrations(map[string]*Upstream{"u": {ID: "u", Service: "s", StartedAtMs: 2, Software: "v2"}}, now)
+	require.Equal(t, "v2", table.Snapshot().ByID["u"].Software)
+	table.ApplyViews([]View{{ID: "u", StartedAtMs: 1}}, now)
+	require.Len(t, table.Snapshot().ByService["s"], 1, "a view of an earlier one does not matter")
+}
