internal/dispatcher, pkg/caller: interrupted responses go on at the version that began them

Engines could not say which version of their software they run.

An engine now states its version with each token, and refuses a request for another one as not run. The entry instance names the version in each further attempt; pkg/caller in each resumption, so no instance has to remember it.

--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -60,6 +60,7 @@
 				&cli.IntFlag{Name: "slots", Value: 32},
 				&cli.IntFlag{Name: "token-ms", Usage: "time between tokens, in milliseconds"},
 				&cli.BoolFlag{Name: "checks-fencing"},
+				&cli.StringFlag{Name: "software", Usage: "version of the engine's software"},
 				&cli.StringFlag{Name: "store", Usage: "URL of the weight store"},
 				&cli.StringFlag{Name: "crash-on", Usage: "exit when a prompt contains this text"},
 			}},
@@ -91,6 +92,7 @@
 func runEngine(ctx context.Context, c *cli.Command) error {
 	e := &engine.Engine{
 		MemoryBytes: uint64(c.Int("memory-gib")) * gibibyte, Slots: uint32(c.Int("slots")), ChecksFencing: c.Bool("checks-fencing"),
+		Software: c.String("software"),
 	}
 	if u := c.String("store"); u != "" {
 		e.Store = platformv1connect.NewWeightStoreQueriesClient(http.DefaultClient, u)
--- a/internal/attempter/attempter.go
+++ b/internal/attempter/attempter.go
@@ -100,9 +100,9 @@
 }
 
 // Generate streams a response and calls emit for every token, in order and
-// starting at the request's FromToken. It returns the token count at the end
+// starting at the request's FromToken, with the software version that wrote it. It returns the token count at the end
 // mark, and sets the request's attempt id.
-func (a *Attempter) Generate(ctx context.Context, address string, req *upstreamv1.GenerateRequest, emit func(index uint32, token string) error) (uint32, error) {
+func (a *Attempter) Generate(ctx context.Context, address string, req *upstreamv1.GenerateRequest, emit func(index uint32, token, software string) error) (uint32, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	ctx, connected := withConnTrace(ctx)
@@ -126,7 +126,10 @@
 		case m.GetIndex() != next:
 			return 0, incomplete("token %d came, %d was next", m.GetIndex(), next)
 		}
-		if err := emit(next, m.GetToken()); err != nil {
+		if want := req.GetSoftware(); want != "" && m.GetSoftware() != want {
+			return 0, incomplete("token of software version %q, not of %q", m.GetSoftware(), want)
+		}
+		if err := emit(next, m.GetToken(), m.GetSoftware()); err != nil {
 			return 0, Failure{verdict.RefuseMayHaveRun(verdict.ReasonCanceled, 0, "caller went away: %v", err), KindCanceled}
 		}
 		next++
--- a/internal/attempter/attempter_test.go
+++ b/internal/attempter/attempter_test.go
@@ -114,7 +114,7 @@
 			}})
 			numEmitted := 0
 			a := &Attempter{HTTP: &http.Client{Transport: &http.Transport{}}}
-			_, err := a.Generate(context.Background(), addr, &upstreamv1.GenerateRequest{}, func(uint32, string) error {
+			_, err := a.Generate(context.Background(), addr, &upstreamv1.GenerateRequest{}, func(uint32, string, string) error {
 				numEmitted++
 				return nil
 			})
@@ -179,7 +179,7 @@
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			a := &Attempter{HTTP: &http.Client{Transport: &http.Transport{}}}
-			_, err := a.Generate(context.Background(), tc.addr, &upstreamv1.GenerateRequest{}, func(uint32, string) error { return nil })
+			_, err := a.Generate(context.Background(), tc.addr, &upstreamv1.GenerateRequest{}, func(uint32, string, string) error { return nil })
 			require.Equal(t, tc.ran, verdict.FromError(err).Ran, err)
 			_, err = a.Call(context.Background(), tc.addr, &upstreamv1.CallRequest{})
 			require.Equal(t, tc.ran, verdict.FromError(err).Ran, err)
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -85,7 +85,7 @@
 
 // Generate streams the response of a model to emit, and returns its token count.
 // The error is a verdict.Refusal.
-func (d *Dispatcher) Generate(ctx context.Context, req *callerv1.GenerateRequest, emit func(uint32, string) error) (uint32, error) {
+func (d *Dispatcher) Generate(ctx context.Context, req *callerv1.GenerateRequest, emit func(index uint32, token, software string) error) (uint32, error) {
 	var contract *recordv1.Contract
 	var model *recordv1.Model
 	var adapter *recordv1.Adapter
--- a/internal/dispatcher/generate.go
+++ b/internal/dispatcher/generate.go
@@ -36,13 +36,14 @@
 	req    *callerv1.GenerateRequest
 	adm    admitter.Request // the deadline is that of the first byte
 	ticket *tallier.Ticket
-	emit   func(uint32, string) error
+	emit   func(index uint32, token, software string) error
 
 	fingerprint uint64
 	prefix      uint64
 	candidates  func(now time.Time) []router.Candidate
 	nextToken   uint32          // index of the next token
 	hasToken    bool            // a token has been received
+	software    string          // version that wrote the tokens so far, empty if not known
 	tried       map[string]bool // upstreams that have failed this request
 	isAttempted bool            // at least one attempt was made
 	attemptedAt time.Time       // start of the last attempt
@@ -50,12 +51,12 @@
 	lastFailure verdict.Refusal
 }
 
-func (d *Dispatcher) generate(ctx context.Context, req *callerv1.GenerateRequest, adm admitter.Request, ticket *tallier.Ticket, emit func(uint32, string) error) (uint32, error) {
+func (d *Dispatcher) generate(ctx context.Context, req *callerv1.GenerateRequest, adm admitter.Request, ticket *tallier.Ticket, emit func(index uint32, token, software string) error) (uint32, error) {
 	g := &generation{
 		d: d, req: req, adm: adm, ticket: ticket, emit: emit,
 		fingerprint: quarantiner.Fingerprint(req.GetCustomer(), req.GetModel(), req.GetAdapter(), req.GetPrompt()),
 		prefix:      prefixer.Hash(req.GetModel(), req.GetAdapter(), req.GetPrompt()),
-		nextToken:   req.GetFromToken(), tried: make(map[string]bool), ran: verdict.NotRun,
+		nextToken:   req.GetFromToken(), software: req.GetSoftware(), tried: make(map[string]bool), ran: verdict.NotRun,
 		candidates: func(now time.Time) []router.Candidate { return d.replicas(req, now) },
 	}
 	return g.run(ctx)
@@ -167,15 +168,15 @@
 	isFirstToken := true
 	n, err := g.d.Attempter.Generate(ctx, c.Address, &upstreamv1.GenerateRequest{
 		Model: g.req.GetModel(), Adapter: g.req.GetAdapter(), Replica: c.Replica, Prompt: g.req.GetPrompt(),
-		MaxTokens: g.req.GetMaxTokens(), Priority: uint32(g.adm.Class), FromToken: g.nextToken,
-	}, func(i uint32, tok string) error {
+		MaxTokens: g.req.GetMaxTokens(), Priority: uint32(g.adm.Class), FromToken: g.nextToken, Software: g.software,
+	}, func(i uint32, tok, software string) error {
 		if isFirstToken {
 			g.d.Monitor.RecordSuccess(c.Upstream, time.Since(g.attemptedAt))
 			isFirstToken, g.hasToken = false, true
 		}
 		watchdog.Reset(tokenTimeout)
-		g.nextToken = i + 1
-		return g.emit(i, tok)
+		g.nextToken, g.software = i+1, software
+		return g.emit(i, tok, software)
 	})
 	if err != nil && errors.Is(context.Cause(ctx), admitter.ErrRevoked) {
 		err = attempter.Failure{Refusal: verdict.RefuseMayHaveRun(verdict.ReasonContractLimit, longRetryDelay, "%s", admitter.ErrRevoked), Kind: attempter.KindRefused}
--- a/internal/entry/caller.go
+++ b/internal/entry/caller.go
@@ -36,13 +36,13 @@
 	start := time.Now()
 	isFirst := true
 	var firstTokenAfter time.Duration
-	n, err := c.e.dispatcher.Generate(ctx, m, func(i uint32, token string) error {
+	n, err := c.e.dispatcher.Generate(ctx, m, func(i uint32, token, software string) error {
 		if isFirst {
 			firstTokenAfter = time.Since(start)
 			c.e.metrics.wait.WithLabelValues("generate").Observe(firstTokenAfter.Seconds())
 			isFirst = false
 		}
-		return stream.Send(&callerv1.GenerateResponse{RequestId: m.GetRequestId(), Index: i, Token: token})
+		return stream.Send(&callerv1.GenerateResponse{RequestId: m.GetRequestId(), Index: i, Token: token, Software: software})
 	})
 	if err != nil {
 		return c.e.refuse("generate", m.GetRequestId(), m.GetCustomer(), m.GetModel(), err)
--- a/internal/loader/direct.go
+++ b/internal/loader/direct.go
@@ -76,7 +76,7 @@
 		a := attempter.Attempter{HTTP: c.HTTP}
 		_, err := a.Generate(ctx, u.GetAddress(), &upstreamv1.GenerateRequest{
 			Model: req.GetModel(), Adapter: req.GetAdapter(), Replica: r.GetId(), Prompt: req.GetPrompt(), MaxTokens: req.GetMaxTokens(),
-		}, func(_ uint32, token string) error {
+		}, func(_ uint32, token, _ string) error {
 			emit(token)
 			return nil
 		})
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -43,6 +43,8 @@
 	MemoryBytes   uint64
 	Slots         uint32
 	ChecksFencing bool
+	// Software is the version of the engine's software, empty if it states none.
+	Software string
 	// Store is the source of checkpoints. If it is nil, loads fetch nothing.
 	Store platformv1connect.WeightStoreQueriesClient
 	// Exit ends the process. Nil means os.Exit.
@@ -310,7 +312,7 @@
 			case <-time.After(time.Duration(f.TokenMs) * time.Millisecond):
 			}
 		}
-		if err := stream.Send(&upstreamv1.GenerateResponse{Attempt: attempt, Index: i, Token: Token(m.GetPrompt(), i)}); err != nil {
+		if err := stream.Send(&upstreamv1.GenerateResponse{Attempt: attempt, Index: i, Token: Token(m.GetPrompt(), i), Software: e.Software}); err != nil {
 			return errors.Wrap(err, "send")
 		}
 	}
@@ -338,6 +340,9 @@
 		err.Meta().Set(headerLeaving, "true")
 		return nil, err
 	}
+	if m.GetSoftware() != "" && m.GetSoftware() != e.Software {
+		return nil, refuse(connect.CodeFailedPrecondition, m.GetAttempt(), "another software version")
+	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	r := e.replicas[m.GetReplica()]
--- a/pkg/caller/caller.go
+++ b/pkg/caller/caller.go
@@ -215,7 +215,8 @@
 	}
 }
 
-// stream receives tokens from index *next on and advances *next.
+// stream receives tokens from index *next on and advances *next. It sets the software version of
+// the request to the one that wrote them, so that the rest comes from the same.
 func (c *Client) stream(ctx context.Context, address string, req *callerv1.GenerateRequest, next *uint32, emit func(token string)) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -236,6 +237,7 @@
 			return errors.Newf("token %d came, %d was next", m.GetIndex(), *next)
 		}
 		*next++
+		req.Software = m.GetSoftware()
 		emit(m.GetToken())
 	}
 	if stream.Err() == nil {
