internal/dispatcher: a test of versions no longer depends on which upstream is chosen

TestInterruptedResponseGoesOnOnlyAtItsVersion of the commit before failed in 17 of 20 cases of ten runs: the engine that began the response may go on with it, and the test took that for a wrong version. That engine now ends after its first token. 30 runs pass; without the version in the request it fails as before.

--- a/internal/dispatcher/version_test.go
+++ b/internal/dispatcher/version_test.go
@@ -24,10 +24,12 @@
 	"github.com/primrosedrift/primrosedrift/pkg/verdict"
 )
 
-// versionEngine breaks off each response after its first token.
+// versionEngine breaks off a response after its first token.
 type versionEngine struct {
 	upstreamv1connect.UnimplementedEngineCommandsHandler
 	software string
+	// hasEnded makes it refuse all requests but the first.
+	hasEnded bool
 
 	mu     sync.Mutex
 	asked  []string // versions that the requests named
@@ -38,13 +40,13 @@
 	m := req.Msg
 	e.mu.Lock()
 	e.asked = append(e.asked, m.GetSoftware())
-	isOther := m.GetSoftware() != "" && m.GetSoftware() != e.software
-	if !isOther {
+	isRefused := m.GetSoftware() != "" && m.GetSoftware() != e.software || e.hasEnded && m.GetFromToken() > 0
+	if !isRefused {
 		e.numRun++
 	}
 	e.mu.Unlock()
-	if isOther {
-		err := connect.NewError(connect.CodeFailedPrecondition, errors.New("another software version"))
+	if isRefused {
+		err := connect.NewError(connect.CodeFailedPrecondition, errors.New("refused"))
 		err.Meta().Set(attempter.HeaderAttempt, m.GetAttempt())
 		err.Meta().Set(attempter.HeaderRan, "not-run")
 		return err
@@ -79,7 +81,7 @@
 			var engines []*versionEngine
 			var cands []router.Candidate
 			for i, software := range append([]string{"v1"}, tt.others...) {
-				e := &versionEngine{software: software}
+				e := &versionEngine{software: software, hasEnded: i == 0}
 				_, h := upstreamv1connect.NewEngineCommandsHandler(e)
 				s := httptest.NewServer(h)
 				t.Cleanup(s.Close)
