--- a/internal/arranger/arranger.go
+++ b/internal/arranger/arranger.go
@@ -115,11 +115,12 @@
 	p := &planner{Fleet: f, demand: make(map[string]Demand), replicas: make(map[string]int), activeAdapters: make(map[string]float64), planned: make(map[string]bool), candidateModels: make(map[string]bool)}
 	p.bound, p.replicasWith = make(map[modelWith]int), make(map[modelWith]int)
 	for _, d := range f.Demands {
-		if d.Software != nil {
+		switch {
+		case d.Software != nil:
 			p.bound[modelWith{d.Model, *d.Software}] += d.Waiting
-		} else if d.Adapter == "" {
+		case d.Adapter == "":
 			p.demand[d.Model] = d
-		} else {
+		default:
 			p.activeAdapters[d.Model] += 1 - math.Exp(-d.Rate*adapterRequestTime.Seconds())
 		}
 	}
--- a/internal/assembler/assembler.go
+++ b/internal/assembler/assembler.go
@@ -4,7 +4,6 @@
 	"context"
 	cryptorand "crypto/rand"
 	"io"
-	"math/rand/v2"
 	"net/http"
 	"runtime/debug"
 	"sync"
@@ -148,51 +147,6 @@
 	return instance + "/" + ulid.MustNew(ulid.Timestamp(startedAt), entropy).String()
 }
 
-// wireStreams creates the components that keep which software versions began streams.
-func (a *Assembler) wireStreams() {
-	log := a.Log.Named("streamtracker")
-	history := &streamtracker.History{OnChange: func(service string, versions []string) {
-		log.Info("software versions of a service", zap.String("service", service), zap.Strings("versions", versions))
-		a.softwareSaver.Wake()
-		if len(versions) > 1 {
-			a.streams.Spread(service)
-		}
-	}}
-	a.softwareSaver = streamtracker.NewSaver(history, a.SoftwareStore, func() bool { return a.lease.IsHolder() }, log)
-	a.streams = &streamtracker.Keeper{
-		Tracker: &streamtracker.Tracker{}, History: history, Load: a.SoftwareStore.LoadService, Log: log,
-		Send: func(list []streamtracker.Origin) streamtracker.Delivery { return a.client.SendOrigins(list) },
-		Ask: func(ctx context.Context, stream, service string) ([]streamtracker.Answer, int) {
-			return a.client.AskForOrigin(ctx, stream, service)
-		},
-		IsFresh: func() bool {
-			age, ok := a.upstreamFollower.Age()
-			return ok && age < a.MaxDrainDelay
-		},
-	}
-}
-
-// observeSoftware records the software versions that are registered now.
-func (a *Assembler) observeSoftware(now time.Time) {
-	a.streams.History.Observe(a.upstreamTable.SoftwareVersions(), a.upstreamTable.IsComplete(now), now)
-}
-
-// wireLinks creates the component that watches the links to the upstreams.
-func (a *Assembler) wireLinks() {
-	a.links = &linkwatcher.Watcher{
-		Addresses: func() []string {
-			var out []string
-			for _, u := range a.upstreamTable.Snapshot().ByID {
-				out = append(out, u.Address)
-			}
-			return out
-		},
-		Dial:     func(ctx context.Context, address string) error { return a.pool.TryConnect(ctx, address) },
-		OnChange: func(bool) { a.client.ReportNow() },
-		Log:      a.Log.Named("linkwatcher"),
-	}
-}
-
 // wireRequests creates the components that serve requests.
 func (a *Assembler) wireRequests() {
 	a.losses = &losstracker.Tracker{RegistrationDelay: a.MaxDrainDelay}
@@ -342,99 +296,11 @@
 	a.Log.Info("configuration in force", zap.Int64("version", cfg.Version), zap.Int("routes", cfg.NumRoutes()))
 }
 
-// applyUpstreams applies registrations of upstreams. If isSnapshot is set, the
-// records are the complete set and replace all known registrations.
-func (a *Assembler) applyUpstreams(records []follower.Record, isSnapshot bool) {
-	changes := make(map[string]*registrar.Upstream, len(records))
-	for _, r := range records {
-		if r.Value == nil {
-			changes[r.Key] = nil
-			continue
-		}
-		u, err := a.DecodeUpstream(r.Key, r.Value)
-		if err != nil {
-			a.Log.Warn("registration could not be decoded; skipped", zap.Int64("offset", r.Offset), logger.Error(err))
-			continue
-		}
-		changes[r.Key] = u
-	}
-	a.logUpstreams(changes)
-	now := time.Now()
-	if isSnapshot {
-		a.upstreamTable.Replace(changes, now)
-	} else {
-		a.upstreamTable.ApplyRegistrations(changes, now)
-		a.recordRegistrations(changes, now)
-	}
-	a.observeSoftware(now)
-	if a.lease.IsHolder() {
-		a.conductor.Wake()
-	}
-}
-
-// recordRegistrations records that upstreams lived when they wrote the registrations. Those
-// that are read late, after an outage, are left out.
-func (a *Assembler) recordRegistrations(changes map[string]*registrar.Upstream, now time.Time) {
-	if !a.upstreamTable.IsComplete(now) {
-		return
-	}
-	for _, u := range changes {
-		if u != nil {
-			a.losses.RecordRegistration(u.Incarnation(), now)
-		}
-	}
-}
-
-// logUpstreams logs the upstreams that are new, restarted or started to drain.
-func (a *Assembler) logUpstreams(changes map[string]*registrar.Upstream) {
-	before := a.upstreamTable.Snapshot()
-	for id, u := range changes {
-		old := before.ByID[id]
-		switch {
-		case u == nil:
-		case old == nil || old.StartedAtMs != u.StartedAtMs:
-			a.Log.Info("upstream found", zap.String("upstream", id), zap.String("service", u.Service),
-				zap.Int64("born", u.StartedAtMs), zap.String("software", u.Software), zap.String("data-centre", u.DataCentre), zap.Int("models", len(u.Models)))
-		case u.IsLeaving && !old.IsLeaving:
-			a.Log.Info("upstream leaves", zap.String("upstream", id), zap.Int64("born", u.StartedAtMs))
-		}
-	}
-}
-
 // isReady reports whether callers may be directed to this instance.
 func (a *Assembler) isReady() bool {
 	return a.config.Load() != nil && !a.isStopping.Load()
 }
 
-// peersToHandOn returns the addresses of the peers that reach the upstreams, in a random order,
-// those of this data centre first.
-func (a *Assembler) peersToHandOn() []string {
-	var local, others []string
-	for _, m := range a.client.Members() {
-		switch {
-		case m.GetInstance() == a.Instance || m.GetIsStopping() || m.GetIsCutOff():
-		case m.GetDataCentre() == a.DataCentre:
-			local = append(local, m.GetPeerAddress())
-		default:
-			others = append(others, m.GetPeerAddress())
-		}
-	}
-	for _, list := range [][]string{local, others} {
-		rand.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
-	}
-	return append(local, others...)
-}
-
-// peerAddress returns the address of a live peer.
-func (a *Assembler) peerAddress(instance string) (string, bool) {
-	for _, m := range a.client.Members() {
-		if m.GetInstance() == instance {
-			return m.GetPeerAddress(), true
-		}
-	}
-	return "", false
-}
-
 // locate returns the addresses of entry instances for a caller in a data centre
 // and how long the caller may cache them.
 func (a *Assembler) locate(dataCentre string) ([]string, time.Duration) {
--- a/internal/queuer/table.go
+++ b/internal/queuer/table.go
@@ -133,7 +133,7 @@
 	HasConductor bool
 	// IsBrittle, if set, reports whether the upstreams of a service are brittle.
 	IsBrittle func(service string, now time.Time) bool
-	Rand         *rand.Rand
+	Rand      *rand.Rand
 
 	waiting   []*Waiter // in the order of their grants
 	demands   map[key]*demand
--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -147,7 +147,7 @@
 	pauses         map[string]pause
 	limits         map[string]limit
 	brittleAt      map[string]time.Time // by service: when an upstream last said that it is brittle
-	vanished       map[string]struct{} // ids of registrations that vanished and are kept for now
+	vanished       map[string]struct{}  // ids of registrations that vanished and are kept for now
 	isPlatformLost bool
 	keepUntil      time.Time // vanished registrations are kept until then
 	current        *Snapshot
--- /dev/null
+++ b/internal/relayer/finish.go
@@ -0,0 +1,102 @@
+package relayer
+
+import (
+	"math"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"go.uber.org/zap"
+
+	"github.com/primrosedrift/primrosedrift/pkg/verdict"
+)
+
+// finish responds to a request that was not served, and logs how it ended.
+func (c *call) finish(r *http.Request, err error) {
+	outcome := "served"
+	var statusErr statusError
+	var refusal verdict.Refusal
+	switch {
+	case err == nil:
+	case r.Context().Err() != nil:
+		outcome = "left"
+	case isTruncated(err):
+		outcome = "broken"
+	case errors.As(err, &statusErr):
+		outcome = "rejected"
+		c.writeStatus(statusErr.status, statusErr.retryAfter)
+	case errors.As(err, &refusal):
+		outcome = refusal.Ran.String()
+		c.writeStatus(c.statusOf(refusal), refusal.RetryAfter)
+	default:
+		outcome = "may-have-run"
+		c.writeStatus(http.StatusBadGateway, 0)
+	}
+	took := time.Since(c.arrived)
+	c.Metrics.observe(c, outcome, took)
+	fields := []zap.Field{
+		zap.String("request", c.requestInfo.ID), zap.String("route", c.route.Name), zap.String("outcome", outcome),
+		zap.Int("status", c.status), zap.String("service", c.admission.Service), zap.String("model", c.requestInfo.Model),
+		zap.String("adapter", c.requestInfo.Adapter), zap.String("upstream", c.lastUpstream), zap.String("software", c.lastSoftware), zap.Int("attempts", c.numSends),
+		zap.Duration("view-age", c.ViewAge()), zap.Duration("waited", c.queueTime), zap.Duration("first", c.headLatency), zap.Duration("took", took),
+		zap.Duration("objective", c.route.Objective),
+	}
+	if c.stream.hasStarted {
+		fields = append(fields, zap.Int("events", c.stream.numEvents), zap.Duration("longest-pause", c.stream.longestGap), zap.Duration("most-pause", c.route.MaxEventGap))
+	}
+	if len(c.requestInfo.Parts) > 0 {
+		fields = append(fields, zap.Strings("parts", c.loggedParts()))
+	}
+	if c.handOn.peer != "" {
+		fields = append(fields, zap.String("handed-on-to", c.handOn.peer))
+	}
+	if c.handOn.isReceived {
+		fields = append(fields, zap.String("handed-on-by", r.RemoteAddr))
+	}
+	if c.requestInfo.LastEventID != "" {
+		fields = append(fields, zap.String("resumes", c.requestInfo.Resumes), zap.String("after-event", c.requestInfo.LastEventID))
+	}
+	if c.cfg != nil {
+		fields = append(fields, zap.Int64("config", c.cfg.Version))
+	}
+	if err != nil && c.fingerprint != 0 {
+		fields = append(fields, zap.String("content", FormatFingerprint(c.fingerprint)))
+	}
+	if err != nil {
+		fields = append(fields, zap.String("why", err.Error()))
+	}
+	c.Log.Info("request ended", fields...)
+}
+
+// statusOf returns the status for a refusal: 503 if the request did not run. If it
+// may have run, 504 if its deadline has passed and 502 otherwise.
+func (c *call) statusOf(r verdict.Refusal) int {
+	switch {
+	case r.Ran == verdict.NotRun:
+		return http.StatusServiceUnavailable
+	case r.Reason == verdict.ReasonDeadline:
+		return http.StatusGatewayTimeout
+	}
+	return http.StatusBadGateway
+}
+
+// writeStatus sends an empty response with the status. retryAfter is used with
+// status 503 only.
+func (c *call) writeStatus(status int, retryAfter time.Duration) {
+	c.status = status
+	h := c.w.Header()
+	h["Content-Type"] = nil
+	if c.requestInfo.ID != "" {
+		h.Set(c.Codec.IDHeader, c.requestInfo.ID)
+	}
+	if status == http.StatusServiceUnavailable {
+		retryAfter = min(max(verdict.JitteredRetryDelay(c.requestInfo.ID, retryAfter/2), minRetryAfter), maxRetryAfter)
+		h.Set("Retry-After", strconv.FormatFloat(math.Ceil(retryAfter.Seconds()*100)/100, 'f', -1, 64))
+	}
+	if c.IsStopping() {
+		h.Set("Connection", "close")
+	}
+	h.Set("Content-Length", "0")
+	c.w.WriteHeader(status)
+}
