internal/linkwatcher: a request waits until a doubt about the links is settled

Cause: an instance there has two or three requests a second. The first one after a cut is refused by all its upstreams within milliseconds, which uses up its attempts before the round of connections is over; and if only one upstream has its model, one address that fails was no doubt at all. A request whose attempt reached nobody now waits for the round, 0.45 s at most, and three failures to one upstream are a doubt as well. Outcomes are kept back while there is a doubt, and dropped only when the links are cut.

TestRequestWaitsUntilADoubtIsSettled, and a row of TestCutIsToldFromBrokenUpstreams.

--- a/internal/linkwatcher/linkwatcher.go
+++ b/internal/linkwatcher/linkwatcher.go
@@ -6,8 +6,8 @@
 //
 //   - Only new connections count. Those that exist may live on while new ones fail, or hang
 //     while new ones would work.
-//   - Connections to two upstreams that fail, without one that succeeds in between, are a
-//     doubt. It is settled by a round of connections to others.
+//   - Connections to two upstreams that fail, or three to one, without one that succeeds in
+//     between, are a doubt. It is settled by a round of connections to others.
 //   - While the links are cut, a few connections are tried at intervals. The links are back
 //     when at least half of such a round succeeds.
 package linkwatcher
@@ -24,8 +24,12 @@
 )
 
 const (
-	// doubtThreshold is the number of upstreams whose connections must fail for a doubt.
-	doubtThreshold = 2
+	// doubtThreshold is the number of upstreams whose connections must fail for a doubt, and
+	// failureThreshold that of connections, if all are to one upstream.
+	doubtThreshold   = 2
+	failureThreshold = 3
+	// maxSettleTime bounds how long a request waits until a doubt is settled.
+	maxSettleTime = 450 * time.Millisecond
 	// roundSize is the number of connections in a round.
 	roundSize = 4
 	// roundInterval is the least time between the starts of two rounds.
@@ -45,11 +49,14 @@
 	OnChange func(isCut bool)
 	Log      *zap.Logger
 
-	mu       sync.Mutex
-	failedAt map[string]time.Time // since the last connection that succeeded
-	isCut    bool
-	cut      chan struct{} // closed while the links are cut
-	wake     chan struct{}
+	mu          sync.Mutex
+	failedAt    map[string]time.Time // since the last connection that succeeded
+	numFailures int                  // since then
+	succeededAt time.Time
+	isCut       bool
+	cut         chan struct{} // closed while the links are cut
+	settled     chan struct{} // closed at the end of the present or next round
+	wake        chan struct{}
 }
 
 // IsCut reports whether the links to the upstreams are cut.
@@ -70,7 +77,32 @@
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return w.isCut || len(w.failedAt) >= doubtThreshold
+	return w.isCut || w.hasDoubtLocked()
+}
+
+func (w *Watcher) hasDoubtLocked() bool {
+	return len(w.failedAt) >= doubtThreshold || w.numFailures >= failureThreshold
+}
+
+// Settle waits until a doubt is settled, for a bounded time.
+func (w *Watcher) Settle(ctx context.Context) {
+	if w == nil {
+		return
+	}
+	w.mu.Lock()
+	w.initLocked()
+	settled, hasDoubt := w.settled, !w.isCut && w.hasDoubtLocked()
+	w.mu.Unlock()
+	if !hasDoubt {
+		return
+	}
+	timer := time.NewTimer(maxSettleTime)
+	defer timer.Stop()
+	select {
+	case <-settled:
+	case <-timer.C:
+	case <-ctx.Done():
+	}
 }
 
 // Cut returns a channel that is closed when the links are cut.
@@ -90,7 +122,8 @@
 	defer w.mu.Unlock()
 	w.initLocked()
 	if err == nil {
-		clear(w.failedAt)
+		w.clearLocked()
+		w.succeededAt = now
 		return
 	}
 	for a, at := range w.failedAt {
@@ -99,7 +132,8 @@
 		}
 	}
 	w.failedAt[address] = now
-	if len(w.failedAt) >= doubtThreshold {
+	w.numFailures++
+	if w.hasDoubtLocked() {
 		select {
 		case w.wake <- struct{}{}:
 		default:
@@ -110,9 +144,15 @@
 func (w *Watcher) initLocked() {
 	if w.failedAt == nil {
 		w.failedAt, w.cut, w.wake = make(map[string]time.Time), make(chan struct{}), make(chan struct{}, 1)
+		w.settled = make(chan struct{})
 	}
 }
 
+func (w *Watcher) clearLocked() {
+	clear(w.failedAt)
+	w.numFailures = 0
+}
+
 // Run settles doubts and finds the end of a cut, until ctx ends.
 func (w *Watcher) Run(ctx context.Context) {
 	w.mu.Lock()
@@ -142,7 +182,7 @@
 
 // round tries some connections and judges by their results.
 func (w *Watcher) round(ctx context.Context) {
-	targets := w.targets()
+	began, targets := time.Now(), w.targets()
 	if len(targets) == 0 {
 		return
 	}
@@ -161,25 +201,27 @@
 			numGood++
 		}
 	}
-	w.judge(numGood, len(targets))
+	w.judge(numGood, len(targets), began)
 }
 
-// judge applies the result of a round.
-func (w *Watcher) judge(numGood, numTried int) {
+// judge applies the result of a round that began at a time.
+func (w *Watcher) judge(numGood, numTried int, began time.Time) {
 	w.mu.Lock()
 	w.initLocked()
 	wasCut := w.isCut
 	switch {
-	case !wasCut && numGood > 0:
-		clear(w.failedAt)
-	case !wasCut && len(w.failedAt) >= min(doubtThreshold, numTried): // none has succeeded meanwhile
+	case !wasCut && (numGood > 0 || w.succeededAt.After(began)):
+		w.clearLocked()
+	case !wasCut:
 		w.isCut = true
 		close(w.cut)
 	case wasCut && 2*numGood >= numTried:
 		w.isCut = false
 		w.cut = make(chan struct{})
-		clear(w.failedAt)
+		w.clearLocked()
 	}
+	close(w.settled)
+	w.settled = make(chan struct{})
 	isCut := w.isCut
 	w.mu.Unlock()
 	if isCut == wasCut {
--- a/internal/linkwatcher/linkwatcher_test.go
+++ b/internal/linkwatcher/linkwatcher_test.go
@@ -36,6 +36,8 @@
 	}{
 		"cut":                         {15, []string{"u0", "u1"}, "", func(string) bool { return false }, true},
 		"one broken upstream":         {15, []string{"u0", "u0", "u0"}, "", func(a string) bool { return a != "u0" }, false},
+		"cut, one upstream is used":   {15, []string{"u0", "u0", "u0"}, "", func(string) bool { return false }, true},
+		"a single failure":            {15, []string{"u0"}, "", func(string) bool { return false }, false},
 		"a third crashes":             {15, []string{"u0", "u1", "u2", "u3", "u4"}, "", func(a string) bool { return a > "u4" || len(a) > 2 }, false},
 		"another connection succeeds": {15, []string{"u0", "u1"}, "u2", func(string) bool { return false }, false},
 		"two upstreams in all":        {2, []string{"u0", "u1"}, "", func(string) bool { return false }, true},
@@ -100,3 +102,17 @@
 	}
 	require.False(t, w.IsDoubtful())
 }
+
+// TestRequestWaitsUntilADoubtIsSettled guards against a request that uses up its attempts before
+// the links are known to be cut.
+func TestRequestWaitsUntilADoubtIsSettled(t *testing.T) {
+	w, _ := newWatcher(4, func(string) error { return errTimeout })
+	w.Settle(t.Context()) // no doubt
+	w.Record("u0", errTimeout, time.Now())
+	w.Record("u1", errTimeout, time.Now())
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	go w.Run(ctx)
+	w.Settle(t.Context())
+	require.True(t, w.IsCut())
+}
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -324,6 +324,9 @@
 		if done || err != nil {
 			return err
 		}
+		if c.isUnsent {
+			c.Links.Settle(ctx)
+		}
 		if err := c.checkRetry(ctx); err != nil {
 			return err
 		}
--- a/internal/syncer/client.go
+++ b/internal/syncer/client.go
@@ -222,9 +222,12 @@
 		}
 		r.Uses = append(r.Uses, x)
 	}
-	outcomes := c.Queue.Outcomes()
-	if c.Links.IsDoubtful() {
-		outcomes = nil // failures of the links, not of the upstreams
+	var outcomes []queuer.OutcomeCounts
+	switch {
+	case c.Links.IsCut():
+		c.Queue.Outcomes() // dropped: failures of the links, not of the upstreams
+	case !c.Links.IsDoubtful():
+		outcomes = c.Queue.Outcomes()
 	}
 	for _, o := range outcomes {
 		r.Outcomes = append(r.Outcomes, &peerv1.Outcomes{
