internal/conductor: a state request does not read its upstream after a plan may replace it

Cause: the goroutine that requests the state of an upstream logged its id after it had marked the engine as not busy; the next plan may replace the upstream then. Only the log line could be wrong.

--- a/internal/conductor/conductor_test.go
+++ b/internal/conductor/conductor_test.go
@@ -7,6 +7,7 @@
 	"runtime"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -429,3 +430,32 @@
 	c.RemoveInstance("i2")
 	require.Equal(t, newTotals(), c.totals)
 }
+
+// TestStateRequestsDoNotRaceWithRegistrations guards against a state request that reads its
+// upstream after the next plan may replace it. It fails under the race detector only.
+func TestStateRequestsDoNotRaceWithRegistrations(t *testing.T) {
+	c, run := newConductor(t, &engineStub{})
+	var numRequests atomic.Int32
+	c.Remote.State = func(context.Context, *registrar.Upstream) (State, error) {
+		numRequests.Add(1)
+		return State{}, nil
+	}
+	run()
+	const numUpstreams = 200
+	for incarnation := int64(1); incarnation <= 20; incarnation++ {
+		for numRequests.Store(0); numRequests.Load() < numUpstreams; {
+			all := make(map[string]*registrar.Upstream)
+			for n := range numUpstreams {
+				id := fmt.Sprint("u", n)
+				all[id] = &registrar.Upstream{ID: id, Service: "lm", StartedAtMs: incarnation, Slots: 4}
+			}
+			c.Upstreams.ApplyRegistrations(all, time.Now())
+			c.Wake()
+			for range 20 { // as plans do, but more often
+				c.mu.Lock()
+				c.syncEnginesLocked(time.Now())
+				c.mu.Unlock()
+			}
+		}
+	}
+}
--- a/internal/conductor/engine.go
+++ b/internal/conductor/engine.go
@@ -91,6 +91,7 @@
 			continue
 		}
 		e.isBusy = true
+		id := e.up.ID // a plan may replace e.up once e is not busy any more
 		c.moves.Add(1)
 		out = append(out, func() {
 			go func() {
@@ -106,7 +107,7 @@
 					c.viewsChanged = true
 				}
 				c.mu.Unlock()
-				c.Log.Info("upstream state requested", zap.String("upstream", e.up.ID), zap.Int64("orders", s.NumOrders),
+				c.Log.Info("upstream state requested", zap.String("upstream", id), zap.Int64("orders", s.NumOrders),
 					zap.Bool("busy", s.IsBusy), zap.Int("models", len(s.Models)), logger.Error(err))
 				c.Wake()
 			}()
