--- a/internal/linkwatcher/linkwatcher.go
+++ b/internal/linkwatcher/linkwatcher.go
@@ -1,8 +1,8 @@
 // Package linkwatcher finds out whether an instance has lost its links to the upstreams.
 //
-// A single instance cannot tell an upstream that has ended from one that it does not reach.
-// But connections to several upstreams that fail, while a few others are tried and fail as
-// well, are no coincidence: the links of the instance are cut. The rules:
+// To a single instance, an upstream that has ended and one that it does not reach look the same.
+// But if connections to several upstreams fail, and those to a few others that are tried fail as
+// well, the links of the instance are cut. The rules:
 //
 //   - Only new connections count. Those that exist may live on while new ones fail, or hang
 //     while new ones would work.
