internal/relayer: log lines say when a request was sent and when its client left

The logs could not tell whether a request went on after its client had left because the close had not been read yet, because it did not reach the peer that the request was handed on to, or because the request outlived its context. The line about the end of a request has sent and left now, and a send on whose client connection the kernel has seen the end is logged and counted. No request is treated differently.

--- a/internal/relayer/account.go
+++ b/internal/relayer/account.go
@@ -123,6 +123,7 @@
 		c.Log.Info("request withheld until its quota is charged again", zap.String("request", c.requestInfo.ID), zap.String("account", c.accountName()))
 		return errWithheld
 	}
+	c.observeSend(hopUpstream)
 	return nil
 }
 
--- a/internal/relayer/finish.go
+++ b/internal/relayer/finish.go
@@ -44,6 +44,7 @@
 		zap.Duration("view-age", c.ViewAge()), zap.Duration("waited", c.queueTime), zap.Duration("first", c.headLatency), zap.Duration("took", took),
 		zap.Duration("objective", c.route.Objective),
 	}
+	fields = append(fields, c.presenceFields()...)
 	if c.stream.hasStarted {
 		fields = append(fields, zap.Int("events", c.stream.numEvents), zap.Duration("longest-pause", c.stream.longestGap), zap.Duration("most-pause", c.route.MaxEventGap))
 	}
--- a/internal/relayer/handon.go
+++ b/internal/relayer/handon.go
@@ -141,6 +141,10 @@
 	req := c.req
 	req.Header = c.Codec.HandOnHeader(c.clientHeader, left, c.stream.lastEventID, resumes)
 	req.Header.Set(HeaderHandedOn, strconv.Itoa(c.attemptsLeft()))
+	req.MaySend = func() error {
+		c.observeSend(hopPeer)
+		return nil
+	}
 	resp, err := c.PeerPool.Do(actx, address, &req)
 	if err != nil {
 		unsent := !courier.WasSent(err)
--- /dev/null
+++ b/internal/relayer/left.go
@@ -0,0 +1,70 @@
+package relayer
+
+import (
+	"context"
+	"net"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"go.uber.org/zap"
+	"golang.org/x/sys/unix"
+)
+
+// The connections on which a request is sent on, as labels of metrics.
+const (
+	hopUpstream = "upstream"
+	hopPeer     = "peer"
+)
+
+// presence records when a request was sent on and when its client left.
+type presence struct {
+	sentAfter time.Duration // from the request's arrival to the last send, 0 if there was none
+	leftAfter atomic.Int64  // nanoseconds from its arrival until its context ended, 0 before
+}
+
+// watchClient records when the context of the client's request ends. The result stops it.
+func (c *call) watchClient(ctx context.Context) (stop func() bool) {
+	return context.AfterFunc(ctx, func() { c.presence.leftAfter.Store(int64(max(1, time.Since(c.arrived)))) })
+}
+
+// observeSend records a send, right before its first byte is written.
+func (c *call) observeSend(hop string) {
+	c.presence.sentAfter = max(1, time.Since(c.arrived))
+	if !isClosedByPeer(c.clientConn) {
+		return
+	}
+	c.Metrics.sentAfterClose.WithLabelValues(c.admission.Service, hop).Inc()
+	c.Log.Info("request sent after its client has left", zap.String("request", c.requestInfo.ID), zap.String("hop", hop), zap.Bool("handed-on", c.handOn.isReceived),
+		zap.Bool("noticed", c.presence.leftAfter.Load() != 0), zap.Duration("after", c.presence.sentAfter))
+}
+
+// presenceFields returns the fields of the log line about the end of a request.
+func (c *call) presenceFields() []zap.Field {
+	fields := []zap.Field{zap.Duration("sent", c.presence.sentAfter)}
+	if left := c.presence.leftAfter.Load(); left != 0 {
+		fields = append(fields, zap.Duration("left", time.Duration(left)))
+	}
+	return fields
+}
+
+// isClosedByPeer reports whether the other end of a connection has closed or reset it. The kernel
+// knows that before the goroutine that reads the connection has run. It reports false for a
+// connection that is nil.
+func isClosedByPeer(conn *net.TCPConn) bool {
+	isClosed := false
+	control(conn, func(fd int) {
+		var b [1]byte
+		n, _, err := unix.Recvfrom(fd, b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+		switch {
+		case err != nil:
+			isClosed = !errors.IsAny(err, unix.EAGAIN, unix.EINTR)
+		case n == 0:
+			isClosed = true
+		default: // the bytes of a next request, which hide the end of the connection
+			info, err := unix.GetsockoptTCPInfo(fd, unix.IPPROTO_TCP, unix.TCP_INFO)
+			isClosed = err == nil && (info.State == unix.BPF_TCP_CLOSE_WAIT || info.State == unix.BPF_TCP_CLOSE)
+		}
+	})
+	return isClosed
+}
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -185,6 +185,7 @@
 	isKeyStale     bool                   // another instance has to check the key
 	isWithheld     bool                   // the last attempt was not sent, because the key has to be checked or the quota charged again
 	quota          quotaState
+	presence       presence
 }
 
 // ServeHTTP implements http.Handler.
@@ -193,6 +194,7 @@
 	defer c.bodyHeld.release()
 	ctx, cancel := context.WithCancel(r.Context())
 	defer cancel()
+	defer c.watchClient(r.Context())()
 	err := c.prepare(r)
 	if err == nil {
 		err = c.serve(ctx)
