internal/relayer: failing tests of requests that are sent after their clients left

Behind the bytes of a next request net/http does not see the close at all, and a request that waits is sent when its turn comes.

--- a/internal/relayer/left_test.go
+++ b/internal/relayer/left_test.go
@@ -2,11 +2,17 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
+	"net/http"
+	"net/http/httptest"
+	"runtime"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
 )
 
 // newConnPair returns both ends of a TCP connection.
@@ -76,3 +82,103 @@
 	require.Eventually(t, func() bool { return len(c.presenceFields()) == 2 }, 10*time.Second, time.Millisecond)
 	require.GreaterOrEqual(t, time.Duration(c.presence.leftAfter.Load()), c.presence.sentAfter)
 }
+
+// gatedListener holds back new connections until it is opened, as a process does that is short of
+// processor time.
+type gatedListener struct {
+	net.Listener
+	opened chan struct{}
+}
+
+func (l gatedListener) Accept() (net.Conn, error) {
+	<-l.opened
+	return l.Listener.Accept()
+}
+
+// serveGated starts a server of the relayer that knows the connections of its clients and accepts
+// none until open is called.
+func (g *fixture) serveGated() (address string, open func()) {
+	listen, err := net.Listen("tcp4", "127.0.0.1:0")
+	require.NoError(g.t, err)
+	opened := make(chan struct{})
+	s := httptest.NewUnstartedServer(g.Relayer)
+	s.Listener = gatedListener{listen, opened}
+	s.Config.ConnContext = WithClientConn
+	s.Start()
+	g.t.Cleanup(s.Close)
+	return listen.Addr().String(), func() { close(opened) }
+}
+
+// send writes a request for the route that may be repeated on a new connection.
+func (g *fixture) send(address, id string) *net.TCPConn {
+	c, err := net.Dial("tcp4", address)
+	require.NoError(g.t, err)
+	g.t.Cleanup(func() { _ = c.Close() })
+	_, err = fmt.Fprintf(c, "GET /again/ HTTP/1.1\r\nHost: h.example\r\n%s: %s\r\n\r\n", hID, id)
+	require.NoError(g.t, err)
+	return c.(*net.TCPConn)
+}
+
+// TestRequestsOfClientsThatLeftBeforeTheyWereReadAreNotSent guards against requests that reach an
+// upstream although their clients closed the connection before the instance read them.
+func TestRequestsOfClientsThatLeftBeforeTheyWereReadAreNotSent(t *testing.T) {
+	defer runtime.GOMAXPROCS(runtime.GOMAXPROCS(1)) // as deployed
+	const clients, numUpstreams = 100, 20
+	var ups []*upstream
+	for range numUpstreams {
+		ups = append(ups, newUpstream(t, func(_ int, r *http.Request, _ string) (string, bool) { return response(r, 200, stamped, ""), false }))
+	}
+	g := newFixture(t, ups...)
+	address, open := g.serveGated()
+	for _, u := range ups { // leave an idle connection to each upstream
+		for u.count() == 0 {
+			g.do(g.request("POST", "/again/", "x"))
+		}
+	}
+	before := countAll(ups)
+	core, ended := observer.New(zap.InfoLevel)
+	g.Log = zap.New(core)
+	for i := range clients {
+		require.NoError(t, g.send(address, fmt.Sprintf("left%d", i)).Close())
+	}
+	open()
+	require.Eventually(t, func() bool { return ended.FilterMessage("request ended").Len() == clients }, 10*time.Second, time.Millisecond)
+	require.Zero(t, countAll(ups)-before)
+}
+
+func countAll(ups []*upstream) (n int) {
+	for _, u := range ups {
+		n += u.count()
+	}
+	return n
+}
+
+// TestRequestOfAClientThatLeftWhileItWaitedIsNotSent guards against requests that wait for a slot and
+// are sent although their clients have left. The client has sent its next request, behind which
+// net/http does not see the end of the connection.
+func TestRequestOfAClientThatLeftWhileItWaitedIsNotSent(t *testing.T) {
+	isReleased := make(chan struct{})
+	up := newUpstream(t, func(_ int, r *http.Request, _ string) (string, bool) {
+		<-isReleased
+		return response(r, 200, stamped, ""), false
+	})
+	g := newFixture(t, up)
+	core, lines := observer.New(zap.InfoLevel)
+	g.Log = zap.New(core)
+	address, open := g.serveGated()
+	open()
+	var c *net.TCPConn
+	numSent := 0
+	isWaiting := func() bool { _, waiting := g.Queue.Demands(); return waiting == 1 }
+	for !isWaiting() { // until all slots are taken
+		c = g.send(address, fmt.Sprintf("r%d", numSent))
+		numSent++
+		require.Eventually(t, func() bool { return up.count() == numSent || isWaiting() }, 10*time.Second, time.Millisecond)
+	}
+	_, err := c.Write([]byte("GET /again/ HTTP/1.1\r\n"))
+	require.NoError(t, err)
+	require.NoError(t, c.Close())
+	close(isReleased)
+	require.Eventually(t, func() bool { return lines.FilterMessage("request ended").Len() == numSent }, 10*time.Second, time.Millisecond)
+	require.Equal(t, numSent-1, up.count())
+}
