internal/streamtracker: the origin that brought the first event holds

An instance without links to upstreams records its own attempts for a stream before it hands the request on, numbered from 1 like those of the peer. If it made two, its record replaced the one of the peer that began the stream at another software version, and a client that took the stream up again would have got pieces of two versions. TestBoundOriginHolds and TestResolve/homes_differ,_one_is_bound fail without the change.

A bound origin holds whatever the numbers of other records are, and is sent to the homes again where they may have another record.

--- a/internal/relayer/origin.go
+++ b/internal/relayer/origin.go
@@ -54,8 +54,13 @@
 	if !c.isResumable() || c.admission.Software != nil || c.handOn.isRunning {
 		return
 	}
-	c.Streams.Bind(c.origin.last)
-	c.Streams.Await(ctx, c.origin.delivery, c.origin.isCorrection)
+	// The instance that handed the request on may have recorded attempts of its own.
+	mayDiffer := c.origin.isCorrection || c.handOn.isReceived
+	bound := c.Streams.Bind(c.origin.last, mayDiffer)
+	if bound != nil {
+		c.origin.delivery = bound
+	}
+	c.Streams.Await(ctx, c.origin.delivery, mayDiffer)
 	c.admission.Software = &c.origin.last.Software
 }
 
--- a/internal/streamtracker/keeper.go
+++ b/internal/streamtracker/keeper.go
@@ -77,13 +77,20 @@
 	return &d
 }
 
-// Bind records that an attempt has brought the first event of its stream.
-func (k *Keeper) Bind(o Origin) {
+// Bind records that an attempt has brought the first event of its stream. If the homes may have
+// the record of another attempt, it returns the delivery of this one.
+func (k *Keeper) Bind(o Origin, mayDiffer bool) *Delivery {
 	o.IsBound = true
 	k.Tracker.Record(o, time.Now())
-	if k.History.HasSeveral(o.Service) {
-		k.archive(o)
+	if !k.History.HasSeveral(o.Service) {
+		return nil
+	}
+	k.archive(o)
+	if !mayDiffer {
+		return nil
 	}
+	d := k.Send([]Origin{o})
+	return &d
 }
 
 // Await waits before the first event of a stream until the record is at another instance, for
@@ -173,10 +180,10 @@
 	return o, ok && o.IsBound && o.Service == service, nil
 }
 
-// latest returns the origin of the latest attempt.
+// latest returns the origin that is bound, or else that of the latest attempt.
 func latest(answers []Answer) (best Origin, ok bool) {
 	for _, a := range answers {
-		if a.IsKnown && (!ok || a.Origin.Attempt > best.Attempt) {
+		if a.IsKnown && (!ok || a.Origin.supersedes(best)) {
 			best, ok = a.Origin, true
 		}
 	}
--- a/internal/streamtracker/keeper_test.go
+++ b/internal/streamtracker/keeper_test.go
@@ -67,6 +67,7 @@
 		"unknown, cut off with a minority": {current: []string{"v1"}, saved: all, isOld: true, answers: []Answer{answer(all)}, numAsked: 3},
 		"unknown, outage for all":          {current: []string{"v1"}, saved: all, isOld: true, answers: []Answer{answer(all), answer(all)}, numAsked: 3, want: "v1"},
 		"no version in sight":              {saved: versions(StreamMemory)},
+		"homes differ, one is bound":       {answers: []Answer{answer(all, bound("v2", 1)), answer(all, origin("v1", 2))}, numAsked: 3, current: []string{"v1", "v2"}, want: "v2"},
 		"archived":                         {current: []string{"v1", "v2"}, archived: []Origin{bound("v2", 1)}, want: "v2"},
 		"archived, versions not saved":     {current: []string{"v1"}, loadErr: outage, archived: []Origin{bound("v2", 1)}, want: "v2"},
 		"another stream is archived":       {current: []string{"v1", "v2"}, archived: []Origin{{Stream: "s", Service: service, Software: "v1", TTL: time.Minute, IsBound: true}}},
@@ -161,6 +162,18 @@
 	require.Equal(t, map[string][]string{service: {"v1", "v2"}}, store)
 }
 
+// TestBoundOriginHolds guards against a record of an attempt that brought no event and that replaces
+// the one of the attempt that did.
+func TestBoundOriginHolds(t *testing.T) {
+	var k Tracker
+	now := time.Now()
+	k.Record(Origin{Stream: "r", Software: "v2", Attempt: 1, TTL: time.Minute, IsBound: true}, now)
+	k.Record(Origin{Stream: "r", Software: "v1", Attempt: 3, TTL: time.Minute}, now)
+	o, ok := k.Find("r", now)
+	require.True(t, ok)
+	require.Equal(t, "v2", o.Software)
+}
+
 // TestStreamsThatRunAreArchivedWhenASecondVersionAppears guards against streams that began while
 // there was one version and are lost with all instances after there are two.
 func TestStreamsThatRunAreArchivedWhenASecondVersionAppears(t *testing.T) {
@@ -186,12 +199,12 @@
 	k.Begin(origin("not-bound"))
 	for _, stream := range []string{"runs", "has-ended"} {
 		k.Begin(origin(stream))
-		k.Bind(origin(stream))
+		k.Bind(origin(stream), false)
 	}
 	k.Tracker.RecordEnd("has-ended")
 	require.Empty(t, archived, "one version only")
 	k.History.Observe(map[string][]string{service: {"v1", "v2"}}, true, time.Now())
 	require.Equal(t, []string{"runs"}, archived)
-	k.Bind(origin("not-bound"))
+	k.Bind(origin("not-bound"), false)
 	require.Equal(t, []string{"runs", "not-bound"}, archived)
 }
--- a/internal/streamtracker/tracker.go
+++ b/internal/streamtracker/tracker.go
@@ -23,7 +23,8 @@
 	// Attempt is the number of the attempt that began the stream. If an attempt fails before
 	// its first event, the next one may be at another version.
 	Attempt int
-	// IsBound says that this attempt brought the first event.
+	// IsBound says that this attempt brought the first event. No other record of the stream can
+	// then hold.
 	IsBound bool
 	// TTL is how long the stream may still be taken up.
 	TTL time.Duration
@@ -41,14 +42,14 @@
 	isEnded bool
 }
 
-// Record adds an origin, unless that of a later attempt of the stream is known.
+// Record adds an origin, unless one that is bound or of a later attempt of the stream is known.
 func (t *Tracker) Record(o Origin, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.origins == nil {
 		t.origins, _ = simplelru.NewLRU[string, expiring](maxOrigins, nil) // fails only for a size below one
 	}
-	if known, ok := t.origins.Peek(o.Stream); ok && now.Before(known.until) && known.Attempt > o.Attempt {
+	if known, ok := t.origins.Peek(o.Stream); ok && now.Before(known.until) && known.supersedes(o) {
 		return
 	}
 	t.origins.Add(o.Stream, expiring{Origin: o, until: now.Add(min(o.TTL, StreamMemory))})
@@ -68,6 +69,14 @@
 	}
 }
 
+// supersedes reports whether the origin holds although another record of the stream has come.
+func (o Origin) supersedes(other Origin) bool {
+	if o.IsBound != other.IsBound {
+		return o.IsBound
+	}
+	return o.Attempt > other.Attempt
+}
+
 // Find returns the origin of a stream.
 func (t *Tracker) Find(stream string, now time.Time) (Origin, bool) {
 	t.mu.Lock()
