internal/streamtracker: a missing record of versions is no proof

A service without a record in the log counted as one that had no stream before, so a stream that nobody knows went on at the only version in sight. After all instances ended, that is wrong if the record was never accepted, or the log came back from a copy that is older than it, and the version that began the stream has left. TestMissingRecordOfVersionsIsNoProof went on at the other version without the change.

--- a/internal/streamtracker/keeper_test.go
+++ b/internal/streamtracker/keeper_test.go
@@ -208,3 +208,18 @@
 	k.Bind(origin("not-bound"), false)
 	require.Equal(t, []string{"runs", "not-bound"}, archived)
 }
+
+// TestMissingRecordOfVersionsIsNoProof guards against a stream that goes on at another version because
+// the record of its service's versions is not in the log: it was never saved, or the log came back
+// from a copy without it.
+func TestMissingRecordOfVersionsIsNoProof(t *testing.T) {
+	store := Store{Load: func(context.Context) (map[string][]string, error) { return map[string][]string{"other": {"v1"}}, nil }}
+	k := &Keeper{
+		Tracker: &Tracker{}, History: &History{}, Log: zap.NewNop(), Load: store.LoadService,
+		Ask:     func(context.Context, string, string) ([]Answer, int) { return nil, 0 },
+		IsFresh: func() bool { return true },
+	}
+	k.History.Observe(map[string][]string{service: {"v2"}}, true, time.Now()) // v1 has left, which nobody saw
+	_, err := k.Resolve(t.Context(), "began-at-v1", service)
+	require.Equal(t, verdict.ReasonUnknownOrigin, verdict.FromError(err).Reason)
+}
--- a/internal/streamtracker/saver.go
+++ b/internal/streamtracker/saver.go
@@ -32,13 +32,18 @@
 
 // LoadService returns the saved versions of a service, to be merged into a History. What is
 // saved is complete: the holder of the lease saves each change before upstreams of a new
-// version have a model loaded. A service without a record has had no stream.
+// version have a model loaded. Without a record nothing is known: it may not have been accepted, or the
+// log may have come back from a copy that is older than it.
 func (s Store) LoadService(ctx context.Context, service string) (Versions, error) {
 	all, err := s.Load(ctx)
 	if err != nil {
 		return Versions{}, err
 	}
-	return savedVersions(all[service]), nil
+	list, ok := all[service]
+	if !ok {
+		return Versions{}, nil
+	}
+	return savedVersions(list), nil
 }
 
 func savedVersions(list []string) Versions {
