internal/relayer, internal/courier: a peer learns that a request it was handed is not wanted any more

A request that an instance without links to upstreams has handed on waits at the peer, which learned that the client left by a single reset. A reset that is lost is not sent again, and a peer that has nothing to send never finds out that the other end is gone; the request was sent when its turn came.

The peer sends an informational response (status 102) every 200 ms until the response begins, if the instance that handed the request on takes them: its kernel answers with a reset, or does not acknowledge, and the connection ends after a second. That costs nothing for requests that are answered within 200 ms or stream events, and no message of its own.

TestRequestIsNotSentIfItsPeerIsNotReachable fails with the mechanism switched off: the request waits until its deadline. TestHandedOnRequestWaitsLongAtAPeer guards the other end.

--- a/internal/courier/courier.go
+++ b/internal/courier/courier.go
@@ -40,6 +40,9 @@
 	HasBody bool
 	// ID is the value that the response must carry in the pool's IDHeader.
 	ID string
+	// TakesProgress says that the receiver sends informational responses (status 1xx) for as long
+	// as it works on the request. Otherwise a few of them are skipped.
+	TakesProgress bool
 	// MaySend, if set, is called when the connection is open, right before the request is
 	// written. If it returns an error, no byte is sent.
 	MaySend func() error
@@ -158,7 +161,7 @@
 // request's id. It skips informational responses and late responses to other
 // requests.
 func (x *exchange) readHead(req *Request) (*http.Response, bool, error) {
-	for range maxSkippedResponses + 1 {
+	for numSkipped := 0; numSkipped <= maxSkippedResponses; numSkipped++ {
 		x.conn.head.begin()
 		httpResp, err := http.ReadResponse(x.conn.r, &http.Request{Method: req.Method})
 		x.conn.head.end()
@@ -169,6 +172,9 @@
 			return nil, false, err
 		}
 		if httpResp.StatusCode < http.StatusOK {
+			if req.TakesProgress {
+				numSkipped--
+			}
 			continue
 		}
 		id := httpResp.Header.Get(x.pool.IDHeader)
--- a/internal/relayer/attempt.go
+++ b/internal/relayer/attempt.go
@@ -290,6 +290,7 @@
 
 // writeHead sends the status and headers of the response to the client.
 func (c *call) writeHead(status int) {
+	c.handOn.progress.stop()
 	c.status = status
 	h := c.w.Header()
 	if h.Get("Content-Type") == "" {
--- a/internal/relayer/finish.go
+++ b/internal/relayer/finish.go
@@ -95,6 +95,7 @@
 // writeStatus sends an empty response with the status. retryAfter is used with
 // status 503 and 429 only.
 func (c *call) writeStatus(status int, retryAfter time.Duration) {
+	c.handOn.progress.stop()
 	c.status = status
 	h := c.w.Header()
 	h["Content-Type"] = nil
--- a/internal/relayer/handon.go
+++ b/internal/relayer/handon.go
@@ -27,10 +27,13 @@
 
 // handOnState says whether a request comes from a peer or goes to one.
 type handOnState struct {
-	isReceived bool   // from a peer
-	isRunning  bool   // an exchange with a peer runs
-	peer       string // address of the last peer to which it was sent
-	hasGivenUp bool   // no peer has received it
+	isReceived bool // from a peer
+	// takesProgress says that the peer takes informational responses.
+	takesProgress bool
+	progress      *progress
+	isRunning     bool   // an exchange with a peer runs
+	peer          string // address of the last peer to which it was sent
+	hasGivenUp    bool   // no peer has received it
 }
 
 // receiveHandedOn applies what a peer says about a request that it has handed on.
@@ -44,7 +47,8 @@
 		return errors.Newf("malformed header %s: %q", HeaderHandedOn, v)
 	}
 	r.Header.Del(HeaderHandedOn) // not for the upstream
-	c.handOn.isReceived = true
+	c.handOn.isReceived, c.handOn.takesProgress = true, r.Header.Get(headerProgress) != ""
+	r.Header.Del(headerProgress)
 	c.route.MaxAttempts = min(max(c.route.MaxAttempts, 1), attempts)
 	return nil
 }
@@ -144,6 +148,8 @@
 	req := c.req
 	req.Header = c.Codec.HandOnHeader(c.clientHeader, left, c.stream.lastEventID, resumes)
 	req.Header.Set(HeaderHandedOn, strconv.Itoa(c.attemptsLeft()))
+	askForProgress(req.Header)
+	req.TakesProgress = true
 	req.MaySend = func() error { return c.checkPresence(ctx, hopPeer) }
 	resp, err := c.PeerPool.Do(actx, address, &req)
 	if err != nil {
--- a/internal/relayer/left_test.go
+++ b/internal/relayer/left_test.go
@@ -7,12 +7,15 @@
 	"net/http"
 	"net/http/httptest"
 	"runtime"
+	"strings"
+	"sync"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 	"go.uber.org/zap"
 	"go.uber.org/zap/zaptest/observer"
+	"golang.org/x/sys/unix"
 )
 
 // newConnPair returns both ends of a TCP connection.
@@ -98,23 +101,30 @@
 // serveGated starts a server of the relayer that knows the connections of its clients and accepts
 // none until open is called.
 func (g *fixture) serveGated() (address string, open func()) {
+	g.t.Helper()
+	return g.serveOn(WithClientConn)
+}
+
+// serveOn is serveGated with another function that adds the connection of the client.
+func (g *fixture) serveOn(connContext func(context.Context, net.Conn) context.Context) (address string, open func()) {
 	listen, err := net.Listen("tcp4", "127.0.0.1:0")
 	require.NoError(g.t, err)
 	opened := make(chan struct{})
 	s := httptest.NewUnstartedServer(g.Relayer)
 	s.Listener = gatedListener{listen, opened}
-	s.Config.ConnContext = WithClientConn
+	s.Config.ConnContext = connContext
 	s.Start()
 	g.t.Cleanup(s.Close)
 	return listen.Addr().String(), func() { close(opened) }
 }
 
-// send writes a request for the route that may be repeated on a new connection.
-func (g *fixture) send(address, id string) *net.TCPConn {
+// send writes a request for the route that may be repeated on a new connection, with headers that
+// each end with a line break.
+func (g *fixture) send(address, id string, headers ...string) *net.TCPConn {
 	c, err := net.Dial("tcp4", address)
 	require.NoError(g.t, err)
 	g.t.Cleanup(func() { _ = c.Close() })
-	_, err = fmt.Fprintf(c, "GET /again/ HTTP/1.1\r\nHost: h.example\r\n%s: %s\r\n\r\n", hID, id)
+	_, err = fmt.Fprintf(c, "GET /again/ HTTP/1.1\r\nHost: h.example\r\n%s: %s\r\n%s\r\n", hID, id, strings.Join(headers, ""))
 	require.NoError(g.t, err)
 	return c.(*net.TCPConn)
 }
@@ -167,18 +177,84 @@
 	g.Log = zap.New(core)
 	address, open := g.serveGated()
 	open()
-	var c *net.TCPConn
-	numSent := 0
-	isWaiting := func() bool { _, waiting := g.Queue.Demands(); return waiting == 1 }
-	for !isWaiting() { // until all slots are taken
-		c = g.send(address, fmt.Sprintf("r%d", numSent))
-		numSent++
-		require.Eventually(t, func() bool { return up.count() == numSent || isWaiting() }, 10*time.Second, time.Millisecond)
-	}
+	numSent := g.fill(address, up)
+	c := g.send(address, "left")
+	require.Eventually(t, func() bool { _, waiting := g.Queue.Demands(); return waiting == 2 }, 10*time.Second, time.Millisecond)
 	_, err := c.Write([]byte("GET /again/ HTTP/1.1\r\n"))
 	require.NoError(t, err)
 	require.NoError(t, c.Close())
 	close(isReleased)
-	require.Eventually(t, func() bool { return lines.FilterMessage("request ended").Len() == numSent }, 10*time.Second, time.Millisecond)
-	require.Equal(t, numSent-1, up.count())
+	require.Eventually(t, func() bool { return lines.FilterMessage("request ended").Len() == numSent+1 }, 10*time.Second, time.Millisecond)
+	require.Equal(t, numSent, up.count())
+}
+
+// fill sends requests until one waits for a slot, and returns how many it has sent.
+func (g *fixture) fill(address string, up *upstream) (numSent int) {
+	for !g.isWaiting() {
+		g.send(address, fmt.Sprintf("r%d", numSent))
+		numSent++
+		require.Eventually(g.t, func() bool { return up.count() == numSent || g.isWaiting() }, 10*time.Second, time.Millisecond)
+	}
+	return numSent
+}
+
+func (g *fixture) isWaiting() bool {
+	_, waiting := g.Queue.Demands()
+	return waiting > 0
+}
+
+// TestRequestIsNotSentIfItsPeerIsNotReachable guards against requests that were handed on and wait, and
+// are sent although the instance that handed them on has canceled them or is gone: its reset is lost.
+func TestRequestIsNotSentIfItsPeerIsNotReachable(t *testing.T) {
+	isReleased := make(chan struct{})
+	up := newUpstream(t, func(_ int, r *http.Request, _ string) (string, bool) {
+		<-isReleased
+		return response(r, 200, stamped, ""), false
+	})
+	g := newFixture(t, up)
+	core, lines := observer.New(zap.InfoLevel)
+	g.Log = zap.New(core)
+	var mu sync.Mutex
+	var last *net.TCPConn
+	address, open := g.serveOn(func(ctx context.Context, c net.Conn) context.Context {
+		mu.Lock()
+		defer mu.Unlock()
+		last = c.(*net.TCPConn)
+		return WithClientConn(ctx, c)
+	})
+	open()
+	numSent := g.fill(address, up)
+	peer := g.send(address, "canceled", HeaderHandedOn+": 2\r\n", "Connection: "+headerProgress+"\r\n", headerProgress+": 1\r\n")
+	require.Eventually(t, func() bool { _, waiting := g.Queue.Demands(); return waiting == 2 }, 10*time.Second, time.Millisecond)
+	mu.Lock()
+	conn := last
+	mu.Unlock()
+	dropsAll := []unix.SockFilter{{Code: unix.BPF_RET | unix.BPF_K, K: 0}}
+	control(conn, func(fd int) {
+		require.NoError(t, unix.SetsockoptSockFprog(fd, unix.SOL_SOCKET, unix.SO_ATTACH_FILTER, &unix.SockFprog{Len: 1, Filter: &dropsAll[0]}))
+	})
+	require.NoError(t, reset(peer))
+	ended := func() []observer.LoggedEntry {
+		return lines.FilterMessage("request ended").FilterField(zap.String("request", "canceled")).All()
+	}
+	require.Eventually(t, func() bool { return len(ended()) == 1 }, 10*time.Second, time.Millisecond)
+	require.Equal(t, "left", ended()[0].ContextMap()["outcome"], "not refused at its deadline")
+	close(isReleased)
+	require.Eventually(t, func() bool { return lines.FilterMessage("request ended").Len() == numSent+1 }, 10*time.Second, time.Millisecond)
+	require.Equal(t, numSent, up.count())
+}
+
+// TestHandedOnRequestWaitsLongAtAPeer guards against a response of a peer that is lost among the
+// informational ones before it.
+func TestHandedOnRequestWaitsLongAtAPeer(t *testing.T) {
+	peer := newUpstream(t, answerWith(func(r *http.Request) string {
+		if r.Header.Get(headerProgress) == "" {
+			return response(r, 500, stamped, "")
+		}
+		return strings.Repeat(progressResponse, 50) + response(r, 200, stamped, "whole")
+	}))
+	g, _ := newCutFixture(t, peer)
+	resp, body := g.do(g.request("POST", "/once/", "x"))
+	require.Equal(t, 200, resp.StatusCode)
+	require.Equal(t, "whole", body)
 }
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -199,6 +199,8 @@
 	defer c.watchClient(r.Context())()
 	err := c.prepare(r)
 	if err == nil {
+		c.startProgress(ctx)
+		defer c.handOn.progress.stop()
 		err = c.serve(ctx)
 	}
 	if err == nil {
