internal/relayer: a request that gets no response ends with its connection

A client that closes its half of the connection and still reads got an empty response with status 200: its request was canceled, the handler returned without a response, and net/http sends one of its own then.

--- a/internal/relayer/left_test.go
+++ b/internal/relayer/left_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -258,3 +259,22 @@
 	require.Equal(t, 200, resp.StatusCode)
 	require.Equal(t, "whole", body)
 }
+
+// TestClientThatHalfClosesGetsNoEmptySuccess guards against an empty response with status 200 to a
+// client that has closed its half of the connection and still reads.
+func TestClientThatHalfClosesGetsNoEmptySuccess(t *testing.T) {
+	isReleased := make(chan struct{})
+	up := newUpstream(t, func(_ int, r *http.Request, _ string) (string, bool) {
+		<-isReleased
+		return response(r, 200, stamped, "whole"), false
+	})
+	g := newFixture(t, up)
+	defer close(isReleased)
+	address, open := g.serveGated()
+	open()
+	c := g.send(address, "half")
+	require.Eventually(t, func() bool { return up.count() == 1 }, 10*time.Second, time.Millisecond)
+	require.NoError(t, c.CloseWrite())
+	got, _ := io.ReadAll(c) // the connection may be reset
+	require.Empty(t, string(got))
+}
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -211,8 +211,10 @@
 		err = nil
 	}
 	c.finish(r, err)
-	if isTruncated(err) {
-		panic(http.ErrAbortHandler) // closes the connection, so that the client sees a truncated response
+	if isTruncated(err) || c.status == 0 {
+		// Closes the connection. Otherwise a client that still reads would take a truncated
+		// response for whole, or get an empty one with status 200.
+		panic(http.ErrAbortHandler)
 	}
 }
 
