internal/archiver: a record that cannot be read hides no others

One malformed record in the topic of saved origins, which another writer may leave, would have failed each load, and with it each save. It is logged now and its slot written again.

--- a/internal/archiver/archiver.go
+++ b/internal/archiver/archiver.go
@@ -25,8 +25,8 @@
 
 // Store keeps batches in the platform's log.
 type Store struct {
-	// Load returns the saved batches by slot.
-	Load func(context.Context) (map[int]Batch, error)
+	// Load returns the saved batches by slot, and why some of them cannot be read.
+	Load func(context.Context) (batches map[int]Batch, malformed []error, err error)
 	// Save replaces the batches of slots, all or none.
 	Save func(context.Context, map[int]Batch) error
 }
--- a/internal/archiver/archiver_test.go
+++ b/internal/archiver/archiver_test.go
@@ -25,16 +25,18 @@
 	slots    map[int]Batch
 	numSaves int
 	numLoads int
-	err      error // of each call
+	// malformed are the records that cannot be read, and err is the result of each call.
+	malformed []error
+	err       error
 }
 
 func (l *fakeLog) store() Store {
 	return Store{
-		Load: func(context.Context) (map[int]Batch, error) {
+		Load: func(context.Context) (map[int]Batch, []error, error) {
 			l.mu.Lock()
 			defer l.mu.Unlock()
 			l.numLoads++
-			return maps.Clone(l.slots), l.err
+			return maps.Clone(l.slots), l.malformed, l.err
 		},
 		Save: func(_ context.Context, batches map[int]Batch) error {
 			l.mu.Lock()
@@ -215,6 +217,7 @@
 func TestManyStreamsAreLookedUpWithOneLoad(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		l := &fakeLog{slots: map[int]Batch{3: {origin("a", time.Minute)}}}
+		l.malformed = []error{errors.New("not a list")} // which must not hide the others
 		r := &Reader{Store: l.store(), Tracker: &streamtracker.Tracker{}, Log: zap.NewNop(), Metrics: newMetrics()}
 		var wg sync.WaitGroup
 		for range 100 {
--- a/internal/archiver/reader.go
+++ b/internal/archiver/reader.go
@@ -62,7 +62,8 @@
 	ctx, cancel := context.WithTimeout(ctx, loadTimeout)
 	defer cancel()
 	began := time.Now()
-	batches, err := r.Store.Load(ctx)
+	batches, malformed, err := r.Store.Load(ctx)
+	logMalformed(r.Log, malformed)
 	numStreams := 0
 	for _, b := range batches {
 		for _, o := range b {
--- a/internal/archiver/writer.go
+++ b/internal/archiver/writer.go
@@ -188,10 +188,11 @@
 	}
 	lctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
-	saved, err := w.Store.Load(lctx)
+	saved, malformed, err := w.Store.Load(lctx)
 	if err != nil {
 		return err
 	}
+	logMalformed(w.Log, malformed)
 	w.slots = make(map[int]slot)
 	for i, b := range saved {
 		w.slots[i] = newSlot(b, time.Now())
@@ -199,6 +200,13 @@
 	return nil
 }
 
+// logMalformed logs records that cannot be read. Their slots are written again.
+func logMalformed(log *zap.Logger, malformed []error) {
+	for _, err := range malformed {
+		log.Warn("saved origins of streams not read", logger.Error(err))
+	}
+}
+
 // saveAgain saves the slots that have not expired.
 func (w *Writer) saveAgain(ctx context.Context, now time.Time) error {
 	changes := make(map[int]slot)
