--- a/internal/archiver/archiver_test.go
+++ b/internal/archiver/archiver_test.go
@@ -7,6 +7,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -112,14 +113,14 @@
 		ctx, cancel := context.WithCancel(t.Context())
 		l := &fakeLog{err: errors.New("outage")}
 		w := newWriter(l)
-		isHolder := false
-		w.IsHolder = func() bool { return isHolder }
+		var isHolder atomic.Bool
+		w.IsHolder = isHolder.Load
 		go w.Run(ctx)
 		s := &Sender{Send: w.Save, NumInstances: func() int { return 1 }, Log: zap.NewNop(), Metrics: newMetrics()}
 		go s.Run(ctx)
 		s.Add(origin("a", time.Minute), origin("expires", 3*time.Second))
 		time.Sleep(4 * time.Second)
-		isHolder = true
+		isHolder.Store(true)
 		s.Add(origin("b", time.Minute))
 		time.Sleep(4 * time.Second)
 		l.mu.Lock()
