--- a/internal/relayer/left.go
+++ b/internal/relayer/left.go
@@ -25,12 +25,22 @@
 type presence struct {
 	sentAfter time.Duration // from the request's arrival to the last send, 0 if there was none
 	leftAfter atomic.Int64  // nanoseconds from its arrival until its context ended, 0 before
-	hasLeft   bool          // its client was found to have left right before a send
+	// closeAge is how long the close of its client had been in the socket then, in nanoseconds, -1
+	// if that is not known.
+	closeAge atomic.Int64
+	hasLeft  bool // its client was found to have left right before a send
 }
 
 // watchClient records when the context of the client's request ends. The result stops it.
 func (c *call) watchClient(ctx context.Context) (stop func() bool) {
-	return context.AfterFunc(ctx, func() { c.presence.leftAfter.Store(int64(max(1, time.Since(c.arrived)))) })
+	return context.AfterFunc(ctx, func() {
+		age := closeAge(c.clientConn)
+		c.presence.closeAge.Store(int64(age))
+		c.presence.leftAfter.Store(int64(max(1, time.Since(c.arrived))))
+		if age >= 0 {
+			c.Metrics.closeAge.Observe(age.Seconds())
+		}
+	})
 }
 
 // checkPresence is called right before each send. It returns errClientLeft if the client, or the
@@ -56,6 +66,9 @@
 	fields := []zap.Field{zap.Duration("sent", c.presence.sentAfter)}
 	if left := c.presence.leftAfter.Load(); left != 0 {
 		fields = append(fields, zap.Duration("left", time.Duration(left)))
+		if age := c.presence.closeAge.Load(); age >= 0 {
+			fields = append(fields, zap.Duration("close-age", time.Duration(age)))
+		}
 	}
 	return fields
 }
@@ -80,3 +93,15 @@
 	})
 	return isClosed
 }
+
+// closeAge returns how long ago the other end of a connection closed it: the time since its last
+// segment arrived. It is negative if the connection is not closed, or was reset.
+func closeAge(conn *net.TCPConn) time.Duration {
+	age := time.Duration(-1)
+	control(conn, func(fd int) {
+		if info, err := unix.GetsockoptTCPInfo(fd, unix.IPPROTO_TCP, unix.TCP_INFO); err == nil && info.State == unix.BPF_TCP_CLOSE_WAIT {
+			age = time.Duration(info.Last_ack_recv) * time.Millisecond
+		}
+	})
+	return age
+}
--- a/internal/relayer/left_test.go
+++ b/internal/relayer/left_test.go
@@ -13,6 +13,7 @@
 	"testing"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus"
 	"github.com/stretchr/testify/require"
 	"go.uber.org/zap"
 	"go.uber.org/zap/zaptest/observer"
@@ -67,6 +68,20 @@
 	require.False(t, isClosedByPeer(nil))
 }
 
+// TestCloseAgeCountsFromTheClose guards against an instance that notices closes late and cannot show it:
+// the age must not count from when the close was noticed.
+func TestCloseAgeCountsFromTheClose(t *testing.T) {
+	s, c := newConnPair(t)
+	require.Negative(t, closeAge(s), "open")
+	require.NoError(t, c.Close())
+	require.Eventually(t, func() bool { return closeAge(s) >= 50*time.Millisecond }, 10*time.Second, time.Millisecond)
+	s, c = newConnPair(t)
+	require.NoError(t, reset(c))
+	require.Eventually(t, func() bool { return isClosedByPeer(s) }, 10*time.Second, time.Millisecond)
+	require.Negative(t, closeAge(s), "reset")
+	require.Negative(t, closeAge(nil))
+}
+
 func reset(c *net.TCPConn) error {
 	if err := c.SetLinger(0); err != nil {
 		return err
@@ -77,7 +92,7 @@
 // TestEndOfARequestStatesWhenItsClientLeft guards against log lines from which it cannot be told
 // whether a request was sent before or after its client left.
 func TestEndOfARequestStatesWhenItsClientLeft(t *testing.T) {
-	c := &call{arrived: time.Now()}
+	c := &call{Relayer: &Relayer{Metrics: NewMetrics(prometheus.NewRegistry())}, arrived: time.Now()}
 	require.NoError(t, c.checkPresence(t.Context(), hopUpstream))
 	require.Len(t, c.presenceFields(), 1)
 	ctx, cancel := context.WithCancel(t.Context())
--- a/internal/relayer/metrics.go
+++ b/internal/relayer/metrics.go
@@ -25,6 +25,7 @@
 	loadProbes   *prometheus.CounterVec
 	// withheldSends counts sends that were withheld because the client had closed its connection.
 	withheldSends *prometheus.CounterVec
+	closeAge      prometheus.Histogram
 	quota         quotaMetrics
 }
 
@@ -62,12 +63,15 @@
 		withheldSends: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "primrosedrift_withheld_sends_total", Help: "Sends that were withheld because the client, or the peer that handed the request on, had closed the connection.",
 		}, []string{"service", "hop"}),
+		closeAge: prometheus.NewHistogram(prometheus.HistogramOpts{
+			Name: "primrosedrift_close_age_seconds", Help: "Time from the arrival of a client's close until it was noticed.", Buckets: buckets,
+		}),
 		duration:    histogram("primrosedrift_relayed_seconds", "Time from a request's arrival to its end."),
 		headLatency: histogram("primrosedrift_relayed_first_byte_seconds", "Time from an attempt to the head of its answer."),
 		queueTime:   histogram("primrosedrift_relayed_wait_seconds", "Time in the queue."),
 	}
 	m.quota.register(r)
-	r.MustRegister(m.requests, m.attempts, m.duration, m.headLatency, m.queueTime, m.losses, m.limited, m.handedOn, m.rejectedKeys, m.ended, m.loadProbes, m.withheldSends)
+	r.MustRegister(m.requests, m.attempts, m.duration, m.headLatency, m.queueTime, m.losses, m.limited, m.handedOn, m.rejectedKeys, m.ended, m.loadProbes, m.withheldSends, m.closeAge)
 	return m
 }
 
--- a/internal/relayer/stream.go
+++ b/internal/relayer/stream.go
@@ -135,6 +135,14 @@
 	return mean, ok
 }
 
+// sinceEvent returns the time since events were last forwarded, 0 if none were.
+func (s *streamState) sinceEvent() time.Duration {
+	if s.lastEventAt.IsZero() {
+		return 0
+	}
+	return time.Since(s.lastEventAt)
+}
+
 // interrupted returns the result of an attempt whose stream was interrupted.
 func (c *call) interrupted(ctx context.Context, err error) attemptResult {
 	res := attemptResult{hasFailed: ctx.Err() == nil, reason: "stream broke off: " + err.Error()}
