internal/relayer: every end of a response passes through one place

Callers saw: a stream that had begun and broke off ended as if it were complete, when the links of the instance were cut meanwhile and the peer that was to send the rest answered 400, 401, 404, 408, 413 or 421 of its own.

Cause: tryPeers returned the peer's refusal as a status, finish wrote that status after the head of the stream was out, which net/http ignores, and the handler returned, which ends the response properly. What ends a response that has begun was decided in five places, and each had to know whether a part was sent. The class: a default that is success, with failures as the exception.

Type reply holds the head, the body and the end now. A response that nobody has declared complete is cut off, and a second head is an error. sendFallback had the same fault on a route that is both idempotent and a stream, which no deployment has; the kept 500 was written behind the events.

--- a/internal/relayer/account.go
+++ b/internal/relayer/account.go
@@ -96,19 +96,15 @@
 // rejectKey returns the rejection of a request without a valid key.
 func (c *call) rejectKey(reason string) error {
 	c.Metrics.rejectedKeys.WithLabelValues(reason).Inc()
-	err := statusError{status: http.StatusUnauthorized, reason: reason}
-	if c.stream.hasStarted {
-		return truncatedError{err}
-	}
-	return err
+	return statusError{status: http.StatusUnauthorized, reason: reason}
 }
 
 // refuseStaleKey refuses a request whose key can be checked neither here nor at a peer. A peer
 // that has handed it on tries another one.
 func (c *call) refuseStaleKey() error {
 	c.Metrics.rejectedKeys.WithLabelValues("configuration too old").Inc()
-	if c.handOn.isReceived && !c.stream.hasStarted {
-		c.w.Header().Set(headerCutOff, "1")
+	if c.handOn.isReceived && !c.reply.hasBegun() {
+		c.reply.w.Header().Set(headerCutOff, "1")
 	}
 	return c.refuse(verdict.ReasonNotReady, staleRetryAfter, "the known configuration is too old to check the key")
 }
--- a/internal/relayer/ahead.go
+++ b/internal/relayer/ahead.go
@@ -178,7 +178,7 @@
 // write writes bytes to the client.
 func (a *readAhead) write(b []byte) error {
 	a.startWrite()
-	_, err := a.c.w.Write(b)
+	_, err := a.c.reply.Write(b)
 	a.endWrite()
 	if err != nil {
 		return a.causeOf(err)
--- a/internal/relayer/attempt.go
+++ b/internal/relayer/attempt.go
@@ -116,7 +116,7 @@
 // ending returns what the end of an attempt says about its upstream.
 func (c *call) ending(res attemptResult, isCanceled bool, took time.Duration) losstracker.Ending {
 	switch {
-	case res.isForwarded && !res.hasFailed && c.status < http.StatusMultipleChoices:
+	case res.isForwarded && !res.hasFailed && c.reply.status < http.StatusMultipleChoices:
 		return losstracker.Succeeded
 	case res.isNotRun || res.isComplete || res.isForwarded && !res.hasFailed:
 		return losstracker.Completed
@@ -221,7 +221,7 @@
 		err = nil
 	}
 	switch {
-	case c.stream.hasStarted:
+	case c.reply.hasBegun():
 		return attemptResult{hasFailed: true, reason: "status " + strconv.Itoa(resp.Status) + " on resumption"}
 	case err != nil:
 		return attemptResult{hasFailed: true, isBroken: true, reason: "answer broke off: " + err.Error()}
@@ -229,11 +229,13 @@
 		c.isRetryCharged, c.fallback = true, &plainResponse{resp.Status, resp.Header, body}
 		return attemptResult{hasFailed: true, isComplete: true, reason: "status 500"}
 	}
-	copyHeader(c.w.Header(), resp.Header)
+	length := -1
 	if isComplete && c.req.Method != http.MethodHead && resp.Status != http.StatusNoContent && resp.Status != http.StatusNotModified {
-		c.w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+		length = len(body)
+	}
+	if err := c.reply.begin(resp.Status, resp.Header, length); err != nil {
+		return attemptResult{hasFailed: true, reason: err.Error()}
 	}
-	c.writeHead(resp.Status)
 	failed := resp.Status >= http.StatusInternalServerError
 	ahead := c.readAhead(resp, false, isComplete)
 	defer ahead.close()
@@ -245,6 +247,7 @@
 			return attemptResult{hasFailed: !isEndedHere(err), err: truncatedError{err}}
 		}
 	}
+	c.reply.complete()
 	return attemptResult{isForwarded: true, hasFailed: failed, isComplete: true}
 }
 
@@ -276,35 +279,16 @@
 }
 
 // sendFallback sends the kept response to the client. It reports false if there
-// is none.
+// is none, or if another response has begun.
 func (c *call) sendFallback() bool {
-	if c.fallback == nil {
+	if c.fallback == nil || c.reply.begin(c.fallback.status, c.fallback.header, len(c.fallback.body)) != nil {
 		return false
 	}
-	copyHeader(c.w.Header(), c.fallback.header)
-	c.w.Header().Set("Content-Length", strconv.Itoa(len(c.fallback.body)))
-	c.writeHead(c.fallback.status)
-	_, _ = c.w.Write(c.fallback.body) // fails only if the client has disconnected
+	_, _ = c.reply.Write(c.fallback.body) // fails only if the client has disconnected
+	c.reply.complete()
 	return true
 }
 
-// writeHead sends the status and headers of the response to the client.
-func (c *call) writeHead(status int) {
-	c.handOn.progress.stop()
-	c.status = status
-	h := c.w.Header()
-	if h.Get("Content-Type") == "" {
-		h["Content-Type"] = nil // prevents net/http from detecting one
-	}
-	if _, ok := h["Date"]; !ok {
-		h["Date"] = nil
-	}
-	if c.IsStopping() {
-		h.Set("Connection", "close")
-	}
-	c.w.WriteHeader(status)
-}
-
 // connectionHeaders are the headers that apply to a single connection (hop by hop).
 var connectionHeaders = map[string]bool{
 	"Connection": true, "Keep-Alive": true, "Proxy-Connection": true, "Proxy-Authenticate": true,
--- a/internal/relayer/bench_test.go
+++ b/internal/relayer/bench_test.go
@@ -29,7 +29,7 @@
 func BenchmarkForwardStream(b *testing.B) {
 	h := &Relayer{IsStopping: func() bool { return false }}
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
-		c := &call{Relayer: h, w: w, route: matcher.Route{EventTimeout: 2 * time.Second}}
+		c := &call{Relayer: h, reply: reply{w: w, isStopping: h.IsStopping}, route: matcher.Route{EventTimeout: 2 * time.Second}}
 		c.handOn.isRunning = true // without a tracked attempt
 		c.forwardStream(context.Background(), nil, &courier.Response{Status: http.StatusOK, Header: http.Header{}, HasLength: true, Body: &pieces{b.N}})
 	}))
--- a/internal/relayer/body.go
+++ b/internal/relayer/body.go
@@ -18,7 +18,7 @@
 // have to be sent again, and counts against the bound of the buffers, with what the socket of a
 // slow upstream holds of it.
 func (c *call) readBody(r *http.Request, limit int64) ([]byte, error) {
-	in := http.MaxBytesReader(c.w, r.Body, limit)
+	in := http.MaxBytesReader(c.reply.w, r.Body, limit)
 	size := int64(bytesWithoutLength)
 	if r.ContentLength >= 0 {
 		size = min(r.ContentLength+1, limit+1) // the last byte is for the end to be noticed
--- a/internal/relayer/client.go
+++ b/internal/relayer/client.go
@@ -32,7 +32,7 @@
 // client has not taken. It ends a write that is blocked.
 func (c *call) resetClient() {
 	if c.clientConn == nil {
-		_ = http.NewResponseController(c.w).SetWriteDeadline(time.Now()) // all that can be done
+		_ = http.NewResponseController(c.reply.w).SetWriteDeadline(time.Now()) // all that can be done
 		return
 	}
 	_ = c.clientConn.SetLinger(0) // fails only if the connection is closed already
--- a/internal/relayer/finish.go
+++ b/internal/relayer/finish.go
@@ -23,7 +23,7 @@
 		outcome = "broken"
 	case c.isGone(r):
 		outcome = "left"
-	case isTruncated(err):
+	case c.reply.hasBegun():
 		outcome = "broken"
 	case errors.As(err, &statusErr):
 		outcome = "rejected"
@@ -39,13 +39,13 @@
 	c.Metrics.observe(c, outcome, took)
 	fields := []zap.Field{
 		zap.String("request", c.requestInfo.ID), zap.String("route", c.route.Name), zap.String("account", c.accountName()), zap.String("outcome", outcome),
-		zap.Int("status", c.status), zap.String("service", c.admission.Service), zap.String("model", c.requestInfo.Model),
+		zap.Int("status", c.reply.status), zap.String("service", c.admission.Service), zap.String("model", c.requestInfo.Model),
 		zap.String("adapter", c.requestInfo.Adapter), zap.String("upstream", c.lastUpstream), zap.String("software", c.lastSoftware), zap.Int("attempts", c.numSends),
 		zap.Duration("view-age", c.ViewAge()), zap.Duration("waited", c.queueTime), zap.Duration("first", c.headLatency), zap.Duration("took", took),
 		zap.Duration("objective", c.route.Objective),
 	}
 	fields = append(fields, c.presenceFields()...)
-	if c.stream.hasStarted {
+	if c.stream.numEvents > 0 {
 		fields = append(fields, zap.Int("events", c.stream.numEvents), zap.Duration("longest-pause", c.stream.longestGap), zap.Duration("most-pause", c.route.MaxEventGap))
 	}
 	if c.choice.Compared > 0 {
@@ -95,10 +95,7 @@
 // writeStatus sends an empty response with the status. retryAfter is used with
 // status 503 and 429 only.
 func (c *call) writeStatus(status int, retryAfter time.Duration) {
-	c.handOn.progress.stop()
-	c.status = status
-	h := c.w.Header()
-	h["Content-Type"] = nil
+	h := c.reply.w.Header()
 	if c.requestInfo.ID != "" {
 		h.Set(c.Codec.IDHeader, c.requestInfo.ID)
 	}
@@ -106,9 +103,5 @@
 		retryAfter = min(max(verdict.JitteredRetryDelay(c.requestInfo.ID, retryAfter/2), minRetryAfter), maxRetryAfter)
 		h.Set("Retry-After", strconv.FormatFloat(math.Ceil(retryAfter.Seconds()*100)/100, 'f', -1, 64))
 	}
-	if c.IsStopping() {
-		h.Set("Connection", "close")
-	}
-	h.Set("Content-Length", "0")
-	c.w.WriteHeader(status)
+	c.reply.sendEmpty(status)
 }
--- a/internal/relayer/handon.go
+++ b/internal/relayer/handon.go
@@ -30,7 +30,6 @@
 	isReceived bool // from a peer
 	// takesProgress says that the peer takes informational responses.
 	takesProgress bool
-	progress      *progress
 	isRunning     bool   // an exchange with a peer runs
 	peer          string // address of the last peer to which it was sent
 	hasGivenUp    bool   // no peer has received it
@@ -100,7 +99,7 @@
 			return false, c.withEarlierAttempts(*refusal)
 		case res.isUnsent:
 			continue
-		case c.stream.hasStarted && c.isResumable() && c.attemptsLeft() > 0 && c.retryBudget().TryWithdraw():
+		case c.reply.hasBegun() && c.isResumable() && c.attemptsLeft() > 0 && c.retryBudget().TryWithdraw():
 			return false, nil // the rest, from wherever it can be served now
 		}
 		return false, c.withEarlierAttempts(incompleteReply("%s", res.reason))
@@ -115,10 +114,10 @@
 // refuseIfCut refuses a request that a peer has handed on, if this instance has lost its links
 // as well. The peer then tries another one.
 func (c *call) refuseIfCut() error {
-	if !c.handOn.isReceived || !c.Links.IsCut() || c.stream.hasStarted {
+	if !c.handOn.isReceived || !c.Links.IsCut() || c.reply.hasBegun() {
 		return nil
 	}
-	c.w.Header().Set(headerCutOff, "1")
+	c.reply.w.Header().Set(headerCutOff, "1")
 	return c.refuse(verdict.ReasonNoUpstream, minRetryAfter, "the links to the upstreams are cut")
 }
 
@@ -142,7 +141,7 @@
 	actx, cancel := context.WithTimeout(ctx, left+2*responseGrace)
 	defer cancel()
 	resumes := c.requestInfo.Resumes
-	if resumes == "" && c.stream.hasStarted {
+	if resumes == "" && c.reply.hasBegun() {
 		resumes = c.requestInfo.ID
 	}
 	req := c.req
--- a/internal/relayer/handon_test.go
+++ b/internal/relayer/handon_test.go
@@ -20,18 +20,21 @@
 func newCutFixture(t *testing.T, peers ...*upstream) (*fixture, *upstream) {
 	up := newUpstream(t, func(_ int, r *http.Request, _ string) (string, bool) { return response(r, 200, stamped, "own"), false })
 	g := newFixture(t, up)
+	g.knowPeers(peers...)
+	g.cutLinks()
+	return g, up
+}
+
+// knowPeers makes the relayer know peers. Its links to the upstreams are watched.
+func (g *fixture) knowPeers(peers ...*upstream) {
 	g.Links = &linkwatcher.Watcher{
 		Addresses: func() []string { return []string{"a", "b"} },
 		Dial:      func(context.Context, string) error { return errors.New("timeout") },
 		Log:       zap.NewNop(),
 	}
-	ctx, cancel := context.WithCancel(t.Context())
-	t.Cleanup(cancel)
+	ctx, cancel := context.WithCancel(g.t.Context())
+	g.t.Cleanup(cancel)
 	go g.Links.Run(ctx)
-	for _, address := range g.Links.Addresses() {
-		g.Links.Record(address, errors.New("timeout"), time.Now())
-	}
-	<-g.Links.Cut()
 	g.Queue.LinksCut = g.Links.Cut
 	g.PeerPool = &courier.Pool{IDHeader: hID}
 	g.Peers = func() (out []Peer) {
@@ -40,7 +43,14 @@
 		}
 		return out
 	}
-	return g, up
+}
+
+// cutLinks cuts the links to the upstreams.
+func (g *fixture) cutLinks() {
+	for _, address := range g.Links.Addresses() {
+		g.Links.Record(address, errors.New("timeout"), time.Now())
+	}
+	<-g.Links.Cut()
 }
 
 func answerWith(out func(r *http.Request) string) func(int, *http.Request, string) (string, bool) {
--- a/internal/relayer/metrics.go
+++ b/internal/relayer/metrics.go
@@ -78,7 +78,7 @@
 // observe records a request that has ended.
 func (m *Metrics) observe(c *call, outcome string, took time.Duration) {
 	s := c.admission.Service
-	m.requests.WithLabelValues(s, outcome, strconv.Itoa(c.status)).Inc()
+	m.requests.WithLabelValues(s, outcome, strconv.Itoa(c.reply.status)).Inc()
 	m.duration.WithLabelValues(s).Observe(took.Seconds())
 	m.queueTime.WithLabelValues(s).Observe(c.queueTime.Seconds())
 	if c.headLatency > 0 {
--- a/internal/relayer/origin.go
+++ b/internal/relayer/origin.go
@@ -78,7 +78,7 @@
 
 // resolveOriginAtPeer restricts a stream that has begun at a peer to its software version.
 func (c *call) resolveOriginAtPeer(ctx context.Context) error {
-	if !c.stream.hasStarted || !c.isResumable() || c.admission.Software != nil {
+	if !c.reply.hasBegun() || !c.isResumable() || c.admission.Software != nil {
 		return nil
 	}
 	software, err := c.Streams.Resolve(ctx, c.requestInfo.ID, c.admission.Service)
--- a/internal/relayer/progress.go
+++ b/internal/relayer/progress.go
@@ -46,8 +46,8 @@
 	control(c.clientConn, func(fd int) {
 		_ = unix.SetsockoptInt(fd, unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(progressTimeout.Milliseconds())) // the longer one stays in force
 	})
-	c.handOn.progress = &progress{ended: make(chan struct{})}
-	go c.handOn.progress.run(ctx, c.clientConn, c.cancel)
+	c.reply.progress = &progress{ended: make(chan struct{})}
+	go c.reply.progress.run(ctx, c.clientConn, c.cancel)
 }
 
 func (p *progress) run(ctx context.Context, conn io.Writer, cancel context.CancelFunc) {
--- a/internal/relayer/quota_test.go
+++ b/internal/relayer/quota_test.go
@@ -75,7 +75,7 @@
 			err := c.chargeQuota(t.Context())
 			require.Equal(t, verdict.NotRun, verdict.FromError(err).Ran)
 			w := httptest.NewRecorder()
-			c.w = w
+			c.reply.w = w
 			c.finish(httptest.NewRequest(http.MethodPost, "/", nil), err)
 			require.Equal(t, status, w.Code)
 			delay, err := strconv.ParseFloat(w.Header().Get("Retry-After"), 64)
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -6,7 +6,6 @@
 	"net/http"
 	"time"
 
-	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
 
 	"github.com/primrosedrift/primrosedrift/internal/authenticator"
@@ -161,7 +160,7 @@
 	parts       []uint64 // fingerprints of the parts
 	tracked     *losstracker.Attempt
 
-	w              http.ResponseWriter
+	reply          reply
 	clientConn     *net.TCPConn // nil if it is not known
 	releaseSlot    func()       // of the last attempt; may be called again
 	bodyHeld       buffer       // of the request's body
@@ -179,7 +178,6 @@
 	choice         queuer.Choice // by what it was chosen
 	lastFailure    string        // reason why the last attempt failed
 	stream         streamState
-	status         int
 	headLatency    time.Duration          // from the start of the last attempt to the head of its response
 	account        *authenticator.Account // that sent the request, nil if none is needed
 	isKeyStale     bool                   // another instance has to check the key
@@ -191,7 +189,7 @@
 
 // ServeHTTP implements http.Handler.
 func (h *Relayer) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	c := &call{Relayer: h, w: w, arrived: time.Now(), clientHeader: r.Header, clientConn: clientConnOf(r.Context()), bodyHeld: buffer{of: &h.Buffers}}
+	c := &call{Relayer: h, reply: reply{w: w, isStopping: h.IsStopping}, arrived: time.Now(), clientHeader: r.Header, clientConn: clientConnOf(r.Context()), bodyHeld: buffer{of: &h.Buffers}}
 	defer c.bodyHeld.release()
 	ctx, cancel := context.WithCancel(r.Context())
 	defer cancel()
@@ -200,7 +198,7 @@
 	err := c.prepare(r)
 	if err == nil {
 		c.startProgress(ctx)
-		defer c.handOn.progress.stop()
+		defer c.reply.progress.stop()
 		err = c.serve(ctx)
 	}
 	if err == nil {
@@ -211,11 +209,7 @@
 		err = nil
 	}
 	c.finish(r, err)
-	if isTruncated(err) || c.status == 0 {
-		// Closes the connection. Otherwise a client that still reads would take a truncated
-		// response for whole, or get an empty one with status 200.
-		panic(http.ErrAbortHandler)
-	}
+	c.reply.end()
 }
 
 // truncatedError means that a response ended early after a part of it was forwarded.
@@ -225,11 +219,6 @@
 
 func (e truncatedError) Unwrap() error { return e.cause }
 
-func isTruncated(err error) bool {
-	var t truncatedError
-	return errors.As(err, &t)
-}
-
 // statusError rejects a request with an HTTP status, before any attempt.
 type statusError struct {
 	status     int
@@ -323,7 +312,7 @@
 		if err := c.refusePoison(); err != nil {
 			return err
 		}
-		if c.stream.hasStarted {
+		if c.reply.hasBegun() {
 			// The events so far arrived in time; only the deadline applies now.
 			c.admission.StartBy = c.deadline
 		}
@@ -415,7 +404,7 @@
 	if c.numMayHaveRun > 0 {
 		r = r.AfterAttempts(verdict.MayHaveRun)
 	}
-	if c.stream.hasStarted {
+	if c.reply.hasBegun() {
 		return truncatedError{r}
 	}
 	return r
--- a/internal/relayer/stream.go
+++ b/internal/relayer/stream.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"context"
 	"io"
-	"net/http"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -26,7 +25,6 @@
 
 // streamState is the progress of forwarding a stream of events.
 type streamState struct {
-	hasStarted  bool
 	lastEventID string // of the last forwarded event that has an id
 	numEvents   int
 	lastEventAt time.Time // when events were last forwarded
@@ -42,7 +40,6 @@
 // is sent, so that the stream can be resumed at another upstream. The slot is nil if a peer
 // sends the stream.
 func (c *call) forwardStream(ctx context.Context, slot *queuer.Slot, resp *courier.Response) attemptResult {
-	out := http.NewResponseController(c.w)
 	var pending []byte
 	var finder eventFinder
 	held := buffer{of: &c.Buffers}
@@ -58,12 +55,12 @@
 		pending = append(pending, buf[:n]...)
 		end := finder.find(pending)
 		if end > 0 {
-			if !c.stream.hasStarted {
+			if !c.reply.hasBegun() {
 				c.bindToOrigin(ctx) // which waits, but not for the client
 			}
 			before := c.stream.numEvents
 			ahead.startWrite()
-			err := c.forwardEvents(out, resp, pending[:end])
+			err := c.forwardEvents(resp, pending[:end])
 			ahead.endWrite()
 			if err != nil {
 				return attemptResult{err: truncatedError{ahead.causeOf(err)}}
@@ -84,11 +81,12 @@
 		switch {
 		case isEndedHere(rerr):
 			return attemptResult{err: truncatedError{rerr}}
-		case errors.Is(rerr, io.EOF) && !c.stream.hasStarted:
+		case errors.Is(rerr, io.EOF) && !c.reply.hasBegun():
 			return attemptResult{hasFailed: true, reason: "stream without an event"}
 		case errors.Is(rerr, io.EOF) && !resp.HasLength:
 			return c.interrupted(ctx, errNoLength)
 		case errors.Is(rerr, io.EOF) && len(pending) == 0:
+			c.reply.complete()
 			return attemptResult{isForwarded: true}
 		case errors.Is(rerr, io.EOF):
 			return attemptResult{hasFailed: true, reason: "stream ended within an event"}
@@ -146,20 +144,20 @@
 // interrupted returns the result of an attempt whose stream was interrupted.
 func (c *call) interrupted(ctx context.Context, err error) attemptResult {
 	res := attemptResult{hasFailed: ctx.Err() == nil, reason: "stream broke off: " + err.Error()}
-	if c.stream.hasStarted && !c.route.IsResumable {
+	if c.reply.hasBegun() && !c.route.IsResumable {
 		res.err = truncatedError{errors.New(res.reason)}
 	}
 	return res
 }
 
 // forwardEvents writes whole events and records the id of the last one.
-func (c *call) forwardEvents(out *http.ResponseController, resp *courier.Response, events []byte) error {
-	if !c.stream.hasStarted {
-		c.stream.hasStarted = true
-		// Headers are copied only now: until the first event this instance may
-		// still reply with an error status of its own.
-		copyHeader(c.w.Header(), resp.Header)
-		c.writeHead(resp.Status)
+func (c *call) forwardEvents(resp *courier.Response, events []byte) error {
+	if !c.reply.hasBegun() {
+		// Only now: until the first event this instance may still reply with an error
+		// status of its own.
+		if err := c.reply.begin(resp.Status, resp.Header, -1); err != nil {
+			return err
+		}
 	}
 	if id := lastEventID(events); id != "" {
 		c.stream.lastEventID = id
@@ -170,10 +168,10 @@
 		c.stream.longestGap = max(c.stream.longestGap, now.Sub(c.stream.lastEventAt))
 	}
 	c.stream.lastEventAt = now
-	if _, err := c.w.Write(events); err != nil {
+	if _, err := c.reply.Write(events); err != nil {
 		return err
 	}
-	return out.Flush()
+	return c.reply.flush()
 }
 
 var eventEnd = []byte("\n\n")
