internal/relayer: what continues a stream is checked before a byte of it is forwarded

Callers saw (report of another operator, reproduced here): a stream had begun and broke off, and the client found the text of an error in its stream, events twice, or a gap, or the stream ended as if it were complete, because the next upstream, or a peer, sent something else than the rest.

Cause: a continuation was judged by its status class and stamp alone, in two places. Any stamped 2xx counted as the rest: 204, JSON, plain text with a blank line, events from the first on, no event.

One check serves upstreams and peers: the status and the type of the response that has begun, and a first event whose id follows the last one. Ids increase; whether by a constant step is taken from the events of the stream itself, so that a gap is noticed and ids of another step are not refused. The same holds where a client requests the rest. A stream whose events have no ids is not resumed: it would begin anew.

--- a/internal/relayer/attempt.go
+++ b/internal/relayer/attempt.go
@@ -137,7 +137,7 @@
 	defer cancel()
 	req := c.req
 	req.Header = c.Codec.OutgoingHeader(c.clientHeader, Attempt{
-		Upstream: u.ID, TimeLeft: remaining, Priority: c.route.Priority, LastEventID: c.stream.lastEventID,
+		Upstream: u.ID, TimeLeft: remaining, Priority: c.route.Priority, LastEventID: c.stream.ids.last,
 		HasAccounts: !c.Config().Accounts.IsEmpty(), Account: c.accountName(),
 	})
 	req.MaySend = func() error { return c.maySend(ctx) }
@@ -188,10 +188,8 @@
 		return attemptResult{hasFailed: true, reason: "encoded answer"}
 	case resp.Status < http.StatusMultipleChoices && !r.IsStamped:
 		return attemptResult{hasFailed: true, reason: "success without a stamp"}
-	case resp.Status < http.StatusMultipleChoices && c.route.IsStream:
-		return c.forwardStream(actx, slot, resp)
 	}
-	return c.forwardPlain(resp)
+	return c.forward(actx, slot, resp)
 }
 
 // recordMisdirected records why the upstream refused a misdirected request: the
@@ -221,8 +219,6 @@
 		err = nil
 	}
 	switch {
-	case c.reply.hasBegun():
-		return attemptResult{hasFailed: true, reason: "status " + strconv.Itoa(resp.Status) + " on resumption"}
 	case err != nil:
 		return attemptResult{hasFailed: true, isBroken: true, reason: "answer broke off: " + err.Error()}
 	case canRetry && isComplete && c.retryBudget().TryWithdraw():
--- a/internal/relayer/doc.go
+++ b/internal/relayer/doc.go
@@ -15,6 +15,10 @@
 //     is forwarded in whole events; if it is interrupted, it resumes at another
 //     upstream where the route allows that, and otherwise the connection to the
 //     client is closed.
+//   - The rest of an interrupted stream is forwarded only once it has shown that it is the
+//     rest: the status and the type of the response that has begun, and a first event
+//     whose id follows the last one.
+//   - A response that was not declared complete is cut off, whatever ended it.
 //   - Retries, those of refused requests included, are bounded by this instance's
 //     retry budget for the service.
 //   - When a client disconnects, its request is canceled at the upstream. Its connection is
--- a/internal/relayer/handon.go
+++ b/internal/relayer/handon.go
@@ -99,7 +99,7 @@
 			return false, c.withEarlierAttempts(*refusal)
 		case res.isUnsent:
 			continue
-		case c.reply.hasBegun() && c.isResumable() && c.attemptsLeft() > 0 && c.retryBudget().TryWithdraw():
+		case c.reply.hasBegun() && c.mayContinue() && c.attemptsLeft() > 0 && c.retryBudget().TryWithdraw():
 			return false, nil // the rest, from wherever it can be served now
 		}
 		return false, c.withEarlierAttempts(incompleteReply("%s", res.reason))
@@ -145,7 +145,7 @@
 		resumes = c.requestInfo.ID
 	}
 	req := c.req
-	req.Header = c.Codec.HandOnHeader(c.clientHeader, left, c.stream.lastEventID, resumes)
+	req.Header = c.Codec.HandOnHeader(c.clientHeader, left, c.stream.ids.last, resumes)
 	req.Header.Set(HeaderHandedOn, strconv.Itoa(c.attemptsLeft()))
 	askForProgress(req.Header)
 	req.TakesProgress = true
@@ -164,10 +164,8 @@
 	switch {
 	case !resp.IsMatched:
 		return attemptResult{reason: "peer: answer without the request's id"}, nil
-	case r.IsStamped && resp.Status < http.StatusMultipleChoices && c.route.IsStream:
-		return c.forwardStream(actx, nil, resp), nil
 	case r.IsStamped:
-		return c.forwardPlain(resp), nil
+		return c.forward(actx, nil, resp), nil
 	case resp.Status == http.StatusServiceUnavailable && resp.Header.Get(headerCutOff) != "":
 		return attemptResult{isNotRun: true, isPeerCut: true, reason: "peer: cut off as well"}, nil
 	case resp.Status == http.StatusServiceUnavailable:
--- a/internal/relayer/handon_test.go
+++ b/internal/relayer/handon_test.go
@@ -129,10 +129,7 @@
 		}
 		return streamHead(r) + chunk(event(2)) + "0\r\n\r\n", false
 	}
-	g.Streams.Ask = func(context.Context, string, string) ([]streamtracker.Answer, int) { return nil, 0 }
-	g.Streams.IsFresh, g.Streams.Log = func() bool { return true }, zap.NewNop()
-	g.Streams.History.Observe(map[string][]string{"s": {""}}, true, time.Now())
-	g.Streams.History.Merge("s", allCovered, time.Now())
+	g.knowStreams()
 	_, body := g.do(g.request("POST", "/resumable/", "x"))
 	require.Equal(t, event(1)+event(2), body)
 }
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -382,6 +382,8 @@
 		return c.refuse(verdict.ReasonCanceled, 0, "the client left")
 	case remaining < minUpstreamTime:
 		return c.refuse(verdict.ReasonDeadline, 0, "no time left after %d attempts: %s", c.numSends, c.lastFailure)
+	case !c.mayContinue():
+		return c.refuse(verdict.ReasonIncompleteReply, 0, "the stream cannot be resumed: %s", c.lastFailure)
 	case c.isUnsent && c.numUnreachable < maxUnreachableSends:
 	case c.isUnsent || c.numSends-c.numUnreachable >= maxSends || c.numMayHaveRun >= max(c.route.MaxAttempts, 1):
 		return c.refuse(verdict.ReasonUpstreamFailed, minRetryAfter, "%d attempts: %s", c.numSends, c.lastFailure)
--- a/internal/relayer/relayer_test.go
+++ b/internal/relayer/relayer_test.go
@@ -125,7 +125,7 @@
 var testCodec = Codec{
 	IDHeader: hID,
 	ParseRequest: func(r *http.Request) (RequestInfo, error) {
-		return RequestInfo{ID: r.Header.Get(hID), Model: r.Header.Get(hModel), Deadline: 5 * time.Second}, nil
+		return RequestInfo{ID: r.Header.Get(hID), Model: r.Header.Get(hModel), Deadline: 5 * time.Second, LastEventID: r.Header.Get(hLastEventID)}, nil
 	},
 	OutgoingHeader: func(in http.Header, a Attempt) http.Header {
 		out := Forwardable(in)
--- a/internal/relayer/stream.go
+++ b/internal/relayer/stream.go
@@ -25,7 +25,7 @@
 
 // streamState is the progress of forwarding a stream of events.
 type streamState struct {
-	lastEventID string // of the last forwarded event that has an id
+	ids         eventIDs // of the forwarded events
 	numEvents   int
 	lastEventAt time.Time // when events were last forwarded
 	longestGap  time.Duration
@@ -47,6 +47,8 @@
 	buf := make([]byte, streamReadBytes)
 	var firstEventAt time.Time
 	var pauses pauseWindow
+	// Until the first event has shown it, the response may be something else than the rest.
+	before, isRest := c.eventsBefore()
 	ahead := c.readAhead(resp, true, false)
 	defer ahead.close()
 	for {
@@ -54,18 +56,27 @@
 		readAt := time.Now()
 		pending = append(pending, buf[:n]...)
 		end := finder.find(pending)
+		if end > 0 && isRest {
+			id, ok := firstEvent(pending[:end])
+			if err := before.checkNext(id); ok && err != nil {
+				return attemptResult{hasFailed: true, reason: err.Error()}
+			}
+			if isRest = !ok; isRest {
+				end = 0 // only comments so far
+			}
+		}
 		if end > 0 {
 			if !c.reply.hasBegun() {
 				c.bindToOrigin(ctx) // which waits, but not for the client
 			}
-			before := c.stream.numEvents
+			numBefore := c.stream.numEvents
 			ahead.startWrite()
 			err := c.forwardEvents(resp, pending[:end])
 			ahead.endWrite()
 			if err != nil {
 				return attemptResult{err: truncatedError{ahead.causeOf(err)}}
 			}
-			if mean, ok := pauses.add(c.stream.numEvents-before, readAt, time.Now()); ok && slot != nil {
+			if mean, ok := pauses.add(c.stream.numEvents-numBefore, readAt, time.Now()); ok && slot != nil {
 				slot.RecordPause(mean)
 			}
 			pending = append(pending[:0], pending[end:]...)
@@ -83,6 +94,8 @@
 			return attemptResult{err: truncatedError{rerr}}
 		case errors.Is(rerr, io.EOF) && !c.reply.hasBegun():
 			return attemptResult{hasFailed: true, reason: "stream without an event"}
+		case errors.Is(rerr, io.EOF) && isRest:
+			return attemptResult{hasFailed: true, reason: errNoContinuation.Error() + ": no event"}
 		case errors.Is(rerr, io.EOF) && !resp.HasLength:
 			return c.interrupted(ctx, errNoLength)
 		case errors.Is(rerr, io.EOF) && len(pending) == 0:
@@ -159,9 +172,7 @@
 			return err
 		}
 	}
-	if id := lastEventID(events); id != "" {
-		c.stream.lastEventID = id
-	}
+	c.stream.ids = c.stream.ids.withEvents(events)
 	c.stream.numEvents += bytes.Count(events, eventEnd)
 	now := time.Now()
 	if !c.stream.lastEventAt.IsZero() {
