--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -72,6 +72,8 @@
 	// IsCurrent reports whether the records reach to the end of the log, as it was
 	// KnownAge before the batch was requested.
 	IsCurrent bool
+	// NumMalformed is the number of records that were passed over, since their keys cannot be read.
+	NumMalformed int
 	// KnownAge includes time for which the reader's machine was suspended.
 	KnownAge time.Duration
 }
@@ -260,6 +262,9 @@
 	case err != nil:
 		return err
 	}
+	if b.NumMalformed > 0 {
+		f.Log.Warn("records without a readable key passed over", zap.String("topic", f.Name), zap.Int64("from", from.Offset), zap.Int("records", b.NumMalformed))
+	}
 	f.apply(b, sentAt)
 	return nil
 }
--- a/internal/losstracker/saver.go
+++ b/internal/losstracker/saver.go
@@ -220,7 +220,7 @@
 	t.mu.Lock()
 	var events []event
 	for _, p := range list {
-		if now.Sub(p.At) > lossTTL {
+		if age := now.Sub(p.At); age.Abs() > lossTTL { // one from the future would never expire
 			expired = append(expired, Poison{Fingerprint: p.Fingerprint})
 			continue
 		}
--- a/internal/streamtracker/keeper_test.go
+++ b/internal/streamtracker/keeper_test.go
@@ -149,7 +149,7 @@
 	store := map[string][]string{service: {"v1"}}
 	h := &History{}
 	s := NewSaver(h, Store{
-		Load: func(context.Context) (map[string][]string, error) { return store, nil },
+		Load: func(context.Context) (map[string][]string, []error, error) { return store, nil, nil },
 		Save: func(_ context.Context, all map[string][]string) error { store = all; return nil },
 	}, func() bool { return true }, zap.NewNop())
 	h.Observe(map[string][]string{service: {"v2"}}, true, time.Now())
@@ -213,7 +213,9 @@
 // the record of its service's versions is not in the log: it was never saved, or the log came back
 // from a copy without it.
 func TestMissingRecordOfVersionsIsNoProof(t *testing.T) {
-	store := Store{Load: func(context.Context) (map[string][]string, error) { return map[string][]string{"other": {"v1"}}, nil }}
+	store := Store{Load: func(context.Context) (map[string][]string, []error, error) {
+		return map[string][]string{"other": {"v1"}}, nil, nil
+	}}
 	k := &Keeper{
 		Tracker: &Tracker{}, History: &History{}, Log: zap.NewNop(), Load: store.LoadService,
 		Ask:     func(context.Context, string, string) ([]Answer, int) { return nil, 0 },
--- a/internal/streamtracker/saver.go
+++ b/internal/streamtracker/saver.go
@@ -24,8 +24,8 @@
 
 // Store keeps the software versions of services in the platform's log.
 type Store struct {
-	// Load returns the saved versions by service.
-	Load func(context.Context) (map[string][]string, error)
+	// Load returns the saved versions by service, and the errors of records that are malformed.
+	Load func(context.Context) (versions map[string][]string, malformed []error, err error)
 	// Save replaces the versions of services.
 	Save func(context.Context, map[string][]string) error
 }
@@ -35,7 +35,7 @@
 // version have a model loaded. Without a record nothing is known: it may not have been accepted, or the
 // log may have come back from a copy that is older than it.
 func (s Store) LoadService(ctx context.Context, service string) (Versions, error) {
-	all, err := s.Load(ctx)
+	all, _, err := s.Load(ctx)
 	if err != nil {
 		return Versions{}, err
 	}
@@ -109,10 +109,13 @@
 	if s.saved == nil {
 		lctx, cancel := context.WithTimeout(ctx, storeTimeout)
 		defer cancel()
-		saved, err := s.Store.Load(lctx)
+		saved, malformed, err := s.Store.Load(lctx)
 		if err != nil {
 			return err
 		}
+		for _, err := range malformed {
+			s.Log.Warn("saved software versions are malformed", logger.Error(err))
+		}
 		s.saved = make(map[string][]string)
 		for service, list := range saved {
 			s.saved[service] = slices.Sorted(slices.Values(list))
