--- a/internal/syncer/origin.go
+++ b/internal/syncer/origin.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math"
+	"strings"
 	"sync"
 	"time"
 
@@ -182,7 +183,7 @@
 	var wg sync.WaitGroup
 	for _, m := range homes {
 		wg.Go(func() {
-			r, err := peerv1.NewFleetQueriesProtobufClient("http://"+m.GetPeerAddress(), c.HTTP).FindOrigin(ctx, &peerv1.FindOriginRequest{Stream: stream, Service: service})
+			r, err := peerv1.NewFleetQueriesProtobufClient("http://"+m.GetPeerAddress(), c.HTTP).FindOrigin(ctx, &peerv1.FindOriginRequest{Stream: encodeID(stream), Service: service})
 			if err != nil {
 				c.Log.Debug("instance not asked for a stream", zap.String("member", m.GetInstance()), logger.Error(err))
 				return
@@ -224,8 +225,12 @@
 	return out, nil
 }
 
+// encodeID returns the id of a request for a message. Clients choose ids, and the encoder refuses a
+// whole message for one string that is no UTF-8.
+func encodeID(id string) string { return strings.ToValidUTF8(id, "\uFFFD") }
+
 func encodeOrigin(o streamtracker.Origin) *peerv1.Origin {
-	return &peerv1.Origin{Stream: o.Stream, Service: o.Service, Software: o.Software, Attempt: uint32(o.Attempt), TtlMs: milliseconds(o.TTL), IsBound: o.IsBound}
+	return &peerv1.Origin{Stream: encodeID(o.Stream), Service: o.Service, Software: o.Software, Attempt: uint32(o.Attempt), TtlMs: milliseconds(o.TTL), IsBound: o.IsBound}
 }
 
 func decodeOrigin(o *peerv1.Origin) streamtracker.Origin {
