internal/courier: tests that a refusal written once more is not taken for the response

Report of another operator: a faulty replica wrote an earlier refusal once more on a kept connection, and clients were told that requests had not run which had. It does not happen here: the copy is skipped or fails the exchange as one that may have run. Tried beyond TestLateCopyIsNotTakenForTheResponse: two and three copies, behind and between 100 and 102, with and without an id, as 421, in HTTP/1.0, on connections whose receiver takes informational responses without a bound, as those between instances, and a third request on the same connection. Nothing got past the ids on either.

Read: a call without an id (orders, reports) always has a connection of its own; a request that is repeated at the same upstream has one that did not carry its id. The interface of our own has the id of the attempt in each refusal (TestCallVerdicts, TestGenerateVerdicts); the responses to its orders have none, which no test covers.

The negative is kept: without ids the copy is taken for the response.

--- a/internal/courier/copies_test.go
+++ b/internal/courier/copies_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -85,6 +86,56 @@
 	}
 }
 
+// TestRepeatedRefusalIsNotTakenForTheResponse guards against a refusal that an upstream writes once more
+// on a kept connection, several times or behind informational responses: the next request may run, and
+// its client would be told that it did not. So does a peer that sends informational responses.
+func TestRepeatedRefusalIsNotTakenForTheResponse(t *testing.T) {
+	const (
+		refusal = "HTTP/1.1 503 Busy\r\nId: 1\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n"
+		without = "HTTP/1.1 503 Busy\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n"
+		info    = "HTTP/1.1 100 Continue\r\n\r\n"
+		withID  = "HTTP/1.1 102 Processing\r\nId: 2\r\n\r\n"
+	)
+	for name, late := range map[string]string{
+		"two": refusal + refusal, "three": refusal + refusal + refusal, "behind 100": info + refusal, "between 100": info + refusal + info, "two behind 102": withID + withID + refusal,
+		"two without an id": without + without, "behind 100, without an id": info + without, "behind the next id": withID + without + refusal, "misdirected": strings.Replace(refusal, "503", "421", 1),
+		"many behind 102": strings.Repeat(withID+refusal, 10), "HTTP/1.0": strings.Replace(refusal, "1.1", "1.0", 1),
+	} {
+		for _, takesProgress := range []bool{false, true} {
+			t.Run(fmt.Sprint(name, ", progress ", takesProgress), func(t *testing.T) {
+				address := serveCopies(t, late)
+				p := &Pool{IDHeader: "Id"}
+				for _, id := range []string{"1", "2", "3"} {
+					ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+					defer cancel()
+					resp, err := p.Do(ctx, address, &Request{Method: http.MethodPost, Target: "/", Host: "h", Header: http.Header{"Id": {id}}, ID: id, TakesProgress: takesProgress})
+					if err != nil {
+						require.True(t, WasSent(err), "it may have run")
+						require.NotErrorIs(t, err, context.DeadlineExceeded)
+						continue
+					}
+					require.Equal(t, http.StatusOK, resp.Status)
+					body, err := io.ReadAll(resp.Body)
+					require.NoError(t, err)
+					require.Equal(t, "mine", string(body))
+				}
+			})
+		}
+	}
+}
+
+// TestRepeatedRefusalIsTakenForTheResponseWithoutIDs shows that the ids are what tells them apart.
+func TestRepeatedRefusalIsTakenForTheResponseWithoutIDs(t *testing.T) {
+	address := serveCopies(t, "HTTP/1.1 503 Busy\r\nId: 1\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n")
+	p := &Pool{}
+	got, err := callWithID(t, p, address, "1")
+	require.NoError(t, err)
+	require.Equal(t, "200 mine", got)
+	got, err = callWithID(t, p, address, "2")
+	require.NoError(t, err)
+	require.Equal(t, "503 ", got)
+}
+
 // TestSendIsCheckedWithTheConnectionOpen guards against a permission that expires while the
 // connection is opened: nothing may be sent then, and the connection stays usable.
 func TestSendIsCheckedWithTheConnectionOpen(t *testing.T) {
