internal/relayer: the age of closes is counted by service

TestAccountMetricsAreBounded, which requires that an idle instance has no other time series, failed since the metric was added without a label. It is a histogram by service like the others, and observed by the goroutine that ends the request.

--- a/internal/relayer/left.go
+++ b/internal/relayer/left.go
@@ -31,15 +31,18 @@
 	hasLeft  bool // its client was found to have left right before a send
 }
 
+// age returns how long the client's close had been in the socket when it was noticed. It reports false
+// if the client has not closed, or that is not known.
+func (p *presence) age() (time.Duration, bool) {
+	age := time.Duration(p.closeAge.Load())
+	return age, p.leftAfter.Load() != 0 && age >= 0
+}
+
 // watchClient records when the context of the client's request ends. The result stops it.
 func (c *call) watchClient(ctx context.Context) (stop func() bool) {
 	return context.AfterFunc(ctx, func() {
-		age := closeAge(c.clientConn)
-		c.presence.closeAge.Store(int64(age))
+		c.presence.closeAge.Store(int64(closeAge(c.clientConn)))
 		c.presence.leftAfter.Store(int64(max(1, time.Since(c.arrived))))
-		if age >= 0 {
-			c.Metrics.closeAge.Observe(age.Seconds())
-		}
 	})
 }
 
@@ -66,8 +69,8 @@
 	fields := []zap.Field{zap.Duration("sent", c.presence.sentAfter)}
 	if left := c.presence.leftAfter.Load(); left != 0 {
 		fields = append(fields, zap.Duration("left", time.Duration(left)))
-		if age := c.presence.closeAge.Load(); age >= 0 {
-			fields = append(fields, zap.Duration("close-age", time.Duration(age)))
+		if age, ok := c.presence.age(); ok {
+			fields = append(fields, zap.Duration("close-age", age))
 		}
 	}
 	return fields
--- a/internal/relayer/metrics.go
+++ b/internal/relayer/metrics.go
@@ -25,7 +25,7 @@
 	loadProbes   *prometheus.CounterVec
 	// withheldSends counts sends that were withheld because the client had closed its connection.
 	withheldSends *prometheus.CounterVec
-	closeAge      prometheus.Histogram
+	closeAge      *prometheus.HistogramVec
 	quota         quotaMetrics
 }
 
@@ -63,9 +63,7 @@
 		withheldSends: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "primrosedrift_withheld_sends_total", Help: "Sends that were withheld because the client, or the peer that handed the request on, had closed the connection.",
 		}, []string{"service", "hop"}),
-		closeAge: prometheus.NewHistogram(prometheus.HistogramOpts{
-			Name: "primrosedrift_close_age_seconds", Help: "Time from the arrival of a client's close until it was noticed.", Buckets: buckets,
-		}),
+		closeAge:    histogram("primrosedrift_close_age_seconds", "Time from the arrival of a client's close until it was noticed."),
 		duration:    histogram("primrosedrift_relayed_seconds", "Time from a request's arrival to its end."),
 		headLatency: histogram("primrosedrift_relayed_first_byte_seconds", "Time from an attempt to the head of its answer."),
 		queueTime:   histogram("primrosedrift_relayed_wait_seconds", "Time in the queue."),
@@ -81,6 +79,9 @@
 	m.requests.WithLabelValues(s, outcome, strconv.Itoa(c.reply.status)).Inc()
 	m.duration.WithLabelValues(s).Observe(took.Seconds())
 	m.queueTime.WithLabelValues(s).Observe(c.queueTime.Seconds())
+	if age, ok := c.presence.age(); ok {
+		m.closeAge.WithLabelValues(s).Observe(age.Seconds())
+	}
 	if c.headLatency > 0 {
 		m.headLatency.WithLabelValues(s).Observe(c.headLatency.Seconds())
 	}
