internal/relayer: an attempt behind links that are cut ends while its client still waits

Cause: the instance knows within a second that its links are cut and hands new requests on, but left those that it had sent as they were until the client's own patience, less 0.15 s. The class: a state that is known and applied only to what comes after it.

An attempt that has brought no response or event for a second (a third of the time left, four pauses that are on time) ends while the links are cut, if the request may run again; a peer serves it or its rest. It is no failure of the upstream. Requests that may run once wait as before.

Before, with the limit at an hour: all 3 cases of TestRequestBehindACutLinkGoesToAPeerInTime fail.

--- a/internal/relayer/ahead.go
+++ b/internal/relayer/ahead.go
@@ -71,12 +71,14 @@
 	// eventTimeout bounds the time without a whole event, 0 for no bound, and clientTimeout
 	// that without an acknowledged byte.
 	eventTimeout, clientTimeout time.Duration
-	watch                       eventWatch // of the goroutine that reads the body
-	isAhead                     bool       // of the goroutine that forwards: writeBegan is isTaken
-	eventAt                     int64      // of the same: when it has read a whole event, until that is written
-	lastEvent                   atomic.Int64
-	writeBegan                  atomic.Int64 // 0 if no write to the client runs, isTaken at the end
-	progressAt                  atomic.Int64 // when the client last acknowledged something, if it is read ahead
+	// cutTimeout is the bound without a whole event while the links are cut, 0 for eventTimeout.
+	cutTimeout time.Duration
+	watch      eventWatch // of the goroutine that reads the body
+	isAhead    bool       // of the goroutine that forwards: writeBegan is isTaken
+	eventAt    int64      // of the same: when it has read a whole event, until that is written
+	lastEvent  atomic.Int64
+	writeBegan atomic.Int64 // 0 if no write to the client runs, isTaken at the end
+	progressAt atomic.Int64 // when the client last acknowledged something, if it is read ahead
 	// checkAt is the time of the next check of the client, and acked is how many bytes it had
 	// acknowledged at the last one. They are of the goroutine that checks.
 	checkAt int64
@@ -117,6 +119,9 @@
 	if c.route.IsResumable {
 		// In time to send the rest from another upstream before the client gives up.
 		a.eventTimeout -= min(clientTimeoutMargin, a.eventTimeout/8)
+		if !c.handOn.isRunning {
+			a.cutTimeout = max(cutTimeout, cutEventGaps*c.route.MaxEventGap)
+		}
 	}
 	c.Buffers.watch(a)
 	return a
@@ -249,13 +254,21 @@
 
 // checkEvent ends the attempt if its upstream has sent no whole event for too long.
 func (a *readAhead) checkEvent(at int64) {
-	if a.eventTimeout == 0 || at-a.lastEvent.Load() < int64(a.eventTimeout) {
+	pause := time.Duration(at - a.lastEvent.Load())
+	why := errStreamStalled
+	switch {
+	case a.eventTimeout == 0:
+		return
+	case pause >= a.eventTimeout:
+	case a.cutTimeout > 0 && pause >= a.cutTimeout && a.c.Links.IsCut():
+		why = errLinksCut
+	default:
 		return
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if a.readErr == nil && a.stallErr == nil && !a.isClosed {
-		a.stallErr = errStreamStalled
+		a.stallErr = why
 		_ = a.body.Close() // resets the connection, which ends the read
 	}
 }
--- a/internal/relayer/ahead_test.go
+++ b/internal/relayer/ahead_test.go
@@ -79,7 +79,7 @@
 	g.Log = zap.New(core)
 	old := g.Config()
 	var routes []matcher.Route
-	for _, path := range []string{"/once/", "/stream/", "/resumable/"} {
+	for _, path := range []string{"/once/", "/stream/", "/resumable/", "/again/"} {
 		r, _ := old.Match("h.example", path)
 		r.EventTimeout, r.Timeout = eventTimeout, time.Minute
 		routes = append(routes, r)
--- a/internal/relayer/attempt.go
+++ b/internal/relayer/attempt.go
@@ -133,15 +133,19 @@
 func (c *call) exchange(ctx context.Context, slot *queuer.Slot, began time.Time) attemptResult {
 	u := slot.Upstream
 	remaining := time.Until(c.deadline)
-	actx, cancel := context.WithTimeout(ctx, remaining+responseGrace)
-	defer cancel()
+	tctx, cancelTimeout := context.WithTimeout(ctx, remaining+responseGrace)
+	defer cancelTimeout()
+	actx, cancel := context.WithCancelCause(tctx)
+	defer cancel(nil)
 	req := c.req
 	req.Header = c.Codec.OutgoingHeader(c.clientHeader, Attempt{
 		Upstream: u.ID, TimeLeft: remaining, Priority: c.route.Priority, LastEventID: c.stream.ids.last,
 		HasAccounts: !c.Config().Accounts.IsEmpty(), Account: c.accountName(),
 	})
 	req.MaySend = func() error { return c.maySend(ctx) }
+	cut := c.watchCut(remaining, cancel)
 	resp, err := c.Pool.Do(actx, u.Address, &req)
+	cut.stop()
 	if err != nil {
 		if errors.Is(err, errClientLeft) {
 			c.cancel() // not earlier, which would reset a connection that can be used again
@@ -154,7 +158,7 @@
 			return attemptResult{isNotRun: true, isWithheld: true, reason: err.Error()}
 		}
 		unsent := !courier.WasSent(err)
-		return attemptResult{hasFailed: true, isNotRun: unsent, isUnsent: unsent, isBroken: actx.Err() == nil, reason: err.Error()}
+		return attemptResult{hasFailed: !errors.Is(err, errLinksCut), isNotRun: unsent, isUnsent: unsent, isBroken: actx.Err() == nil, reason: err.Error()}
 	}
 	defer resp.Body.Close()
 	slot.RecordPrefill()
--- a/internal/relayer/stream.go
+++ b/internal/relayer/stream.go
@@ -156,7 +156,7 @@
 
 // interrupted returns the result of an attempt whose stream was interrupted.
 func (c *call) interrupted(ctx context.Context, err error) attemptResult {
-	res := attemptResult{hasFailed: ctx.Err() == nil, reason: "stream broke off: " + err.Error()}
+	res := attemptResult{hasFailed: ctx.Err() == nil && !errors.Is(err, errLinksCut), reason: "stream broke off: " + err.Error()}
 	if c.reply.hasBegun() && !c.route.IsResumable {
 		res.err = truncatedError{errors.New(res.reason)}
 	}
