--- a/internal/relayer/cut.go
+++ b/internal/relayer/cut.go
@@ -33,6 +33,7 @@
 	isCut  func() bool
 	cancel context.CancelCauseFunc
 	isOver atomic.Bool
+	first  *time.Timer
 }
 
 // watchCut begins to watch an attempt that has some time left. It returns nil if there is nothing to
@@ -42,7 +43,7 @@
 		return nil
 	}
 	w := &cutWatch{isCut: c.Links.IsCut, cancel: cancel}
-	time.AfterFunc(min(cutTimeout, remaining/cutShare), w.check)
+	w.first = time.AfterFunc(min(cutTimeout, remaining/cutShare), w.check)
 	return w
 }
 
@@ -60,5 +61,6 @@
 func (w *cutWatch) stop() {
 	if w != nil {
 		w.isOver.Store(true)
+		w.first.Stop() // or it keeps the request for its time
 	}
 }
