internal/orderer: a late copy of a response does not confirm the next order

On our own interface the responses to orders carry no id, and connections are used again: a faulty engine that writes an earlier response once more confirms an order that it has not carried out, and a replica counts as loaded or unloaded.

An order takes a connection after which nothing follows. The header alone is not enough, since net/http keeps a connection that the server does not close.

--- a/internal/orderer/orderer.go
+++ b/internal/orderer/orderer.go
@@ -292,7 +292,7 @@
 func (o *Orderer) send(ctx context.Context, t Task, order *upstreamv1.OrderRequest) error {
 	ctx, cancel := context.WithTimeout(ctx, cmp.Or(o.Timeout, DefaultTimeout))
 	defer cancel()
-	resp, err := upstreamv1connect.NewEngineCommandsClient(o.HTTP, "http://"+t.Address).
+	resp, err := upstreamv1connect.NewEngineCommandsClient(closingClient(o.HTTP), "http://"+t.Address).
 		Order(ctx, connect.NewRequest(order))
 	if o.OnResult != nil {
 		o.OnResult(t, err)
@@ -305,6 +305,27 @@
 	return err
 }
 
+// closingClient returns a client that uses a connection for no request after an order. Responses to orders
+// carry no id, so a late copy of an earlier one would confirm the next order.
+func closingClient(c *http.Client) *http.Client {
+	out := *c
+	out.Transport = closingTransport{c.Transport}
+	return &out
+}
+
+type closingTransport struct{ http.RoundTripper }
+
+// RoundTrip implements http.RoundTripper.
+func (t closingTransport) RoundTrip(r *http.Request) (*http.Response, error) {
+	base := t.RoundTripper
+	if base == nil {
+		base = http.DefaultTransport
+	}
+	closing := r.WithContext(r.Context()) // a copy
+	closing.Close = true
+	return base.RoundTrip(closing)
+}
+
 // recordUnanswered records that an order of the task has no reply.
 func (o *Orderer) recordUnanswered(t Task) {
 	o.mu.Lock()
