internal/leaser: a record that is no claim does not keep the holder from renewing

The holder renews at the position after its claim. One record of another key in that topic, and the log does not end there any more: each renewal conflicts, what is read back is the holder's own claim, and the lease runs out, with no conductor for seconds.

A renewal that conflicts remembers the end of the topic that it has read back, and the next one is appended there. If another claim has come since, that append conflicts as well.

Before: TestRecordThatIsNoClaimKeepsNobodyFromRenewing fails.

--- a/internal/leaser/leaser.go
+++ b/internal/leaser/leaser.go
@@ -86,7 +86,10 @@
 	// attempts are the claims of this instance that may have been appended after the newest
 	// known one.
 	attempts []Claim
-	isFirst  bool // this instance holds the lease by the first claim of all
+	// end is the end of the topic when it was last found to be behind the next position of the newest
+	// claim.
+	end     sequencer.Position
+	isFirst bool // this instance holds the lease by the first claim of all
 
 	// Used only by the goroutine in Run.
 	unreachableSince time.Duration // when the holder stopped responding, 0 while it responds
@@ -133,7 +136,7 @@
 	case isHolder && isDue && now-l.renewTriedAt < renewRetryInterval && l.renewTriedAt != 0:
 	case isHolder && isDue && isInEra:
 		l.renewTriedAt = now
-		l.claim(ctx, l.Newest().Next())
+		l.claim(ctx, l.nextPosition())
 	case isHolder && isDue:
 		l.renewTriedAt = now
 		l.claimInNewEra(ctx)
@@ -284,6 +287,9 @@
 			l.Log.Warn("failed to read the lease back", logger.Error(err))
 		} else {
 			l.observe(c, end.Era)
+			l.mu.Lock()
+			l.end = end
+			l.mu.Unlock()
 		}
 	default:
 		// The append may still succeed, so a claim that is read back counts from when
@@ -384,6 +390,22 @@
 	return l.state.Newest()
 }
 
+// nextPosition returns where the next claim of the holder is appended: behind the newest claim, and
+// behind records that are no claims. If another claim is behind that, the append conflicts.
+func (l *Lease) nextPosition() sequencer.Position {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.nextPositionLocked()
+}
+
+func (l *Lease) nextPositionLocked() sequencer.Position {
+	next := l.state.newest.Next()
+	if l.end.Era == next.Era && l.end.IsAfter(next) {
+		return l.end
+	}
+	return next
+}
+
 // IsHolder reports whether this instance holds the lease and it has not expired.
 func (l *Lease) IsHolder() bool {
 	l.mu.Lock()
@@ -413,7 +435,7 @@
 	l.mu.Lock()
 	isHolder := l.state.IsHolder()
 	c := l.Self
-	c.Position = l.state.Newest().Next()
+	c.Position = l.nextPositionLocked()
 	c.IsReleased = true
 	if c.Appointments = l.state.newest.Appointments; ok {
 		c.Appointments = appointments
--- a/internal/leaser/leaser_test.go
+++ b/internal/leaser/leaser_test.go
@@ -86,6 +86,34 @@
 	require.Equal(t, 2, numAppends, "taken if nobody else does")
 }
 
+// TestRecordThatIsNoClaimKeepsNobodyFromRenewing guards against a holder that loses the lease because of a
+// record of another writer behind its claim: the log does not end there any more.
+func TestRecordThatIsNoClaimKeepsNobodyFromRenewing(t *testing.T) {
+	newest := claimOf("a", "a1", 5)
+	end := newest.Next()
+	end.Offset++
+	l := leaseOn(&newest, nil)
+	l.Store = Store{
+		Newest: func(context.Context) (Claim, sequencer.Position, error) { return newest, end, nil },
+		Append: func(_ context.Context, c Claim) error {
+			if c.Position != end {
+				return ErrConflict
+			}
+			newest, end = c, c.Next()
+			return nil
+		},
+	}
+	now := clocker.SinceStart()
+	l.state.RecordAcquired(newest, now, now)
+	for range 2 {
+		l.renewTriedAt, l.state.sentAt = 0, now-testTimes.RenewAfter
+		l.step(t.Context())
+	}
+	require.EqualValues(t, 7, newest.Offset)
+	require.Equal(t, newest.Position, l.Newest().Position)
+	require.True(t, l.IsHolder())
+}
+
 // simulatedStore is a log with the claims of a test. Appends get no response if isSilent.
 type simulatedStore struct {
 	log      simulatedLog
--- a/internal/relayer/continuation.go
+++ b/internal/relayer/continuation.go
@@ -15,8 +15,8 @@
 // errNoContinuation is the cause of an attempt whose response is not the rest of the stream.
 var errNoContinuation = errors.New("not the rest of the stream")
 
-// eventIDs is what the ids of a stream's events have shown. Numbers increase; whether by one, only
-// the stream itself shows. The zero value knows no event.
+// eventIDs is what is known of the ids of a stream's events. Ids increase; whether by a constant step is
+// taken from the events themselves. The zero value knows no event.
 type eventIDs struct {
 	last     string // of the last event that has an id
 	number   int64  // of that id
@@ -40,7 +40,7 @@
 		return e
 	}
 	next, from, num := eventIDsAfter(id), e, bytes.Count(events, eventEnd)
-	if e.last == "" { // the ids within these events are all there is
+	if e.last == "" { // no event came before these
 		first, _ := firstEvent(events)
 		from, num = eventIDsAfter(first), num-1
 	}
@@ -83,8 +83,8 @@
 	return eventIDs{}, false
 }
 
-// checkContinuation returns an error if a response cannot be the rest of the one that has begun. That
-// one has a status and a type, and only a stream has a rest.
+// checkContinuation returns an error if a response cannot be the rest of the one that has begun: it
+// needs the same status and type, and only a stream is sent in several parts.
 func (c *call) checkContinuation(resp *courier.Response) error {
 	if !c.reply.hasBegun() {
 		return nil
