internal/drainer: the test of a stop under load says what was cut off

TestStopUnderLoadAnswersAllRequests failed once with "a request was cut off" for any error, a failed dial included, and its output was not kept. The message now says at which step the call failed, after what time, how many bytes of the response had come, and what the connection had carried before.

A dial that ends with anything but "connection refused" still fails the test, with a message of its own. It isn't a request that was cut off: nothing was written, and the client knows that. It is still a fault, since clients pay for it with the timeout of a dial: the filter ignores the first packet, and the client must be refused when it repeats it. All that is written and gets no whole response fails as before.

go test -race -count=3 ./internal/drainer passes.

--- a/internal/drainer/drainer_test.go
+++ b/internal/drainer/drainer_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -47,38 +48,90 @@
 	address string
 	conn    net.Conn
 	r       *bufio.Reader
+	counted countedReader
+	// numAnswered is the number of requests that the connection has carried.
+	numAnswered int
 }
 
 // errRefused is returned if no connection was opened, so that nothing was sent.
 var errRefused = errors.New("connection refused")
 
+// callError says how far a call came that got no whole response.
+type callError struct {
+	step string // that failed
+	// isNew says that the connection was opened for this request, numAnswered how many requests
+	// it had carried before, and received how many bytes of the response came.
+	isNew       bool
+	numAnswered int
+	received    int64
+	took        time.Duration
+	cause       error
+}
+
+// wasSent reports whether a connection was open, so that the request may have been read.
+func (e *callError) wasSent() bool { return e.step != stepDial }
+
+func (e *callError) Error() string {
+	if !e.wasSent() {
+		return fmt.Sprintf("no connection, nothing was sent: the dial failed after %v: %v", e.took, e.cause)
+	}
+	return fmt.Sprintf("a request was cut off: %s failed after %v and %d bytes (new connection: %v, answered on it: %d): %v",
+		e.step, e.took, e.received, e.isNew, e.numAnswered, e.cause)
+}
+
+const stepDial, stepWrite, stepHead, stepBody = "dial", "write", "head", "body"
+
 func (c *caller) call(ctx context.Context) error {
-	if c.conn == nil {
+	began := time.Now()
+	isNew := c.conn == nil
+	fail := func(step string, err error) error {
+		return &callError{step: step, isNew: isNew, numAnswered: c.numAnswered, received: c.counted.n, took: time.Since(began), cause: err}
+	}
+	if isNew {
 		conn, err := (&net.Dialer{}).DialContext(ctx, "tcp4", c.address)
 		if errors.Is(err, syscall.ECONNREFUSED) {
 			return errRefused
 		}
 		if err != nil {
-			return errors.Wrap(err, "dial")
+			return fail(stepDial, err)
 		}
-		c.conn, c.r = conn, bufio.NewReader(conn)
+		c.open(conn)
 	}
+	c.counted.n = 0
 	if _, err := io.WriteString(c.conn, "GET / HTTP/1.1\r\nHost: h\r\n\r\n"); err != nil {
-		return errors.Wrap(err, "write")
+		return fail(stepWrite, err)
 	}
 	resp, err := http.ReadResponse(c.r, nil)
 	if err != nil {
-		return errors.Wrap(err, "read")
+		return fail(stepHead, err)
 	}
 	if _, err := io.Copy(io.Discard, resp.Body); err != nil {
-		return errors.Wrap(err, "body")
+		return fail(stepBody, err)
 	}
+	c.numAnswered++
 	if resp.Close {
 		c.end()
 	}
 	return nil
 }
 
+// countedReader counts the bytes that are read.
+type countedReader struct {
+	r io.Reader
+	n int64
+}
+
+func (c *countedReader) Read(p []byte) (int, error) {
+	n, err := c.r.Read(p)
+	c.n += int64(n)
+	return n, err
+}
+
+func (c *caller) open(conn net.Conn) {
+	c.conn, c.counted, c.numAnswered = conn, countedReader{r: conn}, 0
+	c.r = bufio.NewReader(&c.counted)
+}
+
 func (c *caller) end() {
 	if c.conn != nil {
 		_ = c.conn.Close()
@@ -106,7 +159,7 @@
 						return
 					}
 					if err != nil {
-						t.Errorf("a request was cut off: %v", err)
+						t.Error(err)
 						return
 					}
 					numAnswered.Add(1)
@@ -139,7 +192,7 @@
 			} else {
 				conn, err := net.Dial("tcp4", c.address)
 				require.NoError(t, err)
-				c.conn, c.r = conn, bufio.NewReader(conn)
+				c.open(conn)
 			}
 			s.isStopping.Store(true)
 			done := make(chan error, 1)
