queuer, arranger, conductor: log what an estimate was compared with, and which loads for streams a plan skips

Requests for the rest of a stream were refused with "ready in 10.4s" or after the client's whole wait. The log showed neither which limit the estimate was compared with, nor what it was made of, nor why plans did not load the model at an upstream of the stream's version. The reason of a refusal now states the time left and its limit, the copies among the upstreams that may run the request, and for how long there has been no conductor; orders and drains state the software version and how many requests wait that only it can serve; and a load that such requests wait for and that a plan does not begin has a line with the reason for each upstream. No change of logic.

--- a/internal/arranger/arranger.go
+++ b/internal/arranger/arranger.go
@@ -77,6 +77,8 @@
 	// minBusyTime is the least time for which an upstream is assumed to accept no
 	// order while it is busy or has a move in this plan.
 	minBusyTime = 200 * time.Millisecond
+	// busyRounding is the precision of durations in the reasons of skipped loads.
+	busyRounding = 10 * time.Millisecond
 	// runningPlacementCost is the cost of each request that runs on the upstream,
 	// in requests; it breaks ties.
 	runningPlacementCost = 0.001
@@ -112,6 +114,13 @@
 
 // Plan returns the moves whose benefit exceeds their cost now.
 func Plan(f Fleet) []Move {
+	moves, _ := PlanWithSkipped(f)
+	return moves
+}
+
+// PlanWithSkipped is Plan, and also returns the loads that requests for the rest of streams wait
+// for and that the plan does not begin.
+func PlanWithSkipped(f Fleet) ([]Move, []Skipped) {
 	p := &planner{Fleet: f, demand: make(map[string]Demand), replicas: make(map[string]int), activeAdapters: make(map[string]float64), planned: make(map[string]bool), candidateModels: make(map[string]bool)}
 	p.bound, p.replicasWith = make(map[modelWith]int), make(map[modelWith]int)
 	for _, d := range f.Demands {
@@ -152,12 +161,20 @@
 	for _, c := range cands {
 		p.candidateModels[c.model.Name] = true
 	}
+	var skipped []Skipped
 	for _, c := range cands {
-		if m, ok := p.place(c); ok {
+		m, ok := p.place(c)
+		switch {
+		case ok:
 			moves = append(moves, m)
+		case c.software != nil:
+			skipped = append(skipped, Skipped{c.model.Name, *c.software, p.bound[modelWith{c.model.Name, *c.software}], p.obstacles(c)})
 		}
 	}
-	return moves
+	for i := range moves {
+		moves[i].BoundWaiting = p.boundAt(moves[i].Upstream)
+	}
+	return moves, skipped
 }
 
 // candidate is a replica of a model that may be loaded.
--- a/internal/arranger/fleet.go
+++ b/internal/arranger/fleet.go
@@ -117,6 +117,18 @@
 	// requests.
 	ModelsToDrain []string
 	Reason        string
+	// BoundWaiting is how many requests wait that may run only at the upstream's version of the
+	// software.
+	BoundWaiting int
+}
+
+// Skipped is a load that requests for the rest of streams wait for and that a plan does not
+// begin.
+type Skipped struct {
+	Model, Software string
+	Waiting         int
+	// Obstacles says for each upstream of the version why the model is not loaded there now.
+	Obstacles []string
 }
 
 // LoadedModel returns the model that the last order loads.
--- a/internal/assembler/assembler.go
+++ b/internal/assembler/assembler.go
@@ -194,6 +194,7 @@
 		}
 	}}
 	a.queue = &queuer.Queue{Upstreams: a.upstreamTable, Config: a.config.Load, OnDemandChange: func() { a.client.ReportNow() }, HasConductor: func() bool { return a.client.HasConductor() }, LinksCut: a.links.Cut}
+	a.queue.ConductorSilence = func() time.Duration { return a.client.ViewAge() }
 	a.queue.Table.DataCentre, a.queue.Table.IsBrittle = a.DataCentre, a.upstreamTable.IsBrittle
 	a.retryBudgets = &retrier.Budgets{Ratio: usedRetryFraction * a.RetryRatio, Reserve: usedReserveFraction * a.RetryReserve / minReserveMembers, StartsEmpty: true}
 	a.relayer = &relayer.Relayer{
--- a/internal/conductor/conductor.go
+++ b/internal/conductor/conductor.go
@@ -122,6 +122,7 @@
 	hostSlots     map[string]int // by service, see arranger.Fleet
 	storeLimit    limiter.Limit
 	hasStoreLimit bool
+	skippedAt     map[boundKey]time.Time // when a load for the rest of streams was last logged as skipped
 	moves         sync.WaitGroup
 }
 
@@ -295,7 +296,9 @@
 			if svc.Engine == nil {
 				continue
 			}
-			for _, m := range arranger.Plan(c.fleetLocked(svc, now)) {
+			moves, skipped := arranger.PlanWithSkipped(c.fleetLocked(svc, now))
+			c.logSkippedLocked(svc.Name, skipped, now)
+			for _, m := range moves {
 				if len(m.ModelsToDrain) > 0 {
 					c.drainLocked(m, now)
 					continue
@@ -317,7 +320,7 @@
 	if !slices.Equal(e.draining(now), m.ModelsToDrain) {
 		c.viewsChanged = true
 		c.Log.Info("models drain", zap.String("upstream", m.Upstream), zap.Strings("models", m.ModelsToDrain),
-			zap.String("for", m.LoadedModel()), zap.String("why", m.Reason))
+			zap.String("for", m.LoadedModel()), zap.String("why", m.Reason), zap.String("software", e.up.Software), zap.Int("bound-waiting", m.BoundWaiting))
 	}
 	e.drain = drain{models: m.ModelsToDrain, replacement: m.LoadedModel(), requestedAt: now}
 }
--- a/internal/conductor/move.go
+++ b/internal/conductor/move.go
@@ -124,7 +124,7 @@
 		err := c.executeOrder(ctx, e, o)
 		c.Log.Info("order", zap.String("upstream", m.Upstream), zap.String("operation", string(o.Operation)),
 			zap.String("model", o.Model), zap.String("adapter", o.Adapter), zap.String("from", string(o.Tier)),
-			zap.Int64("orders", e.numOrders), zap.String("why", m.Reason), zap.Int("conflicts", e.conflicts),
+			zap.Int64("orders", e.numOrders), zap.String("why", m.Reason), zap.String("software", e.up.Software), zap.Int("bound-waiting", m.BoundWaiting), zap.Int("conflicts", e.conflicts),
 			zap.Duration("waited", waited), zap.Duration("accepted-in", e.acceptedIn), zap.Duration("took", time.Since(start)), logger.Error(err))
 		c.Metrics.record(o, err, time.Since(start))
 		if err != nil {
--- a/internal/queuer/queuer.go
+++ b/internal/queuer/queuer.go
@@ -21,6 +21,9 @@
 	Config    func() *matcher.Config
 	// HasConductor reports whether a conductor currently sends orders.
 	HasConductor func() bool
+	// ConductorSilence, if set, returns the time since the conductor last responded, 0 if none
+	// ever has.
+	ConductorSilence func() time.Duration
 	// OnDemandChange, if set, is called when the demand changes: when a request
 	// starts to wait, is refused at once, or ends on an upstream that gets no new
 	// requests for the model, because the model drains there.
@@ -77,7 +80,7 @@
 	closed := q.closedChan()
 	q.mu.Lock()
 	s, cfg := q.Upstreams.Snapshot(), q.Config()
-	q.Table.HasConductor = q.HasConductor()
+	q.observeConductor()
 	a := q.Table.Admit(req, s, cfg, now)
 	if a.Upstream != nil {
 		q.mu.Unlock()
@@ -90,7 +93,7 @@
 		}
 		q.mu.Unlock()
 		q.notifyDemand()
-		return nil, refusal(estimate, req)
+		return nil, q.refusal(estimate, req)
 	}
 	w := a.Waiter
 	q.mu.Unlock()
@@ -107,7 +110,7 @@
 		return &Slot{Upstream: u, Choice: w.choice, q: q, request: req, granted: time.Now()}, nil
 	case e := <-w.refused:
 		q.expectRetry(req, e)
-		return nil, refusal(e, req)
+		return nil, q.refusal(e, req)
 	case <-timer.C:
 	case <-ctx.Done():
 	case <-closed:
@@ -137,7 +140,7 @@
 		return nil, verdict.Refuse(verdict.ReasonNoUpstream, minRetryDelay, "the links to the upstreams are cut")
 	default:
 	}
-	return nil, refusal(estimate, req)
+	return nil, q.refusal(estimate, req)
 }
 
 // expectRetry counts a refused request as demand until its client may retry.
@@ -151,7 +154,24 @@
 	q.Table.ExpectRetry(req, now, now.Add(e.Delay+time.Second))
 }
 
-func refusal(e StartEstimate, req Request) error {
+// observeConductor updates what the table knows of the conductor.
+func (q *Queue) observeConductor() {
+	q.Table.HasConductor = q.HasConductor()
+	if q.ConductorSilence != nil {
+		q.Table.ConductorSilence = q.ConductorSilence()
+	}
+}
+
+// refusal returns the verdict on a request that is refused by an estimate, with what it was
+// compared with.
+func (q *Queue) refusal(e StartEstimate, req Request) error {
+	q.mu.Lock()
+	in := q.Table.inputsOf(req, q.Upstreams.Snapshot(), q.Config(), time.Now())
+	q.mu.Unlock()
+	return refusal(e, req, in)
+}
+
+func refusal(e StartEstimate, req Request, in inputs) error {
 	retryAfter := e.retryAfter()
 	if e.IsElsewhere {
 		return verdict.Refuse(verdict.ReasonNoUpstream, retryAfter, "service %s: its upstreams are brittle, and another instance has to send the request", req.Service)
@@ -160,12 +180,12 @@
 		return verdict.Refuse(verdict.ReasonNoUpstream, retryAfter, "service %s: no upstream of software version %q, which began the stream", req.Service, *req.Software)
 	}
 	if e.NeedsLoad {
-		return verdict.Refuse(verdict.ReasonNoUpstream, retryAfter, "model %s adapter %q: not loaded, ready in %v", req.Model, req.Adapter, e.Delay)
+		return verdict.Refuse(verdict.ReasonNoUpstream, retryAfter, "model %s adapter %q: not loaded, ready in %v (%v)", req.Model, req.Adapter, e.Delay.Round(time.Millisecond), in)
 	}
 	if e.IsBusy {
 		return verdict.Refuse(verdict.ReasonQueueFull, retryAfter, "service %s model %s account %q priority %d: no slot in time: %d requests wait, those ahead take %v", req.Service, req.Model, req.Account, req.Priority, e.NumWaiting, e.Delay.Round(time.Millisecond))
 	}
-	return verdict.Refuse(verdict.ReasonQueueFull, retryAfter, "service %s: no free slot", req.Service)
+	return verdict.Refuse(verdict.ReasonQueueFull, retryAfter, "service %s: no free slot (%v)", req.Service, in)
 }
 
 func (q *Queue) notifyDemand() {
@@ -217,7 +237,7 @@
 	}
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	q.Table.HasConductor = q.HasConductor()
+	q.observeConductor()
 	q.Table.Expire(q.Upstreams.Snapshot(), cfg, time.Now())
 }
 
--- a/internal/queuer/table.go
+++ b/internal/queuer/table.go
@@ -78,8 +78,10 @@
 	Priority int // the lowest value is granted first
 	// Objective is the target time of the response, or of its first event.
 	Objective time.Time
-	// StartBy is the latest time at which the request may start.
-	StartBy time.Time
+	// StartBy is the latest time at which the request may start, and StartByLimit the limit
+	// that it comes from.
+	StartBy      time.Time
+	StartByLimit Limit
 	// Prefix identifies the shared prefix of the prompt, empty for none.
 	Prefix string
 	// Tokens is the length of the prompt, and ResponseTokens the maximum length of the
@@ -142,6 +144,8 @@
 	// HasConductor says that a conductor currently sends orders, which load missing
 	// models.
 	HasConductor bool
+	// ConductorSilence is the time since the conductor last responded, 0 if none ever has.
+	ConductorSilence time.Duration
 	// IsBrittle, if set, reports whether the upstreams of a service are brittle.
 	IsBrittle func(service string, now time.Time) bool
 	Rand      *rand.Rand
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -275,20 +275,20 @@
 
 // prepareAdmission sets the request's deadline and its request to the queue.
 func (c *call) prepareAdmission() {
-	remaining := c.route.Timeout
-	if c.requestInfo.Deadline > 0 && (remaining == 0 || c.requestInfo.Deadline < remaining) {
+	remaining, limitedBy := c.route.Timeout, c.deadlineLimit()
+	if limitedBy == queuer.LimitDeadline {
 		remaining = c.requestInfo.Deadline
 	}
 	c.deadline = c.arrived.Add(remaining)
 	limit := c.deadline.Add(-minUpstreamTime)
 	if c.route.EventTimeout > 0 {
 		if p := c.arrived.Add(c.route.EventTimeout - clientTimeoutMargin); p.Before(limit) {
-			limit = p
+			limit, limitedBy = p, queuer.LimitEventTimeout
 		}
 	}
 	c.admission = queuer.Request{
 		Service: c.route.Service(c.requestInfo.ID), Model: c.requestInfo.Model, Adapter: c.requestInfo.Adapter,
-		Priority: c.route.Priority, Objective: c.arrived.Add(c.route.Objective), StartBy: limit,
+		Priority: c.route.Priority, Objective: c.arrived.Add(c.route.Objective), StartBy: limit, StartByLimit: limitedBy,
 		Prefix: c.requestInfo.Prefix, Tokens: c.requestInfo.PromptTokens, ResponseTokens: c.requestInfo.ResponseTokens, Tried: make(map[string]bool),
 		MaxPause: c.route.MaxEventGap, ID: c.requestInfo.ID, IsHandedOn: c.handOn.isReceived, Account: c.accountName(),
 	}
@@ -299,6 +299,14 @@
 	}
 }
 
+// deadlineLimit returns the limit that the deadline of the request comes from.
+func (c *call) deadlineLimit() queuer.Limit {
+	if c.requestInfo.Deadline > 0 && (c.route.Timeout == 0 || c.requestInfo.Deadline < c.route.Timeout) {
+		return queuer.LimitDeadline
+	}
+	return queuer.LimitRouteTimeout
+}
+
 // serve makes attempts until a response is forwarded or no further attempt is
 // allowed.
 func (c *call) serve(ctx context.Context) error {
@@ -315,6 +323,7 @@
 		if c.reply.hasBegun() {
 			// The events so far arrived in time; only the deadline applies now.
 			c.admission.StartBy = c.deadline
+			c.admission.StartByLimit = c.deadlineLimit()
 		}
 		if err := c.refuseIfCut(); err != nil {
 			return err
