queuer: report waiting requests for the rest of streams as demand

Clients that took a stream up again waited 6.6 to 8.7 s, to their own limit, while nothing loaded their model at the version that had to serve them; the first order for it was sent 50 ms after their refusal.

Demands returned the entries that Arrive, a grant or a refusal had made. A request arrives before the origin of its stream is looked up, so its entry had no version, and the waiting one was in no entry until it was refused. Each waiting request now has an entry. The existing test did not show it because a request of the same version had been granted before.

--- a/internal/queuer/demand.go
+++ b/internal/queuer/demand.go
@@ -46,7 +46,9 @@
 	out := make([]Demand, 0, len(t.demands))
 	waiting := make(map[key][]time.Duration)
 	for _, w := range t.waiting {
-		waiting[w.Request.key()] = append(waiting[w.Request.key()], w.Request.Objective.Sub(w.arrived))
+		k := w.Request.key()
+		t.demandOf(k) // the software version was not known when the request arrived
+		waiting[k] = append(waiting[k], w.Request.Objective.Sub(w.arrived))
 	}
 	for k, d := range t.demands {
 		d.expected = slices.DeleteFunc(d.expected, func(r expectedRetry) bool { return now.After(r.until) })
