queuer: estimate starts without a conductor by what is known, and hold the rest of streams while it can start

Clients that took a stream up again were refused with "ready in 10.4s" while the holder of the lease was cut off for 5 s. Their model is loaded 2.5 s after the holder is back.

The estimate without a conductor was a load from the store and the longest failover: it left out copies on disk and in host memory, and did not fall with time. It now adds what is left of the expected absence to the load from where the weights are. The absence stays an assumption, as the time for a decision is, so a request for the rest of a stream, which nobody but the upstreams of its version can serve, is refused only if it would be too late without these assumptions. What cannot be served is refused at once as before: a load from the store that takes longer than the client waits, a version that no upstream has.

--- a/internal/queuer/estimate.go
+++ b/internal/queuer/estimate.go
@@ -25,17 +25,58 @@
 
 // Estimate returns when a request that has no slot yet could start.
 func (t *Table) Estimate(req Request, s *registrar.Snapshot, cfg *matcher.Config, now time.Time) StartEstimate {
-	ahead := 0
+	return t.estimateBehind(t.numAhead(req), req, s, cfg, now)
+}
+
+// numAhead returns how many waiting requests are for the same model.
+func (t *Table) numAhead(req Request) int {
+	n := 0
 	for _, w := range t.waiting {
 		if w.Request.Service == req.Service && w.Request.Model == req.Model {
-			ahead++
+			n++
 		}
 	}
-	return t.estimateBehind(ahead, req, s, cfg, now)
+	return n
+}
+
+// overheads are the parts of an estimate that are assumed. Their zero value gives the earliest
+// possible start.
+type overheads struct {
+	failover time.Duration // until a conductor sends orders again
+	swap     time.Duration // see swapOverhead
+	adapter  time.Duration // see adapterLoadDelay
+	overdue  time.Duration // until the end of an overdue load
 }
 
 // estimateBehind is Estimate for a request that starts after some others of its model.
 func (t *Table) estimateBehind(ahead int, req Request, s *registrar.Snapshot, cfg *matcher.Config, now time.Time) StartEstimate {
+	o := overheads{swap: swapOverhead, adapter: adapterLoadDelay, overdue: minRetryDelay}
+	if !t.HasConductor {
+		o.failover = failoverLeft(t.ConductorSilence)
+	}
+	return t.estimateWith(o, ahead, req, s, cfg, now)
+}
+
+// failoverLeft returns when a conductor is expected to send orders again. One that was cut off
+// or restarted is back within failoverDelay, and another one takes over after maxFailoverDelay.
+func failoverLeft(silence time.Duration) time.Duration {
+	if silence < failoverDelay {
+		return failoverDelay - silence
+	}
+	return max(maxFailoverDelay-silence, minRetryDelay)
+}
+
+// isTooLate reports whether the request is refused by its estimate. One for the rest of a stream
+// is refused only if it cannot start in time in any case: new requests can go elsewhere, but only
+// upstreams of its version can serve it.
+func (t *Table) isTooLate(e StartEstimate, ahead int, req Request, s *registrar.Snapshot, cfg *matcher.Config, now time.Time) bool {
+	if now.Add(e.Delay).After(req.StartBy) && req.Software != nil {
+		e = t.estimateWith(overheads{}, ahead, req, s, cfg, now)
+	}
+	return now.Add(e.Delay).After(req.StartBy)
+}
+
+func (t *Table) estimateWith(o overheads, ahead int, req Request, s *registrar.Snapshot, cfg *matcher.Config, now time.Time) StartEstimate {
 	t.init()
 	svc, ok := cfg.Services[req.Service]
 	if !ok {
@@ -53,12 +94,8 @@
 		return StartEstimate{Delay: t.plainDelay(ahead, list, now)}
 	}
 	model := svc.Engine.Models[req.Model]
-	best := shortestPause(list, now) + model.StoreLoadDuration + swapOverhead
+	best := shortestPause(list, now) + o.failover + model.StoreLoadDuration + o.swap
 	isLoaded := false
-	if !t.HasConductor {
-		// No conductor sends orders at present.
-		best += failoverDelay
-	}
 	var limited limitedDelay
 	for _, u := range list {
 		if m, ok := u.Model(req.Model); ok {
@@ -68,18 +105,18 @@
 					continue
 				}
 				isLoaded = isLoaded || m.ReadyAt.IsZero()
-				best = min(best, max(readyIn(m, now), pauseOf(u, now)))
-			} else if t.HasConductor && t.canStart(u, now) {
-				best = min(best, max(readyIn(m, now), pauseOf(u, now))+adapterLoadDelay)
+				best = min(best, max(readyIn(m, now, o.overdue), pauseOf(u, now)))
+			} else if t.canStart(u, now) {
+				best = min(best, max(readyIn(m, now, o.overdue), pauseOf(u, now))+o.failover+o.adapter)
 			}
 			continue
 		}
 		switch {
-		case !t.HasConductor || u.IsLimited:
+		case u.IsLimited:
 		case slices.Contains(u.InHostMemory, req.Model):
-			best = min(best, model.HostLoadDuration+swapOverhead)
+			best = min(best, o.failover+model.HostLoadDuration+o.swap)
 		case slices.Contains(u.OnDisk, req.Model):
-			best = min(best, model.DiskLoadDuration+swapOverhead)
+			best = min(best, o.failover+model.DiskLoadDuration+o.swap)
 		}
 	}
 	if limited.count > 0 {
@@ -129,10 +166,10 @@
 }
 
 // readyIn returns the remaining duration of a load, zero if it is done. An
-// overdue load may end at any time and counts as minRetryDelay.
-func readyIn(m registrar.Model, now time.Time) time.Duration {
+// overdue load may end at any time and is assumed to end after the given time.
+func readyIn(m registrar.Model, now time.Time, overdue time.Duration) time.Duration {
 	if m.ReadyAt.IsZero() {
 		return 0
 	}
-	return max(m.ReadyAt.Sub(now), minRetryDelay)
+	return max(m.ReadyAt.Sub(now), overdue)
 }
--- a/internal/queuer/table.go
+++ b/internal/queuer/table.go
@@ -21,8 +21,12 @@
 	// swapOverhead is the time that a load takes in addition to the copying: for
 	// the decision, the order and the unloading of another model.
 	swapOverhead = 400 * time.Millisecond
-	// failoverDelay is the longest time until a conductor sends orders again.
+	// failoverDelay is how long after its last response a conductor that was cut off or has
+	// restarted is expected to send orders again.
 	failoverDelay = 4 * time.Second
+	// maxFailoverDelay is that time for another instance, which has to wait for the end of the
+	// lease and for late orders.
+	maxFailoverDelay = 10800 * time.Millisecond
 	// maxPrefillTokens limits the prompt tokens of this instance that an upstream
 	// processes at once. Prompt processing delays the streams that run there:
 	// 2,048 tokens take about 60 ms, and clients expect pauses below 200 ms.
@@ -252,7 +256,7 @@
 				estimates[w.Request.key()] = e
 			}
 		}
-		if now.Add(e.Delay).After(w.Request.StartBy) {
+		if t.isTooLate(e, ahead[k], w.Request, s, cfg, now) {
 			w.refused <- e
 			t.leaveOrder(w)
 			continue
