arranger: load models for the rest of streams before those that any version can run

Requests for the rest of a stream waited while their model was loaded at no upstream of their version.

Such a request counted like a new one, though new ones can go to upstreams of any version. It now counts five times as much for benefit and delay, its loads are placed before all others, may use the whole limit of the store, and take over what drains for new requests. A model that no upstream has and that both streams and new requests wait for is loaded once.

--- a/internal/arranger/arranger.go
+++ b/internal/arranger/arranger.go
@@ -26,6 +26,9 @@
 	minResidence = 1500 * time.Millisecond
 	// waitingWeight is the weight of one waiting request, in requests per second.
 	waitingWeight = 2.0
+	// boundWeight is that of a waiting request for the rest of a stream, which only upstreams of
+	// one software version can serve.
+	boundWeight = 10.0
 	// minBenefitRatio is the least ratio of a load's benefit to the cost of the
 	// unloads that it needs.
 	minBenefitRatio = 1.0
@@ -52,12 +55,13 @@
 	recentLoadCost = 20.0
 	// The load shares limit the concurrent loads from the weight store, as
 	// multiples of Fleet.StoreLoadLimit: for models without requests, for models that
-	// are requested but not loaded on any upstream, and for more replicas of busy
-	// models. With more concurrent loads each takes longer, but their total
+	// are requested but not loaded on any upstream, for more replicas of busy
+	// models, and for the rest of streams. With more concurrent loads each takes longer, but their total
 	// throughput does not fall.
 	prefetchLoadShare  = 0.25
 	requestedLoadShare = 0.5
 	replicaLoadShare   = 0.75
+	boundLoadShare     = 1.0
 	// idlePrefetchLoadShare replaces prefetchLoadShare until the first request.
 	idlePrefetchLoadShare = 1.0
 	// runningRequestCost is the cost of each running request that an unload waits
@@ -162,11 +166,16 @@
 		p.candidateModels[c.model.Name] = true
 	}
 	var skipped []Skipped
+	begun := make(map[string]bool) // models whose loads for the rest of streams begin
 	for _, c := range cands {
+		if c.isFirst && begun[c.model.Name] {
+			continue // new requests can use the same replica
+		}
 		m, ok := p.place(c)
 		switch {
 		case ok:
 			moves = append(moves, m)
+			begun[c.model.Name] = c.software != nil
 		case c.software != nil:
 			skipped = append(skipped, Skipped{c.model.Name, *c.software, p.bound[modelWith{c.model.Name, *c.software}], p.obstacles(c)})
 		}
@@ -185,6 +194,8 @@
 	// second; a waiting request counts as one.
 	delayed   float64
 	loadShare float64 // limit of concurrent store loads, as a multiple of Fleet.StoreLoadLimit
+	// isFirst reports that no upstream has the model.
+	isFirst bool
 	// isPrefetch reports that no request for the model has arrived, while others have.
 	isPrefetch bool
 	// software, if not nil, is the only software version where the replica helps.
@@ -207,7 +218,8 @@
 	return int(math.Ceil(n))
 }
 
-// candidates returns the replicas whose load has a benefit, the greatest first.
+// candidates returns the replicas whose load has a benefit: first those that the rest of streams
+// waits for, then the greatest benefit.
 func (p *planner) candidates() []candidate {
 	var out []candidate
 	share, benefit := prefetchLoadShare, prefetchBenefit
@@ -221,11 +233,11 @@
 		switch {
 		case n == 0 && (d.Waiting > 0 || d.Rate > 0):
 			out = append(out, candidate{
-				model: m, benefit: d.Rate + waitingWeight*float64(d.Waiting), delayed: d.Rate + float64(d.Waiting), loadShare: requestedLoadShare,
+				model: m, benefit: d.Rate + waitingWeight*float64(d.Waiting), delayed: d.Rate + float64(d.Waiting), loadShare: requestedLoadShare, isFirst: true,
 				reason: fmt.Sprintf("requested but not loaded on any upstream: rate %.2f, waiting %d", d.Rate, d.Waiting),
 			})
 		case n == 0 && p.localWeights[m.Name] == 0:
-			out = append(out, candidate{model: m, benefit: benefit, delayed: benefit, loadShare: share, isPrefetch: !p.IsIdle, reason: "no replica or local weights on any upstream"})
+			out = append(out, candidate{model: m, benefit: benefit, delayed: benefit, loadShare: share, isFirst: true, isPrefetch: !p.IsIdle, reason: "no replica or local weights on any upstream"})
 		case n > 0 && n < needed:
 			out = append(out, candidate{
 				model: m, benefit: extraReplicaBenefit * d.Rate / float64(n+1), delayed: d.Rate/float64(n+1) + float64(d.Waiting), loadShare: replicaLoadShare,
@@ -235,6 +247,12 @@
 	}
 	out = append(out, p.boundCandidates()...)
 	slices.SortFunc(out, func(a, b candidate) int {
+		if isBound := a.software != nil; isBound != (b.software != nil) {
+			if isBound {
+				return -1
+			}
+			return 1
+		}
 		if c := cmp.Compare(b.benefit, a.benefit); c != 0 {
 			return c
 		}
@@ -249,11 +267,11 @@
 	var out []candidate
 	for _, m := range p.Engine.Models {
 		for k, waiting := range p.bound {
-			if k.model != m.Name || p.replicasWith[k] > 0 {
+			if k.model != m.Name || waiting == 0 || p.replicasWith[k] > 0 {
 				continue
 			}
 			out = append(out, candidate{
-				model: m, benefit: waitingWeight * float64(waiting), delayed: float64(waiting), loadShare: requestedLoadShare, software: &k.software,
+				model: m, benefit: boundWeight * float64(waiting), delayed: boundWeight / waitingWeight * float64(waiting), loadShare: boundLoadShare, software: &k.software,
 				reason: fmt.Sprintf("requested for the rest of streams but not loaded at software version %q: waiting %d", k.software, waiting),
 			})
 		}
--- a/internal/arranger/place.go
+++ b/internal/arranger/place.go
@@ -17,7 +17,7 @@
 	var bestVictims []string
 	var bestSource source
 	for i, u := range p.Upstreams {
-		if u.IsLimited || u.holds(c.model.Name) || p.isReserved(u, c.model.Name) || c.software != nil && u.Software != *c.software {
+		if u.IsLimited || u.holds(c.model.Name) || p.isReserved(u, c) || c.software != nil && u.Software != *c.software {
 			continue
 		}
 		tier, _ := u.tier(c.model)
@@ -82,10 +82,11 @@
 }
 
 // isReserved reports whether models drain at the upstream for another model that
-// is still a candidate.
-func (p *planner) isReserved(u Upstream, model string) bool {
+// is still a candidate. Streams that wait take over what drains for new requests.
+func (p *planner) isReserved(u Upstream, c candidate) bool {
 	return slices.ContainsFunc(u.Models, func(r Resident) bool {
-		return r.ReplacedBy != "" && r.ReplacedBy != model && p.candidateModels[r.ReplacedBy]
+		isFor := r.ReplacedBy != "" && r.ReplacedBy != c.model.Name && p.candidateModels[r.ReplacedBy]
+		return isFor && (c.software == nil || p.bound[modelWith{r.ReplacedBy, u.Software}] > 0)
 	})
 }
 
@@ -164,7 +165,7 @@
 	for _, r := range u.Models {
 		v := victim{r, p.unloadCost(r)}
 		if k := (modelWith{r.Model, u.Software}); p.replicasWith[k] == 1 {
-			v.cost += waitingWeight * float64(p.bound[k])
+			v.cost += boundWeight * float64(p.bound[k])
 		}
 		if tier == FromStore && p.replicas[r.Model] == 1 {
 			v.cost += p.unavailableCost(r.Model, u)
--- a/internal/arranger/skipped.go
+++ b/internal/arranger/skipped.go
@@ -32,7 +32,7 @@
 		switch {
 		case u.IsLimited:
 			why = "it takes few requests"
-		case p.isReserved(u, c.model.Name):
+		case p.isReserved(u, c):
 			why = "models drain for another one"
 		case !hasRoom:
 			why = "no room"
--- a/internal/arranger/streams_test.go
+++ b/internal/arranger/streams_test.go
@@ -79,3 +79,23 @@
 	require.Len(t, moves, 1)
 	require.Equal(t, []string{"m0"}, moves[0].ModelsToDrain, "m1 has fewer requests, and m0 drains already")
 }
+
+// TestStreamsAndNewRequestsShareALoad guards against a second load of the model that streams wait for, while the first begins.
+func TestStreamsAndNewRequestsShareALoad(t *testing.T) {
+	f, v1 := twoVersions()
+	f.addDemand("m8", "", 3, 2)
+	f.Demands = append(f.Demands, Demand{Model: "m8", Software: &v1, Waiting: 1})
+	loads := loadOrders(Plan(f))
+	require.Len(t, loads, 1)
+	require.Contains(t, []string{"e0 m8", "e1 m8"}, loads[0])
+}
+
+// TestStreamsTakeOverWhatDrainsForNewRequests guards against streams that wait behind a drain for requests which other upstreams could serve.
+func TestStreamsTakeOverWhatDrainsForNewRequests(t *testing.T) {
+	f, v1 := twoVersions()
+	f.busyFor(1, 5*time.Second)
+	f.Upstreams[0].Models[0].ReplacedBy, f.Upstreams[0].OnDisk = "m9", append(f.Upstreams[0].OnDisk, "m8")
+	f.addDemand("m9", "", 2, 3)
+	f.Demands = append(f.Demands, Demand{Model: "m8", Software: &v1, Waiting: 1})
+	require.Contains(t, loadOrders(Plan(f)), "e0 m8")
+}
