arranger: keep the models that drain for a load as its victims

New requests wait for a model that drains, which raises its cost, so the other one seemed cheaper; then that one drained, and neither ended. A drain that has begun lowered the cost of its upstream, not of its victims. It lowers both now, so another victim has to be cheaper by more than what the drain is worth.

--- a/internal/arranger/place.go
+++ b/internal/arranger/place.go
@@ -173,9 +173,14 @@
 		list = append(list, v)
 	}
 	// Models with the least cost for their size are unloaded first. The cost
-	// includes the delay until their running requests have ended.
+	// includes the delay until their running requests have ended. Those that drain for the
+	// candidate are preferred: another choice would begin the drain anew.
 	costPerMB := func(v victim) float64 {
-		return (costHorizon.Seconds()*v.cost + c.delayed*unloadDelay(v.Running).Seconds()) / p.Engine.Models[v.Model].SizeMB
+		cost := v.cost
+		if v.ReplacedBy == c.model.Name {
+			cost -= startedDrainBonus
+		}
+		return (costHorizon.Seconds()*cost + c.delayed*unloadDelay(v.Running).Seconds()) / p.Engine.Models[v.Model].SizeMB
 	}
 	slices.SortFunc(list, func(a, b victim) int { return cmp.Compare(costPerMB(a), costPerMB(b)) })
 	for _, v := range list {
--- a/internal/arranger/streams_test.go
+++ b/internal/arranger/streams_test.go
@@ -78,6 +78,10 @@
 	moves := Plan(f)
 	require.Len(t, moves, 1)
 	require.Equal(t, []string{"m0"}, moves[0].ModelsToDrain, "m1 has fewer requests, and m0 drains already")
+	f.Demands[0].Waiting = 3
+	moves = Plan(f)
+	require.Len(t, moves, 1)
+	require.Equal(t, []string{"m0"}, moves[0].ModelsToDrain, "new requests wait because it drains")
 }
 
 // TestStreamsAndNewRequestsShareALoad guards against a second load of the model that streams wait for, while the first begins.
