arranger: loads from the store for streams count as those for new requests, idle victims end a drain

A load from the store takes 6 s, and blocks its upstream and the store for new requests as long. Only loads from disk or host memory, which take a second, count for streams with more weight now, 5 instead of 10 for each; those from the store count as before, under the same limit. A drain that waits for requests is given up at once if another model without any can be unloaded; another one with requests has to be cheaper by what the drain is worth.

--- a/internal/arranger/arranger.go
+++ b/internal/arranger/arranger.go
@@ -27,8 +27,9 @@
 	// waitingWeight is the weight of one waiting request, in requests per second.
 	waitingWeight = 2.0
 	// boundWeight is that of a waiting request for the rest of a stream, which only upstreams of
-	// one software version can serve.
-	boundWeight = 10.0
+	// one software version can serve. A load from the store takes several times as long as one
+	// from disk or host memory and counts with waitingWeight.
+	boundWeight = 5.0
 	// minBenefitRatio is the least ratio of a load's benefit to the cost of the
 	// unloads that it needs.
 	minBenefitRatio = 1.0
@@ -55,13 +56,12 @@
 	recentLoadCost = 20.0
 	// The load shares limit the concurrent loads from the weight store, as
 	// multiples of Fleet.StoreLoadLimit: for models without requests, for models that
-	// are requested but not loaded on any upstream, for more replicas of busy
-	// models, and for the rest of streams. With more concurrent loads each takes longer, but their total
+	// are requested but not loaded on any upstream, and for more replicas of busy
+	// models. With more concurrent loads each takes longer, but their total
 	// throughput does not fall.
 	prefetchLoadShare  = 0.25
 	requestedLoadShare = 0.5
 	replicaLoadShare   = 0.75
-	boundLoadShare     = 1.0
 	// idlePrefetchLoadShare replaces prefetchLoadShare until the first request.
 	idlePrefetchLoadShare = 1.0
 	// runningRequestCost is the cost of each running request that an unload waits
@@ -203,6 +203,14 @@
 	reason   string
 }
 
+// benefitFrom returns the benefit of the load from a tier.
+func (c candidate) benefitFrom(t Tier) float64 {
+	if c.software != nil && t == FromStore {
+		return c.benefit * waitingWeight / boundWeight
+	}
+	return c.benefit
+}
+
 // replicasNeeded returns how many replicas a model needs, the most of three
 // numbers: by its rate, which prompt processing limits, by its running and waiting
 // requests, which the slots limit, and by the adapters that are in use at once,
@@ -271,7 +279,7 @@
 				continue
 			}
 			out = append(out, candidate{
-				model: m, benefit: boundWeight * float64(waiting), delayed: boundWeight / waitingWeight * float64(waiting), loadShare: boundLoadShare, software: &k.software,
+				model: m, benefit: boundWeight * float64(waiting), delayed: boundWeight / waitingWeight * float64(waiting), loadShare: requestedLoadShare, software: &k.software,
 				reason: fmt.Sprintf("requested for the rest of streams but not loaded at software version %q: waiting %d", k.software, waiting),
 			})
 		}
--- a/internal/arranger/doc.go
+++ b/internal/arranger/doc.go
@@ -17,9 +17,8 @@
 //   - Models that are requested but not loaded on any upstream come first, in
 //     the order of their benefit. Busy models get more replicas by their rate.
 //   - Requests for the rest of streams can run at one software version only. Where they wait
-//     and no upstream of their version has the model, it comes before all others there, may
-//     use the whole limit of the store, and takes over what drains for new requests: these
-//     can go to upstreams of any version.
+//     and no upstream of their version has the model, its load is placed before all others
+//     and takes over what drains for new requests: these can go to upstreams of any version.
 //   - Models are unloaded where that costs least. A replica whose requests other
 //     replicas can serve costs little, the last replica of a requested model
 //     costs its rate, and one that requests wait for is not unloaded.
--- a/internal/arranger/place.go
+++ b/internal/arranger/place.go
@@ -32,7 +32,7 @@
 		if src.tier == FromStore {
 			unloadCost += p.blockedCost(u)
 		}
-		if !ok || c.benefit < minBenefitRatio*unloadCost {
+		if !ok || c.benefitFrom(src.tier) < minBenefitRatio*unloadCost {
 			continue
 		}
 		delay := u.busyFor(p.planned[u.ID]) + src.duration + unloadDelay(u.runningOf(victims))
@@ -173,12 +173,12 @@
 		list = append(list, v)
 	}
 	// Models with the least cost for their size are unloaded first. The cost
-	// includes the delay until their running requests have ended. Those that drain for the
-	// candidate are preferred: another choice would begin the drain anew.
+	// includes the delay until their running requests have ended.
 	costPerMB := func(v victim) float64 {
 		cost := v.cost
-		if v.ReplacedBy == c.model.Name {
-			cost -= startedDrainBonus
+		// Another choice would begin the drain anew.
+		if v.Running > 0 && v.ReplacedBy == "" && u.replacedBy(c.model.Name) {
+			cost += startedDrainBonus
 		}
 		return (costHorizon.Seconds()*cost + c.delayed*unloadDelay(v.Running).Seconds()) / p.Engine.Models[v.Model].SizeMB
 	}
--- a/internal/arranger/skipped.go
+++ b/internal/arranger/skipped.go
@@ -38,8 +38,8 @@
 			why = "no room"
 		case tier == FromStore && !p.canLoadFromStore(c):
 			why = "as many loads from the store as it runs"
-		case c.benefit < minBenefitRatio*cost:
-			why = fmt.Sprintf("unloading %v costs %.1f, the benefit is %.1f", victims, cost, c.benefit)
+		case c.benefitFrom(tier) < minBenefitRatio*cost:
+			why = fmt.Sprintf("unloading %v costs %.1f, the benefit is %.1f", victims, cost, c.benefitFrom(tier))
 		case u.IsBusy:
 			why = fmt.Sprintf("busy for %v", u.BusyFor.Round(busyRounding))
 		case p.planned[u.ID]:
