internal/conductor: the state of an upstream says which process responds

An upstream that restarts under its id while the registrations cannot be read may hold by then all that the process before held: another instance, or the conductor itself, has sent it orders. Its state was then taken for that of the registered process, and requests ran there by the registration of a process of another software version.

It now decides, also while the upstream is busy: a number of orders or models that are missing are used only where it is absent. The stand-ins of the tests state it as well.

Without the comparison both new cases of TestStateOfASuspectedUpstreamTellsWhetherItHasRestarted fail: the other process stays in use, and a process that has lost its models is taken for another one.

--- a/internal/conductor/conductor.go
+++ b/internal/conductor/conductor.go
@@ -63,6 +63,9 @@
 // State is the state that an upstream reports.
 type State struct {
 	registrar.Notice
+	// StartedAtMs is the start time of the process that responds in Unix milliseconds, 0 if it
+	// does not state it.
+	StartedAtMs  int64
 	NumOrders    int64 // number of accepted orders
 	IsBusy       bool  // an order is in flight
 	Models       []registrar.Model
--- a/internal/conductor/conductor_test.go
+++ b/internal/conductor/conductor_test.go
@@ -26,6 +26,7 @@
 	mu             sync.Mutex
 	orders         int64
 	models         []string
+	startedAtMs    int64 // that it states, 0 for none
 	received       []string
 	exceededMemory bool
 	// replyFault reports whether the reply to the nth call is lost, and whether the
@@ -101,7 +102,7 @@
 func (s *engineStub) state(context.Context, *registrar.Upstream) (State, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	st := State{NumOrders: s.orders}
+	st := State{StartedAtMs: s.startedAtMs, NumOrders: s.orders}
 	for _, m := range s.models {
 		st.Models = append(st.Models, registrar.Model{Name: m})
 	}
--- a/internal/conductor/restart.go
+++ b/internal/conductor/restart.go
@@ -45,13 +45,16 @@
 }
 
 // hasRestarted reports whether a state is that of another process than the one that the
-// engine is of: it has accepted no order, and the other one had, or a loaded model is missing.
+// engine is of. If it does not state when its process started, it is that of another one if it has
+// accepted no order, and the one before had, or a loaded model is missing.
 // A smaller number other than 0 shows that an order was counted that the upstream does not
 // count, and a missing model alone that a load has failed. Within maxStateLag after an order the
 // state may be older than the order and shows nothing.
 func (e *engine) hasRestarted(s State, now time.Time) bool {
 	switch {
-	case s.NumOrders > 0 || e.mayBeOutdated(now):
+	case s.StartedAtMs != 0:
+		return s.StartedAtMs != e.up.StartedAtMs
+	case s.IsBusy || s.NumOrders > 0 || e.mayBeOutdated(now):
 		return false
 	case e.numOrders > 0:
 		return true
@@ -73,14 +76,14 @@
 	s, err := c.requestState(ctx, e)
 	now := time.Now()
 	c.mu.Lock()
-	hasRestarted := err == nil && !s.IsBusy && e.hasRestarted(s, time.Now())
+	hasRestarted := err == nil && e.hasRestarted(s, time.Now())
 	before, isOutdated := e.numOrders, e.mayBeOutdated(now)
 	e.isBusy = false
 	switch {
-	case err != nil || s.IsBusy || isOutdated:
-		e.retryAt = now.Add(stateRetryInterval)
 	case hasRestarted:
 		e.isSuspected, e.isKnown = false, false
+	case err != nil || s.IsBusy || isOutdated:
+		e.retryAt = now.Add(stateRetryInterval)
 	default:
 		e.isSuspected, e.stateAt = false, requestedAt
 		if !sameModels(e.models, s.Models) || e.numOrders != s.NumOrders {
@@ -89,7 +92,7 @@
 		}
 	}
 	c.mu.Unlock()
-	c.Log.Info("suspected upstream state requested", zap.String("upstream", i.ID), zap.Int64("born", i.StartedAtMs), zap.Bool("restarted", hasRestarted),
+	c.Log.Info("suspected upstream state requested", zap.String("upstream", i.ID), zap.Int64("born", i.StartedAtMs), zap.Int64("reported-born", s.StartedAtMs), zap.Bool("restarted", hasRestarted),
 		zap.Int64("orders", s.NumOrders), zap.Int64("orders-before", before), zap.Int("models", len(s.Models)), zap.Bool("busy", s.IsBusy),
 		zap.Duration("took", now.Sub(requestedAt)), logger.Error(err))
 	switch {
@@ -104,7 +107,7 @@
 // abortIfRestarted returns an error if a state shows that the process of the engine of a move
 // has restarted.
 func (c *Conductor) abortIfRestarted(e *engine, s State) error {
-	if s.IsBusy || !e.hasRestarted(s, time.Now()) {
+	if !e.hasRestarted(s, time.Now()) {
 		return nil
 	}
 	c.Upstreams.ConfirmRestart(e.up.Incarnation(), time.Now())
--- a/internal/conductor/restart_test.go
+++ b/internal/conductor/restart_test.go
@@ -25,6 +25,8 @@
 		"a load has failed":                        {func(s *engineStub) { s.models = []string{"m0"} }, false, 5},
 		"another holder sent an order":             {func(s *engineStub) { s.orders, s.models = 6, []string{"m0"} }, false, 6},
 		"an order was counted that does not count": {func(s *engineStub) { s.orders = 4 }, false, 4},
+		"another process, with all that was held":  {func(s *engineStub) { s.startedAtMs = 2 }, true, 0},
+		"the same process, without orders":         {func(s *engineStub) { s.startedAtMs, s.orders, s.models = 1, 0, nil }, false, 0},
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
