emulator: play a release with crashes and streams that clients take up again

Engines have software versions, and the clients of a resumable kind take up streams that broke at the version that began them.

--- a/internal/emulator/emulator.go
+++ b/internal/emulator/emulator.go
@@ -45,8 +45,14 @@
 	// From and To limit the period of the arrivals; 0 for To means the whole run.
 	From, To time.Duration
 	MeanRun  time.Duration // mean time from the first event to the end
+	// IsResumable says that clients take up streams that broke, at the software version that
+	// began them. The requests for the rest count under restOf(Name).
+	IsResumable bool
 }
 
+// restOf returns the name under which the requests for the rest of streams of a kind count.
+func restOf(kind string) string { return kind + "/rest" }
+
 // Outage is an outage of an engine, which ends all its running requests. The engine
 // returns without loaded models. It still has the checkpoints on its disk unless
 // LosesDisk is set.
@@ -63,6 +69,7 @@
 	// PrefillRate is the prefill rate of an engine in tokens per millisecond.
 	PrefillRate   float64
 	InitialModels func(engine int) []string // models loaded at the start
+	SoftwareOf    func(engine int) string   // version of an engine's software, nil for one version
 	// MaxHostCheckpoints and MaxDiskCheckpoints limit the checkpoints that an
 	// engine keeps in host memory and on disk.
 	MaxHostCheckpoints, MaxDiskCheckpoints int
@@ -210,11 +217,17 @@
 			sim.storeCheckpoint(e, m)
 			sim.initialReplicas[m]++
 		}
+		if s.SoftwareOf != nil {
+			e.software = s.SoftwareOf(i)
+		}
 		sim.engines = append(sim.engines, e)
 	}
 	sim.publish()
 	for _, k := range s.Kinds {
 		sim.results[k.Name] = &Result{}
+		if k.IsResumable {
+			sim.results[restOf(k.Name)] = &Result{}
+		}
 		sim.schedule(s.WarmUp+k.From, func() { sim.arrive(k) })
 	}
 	for _, o := range s.Outages {
--- a/internal/emulator/engine.go
+++ b/internal/emulator/engine.go
@@ -1,7 +1,9 @@
 package emulator
 
 import (
+	"cmp"
 	"fmt"
+	"maps"
 	"slices"
 	"time"
 
@@ -15,6 +17,7 @@
 type engine struct {
 	id           string
 	incarnation  int64
+	software     string
 	isLost       bool
 	models       []arranger.Resident // Running is set only in the copy for a plan
 	inHostMemory []string            // most recently used first
@@ -72,14 +75,18 @@
 
 // interrupt starts an outage of an engine and schedules its end.
 func (sim *simulation) interrupt(e *engine, o Outage) {
-	for r := range e.runs {
+	runs := slices.SortedFunc(maps.Keys(e.runs), func(a, b *run) int { return cmp.Compare(a.end, b.end) })
+	for _, r := range runs {
 		if !r.hasStarted {
 			r.table.RecordPrefill(r.request, e.id)
 		}
 		r.table.Release(r.request, e.id)
 		sim.results[r.kind.Name].Interrupted++
+		if r.kind.IsResumable && r.hasStarted {
+			sim.schedule(sim.now+returnDelay, func() { sim.takeUp(r, e.software) })
+		}
 	}
-	*e = engine{id: e.id, incarnation: e.incarnation + 1, isLost: true, onDisk: e.onDisk, runs: make(map[*run]bool)}
+	*e = engine{id: e.id, software: e.software, incarnation: e.incarnation + 1, isLost: true, onDisk: e.onDisk, runs: make(map[*run]bool)}
 	if o.LosesDisk {
 		e.onDisk = nil
 	}
@@ -90,6 +97,21 @@
 	})
 }
 
+// returnDelay is how long after a break a client takes its stream up again.
+const returnDelay = 200 * time.Millisecond
+
+// takeUp makes the request for the rest of a stream that broke.
+func (sim *simulation) takeUp(r *run, software string) {
+	q, k := r.request, r.kind
+	if q.Software == nil {
+		k.Name, k.From = restOf(k.Name), 0
+	}
+	q.ID, q.Software = q.ID+"+", &software
+	q.Objective, q.StartBy = sim.time().Add(k.Objective), sim.time().Add(k.Timeout)
+	sim.results[k.Name].Arrived++
+	sim.admit(&queued{instance: r.instance, request: q, kind: k, at: sim.now, retries: k.Retries})
+}
+
 // publish publishes the state of all engines to the queue.
 func (sim *simulation) publish() {
 	for _, i := range sim.instances {
@@ -104,7 +126,7 @@
 		if e.isLost {
 			continue
 		}
-		u := &registrar.Upstream{ID: e.id, Service: service, Slots: sim.Engine.Slots, StartedAtMs: e.incarnation, OnDisk: e.onDisk, InHostMemory: e.inHostMemory}
+		u := &registrar.Upstream{ID: e.id, Service: service, Software: e.software, Slots: sim.Engine.Slots, StartedAtMs: e.incarnation, OnDisk: e.onDisk, InHostMemory: e.inHostMemory}
 		for _, m := range e.models {
 			if slices.Contains(e.draining, m.Model) {
 				continue
@@ -128,7 +150,7 @@
 			continue
 		}
 		u := arranger.Upstream{
-			ID: e.id, IsBusy: e.isBusy, BusyFor: e.busyUntil - sim.now, OnDisk: e.onDisk, InHostMemory: e.inHostMemory, Models: slices.Clone(e.models), Running: len(e.runs),
+			ID: e.id, Software: e.software, IsBusy: e.isBusy, BusyFor: e.busyUntil - sim.now, OnDisk: e.onDisk, InHostMemory: e.inHostMemory, Models: slices.Clone(e.models), Running: len(e.runs),
 		}
 		for i, m := range u.Models {
 			u.Models[i].Running = e.numRunning(m.Model)
@@ -189,12 +211,16 @@
 // demands returns the request rate and the waiting and running requests of each model.
 func (sim *simulation) demands(running map[string]int) []arranger.Demand {
 	waiting := make(map[string]int)
+	var out []arranger.Demand
 	for _, i := range sim.instances {
 		for _, u := range i.table.Demands(sim.time()) {
+			if u.Software != nil {
+				out = append(out, arranger.Demand{Model: u.Model, Software: u.Software, Waiting: u.Waiting})
+				continue
+			}
 			waiting[u.Model] += u.Waiting
 		}
 	}
-	var out []arranger.Demand
 	for _, m := range sortedModels(sim.Engine) {
 		if n := sim.initialReplicas[m]; n > 1 && !sim.hasArrivals {
 			sim.rate(m).Set(priorRatePerReplica*float64(n-1), sim.time())
