--- a/internal/arranger/arranger.go
+++ b/internal/arranger/arranger.go
@@ -78,6 +78,9 @@
 	// startedDrainBonus lowers the cost where models are already draining for the
 	// load, in requests per second, so that a started drain is completed.
 	startedDrainBonus = 10.0
+	// otherDrainCost is the added cost of unloading a model that runs requests instead of
+	// one that drains already, in requests per second.
+	otherDrainCost = 4.0
 	// minBusyTime is the least time for which an upstream is assumed to accept no
 	// order while it is busy or has a move in this plan.
 	minBusyTime = 200 * time.Millisecond
--- a/internal/arranger/place.go
+++ b/internal/arranger/place.go
@@ -176,9 +176,8 @@
 	// includes the delay until their running requests have ended.
 	costPerMB := func(v victim) float64 {
 		cost := v.cost
-		// Another choice would begin the drain anew.
 		if v.Running > 0 && v.ReplacedBy == "" && u.replacedBy(c.model.Name) {
-			cost += startedDrainBonus
+			cost += otherDrainCost
 		}
 		return (costHorizon.Seconds()*cost + c.delayed*unloadDelay(v.Running).Seconds()) / p.Engine.Models[v.Model].SizeMB
 	}
