relayer: no refusal that an upstream has not made

What callers saw: a 503, 429 or 408, the promise that a request that may run once only has not run, although its upstream had not said so. An upstream that stops while it writes its head may leave out the header which says that it did not run the request, or cut its name or value; a server in front of it may answer 503 as well.

The cause: only a response with that header was treated as a refusal, but the status of any other failure was forwarded unchanged. Now such a status without the header and without the upstream's signature is a failed attempt: the client gets 502, and an idempotent request may be sent to another upstream. A signed response is still forwarded as it is.

TestHeadThatLacksALineIsNoResponse failed before in 28 of 128 cases (`go test -run HeadThatLacks ./internal/relayer`, one run: seven of 32 heads, on routes of all four kinds, 503, 429 or 408 instead of 502). The other 25 heads, among them those that lack their framing, id or stamp or have a part of it, passed. A signature that is cut to a part of its value, with a length of 0, cannot be recognized.

--- a/internal/relayer/attempt.go
+++ b/internal/relayer/attempt.go
@@ -192,10 +192,17 @@
 		return attemptResult{hasFailed: true, reason: "encoded answer"}
 	case resp.Status < http.StatusMultipleChoices && !r.IsStamped:
 		return attemptResult{hasFailed: true, reason: "success without a stamp"}
+	case isPromise(resp.Status) && !r.IsStamped: // the client would take it for a request that did not run
+		return attemptResult{hasFailed: true, reason: "refusal that does not say that the request did not run, with status " + strconv.Itoa(resp.Status)}
 	}
 	return c.forward(actx, slot, resp)
 }
 
+// isPromise reports whether a status tells a client that its request did not run and will not.
+func isPromise(status int) bool {
+	return status == http.StatusRequestTimeout || status == http.StatusTooManyRequests || status == http.StatusServiceUnavailable
+}
+
 // recordMisdirected records why the upstream refused a misdirected request: the
 // address now belongs to another upstream, or the model or adapter is not loaded, for
 // instance because the upstream's process has restarted.
--- a/internal/relayer/head_test.go
+++ b/internal/relayer/head_test.go
@@ -98,3 +98,52 @@
 	g, _ := newCutFixture(t, up)
 	return g
 }
+
+// TestHeadThatLacksALineIsNoResponse guards against an upstream that stops while it writes the lines of a head,
+// and ends it in order: a header that decides the framing, names the request or says that it did not run is
+// missing or cut.
+func TestHeadThatLacksALineIsNoResponse(t *testing.T) {
+	const ok, busy, id = "HTTP/1.1 200 OK\r\n", "HTTP/1.1 503 Busy\r\n", hID + ": ID\r\n"
+	for name, out := range map[string]string{
+		"no framing":                      ok + id + stamped + "\r\n",
+		"no framing, short":               ok + id + stamped + "\r\nhal",
+		"no framing, an event":            ok + id + stamped + "\r\n" + event(1),
+		"no framing, a chunk":             ok + id + stamped + "\r\n" + chunk(event(1)),
+		"length cut":                      ok + id + stamped + "Content-Length: 1\r\n\r\n",
+		"length empty":                    ok + id + stamped + "Content-Length: \r\n\r\n",
+		"length without a value":          ok + id + stamped + "Content-Length\r\n\r\n",
+		"length with its name cut":        ok + id + stamped + "Content-Lengt: 12\r\n\r\nhalf",
+		"length cut in two":               ok + id + stamped + "Content-Length: 1\r\n2\r\n\r\nhalf",
+		"chunks cut":                      ok + id + stamped + "Transfer-Encoding: chunke\r\n\r\n" + event(1),
+		"chunks empty":                    ok + id + stamped + "Transfer-Encoding:\r\n\r\n" + event(1),
+		"chunks with the name cut":        ok + id + stamped + "Transfer-Encodin: chunked\r\n\r\n" + chunk(event(1)) + "0\r\n\r\n",
+		"chunks, and nothing":             ok + id + stamped + "Transfer-Encoding: chunked\r\n\r\n",
+		"id cut":                          ok + hID + ": I\r\n" + stamped + "Content-Length: 0\r\n\r\n",
+		"id empty":                        ok + hID + ":\r\n" + stamped + "Content-Length: 0\r\n\r\n",
+		"id with its name cut":            ok + "Test-I: ID\r\n" + stamped + "Content-Length: 0\r\n\r\n",
+		"stamp empty":                     ok + id + hStamp + ": \r\nContent-Length: 0\r\n\r\n",
+		"stamp with its name cut":         ok + id + "Test-Stam: s\r\nContent-Length: 0\r\n\r\n",
+		"stamp left out":                  ok + id + "Content-Length: 0\r\n\r\n",
+		"status of two digits":            "HTTP/1.1 20\r\n" + id + stamped + "Content-Length: 0\r\n\r\n",
+		"status 503 of two digits":        "HTTP/1.1 50\r\n" + id + notRun + "Content-Length: 0\r\n\r\n",
+		"status left out":                 "HTTP/1.1 \r\n" + id + notRun + "Content-Length: 0\r\n\r\n",
+		"status line left out":            id + stamped + "Content-Length: 0\r\n\r\n",
+		"not-run left out":                busy + id + "Content-Length: 0\r\n\r\n",
+		"not-run empty":                   busy + id + hNotRun + ":\r\nContent-Length: 0\r\n\r\n",
+		"not-run with its name cut":       busy + id + "Test-Not-Ru: 1\r\nContent-Length: 0\r\n\r\n",
+		"not-run and framing left out":    busy + id + "\r\n",
+		"not-run left out of a limit":     "HTTP/1.1 429 X\r\n" + id + "Content-Length: 0\r\n\r\n",
+		"not-run left out of a time-out":  "HTTP/1.1 408 X\r\n" + id + "Content-Length: 0\r\n\r\n",
+		"not-run left out, behind 100":    info100 + busy + id + "Content-Length: 0\r\n\r\n",
+		"framing left out, behind 102":    info102 + ok + id + stamped + "\r\n" + event(1),
+		"informational response in parts": "HTTP/1.1 102 Processing\r\n" + id + "\r\n" + ok + "\r\n",
+	} {
+		for _, path := range routesOfAllKinds {
+			t.Run(name+path, func(t *testing.T) {
+				var sent atomic.Value
+				sent.Store(out)
+				newFixture(t, brokenUpstream(t, &sent, false)).requireBroken(path, name)
+			})
+		}
+	}
+}
