courier: responses whose end is not marked are not whole

What callers would see: a success with an empty body, an order that is no longer awaited although it may be carried out, and a store without a claim to the lease. A replica, an engine or an instance that stops after a head without its length, and closes, sends a part of a message; net/http takes the end of the connection for the end of the body, and a part of a message of protocol buffers, or nothing, is a message as well.

The clients of the product's own interface now read such a body to an unexpected end: the attempts and the orders at upstreams, the callers' client, forwarded requests and the calls between instances. Compressed bodies and HTTP/2 have an end of their own. The client of the platform's store is left as it is: its JSON and its records show themselves whether they are whole.

--- a/internal/attempter/attempter.go
+++ b/internal/attempter/attempter.go
@@ -19,6 +19,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/oklog/ulid/v2"
 
+	"github.com/primrosedrift/primrosedrift/internal/courier"
 	upstreamv1 "github.com/primrosedrift/primrosedrift/pkg/api/upstream/v1"
 	"github.com/primrosedrift/primrosedrift/pkg/api/upstream/v1/upstreamv1connect"
 	"github.com/primrosedrift/primrosedrift/pkg/verdict"
@@ -107,7 +108,7 @@
 	defer cancel()
 	ctx, connected := withConnTrace(ctx)
 	req.Attempt = ulid.Make().String()
-	stream, err := upstreamv1connect.NewEngineCommandsClient(a.HTTP, "http://"+address).
+	stream, err := upstreamv1connect.NewEngineCommandsClient(courier.FramedClient(a.HTTP), "http://"+address).
 		Generate(ctx, connect.NewRequest(req))
 	if err != nil {
 		return 0, failureOf(err, req.GetAttempt(), connected.Load())
@@ -148,7 +149,7 @@
 func (a *Attempter) Call(ctx context.Context, address string, req *upstreamv1.CallRequest) ([]byte, error) {
 	ctx, connected := withConnTrace(ctx)
 	req.Attempt = ulid.Make().String()
-	resp, err := upstreamv1connect.NewServiceCommandsClient(a.HTTP, "http://"+address).
+	resp, err := upstreamv1connect.NewServiceCommandsClient(courier.FramedClient(a.HTTP), "http://"+address).
 		Call(ctx, connect.NewRequest(req))
 	if err != nil {
 		return nil, failureOf(err, req.GetAttempt(), connected.Load())
--- a/internal/courier/transport.go
+++ b/internal/courier/transport.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"net/http"
+	"slices"
 
 	"github.com/cockroachdb/errors"
 )
@@ -44,3 +45,44 @@
 	b.left -= int64(n)
 	return n, err
 }
+
+// FramedClient returns a copy of a client whose responses end with io.EOF only if their framing marks the
+// end. net/http takes the end of the connection for the end of a response without a length, and a part of
+// a message of protocol buffers may be a message as well.
+func FramedClient(c *http.Client) *http.Client {
+	out := *c
+	out.Transport = framedTransport{c.Transport}
+	return &out
+}
+
+type framedTransport struct{ http.RoundTripper }
+
+// RoundTrip implements http.RoundTripper.
+func (t framedTransport) RoundTrip(r *http.Request) (*http.Response, error) {
+	base := t.RoundTripper
+	if base == nil {
+		base = http.DefaultTransport
+	}
+	resp, err := base.RoundTrip(r)
+	if err != nil {
+		return nil, err
+	}
+	// Compressed bodies and those of HTTP/2 have an end of their own.
+	hasEnd := resp.ContentLength >= 0 || slices.Contains(resp.TransferEncoding, "chunked") || resp.Uncompressed || resp.ProtoMajor != 1 || resp.Body == http.NoBody
+	if !hasEnd {
+		resp.Body = endlessBody{resp.Body}
+	}
+	return resp, nil
+}
+
+// endlessBody is a body whose end cannot be told from the end of its connection.
+type endlessBody struct{ io.ReadCloser }
+
+// Read implements io.Reader.
+func (b endlessBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if errors.Is(err, io.EOF) {
+		err = io.ErrUnexpectedEOF
+	}
+	return n, err
+}
--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -12,6 +12,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/primrosedrift/primrosedrift/internal/applier"
+	"github.com/primrosedrift/primrosedrift/internal/courier"
 	callerv1 "github.com/primrosedrift/primrosedrift/pkg/api/caller/v1"
 	"github.com/primrosedrift/primrosedrift/pkg/api/caller/v1/callerv1connect"
 	"github.com/primrosedrift/primrosedrift/pkg/verdict"
@@ -71,7 +72,7 @@
 	ctx, hasConn := traceConnection(ctx)
 	sent := proto.CloneOf(req)
 	sent.Forwarded = true
-	resp, err := callerv1connect.NewCallerCommandsClient(f.HTTP, f.Scheme+"://"+address).Call(ctx, connect.NewRequest(sent))
+	resp, err := callerv1connect.NewCallerCommandsClient(courier.FramedClient(f.HTTP), f.Scheme+"://"+address).Call(ctx, connect.NewRequest(sent))
 	if err != nil {
 		return nil, forwardError(err, hasConn)
 	}
@@ -88,7 +89,7 @@
 	ctx, hasConn := traceConnection(ctx)
 	sent := proto.CloneOf(req)
 	sent.Forwarded = true
-	stream, err := callerv1connect.NewCallerCommandsClient(f.HTTP, f.Scheme+"://"+address).Generate(ctx, connect.NewRequest(sent))
+	stream, err := callerv1connect.NewCallerCommandsClient(courier.FramedClient(f.HTTP), f.Scheme+"://"+address).Generate(ctx, connect.NewRequest(sent))
 	if err != nil {
 		return forwardError(err, hasConn)
 	}
--- a/internal/entry/forward_test.go
+++ b/internal/entry/forward_test.go
@@ -1,7 +1,9 @@
 package entry
 
 import (
+	"bufio"
 	"context"
+	"io"
 	"net"
 	"net/http"
 	"testing"
@@ -15,6 +17,7 @@
 	"github.com/primrosedrift/primrosedrift/internal/standin/certifier"
 	callerv1 "github.com/primrosedrift/primrosedrift/pkg/api/caller/v1"
 	"github.com/primrosedrift/primrosedrift/pkg/api/caller/v1/callerv1connect"
+	"github.com/primrosedrift/primrosedrift/pkg/verdict"
 )
 
 // echo answers calls with their body.
@@ -45,3 +48,26 @@
 	require.NoError(t, err)
 	require.Equal(t, "x", string(resp.GetBody()))
 }
+
+// TestForwardedCallWithoutAWholeResponseFails guards against an instance that breaks off in its response: a part of
+// it without a length is a success with an empty body.
+func TestForwardedCallWithoutAWholeResponseFails(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = ln.Close() })
+	go func() {
+		c, err := ln.Accept()
+		if err != nil {
+			return
+		}
+		defer c.Close()
+		if r, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
+			_, _ = io.Copy(io.Discard, r.Body)
+			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Type: application/proto\r\n\r\n")
+		}
+	}()
+	f := forwarder{HTTP: &http.Client{Transport: &http.Transport{}}, Scheme: "http"}
+	_, err = f.call(t.Context(), ln.Addr().String(), &callerv1.CallRequest{}, 10*time.Second)
+	require.Error(t, err)
+	require.Equal(t, verdict.MayHaveRun, verdict.FromError(err).Ran)
+}
--- a/internal/orderer/orderer.go
+++ b/internal/orderer/orderer.go
@@ -38,6 +38,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/primrosedrift/primrosedrift/internal/applier"
+	"github.com/primrosedrift/primrosedrift/internal/courier"
 	"github.com/primrosedrift/primrosedrift/internal/sleeper"
 	recordv1 "github.com/primrosedrift/primrosedrift/pkg/api/record/v1"
 	upstreamv1 "github.com/primrosedrift/primrosedrift/pkg/api/upstream/v1"
@@ -292,7 +293,7 @@
 func (o *Orderer) send(ctx context.Context, t Task, order *upstreamv1.OrderRequest) error {
 	ctx, cancel := context.WithTimeout(ctx, cmp.Or(o.Timeout, DefaultTimeout))
 	defer cancel()
-	resp, err := upstreamv1connect.NewEngineCommandsClient(closingClient(o.HTTP), "http://"+t.Address).
+	resp, err := upstreamv1connect.NewEngineCommandsClient(courier.FramedClient(closingClient(o.HTTP)), "http://"+t.Address).
 		Order(ctx, connect.NewRequest(order))
 	if o.OnResult != nil {
 		o.OnResult(t, err)
--- a/internal/syncer/client.go
+++ b/internal/syncer/client.go
@@ -57,7 +57,7 @@
 		DialContext: d.DialContext, MaxIdleConnsPerHost: 4, IdleConnTimeout: time.Minute, DisableCompression: true,
 		MaxResponseHeaderBytes: courier.MaxTransportHeadBytes,
 	}
-	return &http.Client{Transport: courier.LimitedTransport{RoundTripper: transport, MaxBodyBytes: MaxMessageBytes}}
+	return courier.FramedClient(&http.Client{Transport: courier.LimitedTransport{RoundTripper: transport, MaxBodyBytes: MaxMessageBytes}})
 }
 
 // Client reports to the conductor and watches its view. Its exported fields
--- a/pkg/caller/caller.go
+++ b/pkg/caller/caller.go
@@ -18,6 +18,7 @@
 	"connectrpc.com/connect"
 	"github.com/cockroachdb/errors"
 
+	"github.com/primrosedrift/primrosedrift/internal/courier"
 	callerv1 "github.com/primrosedrift/primrosedrift/pkg/api/caller/v1"
 	"github.com/primrosedrift/primrosedrift/pkg/api/caller/v1/callerv1connect"
 	"github.com/primrosedrift/primrosedrift/pkg/verdict"
@@ -57,9 +58,9 @@
 
 func (c *Client) http() *http.Client {
 	if c.HTTP != nil {
-		return c.HTTP
+		return courier.FramedClient(c.HTTP)
 	}
-	return http.DefaultClient
+	return courier.FramedClient(http.DefaultClient)
 }
 
 func (c *Client) scheme() string {
