internal/drainer: a stop waits for connections that are accepted late

Callers of an instance that stopped while it was short of processor time had requests on new connections reset, or closed without an answer: "head failed after 117 ms and 0 bytes (new connection: true): connection reset by peer".

Cause, twice the same class: the time that has passed was taken to show that work was done.

- stopAccepting looked whether connections wait to be accepted, slept for 10 ms, and ended when 50 ms had passed since it last saw some.
If the sleep itself took 50 ms, it ended without another look, and closing the listener reset the connections.
Now it ends only after a look that has found none.
- After the listener is closed, a connection that the server has just accepted may not be tracked yet, so that Drain saw no connections and closed the server.
Now Drain waits until Serve has returned, which it does after it has passed on the last connection.

--- a/internal/assembler/listen.go
+++ b/internal/assembler/listen.go
@@ -53,10 +53,11 @@
 	*http.Server
 	drainer.Drainer
 	listener net.Listener
+	served   chan struct{} // closed when Serve has returned
 }
 
 // drain closes the server without cutting off requests, until ctx ends.
-func (s *server) drain(ctx context.Context) error { return s.Drain(ctx, s.Server, s.listener) }
+func (s *server) drain(ctx context.Context) error { return s.Drain(ctx, s.Server, s.listener, s.served) }
 
 type metrics struct {
 	dials prometheus.Counter
@@ -132,12 +133,13 @@
 			}
 			return nil, errors.Wrapf(err, "listen on %s", address)
 		}
-		s := &server{listener: ln}
+		s := &server{listener: ln, served: make(chan struct{})}
 		s.Server = &http.Server{
 			Handler: h, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes, ErrorLog: errorLog,
 			ConnState: s.Track, ConnContext: relayer.WithClientConn,
 		}
 		go func() {
+			defer close(s.served)
 			if err := s.Serve(ln); !errors.IsAny(err, http.ErrServerClosed, net.ErrClosed) {
 				a.Log.Error("HTTP server failed", zap.String("address", address), logger.Error(err))
 			}
--- a/internal/drainer/drainer.go
+++ b/internal/drainer/drainer.go
@@ -32,6 +32,7 @@
 
 	mu    sync.Mutex
 	conns map[net.Conn]*connState
+	sleep func() // replaces the sleep between two checks in tests
 }
 
 // connState is what is known of an open connection.
@@ -64,12 +65,16 @@
 // Drain stops accepting connections, closes those without requests when they are quiet, and then
 // the server. It returns an error if ctx has ended while requests were running, whose connections
 // are closed, or if ln takes no socket filter. A listener with Multipath TCP, which is the
-// default of net.ListenConfig, takes none.
-func (d *Drainer) Drain(ctx context.Context, s *http.Server, ln net.Listener) error {
+// default of net.ListenConfig, takes none. served must be closed when the server's Serve has returned.
+func (d *Drainer) Drain(ctx context.Context, s *http.Server, ln net.Listener, served <-chan struct{}) error {
 	err := d.stopAccepting(ctx, ln)
 	_ = ln.Close() // the server ends with net.ErrClosed
+	select {
+	case <-served: // or a connection that was accepted last is not tracked yet
+	case <-ctx.Done():
+	}
 	for ctx.Err() == nil && d.closeQuiet(time.Now()) > 0 {
-		sleeper.Sleep(ctx, checkInterval)
+		d.wait(ctx)
 	}
 	d.mu.Lock()
 	numActive := 0
@@ -128,14 +133,25 @@
 	if err := errors.CombineErrors(err, serr); err != nil {
 		return errors.Wrap(err, "attach a filter to the listener")
 	}
-	for emptySince := time.Now(); ctx.Err() == nil && time.Since(emptySince) < handshakeTime; sleeper.Sleep(ctx, checkInterval) {
-		if i := tcpInfo(raw); i != nil && i.Unacked > 0 { // of a listener: the connections that wait to be accepted
-			emptySince = time.Now()
+	for began := time.Now(); ctx.Err() == nil; d.wait(ctx) {
+		i := tcpInfo(raw)
+		// Of a listener, Unacked is the number of connections that wait to be accepted. The wait may
+		// have taken longer than handshakeTime, so the time alone does not show that there are none.
+		if hasNone := i == nil || i.Unacked == 0; hasNone && time.Since(began) >= handshakeTime {
+			break
 		}
 	}
 	return nil
 }
 
+func (d *Drainer) wait(ctx context.Context) {
+	if d.sleep != nil {
+		d.sleep()
+		return
+	}
+	sleeper.Sleep(ctx, checkInterval)
+}
+
 // ignoreSYN returns a socket filter that drops TCP segments with the flag SYN and without ACK. The
 // accepted connections inherit the filter and are not affected by it.
 func ignoreSYN() *unix.SockFprog {
--- a/internal/drainer/drainer_test.go
+++ b/internal/drainer/drainer_test.go
@@ -22,11 +22,22 @@
 	*http.Server
 	Drainer
 	ln         net.Listener
+	served     chan struct{} // closed when Serve has returned
 	isStopping atomic.Bool
 }
 
+func (s *server) drain(ctx context.Context) error {
+	s.isStopping.Store(true)
+	return s.Drain(ctx, s.Server, s.ln, s.served)
+}
+
 func newServer(t *testing.T, handle http.HandlerFunc) *server {
-	s := &server{}
+	return newServerBehind(t, func(ln net.Listener) net.Listener { return ln }, handle)
+}
+
+// newServerBehind is newServer with a listener around the one that is drained.
+func newServerBehind(t *testing.T, wrap func(net.Listener) net.Listener, handle http.HandlerFunc) *server {
+	s := &server{served: make(chan struct{})}
 	var lc net.ListenConfig
 	lc.SetMultipathTCP(false)
 	ln, err := lc.Listen(t.Context(), "tcp4", "127.0.0.1:0")
@@ -38,7 +49,10 @@
 		}
 		handle(w, r)
 	})}
-	go func() { _ = s.Serve(ln) }()
+	go func() {
+		defer close(s.served)
+		_ = s.Serve(wrap(ln))
+	}()
 	t.Cleanup(func() { _ = s.Close() })
 	return s
 }
@@ -170,8 +184,7 @@
 			})
 		}
 		require.Eventually(t, func() bool { return numAnswered.Load() > 1000 }, time.Minute, time.Millisecond)
-		s.isStopping.Store(true)
-		require.NoError(t, s.Drain(ctx, s.Server, s.ln))
+		require.NoError(t, s.drain(ctx))
 		wg.Wait()
 		require.EqualValues(t, numCallers, numRefused.Load())
 		cancel()
@@ -194,9 +207,8 @@
 				require.NoError(t, err)
 				c.open(conn)
 			}
-			s.isStopping.Store(true)
 			done := make(chan error, 1)
-			go func() { done <- s.Drain(t.Context(), s.Server, s.ln) }()
+			go func() { done <- s.drain(t.Context()) }()
 			for _, part := range []string{"GET / HT", "TP/1.1\r\nHo", "st: h\r\n\r", "\n"} {
 				time.Sleep(s.Quiet / 2) // the time between the parts is what is tested
 				_, err := io.WriteString(c.conn, part)
@@ -223,7 +235,7 @@
 	<-began
 	ctx, cancel := context.WithTimeout(t.Context(), 300*time.Millisecond)
 	defer cancel()
-	require.ErrorIs(t, s.Drain(ctx, s.Server, s.ln), context.DeadlineExceeded)
+	require.ErrorIs(t, s.drain(ctx), context.DeadlineExceeded)
 }
 
 // TestPipelinedRequestIsNotHalfAnswered guards against a reset that destroys a response, because
@@ -242,9 +254,64 @@
 	const request = "GET / HTTP/1.1\r\nHost: h\r\n\r\n"
 	_, err = io.WriteString(conn, request+request)
 	require.NoError(t, err)
-	require.NoError(t, s.Drain(t.Context(), s.Server, s.ln))
+	require.NoError(t, s.drain(t.Context()))
 	out, err := io.ReadAll(conn)
 	require.NoError(t, err, "closed, not reset")
 	require.Contains(t, string(out), "Connection: close")
 	require.EqualValues(t, 1, numServed.Load())
 }
+
+// heldListener holds connections back until hold is closed, before or after the kernel gives them out.
+type heldListener struct {
+	net.Listener
+	hold          chan struct{}
+	afterAccept   bool
+	hasConnection chan struct{}
+}
+
+func (l *heldListener) Accept() (net.Conn, error) {
+	if !l.afterAccept {
+		<-l.hold
+	}
+	c, err := l.Listener.Accept()
+	if err == nil && l.afterAccept {
+		close(l.hasConnection)
+		<-l.hold
+	}
+	return c, err
+}
+
+// TestDrainWaitsForAServerThatIsLateToAccept guards against a stop that resets a connection, because
+// the process is short of processor time and accepts it later than the handshakes take.
+func TestDrainWaitsForAServerThatIsLateToAccept(t *testing.T) {
+	for name, afterAccept := range map[string]bool{"waits in the kernel": false, "accepted and not tracked": true} {
+		t.Run(name, func(t *testing.T) {
+			l := &heldListener{hold: make(chan struct{}), afterAccept: afterAccept, hasConnection: make(chan struct{})}
+			var numServed atomic.Int64
+			s := newServerBehind(t, func(ln net.Listener) net.Listener { l.Listener = ln; return l }, func(http.ResponseWriter, *http.Request) { numServed.Add(1) })
+			release := sync.OnceFunc(func() { close(l.hold) })
+			numWaits := 0
+			s.sleep = func() {
+				time.Sleep(handshakeTime)
+				if numWaits++; numWaits == 3 {
+					release()
+				}
+			}
+			c := caller{address: s.ln.Addr().String()}
+			defer c.end()
+			answered := make(chan error, 1)
+			conn, err := net.Dial("tcp4", c.address)
+			require.NoError(t, err)
+			c.open(conn)
+			go func() { answered <- c.call(t.Context()) }()
+			if afterAccept {
+				<-l.hasConnection
+				s.sleep = nil
+			}
+			time.AfterFunc(10*handshakeTime, release) // at the latest
+			require.NoError(t, s.drain(t.Context()))
+			require.EqualValues(t, 1, numServed.Load())
+			require.NoError(t, <-answered)
+		})
+	}
+}
