internal/stopper, internal/relayer: a stop answers what outlasts it, and takes nothing that cannot end

Callers of an instance that was stopped as planned had requests cut with a bare EOF at the end of its grace, those that came late in it and may not be repeated among them. With a grace of 3 s and an upstream that takes longer, all requests of all route types that were sent before the stop or during its first second were passed on and ended so.

Cause: the class is work that is accepted without asking whether it can end. A stop accepted whatever came for 2.5 s, and at its end closed the server, which ended the contexts of the handlers as if their clients had left, so that they answered nothing and logged "left".

- At the end of a stop the requests that still run are told so, and answer: 502 if they may have run, 503 if not.
A stream whose head is out is cut after its last whole event.
The connections are closed after that.
- A request is sent, for the first time or again, only if it is expected to end before.
The expectation is the 95th percentile of the last durations of its route, or the client's deadline where fewer than 8 are known.
Otherwise it gets 503, a small Retry-After and Connection: close.
Waiting requests are refused at the beginning of the stop by the same decision.
- The end is at most an eighth of the grace before its end: it was 0.7 s, which with a grace of 3 s is before the last sixth, in which upstreams may still be at work.
- A peer that stops says so to the instance that handed a request on, which then tries another peer.

To hand requests on to a peer in a stop was weighed, and not done: the response would pass through the stopping instance and end with it.

Each such request has one line, "stop ended a request", and counts in primrosedrift_stopped_requests_total.

Evidence: TestStopAnswersRequestsThatOutlastTheGrace failed on the code before (1 of 1: "EOF ... ended without a whole answer"), and passes. TestStopTakesWhatEndsInTime passed before and does now.

--- a/internal/assembler/assembler.go
+++ b/internal/assembler/assembler.go
@@ -31,6 +31,7 @@
 	"github.com/primrosedrift/primrosedrift/internal/relayer"
 	"github.com/primrosedrift/primrosedrift/internal/retrier"
 	"github.com/primrosedrift/primrosedrift/internal/sequencer"
+	"github.com/primrosedrift/primrosedrift/internal/stopper"
 	"github.com/primrosedrift/primrosedrift/internal/streamtracker"
 	"github.com/primrosedrift/primrosedrift/internal/syncer"
 	peerv1 "github.com/primrosedrift/primrosedrift/pkg/api/peer/v1"
@@ -104,6 +105,7 @@
 	config     atomic.Pointer[matcher.Config]
 	isStopping atomic.Bool // the shutdown has started; new requests are accepted until isClosed
 	isClosed   atomic.Bool // new requests are rejected
+	halt       stopper.Stop
 
 	numHandedOn atomic.Int64 // requests of peers that run here
 
@@ -203,7 +205,7 @@
 		PeerPool: &courier.Pool{IDHeader: a.Codec.IDHeader, UserTimeout: peerUserTimeout}, Log: a.Log.Named("relayer"), Metrics: relayer.NewMetrics(a.registry),
 		MayTry:     func() bool { return a.lease.IsHolder() },
 		ViewAge:    func() time.Duration { return a.client.ViewAge() },
-		IsStopping: a.isStopping.Load, IsClosed: a.isClosed.Load,
+		IsStopping: a.isStopping.Load, IsClosed: a.isClosed.Load, Stop: &a.halt,
 	}
 	a.wireAccounts()
 	a.relayer.Buffers.MaxBytes = int64(bufferMemoryFraction * float64(a.MemoryBytes))
--- a/internal/assembler/listen.go
+++ b/internal/assembler/listen.go
@@ -15,8 +15,10 @@
 	"github.com/primrosedrift/primrosedrift/internal/courier"
 	"github.com/primrosedrift/primrosedrift/internal/drainer"
 	"github.com/primrosedrift/primrosedrift/internal/logger"
+	"github.com/primrosedrift/primrosedrift/internal/queuer"
 	"github.com/primrosedrift/primrosedrift/internal/relayer"
 	"github.com/primrosedrift/primrosedrift/internal/sleeper"
+	"github.com/primrosedrift/primrosedrift/internal/stopper"
 	"github.com/primrosedrift/primrosedrift/internal/syncer"
 	peerv1 "github.com/primrosedrift/primrosedrift/pkg/api/peer/v1"
 )
@@ -35,13 +37,6 @@
 	// peerUserTimeout is the TCP user timeout of connections to peers that serve requests in
 	// place of this instance.
 	peerUserTimeout = time.Second
-	// stopAcceptDuration is how long a stopping instance accepts new requests.
-	// Callers keep using a cached address for some time after the directory has
-	// dropped it.
-	stopAcceptDuration = 2500 * time.Millisecond
-	// stopMargin is how long before the end of the grace period the instance
-	// stops waiting for running requests.
-	stopMargin = 700 * time.Millisecond
 	// otherDrainTime is how long requests on the servers that are not for callers may run on.
 	otherDrainTime = 100 * time.Millisecond
 	// handedOnInterval is the time between two checks for running requests of peers.
@@ -57,7 +52,9 @@
 }
 
 // drain closes the server without cutting off requests, until ctx ends.
-func (s *server) drain(ctx context.Context) error { return s.Drain(ctx, s.Server, s.listener, s.served) }
+func (s *server) drain(ctx context.Context) error {
+	return s.Drain(ctx, s.Server, s.listener, s.served)
+}
 
 type metrics struct {
 	dials prometheus.Counter
@@ -157,14 +154,18 @@
 // directory, finishes the running requests, and closes the servers, the callers'
 // server first.
 func (a *Assembler) stop(ctx context.Context, servers []*server) error {
-	start := time.Now()
+	plan := stopper.Plan(time.Now(), 0, a.StopGrace)
 	a.isStopping.Store(true)
+	a.halt.Begin(plan)
 	a.Log.Info("instance stops", zap.Duration("grace", a.StopGrace))
+	a.queue.RefuseForStop(func(r queuer.Request) bool { return plan.Fit(r.Takes, time.Now(), r.Deadline).Fits })
 	a.client.ReportNow()
-	sleeper.Sleep(ctx, min(stopAcceptDuration, a.StopGrace/3))
+	sleeper.Sleep(ctx, time.Until(plan.Refuse))
 	a.isClosed.Store(true)
 	a.queue.Close()
-	shutdownCtx, cancel := context.WithDeadline(ctx, start.Add(a.StopGrace-stopMargin))
+	answers := time.AfterFunc(time.Until(plan.Answer), a.halt.End)
+	defer answers.Stop()
+	shutdownCtx, cancel := context.WithDeadline(ctx, plan.Close)
 	defer cancel()
 	if err := servers[0].drain(shutdownCtx); err != nil {
 		a.Log.Warn("graceful shutdown incomplete", logger.Error(err))
--- a/internal/queuer/estimate.go
+++ b/internal/queuer/estimate.go
@@ -16,6 +16,8 @@
 	NeedsLoad bool
 	// IsElsewhere says that another instance has to send the request.
 	IsElsewhere bool
+	// IsStopping says that this instance stops before the request could end.
+	IsStopping bool
 	// IsBusy says that the requests ahead take longer than the request has. RetryAfter is then
 	// its assigned retry delay, and NumWaiting how many requests wait for the same.
 	IsBusy     bool
--- a/internal/queuer/queuer.go
+++ b/internal/queuer/queuer.go
@@ -44,6 +44,13 @@
 	close(q.closedChan())
 }
 
+// RefuseForStop refuses the waiting requests that f returns false for, because the instance stops.
+func (q *Queue) RefuseForStop(f func(Request) bool) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.Table.RefuseForStop(f)
+}
+
 func (q *Queue) closedChan() chan struct{} {
 	q.mu.Lock()
 	defer q.mu.Unlock()
@@ -145,8 +152,8 @@
 
 // expectRetry counts a refused request as demand until its client may retry.
 func (q *Queue) expectRetry(req Request, e StartEstimate) {
-	if e.IsBusy {
-		return // its model is loaded
+	if e.IsBusy || e.IsStopping {
+		return // its model is loaded, or the client retries elsewhere
 	}
 	now := time.Now()
 	q.mu.Lock()
@@ -172,6 +179,9 @@
 }
 
 func refusal(e StartEstimate, req Request, in inputs) error {
+	if e.IsStopping {
+		return verdict.Refuse(verdict.ReasonStopping, 0, "the instance stops before the request could end")
+	}
 	retryAfter := e.retryAfter()
 	if e.IsElsewhere {
 		return verdict.Refuse(verdict.ReasonNoUpstream, retryAfter, "service %s: its upstreams are brittle, and another instance has to send the request", req.Service)
--- a/internal/queuer/refuse_test.go
+++ b/internal/queuer/refuse_test.go
@@ -132,3 +132,21 @@
 	require.GreaterOrEqual(t, r.RetryAfter, minRetryDelay)
 	require.Contains(t, r.Error(), `account "a"`)
 }
+
+// TestStopRefusesWaitingRequestsThatCannotEnd guards against requests that wait, are granted late in a stop,
+// and cannot end before it.
+func TestStopRefusesWaitingRequestsThatCannotEnd(t *testing.T) {
+	var table Table
+	now := time.Unix(1000, 0)
+	table.init()
+	short := table.Wait(Request{ID: "short", Takes: time.Second}, now)
+	long := table.Wait(Request{ID: "long", Takes: time.Minute}, now)
+	table.RefuseForStop(func(r Request) bool { return r.Takes <= time.Second })
+	e, isRefused := long.Refused()
+	require.True(t, isRefused)
+	require.True(t, e.IsStopping)
+	_, isRefused = short.Refused()
+	require.False(t, isRefused)
+	require.Equal(t, 1, table.Waiting())
+	require.False(t, table.Remove(long), "refused before")
+}
--- a/internal/queuer/table.go
+++ b/internal/queuer/table.go
@@ -101,6 +101,10 @@
 	// IgnoresCut makes the request wait although the links to the upstreams are cut: no other
 	// instance takes it.
 	IgnoresCut bool
+	// Takes is how long the request is expected to run, 0 if that is not known, and Deadline the
+	// time by which it has ended in any case.
+	Takes    time.Duration
+	Deadline time.Time
 	// ID is the id of the request.
 	ID string
 	// IsHandedOn says that this instance has to send the request to a brittle service, because
@@ -275,6 +279,22 @@
 	maps.DeleteFunc(t.shares, func(id string, _ share) bool { return s.ByID[id] == nil })
 }
 
+// RefuseForStop refuses the waiting requests that f returns false for, because the instance stops. Other
+// instances can still serve them.
+func (t *Table) RefuseForStop(f func(Request) bool) {
+	kept := t.waiting[:0]
+	for _, w := range t.waiting {
+		if f(w.Request) {
+			kept = append(kept, w)
+			continue
+		}
+		w.refused <- StartEstimate{IsStopping: true}
+		t.leaveOrder(w)
+	}
+	clear(t.waiting[len(kept):])
+	t.waiting = kept
+}
+
 // Wait inserts a request into the waiting requests, by priority and objective.
 func (t *Table) Wait(req Request, now time.Time) *Waiter {
 	w := &Waiter{Request: req, arrived: now, granted: make(chan *registrar.Upstream, 1), refused: make(chan StartEstimate, 1)}
--- a/internal/relayer/attempt.go
+++ b/internal/relayer/attempt.go
@@ -99,13 +99,14 @@
 			c.Log.Warn("upstream kept from requests", zap.String("upstream", u.ID), zap.String("why", res.reason))
 		}
 	}
+	c.recordDuration(res, began)
 	if res.isForwarded || res.err != nil {
 		return res.isForwarded, res.err
 	}
 	c.Metrics.attempts.WithLabelValues(c.admission.Service, "failed").Inc()
 	c.Log.Info("attempt failed", zap.String("request", c.requestInfo.ID), zap.String("upstream", u.ID), zap.String("software", u.Software),
 		zap.String("content", FormatFingerprint(c.fingerprint)), zap.Int64("born", u.StartedAtMs), zap.Int64("orders", u.NumOrders),
-		zap.Bool("not-run", res.isNotRun), zap.Bool("left", isCanceled),
+		zap.Bool("not-run", res.isNotRun), zap.Bool("left", isCanceled && !hasStopEnded(ctx)),
 		zap.Strings("parts", c.loggedParts()), zap.Int("events", c.stream.numEvents-eventsBefore), zap.Duration("since-event", c.stream.sinceEvent()), zap.String("why", res.reason), zap.Duration("took", time.Since(began)))
 	if isCanceled || res.isNotRun || c.route.MayRetry() || c.route.IsStream && c.route.IsResumable {
 		return false, nil
--- a/internal/relayer/finish.go
+++ b/internal/relayer/finish.go
@@ -21,7 +21,7 @@
 	case err == nil:
 	case isEndedHere(err): // which has canceled the context
 		outcome = "broken"
-	case c.isGone(r):
+	case c.isGone(r) && !c.stop.hasEnded:
 		outcome = "left"
 	case c.reply.hasBegun():
 		outcome = "broken"
@@ -30,6 +30,7 @@
 		c.writeStatus(statusErr.status, statusErr.retryAfter)
 	case errors.As(err, &refusal):
 		outcome = refusal.Ran.String()
+		c.markStopping(refusal)
 		c.writeStatus(c.statusOf(refusal), refusal.RetryAfter)
 	default:
 		outcome = "may-have-run"
@@ -75,6 +76,7 @@
 		fields = append(fields, zap.String("why", err.Error()))
 	}
 	c.Log.Info("request ended", fields...)
+	c.recordStop(err, outcome, took)
 }
 
 // statusOf returns the status for a refusal: 429 if the request is over a quota, and 503 if
--- a/internal/relayer/handon.go
+++ b/internal/relayer/handon.go
@@ -18,7 +18,8 @@
 // attempts that may run. Such a request is not handed on again.
 const HeaderHandedOn = "Primrosedrift-Handed-On"
 
-// headerCutOff is in the response of a peer that has lost its own links to the upstreams.
+// headerCutOff is in the refusal of a peer that has lost its own links to the upstreams, or stops:
+// another peer may serve the request.
 const headerCutOff = "Primrosedrift-Cut-Off"
 
 // maxPeersTried bounds the peers to which a request is sent, each after the one before
@@ -83,11 +84,12 @@
 		began := time.Now()
 		res, refusal := c.exchangeWithPeer(ctx, address)
 		c.lastFailure = res.reason
+		c.recordDuration(res, began)
 		if !res.isNotRun {
 			c.numMayHaveRun++
 		}
 		c.Log.Info("request handed on", zap.String("request", c.requestInfo.ID), zap.String("peer", address), zap.Bool("forwarded", res.isForwarded),
-			zap.Bool("not-run", res.isNotRun), zap.Bool("left", ctx.Err() != nil), zap.String("why", res.reason), zap.Duration("since-event", c.stream.sinceEvent()), zap.Duration("took", time.Since(began)), logger.Error(res.err))
+			zap.Bool("not-run", res.isNotRun), zap.Bool("left", ctx.Err() != nil && !hasStopEnded(ctx)), zap.String("why", res.reason), zap.Duration("since-event", c.stream.sinceEvent()), zap.Duration("took", time.Since(began)), logger.Error(res.err))
 		c.Metrics.handedOn.WithLabelValues(c.admission.Service, handOnOutcome(res)).Inc()
 		switch {
 		case res.isForwarded || res.err != nil:
@@ -167,7 +169,7 @@
 	case r.IsStamped:
 		return c.forward(actx, nil, resp), nil
 	case resp.Status == http.StatusServiceUnavailable && resp.Header.Get(headerCutOff) != "":
-		return attemptResult{isNotRun: true, isPeerCut: true, reason: "peer: cut off as well"}, nil
+		return attemptResult{isNotRun: true, isPeerCut: true, reason: "peer: cut off as well, or stopping"}, nil
 	case resp.Status == http.StatusServiceUnavailable:
 		refusal := verdict.Refuse(verdict.ReasonNoUpstream, retryAfterOf(resp.Header), "refused by the peer at %s", address)
 		return attemptResult{isNotRun: true, reason: "peer: refused"}, &refusal
--- a/internal/relayer/left.go
+++ b/internal/relayer/left.go
@@ -47,13 +47,17 @@
 }
 
 // checkPresence is called right before each send. It returns errClientLeft if the client, or the
-// peer that handed the request on, has closed the connection. The end of the context alone does not
+// peer that handed the request on, has closed the connection, and errStopEnds if the stop of this
+// instance has ended the request. The end of the context alone does not
 // show that in time: it follows only when the goroutine that reads the connection has run.
 func (c *call) checkPresence(ctx context.Context, hop string) error {
 	if ctx.Err() == nil && !isClosedByPeer(c.clientConn) {
 		c.presence.sentAfter = max(1, time.Since(c.arrived))
 		return nil
 	}
+	if hasStopEnded(ctx) {
+		return errStopEnds
+	}
 	c.presence.hasLeft = true
 	c.Metrics.withheldSends.WithLabelValues(c.admission.Service, hop).Inc()
 	c.Log.Info("request not sent, its client has left", zap.String("request", c.requestInfo.ID), zap.String("hop", hop), zap.Bool("handed-on", c.handOn.isReceived),
--- a/internal/relayer/metrics.go
+++ b/internal/relayer/metrics.go
@@ -26,6 +26,7 @@
 	// withheldSends counts sends that were withheld because the client had closed its connection.
 	withheldSends *prometheus.CounterVec
 	closeAge      *prometheus.HistogramVec
+	stopped       *prometheus.CounterVec
 	quota         quotaMetrics
 }
 
@@ -63,13 +64,16 @@
 		withheldSends: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "primrosedrift_withheld_sends_total", Help: "Sends that were withheld because the client, or the peer that handed the request on, had closed the connection.",
 		}, []string{"service", "hop"}),
+		stopped: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "primrosedrift_stopped_requests_total", Help: "Requests that a planned stop of the instance ended, by what was done: refused, answered or cut.",
+		}, []string{"service", "action"}),
 		closeAge:    histogram("primrosedrift_close_age_seconds", "Time from the arrival of a client's close until it was noticed."),
 		duration:    histogram("primrosedrift_relayed_seconds", "Time from a request's arrival to its end."),
 		headLatency: histogram("primrosedrift_relayed_first_byte_seconds", "Time from an attempt to the head of its answer."),
 		queueTime:   histogram("primrosedrift_relayed_wait_seconds", "Time in the queue."),
 	}
 	m.quota.register(r)
-	r.MustRegister(m.requests, m.attempts, m.duration, m.headLatency, m.queueTime, m.losses, m.limited, m.handedOn, m.rejectedKeys, m.ended, m.loadProbes, m.withheldSends, m.closeAge)
+	r.MustRegister(m.requests, m.attempts, m.duration, m.headLatency, m.queueTime, m.losses, m.limited, m.handedOn, m.rejectedKeys, m.ended, m.loadProbes, m.withheldSends, m.closeAge, m.stopped)
 	return m
 }
 
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -16,6 +16,7 @@
 	"github.com/primrosedrift/primrosedrift/internal/queuer"
 	"github.com/primrosedrift/primrosedrift/internal/registrar"
 	"github.com/primrosedrift/primrosedrift/internal/retrier"
+	"github.com/primrosedrift/primrosedrift/internal/stopper"
 	"github.com/primrosedrift/primrosedrift/internal/streamtracker"
 	"github.com/primrosedrift/primrosedrift/pkg/verdict"
 )
@@ -140,6 +141,8 @@
 	// are then closed after a response. New requests are still accepted until
 	// IsClosed reports that they are rejected.
 	IsStopping, IsClosed func() bool
+	// Stop is the planned stop of the instance, nil for none.
+	Stop *stopper.Stop
 }
 
 // call is the state of one request in flight.
@@ -184,6 +187,7 @@
 	isWithheld     bool                   // the last attempt was not sent, because the key has to be checked or the quota charged again
 	quota          quotaState
 	presence       presence
+	stop           stopState
 	cancel         context.CancelFunc // ends the context of the request
 }
 
@@ -191,10 +195,11 @@
 func (h *Relayer) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	c := &call{Relayer: h, reply: reply{w: w, isStopping: h.IsStopping}, arrived: time.Now(), clientHeader: r.Header, clientConn: clientConnOf(r.Context()), bodyHeld: buffer{of: &h.Buffers}}
 	defer c.bodyHeld.release()
-	ctx, cancel := context.WithCancel(r.Context())
-	defer cancel()
-	c.cancel = cancel
+	ctx, cancel := context.WithCancelCause(r.Context())
+	defer cancel(nil)
+	c.cancel = func() { cancel(nil) }
 	defer c.watchClient(r.Context())()
+	defer h.Stop.OnEnd(func() { cancel(errStopEnds) })()
 	err := c.prepare(r)
 	if err == nil {
 		c.startProgress(ctx)
@@ -205,7 +210,11 @@
 		c.recordStreamEnd()
 	}
 	c.refundQuota()
-	if err != nil && ctx.Err() == nil && c.sendFallback() {
+	c.stop.hasEnded = hasStopEnded(ctx)
+	if err != nil && c.stop.hasEnded {
+		err = c.endedByStop(err)
+	}
+	if err != nil && (ctx.Err() == nil || c.stop.hasEnded) && c.sendFallback() {
 		err = nil
 	}
 	c.finish(r, err)
@@ -264,7 +273,7 @@
 	}
 	c.prepareAdmission()
 	if c.IsClosed() {
-		return verdict.Refuse(verdict.ReasonStopping, minRetryAfter, "the instance is stopping")
+		return c.refuseStopped("the instance is stopping")
 	}
 	return nil
 }
@@ -287,6 +296,7 @@
 		}
 	}
 	c.admission = queuer.Request{
+		Takes: c.Stop.Expect(c.route.Name), Deadline: c.deadline,
 		Service: c.route.Service(c.requestInfo.ID), Model: c.requestInfo.Model, Adapter: c.requestInfo.Adapter,
 		Priority: c.route.Priority, Objective: c.arrived.Add(c.route.Objective), StartBy: limit, StartByLimit: limitedBy,
 		Prefix: c.requestInfo.Prefix, Tokens: c.requestInfo.PromptTokens, ResponseTokens: c.requestInfo.ResponseTokens, Tried: make(map[string]bool),
@@ -325,6 +335,9 @@
 			c.admission.StartBy = c.deadline
 			c.admission.StartByLimit = c.deadlineLimit()
 		}
+		if err := c.refuseIfStopping(); err != nil {
+			return err
+		}
 		if err := c.refuseIfCut(); err != nil {
 			return err
 		}
@@ -353,6 +366,10 @@
 			}
 			return c.withEarlierAttempts(verdict.FromError(err))
 		}
+		if err := c.refuseIfStopping(); err != nil { // after the wait
+			slot.Release()
+			return err
+		}
 		if err := c.renewQuota(ctx); err != nil {
 			slot.Release()
 			return c.withEarlierAttempts(verdict.FromError(err))
--- /dev/null
+++ b/internal/stopper/stopper_test.go
@@ -0,0 +1,109 @@
+package stopper
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+func drawDuration(t *rapid.T, name string, least, most time.Duration) time.Duration {
+	return time.Duration(rapid.Int64Range(int64(least), int64(most)).Draw(t, name))
+}
+
+// TestStopIsOverWithinTheGrace guards against a schedule that ends work before the last sixth of the
+// grace, or later than its end, for any grace.
+func TestStopIsOverWithinTheGrace(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		grace := drawDuration(t, "grace", 100*time.Millisecond, time.Minute)
+		now := time.Unix(1000, 0)
+		s := Plan(now, 0, grace)
+		require.True(t, s.Refuse.Before(s.Answer))
+		require.Less(t, s.Answer.UnixNano(), s.Close.UnixNano())
+		require.Less(t, s.Close.UnixNano(), now.Add(grace).UnixNano())
+		require.Greater(t, s.Answer.Sub(now), grace*5/6)
+		late := drawDuration(t, "late", 0, grace)
+		l := Plan(now, late, grace)
+		require.Equal(t, s.Answer.Add(-late), l.Answer, "counted from the signal")
+		require.True(t, l.Close.After(now), "there is time for the answers")
+	})
+}
+
+// TestRequestIsTakenOnlyIfItIsExpectedToEnd plays stops: a request whose duration is known ends
+// before the answer, and one whose duration is not is taken only if its deadline does.
+func TestRequestIsTakenOnlyIfItIsExpectedToEnd(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		now := time.Unix(1000, 0)
+		s := Plan(now, 0, 8*time.Second)
+		at := now.Add(drawDuration(t, "at", 0, 8*time.Second))
+		takes := drawDuration(t, "takes", 0, 20*time.Second)
+		deadline := at.Add(drawDuration(t, "time", time.Millisecond, 20*time.Second))
+		f := s.Fit(takes, at, deadline)
+		end := deadline
+		if takes > 0 && at.Add(takes).Before(end) {
+			end = at.Add(takes)
+		}
+		require.Equal(t, !end.After(s.Answer), f.Fits)
+	})
+}
+
+// TestMostRequestsEndByTheirExpectedTime plays routes with drawn durations, short and long ones mixed.
+func TestMostRequestsEndByTheirExpectedTime(t *testing.T) {
+	const numRequests = 5000
+	rng := rand.New(rand.NewPCG(1, 2))
+	draw := map[string]func() time.Duration{
+		"even":  func() time.Duration { return time.Second + time.Duration(rng.IntN(1000))*time.Millisecond },
+		"heavy": func() time.Duration { return time.Duration(float64(100*time.Millisecond) * (1 + rng.ExpFloat64()*5)) },
+		"mixed": func() time.Duration {
+			if rng.IntN(3) == 0 {
+				return 9 * time.Second
+			}
+			return 10 * time.Millisecond
+		},
+	}
+	for route, next := range draw {
+		var d Durations
+		for range minSamples - 1 {
+			d.Record(route, next())
+			require.Zero(t, d.Expect(route), "too few")
+		}
+		numLate := 0
+		for range numRequests {
+			d.Record(route, next())
+			if next() > d.Expect(route) {
+				numLate++
+			}
+		}
+		require.Less(t, numLate, numRequests/10, route)
+		require.Zero(t, d.Expect("another"))
+	}
+}
+
+// TestDurationsOfManyRoutesAreBounded guards against memory that grows with each configuration.
+func TestDurationsOfManyRoutesAreBounded(t *testing.T) {
+	var d Durations
+	for n := range 3 * maxRoutes {
+		d.Record(fmt.Sprint(n), time.Second)
+	}
+	require.Equal(t, maxRoutes, d.routes.Len())
+}
+
+// TestStopThatHasNotBegunChangesNothing guards against zero values and nil that end requests.
+func TestStopThatHasNotBegunChangesNothing(t *testing.T) {
+	for _, s := range []*Stop{nil, {}} {
+		_, hasBegun := s.Schedule()
+		require.False(t, hasBegun)
+		remove := s.OnEnd(func() { t.Error("ended") })
+		s.Record("r", time.Second)
+		require.Zero(t, s.Expect("r"))
+		require.True(t, remove())
+	}
+	var s Stop
+	done := make(chan struct{})
+	s.OnEnd(func() { close(done) })
+	s.End()
+	<-done
+}
