syncer: instances without a conductor find each other and exchange losses

All instances had been killed and the log had come back without a claim of the lease, so for 8 to 10.8 s nobody could take it. An instance learned of members only from a conductor's view, asked seeds only for the holder, took no losses from them, and sent its own to nobody: each of three instances let three losses through.

While there is no conductor an instance now calls members, neighbours, the seeds and the address in the newest claim that it knows, also of an earlier era, every 300 ms and at once after a loss. A peer that is not the conductor names itself and up to 12 instances that it has heard in the last 1.5 s, and keeps its caller as a neighbour, so those that share a seed or an old claim find each other. Losses go both ways: in the response, and in a report to a peer that does not hold the lease, which takes them and passes them on to its own conductor, if it has one. Before the next attempt or the refusal a request waits for the round that has begun since its loss, 100 ms at most, so that the next instance to get the same content knows.

A round probes 12 instances, three seeds and one address; one that does not respond is left out until its call ends, and rounds are 3 ms for each peer apart, so an instance sends 334 probes a second at most. Earlier builds ignore the reports and the names, and get the losses when they probe.

--- a/internal/assembler/assembler.go
+++ b/internal/assembler/assembler.go
@@ -203,9 +203,10 @@
 		Codec: a.Codec, Config: a.config.Load, Upstreams: a.upstreamTable, Queue: a.queue, Pool: a.pool, RetryBudgets: a.retryBudgets,
 		Losses: a.losses, Streams: a.streams, Links: a.links, Peers: a.peersToHandOn, PeerOf: a.peerNamed,
 		PeerPool: &courier.Pool{IDHeader: a.Codec.IDHeader, UserTimeout: peerUserTimeout}, Log: a.Log.Named("relayer"), Metrics: relayer.NewMetrics(a.registry),
-		MayTry:     func() bool { return a.lease.IsHolder() },
-		ViewAge:    func() time.Duration { return a.client.ViewAge() },
-		IsStopping: a.isStopping.Load, IsClosed: a.isClosed.Load, Stop: &a.halt,
+		MayTry:         func() bool { return a.lease.IsHolder() },
+		ViewAge:        func() time.Duration { return a.client.ViewAge() },
+		ExchangeLosses: func(ctx context.Context) { a.client.ExchangeLosses(ctx) },
+		IsStopping:     a.isStopping.Load, IsClosed: a.isClosed.Load, Stop: &a.halt,
 	}
 	a.wireAccounts()
 	a.relayer.Buffers.MaxBytes = int64(bufferMemoryFraction * float64(a.MemoryBytes))
@@ -219,8 +220,10 @@
 		a.relayer.Metrics.RecordLoss(change)
 		a.Log.Named("losstracker").Info("loss "+string(change), zap.String("content", relayer.FormatFingerprint(l.Fingerprint)), zap.String("upstream", l.Incarnation.ID),
 			zap.Int64("born", l.Incarnation.StartedAtMs), zap.Bool("ended", l.IsConfirmed), zap.Int("round", l.Round), zap.Int("known", known))
-		if change != losstracker.Learned && change != losstracker.Withdrawn {
-			a.client.ReportNow()
+		// In a fleet in which an instance cannot call all others, each of those that learn of a loss
+		// passes it on.
+		if change != losstracker.Withdrawn && (change != losstracker.Learned || known >= losstracker.SharedThreshold) {
+			a.client.NotifyLoss()
 		}
 	}
 }
@@ -247,14 +250,15 @@
 		},
 		Log: a.Log.Named("conductor"), Metrics: conductor.NewMetrics(a.registry),
 	}
+	neighbours := &syncer.Neighbours{}
 	a.server = &syncer.Server{
 		Self: self, Conductor: a.conductor, IsHolder: a.lease.IsHolder, Store: a.LeaseStore,
 		Token: func() int64 { return a.lease.Newest().Token() }, NewestClaim: func() leaser.Claim { return a.lease.Newest() },
-		Losses: a.losses, Streams: a.streams, Archive: a.originWriter, Log: a.Log.Named("syncer"),
+		Losses: a.losses, Neighbours: neighbours, Streams: a.streams, Archive: a.originWriter, Log: a.Log.Named("syncer"),
 	}
 	a.client = &syncer.Client{
 		Self: self, HTTP: syncer.NewHTTPClient(), Lease: a.lease, Server: a.server, Queue: a.queue, Upstreams: a.upstreamTable,
-		Losses: a.losses, Seeds: a.Seeds, IsStopping: a.isStopping.Load, Links: a.links, Log: a.Log.Named("syncer"),
+		Losses: a.losses, Seeds: a.Seeds, Neighbours: neighbours, IsStopping: a.isStopping.Load, Links: a.links, Log: a.Log.Named("syncer"),
 	}
 	a.lease.PeerStore = a.client.PeerStore()
 }
--- a/internal/losstracker/exchange.go
+++ b/internal/losstracker/exchange.go
@@ -101,6 +101,23 @@
 	t.notify(events)
 }
 
+// MergeExchanged merges the losses that an instance without a conductor has sent, or that an instance
+// that is not the conductor has returned. They are reported to the present conductor as well, which
+// may not get them from anywhere else.
+func (t *Tracker) MergeExchanged(losses []Loss, now time.Time) {
+	t.mu.Lock()
+	events := t.mergeLocked(losses, now)
+	for _, e := range events {
+		if r, ok := t.requests.Peek(e.Fingerprint); ok {
+			if l := r.find(keyOf(e.Loss)); l != nil {
+				t.reporting.unreported[keyOf(l.Loss)] = l.Loss
+			}
+		}
+	}
+	t.mu.Unlock()
+	t.notify(events)
+}
+
 // MergeView merges the losses in the view of a conductor, which therefore knows them.
 func (t *Tracker) MergeView(conductor string, losses []Loss, now time.Time) {
 	t.mu.Lock()
--- a/internal/relayer/attempt.go
+++ b/internal/relayer/attempt.go
@@ -65,7 +65,8 @@
 	c.releaseSlot = sync.OnceFunc(slot.Release)
 	res := c.exchange(ctx, slot, began)
 	isCanceled := ctx.Err() != nil
-	c.tracked.End(c.ending(res, isCanceled, time.Since(began)), time.Now())
+	ending := c.ending(res, isCanceled, time.Since(began))
+	c.tracked.End(ending, time.Now())
 	if res.misdirected != nil {
 		// After the end of the attempt, which would be lost with the upstream otherwise.
 		c.recordMisdirected(u, *res.misdirected)
@@ -108,6 +109,9 @@
 		zap.String("content", FormatFingerprint(c.fingerprint)), zap.Int64("born", u.StartedAtMs), zap.Int64("orders", u.NumOrders),
 		zap.Bool("not-run", res.isNotRun), zap.Bool("left", isCanceled && !hasStopEnded(ctx)),
 		zap.Strings("parts", c.loggedParts()), zap.Int("events", c.stream.numEvents-eventsBefore), zap.Duration("since-event", c.stream.sinceEvent()), zap.String("why", res.reason), zap.Duration("took", time.Since(began)))
+	if ending == losstracker.Broken && c.ExchangeLosses != nil {
+		c.ExchangeLosses(ctx)
+	}
 	if isCanceled || res.isNotRun || c.route.MayRetry() || c.route.IsStream && c.route.IsResumable {
 		return false, nil
 	}
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -133,6 +133,9 @@
 	// MayTry, if set, reports whether this instance tries whether a part of a prompt still
 	// crashes upstreams. It must return true at one instance only.
 	MayTry func() bool
+	// ExchangeLosses, if set, returns when other instances know the losses that this one knows, or
+	// after a short while.
+	ExchangeLosses func(context.Context)
 	// Quotas charges requests to the quotas of their accounts.
 	Quotas Quotas
 	// ViewAge returns the age of this instance's view of the upstreams.
--- a/internal/syncer/client.go
+++ b/internal/syncer/client.go
@@ -38,6 +38,11 @@
 	conductorTTL = 1500 * time.Millisecond
 	// probeInterval is the time between two rounds of probes of the members.
 	probeInterval = 300 * time.Millisecond
+	// probeIntervalPerPeer lengthens the least time between two rounds of probes with the number of
+	// peers, so that an instance probes 334 times a second at most.
+	probeIntervalPerPeer = 3 * time.Millisecond
+	// maxExchangeWait bounds how long a request waits until others know what it has lost.
+	maxExchangeWait = 100 * time.Millisecond
 	// maxReadersProbed and maxOthersProbed bound the members that are probed in a
 	// round: the first of the data centre, and others.
 	maxReadersProbed = 3
@@ -70,8 +75,10 @@
 	Queue     *queuer.Queue
 	Upstreams *registrar.Table
 	Losses    *losstracker.Tracker
-	// Seeds are addresses of instances that are called while no member is known.
+	// Seeds are addresses of instances that are called while there is no conductor.
 	Seeds []string
+	// Neighbours are shared with the Server, nil for none.
+	Neighbours *Neighbours
 	// IsStopping reports whether this instance is shutting down. It still accepts
 	// new requests until its queue is closed.
 	IsStopping func() bool
@@ -85,6 +92,7 @@
 
 	mu              sync.Mutex
 	wake            chan struct{}
+	exchange        exchange
 	members         []*peerv1.Member
 	viewAt          time.Time // when the conductor last responded
 	version         uint64    // of the newest view
@@ -153,18 +161,7 @@
 	var wg sync.WaitGroup
 	wg.Go(func() { c.runReports(ctx) })
 	wg.Go(func() { c.runWatch(ctx) })
-	wg.Go(func() {
-		for ctx.Err() == nil {
-			switch {
-			case c.HasConductor():
-			case len(c.Members()) > 0:
-				c.probeMembers(ctx)
-			default:
-				c.probeSeeds(ctx)
-			}
-			sleeper.Sleep(ctx, probeInterval)
-		}
-	})
+	wg.Go(func() { c.runProbes(ctx) })
 	wg.Wait()
 }
 
--- a/internal/syncer/client_test.go
+++ b/internal/syncer/client_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -13,6 +14,7 @@
 	"go.uber.org/zap"
 
 	"github.com/primrosedrift/primrosedrift/internal/leaser"
+	"github.com/primrosedrift/primrosedrift/internal/linkwatcher"
 	"github.com/primrosedrift/primrosedrift/internal/losstracker"
 	"github.com/primrosedrift/primrosedrift/internal/registrar"
 	"github.com/primrosedrift/primrosedrift/internal/sequencer"
@@ -75,11 +77,17 @@
 	mux.Handle(queries.PathPrefix(), queries)
 	server := httptest.NewServer(mux)
 	t.Cleanup(server.Close)
-	c := &Client{Self: &peerv1.Member{Instance: "b"}, HTTP: server.Client(), Lease: &leaser.Lease{Log: zap.NewNop()}, Losses: &losstracker.Tracker{}, Log: zap.NewNop()}
+	c := &Client{Self: &peerv1.Member{Instance: "b"}, HTTP: server.Client(), Lease: &leaser.Lease{Log: zap.NewNop()}, Losses: &losstracker.Tracker{}, Log: zap.NewNop(), IsStopping: func() bool { return false }, Links: &linkwatcher.Watcher{}}
 	c.members = []*peerv1.Member{{Instance: "a", PeerAddress: strings.TrimPrefix(server.URL, "http://")}}
 	return c
 }
 
+func (c *Client) probeOnce(t *testing.T) {
+	var wg sync.WaitGroup
+	c.probePeers(t.Context(), &wg, callTimeout)
+	wg.Wait()
+}
+
 func TestClaimsSpreadThroughProbes(t *testing.T) {
 	s, holder := newServer()
 	*holder = false
@@ -87,7 +95,7 @@
 		return leaser.Claim{Position: sequencer.Position{Era: 2, Offset: 5}, Holder: "x", Incarnation: "x1", Address: "192.0.2.1:1"}
 	}
 	c := newClientOf(t, s)
-	c.probeMembers(t.Context())
+	c.probeOnce(t)
 	require.Equal(t, s.NewestClaim(), c.Lease.Newest())
 	require.Len(t, c.Members(), 1, "it responds")
 }
@@ -100,6 +108,6 @@
 	lost := losstracker.Loss{Fingerprint: 7, Incarnation: registrar.Incarnation{ID: "e1", StartedAtMs: 1}}
 	s.Losses.MergeReport([]losstracker.Loss{lost}, time.Now())
 	c := newClientOf(t, s)
-	c.probeMembers(t.Context())
+	c.probeOnce(t)
 	require.Equal(t, []losstracker.Loss{lost}, c.Losses.Recent(time.Now()))
 }
--- /dev/null
+++ b/internal/syncer/neighbour.go
@@ -0,0 +1,112 @@
+package syncer
+
+import (
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	peerv1 "github.com/primrosedrift/primrosedrift/pkg/api/peer/v1"
+)
+
+const (
+	// neighbourTTL is how long an instance is probed after it was last heard of.
+	neighbourTTL = 10 * time.Second
+	// maxNeighbours bounds the neighbours that an instance keeps, and maxNeighboursTold those
+	// that it tells another one.
+	maxNeighbours     = 256
+	maxNeighboursTold = maxReadersProbed + maxOthersProbed
+)
+
+// Neighbours are the instances that an instance has heard of other than through a view. It exchanges
+// losses with them while it has no conductor, which would list the members. Its zero value is ready
+// to use, and nil keeps none.
+type Neighbours struct {
+	mu   sync.Mutex
+	list map[string]neighbour // by instance
+}
+
+type neighbour struct {
+	*peerv1.Member
+	// heardAt is when the instance called or responded, zero if it never has.
+	heardAt time.Time
+	// toldAt is when another instance last named it.
+	toldAt time.Time
+}
+
+// hear records that an instance has called or responded.
+func (n *Neighbours) hear(m *peerv1.Member, now time.Time) {
+	n.add(neighbour{Member: m, heardAt: now}, now)
+}
+
+// learn records the instances that another one has heard lately.
+func (n *Neighbours) learn(list []*peerv1.Member, now time.Time) {
+	for _, m := range list {
+		n.add(neighbour{Member: m, toldAt: now}, now)
+	}
+}
+
+func (n *Neighbours) add(x neighbour, now time.Time) {
+	if n == nil || x.GetInstance() == "" || x.GetPeerAddress() == "" {
+		return
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.sweepLocked(now)
+	old, isKnown := n.list[x.GetInstance()]
+	if !isKnown && len(n.list) >= maxNeighbours {
+		return
+	}
+	if n.list == nil {
+		n.list = make(map[string]neighbour)
+	}
+	if x.heardAt.IsZero() {
+		x.heardAt = old.heardAt
+		if !old.heardAt.IsZero() {
+			x.Member = old.Member // from the instance itself
+		}
+	}
+	if x.toldAt.IsZero() {
+		x.toldAt = old.toldAt
+	}
+	n.list[x.GetInstance()] = x
+}
+
+func (n *Neighbours) sweepLocked(now time.Time) {
+	for name, x := range n.list {
+		if now.Sub(x.heardAt) > neighbourTTL && now.Sub(x.toldAt) > neighbourTTL {
+			delete(n.list, name)
+		}
+	}
+}
+
+// known returns the neighbours.
+func (n *Neighbours) known(now time.Time) []*peerv1.Member {
+	if n == nil {
+		return nil
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.sweepLocked(now)
+	var out []*peerv1.Member
+	for _, x := range n.list {
+		out = append(out, x.Member)
+	}
+	return out
+}
+
+// told returns a random sample of the neighbours that were heard within memberTTL.
+func (n *Neighbours) told(now time.Time) []*peerv1.Member {
+	if n == nil {
+		return nil
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	var out []*peerv1.Member
+	for _, x := range n.list {
+		if now.Sub(x.heardAt) < memberTTL {
+			out = append(out, x.Member)
+		}
+	}
+	rand.Shuffle(len(out), func(i, j int) { out[i], out[j] = out[j], out[i] })
+	return out[:min(len(out), maxNeighboursTold)]
+}
--- /dev/null
+++ b/internal/syncer/neighbour_test.go
@@ -0,0 +1,93 @@
+package syncer
+
+import (
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
+
+	"github.com/primrosedrift/primrosedrift/internal/leaser"
+	"github.com/primrosedrift/primrosedrift/internal/linkwatcher"
+	"github.com/primrosedrift/primrosedrift/internal/losstracker"
+	"github.com/primrosedrift/primrosedrift/internal/registrar"
+	peerv1 "github.com/primrosedrift/primrosedrift/pkg/api/peer/v1"
+)
+
+// newPeer returns the client of an instance that serves other instances and is not the conductor.
+func newPeer(t *testing.T, name string, seeds ...string) *Client {
+	s, holder := newServer()
+	*holder = false
+	s.Neighbours = &Neighbours{}
+	mux := http.NewServeMux()
+	queries, commands := peerv1.NewFleetQueriesServer(s), peerv1.NewFleetCommandsServer(s)
+	mux.Handle(queries.PathPrefix(), queries)
+	mux.Handle(commands.PathPrefix(), commands)
+	server := httptest.NewServer(mux)
+	t.Cleanup(server.Close)
+	s.Self = &peerv1.Member{Instance: name, Incarnation: name + "1", PeerAddress: strings.TrimPrefix(server.URL, "http://")}
+	return &Client{
+		Self: s.Self, HTTP: server.Client(), Server: s, Neighbours: s.Neighbours, Losses: s.Losses, Seeds: seeds, Lease: &leaser.Lease{Log: zap.NewNop()},
+		Log: zap.NewNop(), IsStopping: func() bool { return false }, Links: &linkwatcher.Watcher{},
+	}
+}
+
+// TestInstancesWithoutMembersExchangeLosses guards against instances that count losses each for itself
+// because they have started without a conductor and know nothing but the addresses of seeds.
+func TestInstancesWithoutMembersExchangeLosses(t *testing.T) {
+	a := newPeer(t, "a")
+	b, c := newPeer(t, "b", a.Self.GetPeerAddress()), newPeer(t, "c", a.Self.GetPeerAddress())
+	b.probeOnce(t)
+	c.probeOnce(t) // learns of b from the seed
+	lost := losstracker.Loss{Fingerprint: 7, Incarnation: registrar.Incarnation{ID: "e1", StartedAtMs: 1}}
+	c.Losses.Begin(lost.Incarnation, lost.Fingerprint).End(losstracker.Broken, time.Now())
+	c.probeOnce(t)
+	for _, x := range []*Client{a, b, c} {
+		require.Equal(t, []losstracker.Loss{lost}, x.Losses.Recent(time.Now()), x.Self.GetInstance())
+	}
+	require.Equal(t, []losstracker.Loss{lost}, a.Losses.Unreported("conductor", time.Now()))
+}
+
+// TestLossFromAnInstanceWithoutConductorIsReported guards against losses that the conductor does not
+// get, because only an instance that does not reach it has observed them.
+func TestLossFromAnInstanceWithoutConductorIsReported(t *testing.T) {
+	a := newPeer(t, "a")
+	b := newPeer(t, "b", a.Self.GetPeerAddress())
+	require.Empty(t, a.Losses.Unreported("conductor", time.Now()), "the conductor is known before")
+	lost := losstracker.Loss{Fingerprint: 7, Incarnation: registrar.Incarnation{ID: "e1", StartedAtMs: 1}}
+	b.Losses.Begin(lost.Incarnation, lost.Fingerprint).End(losstracker.Broken, time.Now())
+	b.probeOnce(t)
+	require.Equal(t, []losstracker.Loss{lost}, a.Losses.Unreported("conductor", time.Now()))
+}
+
+// TestHolderOfAnOlderClaimIsProbed guards against instances that do not find each other although they
+// have all read where the last conductor was.
+func TestHolderOfAnOlderClaimIsProbed(t *testing.T) {
+	c := newPeer(t, "c", "192.0.2.1:1")
+	c.Lease.Observe(leaser.Claim{Holder: "x", Incarnation: "x1", Address: "192.0.2.2:1"})
+	c.Lease.ObserveEra(5)
+	var addresses []string
+	for _, m := range c.peersToProbe(time.Now()) {
+		addresses = append(addresses, m.GetPeerAddress())
+	}
+	require.Equal(t, []string{"192.0.2.1:1", "192.0.2.2:1"}, addresses)
+}
+
+// The load: hundreds of instances start without a conductor and call the same seed.
+func TestNeighboursAreBounded(t *testing.T) {
+	now := time.Now()
+	c := newPeer(t, "seed", "192.0.2.1:1")
+	for n := range 2 * maxNeighbours {
+		name := fmt.Sprint("edge-", n)
+		c.Neighbours.hear(&peerv1.Member{Instance: name, PeerAddress: name + ":1"}, now)
+	}
+	require.Len(t, c.Neighbours.known(now), maxNeighbours)
+	require.Len(t, c.Neighbours.told(now), maxNeighboursTold)
+	require.Len(t, c.peersToProbe(now), maxReadersProbed+maxOthersProbed+1)
+	require.Empty(t, c.Neighbours.told(now.Add(memberTTL)), "they may be gone")
+	require.Empty(t, c.Neighbours.known(now.Add(neighbourTTL+time.Millisecond)))
+}
--- a/internal/syncer/probe.go
+++ b/internal/syncer/probe.go
@@ -13,62 +13,206 @@
 	"github.com/primrosedrift/primrosedrift/internal/leaser"
 	"github.com/primrosedrift/primrosedrift/internal/logger"
 	"github.com/primrosedrift/primrosedrift/internal/sequencer"
+	"github.com/primrosedrift/primrosedrift/internal/sleeper"
 	peerv1 "github.com/primrosedrift/primrosedrift/pkg/api/peer/v1"
 )
 
-// probeMembers checks whether some members of the newest view respond, and learns from
-// them of newer claims of the lease.
-func (c *Client) probeMembers(ctx context.Context) {
+// exchange is the state of the probes.
+type exchange struct {
+	// running holds the addresses of the peers that have not responded yet.
+	running map[string]bool
+	wake    chan struct{}
+	// numBegun and numDone count rounds. changed is closed after each round.
+	numBegun, numDone int
+	changed           chan struct{}
+}
+
+func (e *exchange) init() {
+	if e.running == nil {
+		e.running, e.wake, e.changed = make(map[string]bool), make(chan struct{}, 1), make(chan struct{})
+	}
+}
+
+// runProbes probes other instances while there is no conductor, every probeInterval and soon after
+// a loss.
+func (c *Client) runProbes(ctx context.Context) {
 	c.mu.Lock()
-	members := membersToProbe(c.members, c.Self, rand.Perm)
+	c.exchange.init()
+	wake := c.exchange.wake
 	c.mu.Unlock()
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
+	tick := time.NewTicker(probeInterval)
+	defer tick.Stop()
 	var wg sync.WaitGroup
-	for _, m := range members {
+	defer wg.Wait()
+	for ctx.Err() == nil {
+		if !c.HasConductor() {
+			numPeers := c.probePeers(ctx, &wg, maxExchangeWait)
+			sleeper.Sleep(ctx, time.Duration(numPeers)*probeIntervalPerPeer)
+		}
+		select {
+		case <-ctx.Done():
+		case <-tick.C:
+		case <-wake:
+		}
+	}
+}
+
+// NotifyLoss reports a new loss at once, or sends it to others if there is no conductor.
+func (c *Client) NotifyLoss() {
+	c.ReportNow()
+	if c.HasConductor() {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.exchange.wakeUp()
+}
+
+func (e *exchange) wakeUp() {
+	e.init()
+	select {
+	case e.wake <- struct{}{}:
+	default:
+	}
+}
+
+// ExchangeLosses returns when other instances know the losses that this one knows, if there is no
+// conductor: after a round of probes that has begun since, and after maxExchangeWait at most.
+func (c *Client) ExchangeLosses(ctx context.Context) {
+	if c.HasConductor() {
+		return
+	}
+	timeout := time.NewTimer(maxExchangeWait)
+	defer timeout.Stop()
+	c.mu.Lock()
+	c.exchange.wakeUp()
+	next := c.exchange.numBegun + 1
+	for c.exchange.numDone < next {
+		changed := c.exchange.changed
+		c.mu.Unlock()
+		select {
+		case <-changed:
+		case <-timeout.C:
+			return
+		case <-ctx.Done():
+			return
+		}
+		c.mu.Lock()
+	}
+	c.mu.Unlock()
+}
+
+// probePeers exchanges what is known of losses, upstreams and the lease with members, neighbours and
+// seeds, learns of further instances, and checks which members respond. It returns the number of
+// peers, without those that have yet to respond to an earlier probe, when all of them have responded,
+// and after maxWait at most.
+func (c *Client) probePeers(ctx context.Context, wg *sync.WaitGroup, maxWait time.Duration) (numPeers int) {
+	peers := c.peersToProbe(time.Now())
+	done := make(chan struct{}, len(peers))
+	c.mu.Lock()
+	c.exchange.init()
+	c.exchange.numBegun++
+	for _, m := range peers {
+		address := m.GetPeerAddress()
+		if c.exchange.running[address] {
+			continue
+		}
+		c.exchange.running[address] = true
+		numPeers++
 		wg.Go(func() {
-			v, err := peerv1.NewFleetQueriesProtobufClient("http://"+m.GetPeerAddress(), c.HTTP).Watch(ctx, &peerv1.WatchRequest{Instance: c.Self.GetInstance()})
-			if err != nil {
-				c.Log.Debug("member does not respond", zap.String("member", m.GetInstance()), logger.Error(err))
-				return
-			}
-			if claim := decodeClaim(v.GetClaim()); !claim.IsZero() {
-				c.Lease.Observe(claim)
-			}
-			c.Losses.MergeReport(decodeLosses(v.GetLosses(), c.Log), time.Now())
-			c.Upstreams.MergeLimits(decodeLimits(v.GetLimits()), time.Now())
-			c.Upstreams.MergeBrittle(decodeBrittle(v.GetBrittle()), time.Now())
-			c.Upstreams.MergeRestarts(decodeRestarts(v.GetRestarts()), time.Now())
+			pctx, cancel := context.WithTimeout(ctx, callTimeout)
+			defer cancel()
+			c.probe(pctx, m)
 			c.mu.Lock()
-			defer c.mu.Unlock()
-			if c.respondedAt == nil {
-				c.respondedAt = make(map[string]time.Time)
-			}
-			c.respondedAt[m.GetInstance()] = time.Now()
+			delete(c.exchange.running, address)
+			c.mu.Unlock()
+			done <- struct{}{}
 		})
 	}
-	wg.Wait()
+	c.mu.Unlock()
+	timeout := time.NewTimer(maxWait)
+	defer timeout.Stop()
+	for n := 0; n < numPeers; n++ {
+		select {
+		case <-done:
+		case <-timeout.C:
+			n = numPeers
+		}
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.exchange.numDone = c.exchange.numBegun
+	close(c.exchange.changed)
+	c.exchange.changed = make(chan struct{})
+	return numPeers
 }
 
-// probeSeeds learns from the seeds who holds the lease, while this instance knows no member.
-func (c *Client) probeSeeds(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	var wg sync.WaitGroup
-	for _, address := range c.Seeds {
-		wg.Go(func() {
-			v, err := peerv1.NewFleetQueriesProtobufClient("http://"+address, c.HTTP).Watch(ctx, &peerv1.WatchRequest{Instance: c.Self.GetInstance()})
-			if err != nil {
-				c.Log.Debug("seed does not respond", zap.String("seed", address), logger.Error(err))
-				return
-			}
-			if claim, ok := claimIn(v); ok && c.Lease.Newest().IsZero() {
-				c.Log.Info("conductor found through a seed", zap.String("seed", address), zap.String("conductor", claim.Holder), zap.Int64("token", claim.Token()))
-				c.Lease.Observe(claim)
-			}
-		})
+// peersToProbe returns what is probed in one round: some members and neighbours, the seeds, and
+// whoever is at the address in the newest claim of the lease. The latter two may have no name.
+func (c *Client) peersToProbe(now time.Time) []*peerv1.Member {
+	neighbours := c.Neighbours.known(now)
+	c.mu.Lock()
+	known := updateMembers(neighbours, c.members, nil)
+	c.mu.Unlock()
+	out := membersToProbe(known, c.Self, rand.Perm)
+	for _, a := range append(slices.Clone(c.Seeds), c.Lease.Newest().Address) {
+		isProbed := slices.ContainsFunc(out, func(m *peerv1.Member) bool { return m.GetPeerAddress() == a })
+		if a != "" && a != c.Self.GetPeerAddress() && !isProbed {
+			out = append(out, &peerv1.Member{PeerAddress: a})
+		}
+	}
+	return out
+}
+
+// probe calls a peer for what it knows, and sends it the losses that this instance knows.
+func (c *Client) probe(ctx context.Context, m *peerv1.Member) {
+	v, err := peerv1.NewFleetQueriesProtobufClient("http://"+m.GetPeerAddress(), c.HTTP).Watch(ctx, &peerv1.WatchRequest{Instance: c.Self.GetInstance()})
+	if err != nil {
+		c.Log.Debug("peer does not respond", zap.String("peer", m.GetInstance()), zap.String("address", m.GetPeerAddress()), logger.Error(err))
+		return
+	}
+	now := time.Now()
+	c.applyProbe(v, m, now)
+	if v.GetIsConductor() {
+		return // it gets the next report
+	}
+	losses := c.Losses.Recent(now)
+	isKnown := slices.ContainsFunc(v.GetMembers(), func(m *peerv1.Member) bool { return m.GetIncarnation() == c.Self.GetIncarnation() })
+	if len(losses) == 0 && isKnown {
+		return
+	}
+	r := &peerv1.ReportRequest{Member: c.member(), Losses: encodeLosses(losses)}
+	if _, err := peerv1.NewFleetCommandsProtobufClient("http://"+m.GetPeerAddress(), c.HTTP).Report(ctx, r); err != nil {
+		c.Log.Debug("peer does not accept losses", zap.String("peer", m.GetInstance()), zap.String("address", m.GetPeerAddress()), logger.Error(err))
+	}
+}
+
+// applyProbe applies the response of a peer.
+func (c *Client) applyProbe(v *peerv1.WatchResponse, m *peerv1.Member, now time.Time) {
+	isFirst := c.Lease.Newest().IsZero()
+	if claim, ok := claimIn(v); ok && (isFirst || !v.GetIsConductor()) {
+		c.Lease.Observe(claim)
+		if isFirst {
+			c.Log.Info("conductor found through a peer", zap.String("address", m.GetPeerAddress()), zap.String("conductor", claim.Holder), zap.Int64("token", claim.Token()))
+		}
+	}
+	c.Losses.MergeExchanged(decodeLosses(v.GetLosses(), c.Log), now)
+	c.Upstreams.MergeLimits(decodeLimits(v.GetLimits()), now)
+	c.Upstreams.MergeBrittle(decodeBrittle(v.GetBrittle()), now)
+	c.Upstreams.MergeRestarts(decodeRestarts(v.GetRestarts()), now)
+	if !v.GetIsConductor() && len(v.GetMembers()) > 0 { // an earlier build names none
+		c.Neighbours.hear(v.GetMembers()[0], now)
+		c.Neighbours.learn(v.GetMembers()[1:], now)
+	}
+	if m.GetInstance() == "" {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.respondedAt == nil {
+		c.respondedAt = make(map[string]time.Time)
 	}
-	wg.Wait()
+	c.respondedAt[m.GetInstance()] = now
 }
 
 // claimIn returns the claim of the lease that a response names: that of the responding
--- a/internal/syncer/server.go
+++ b/internal/syncer/server.go
@@ -57,6 +57,8 @@
 	Store leaser.Store
 	// Losses are the losses that this instance knows.
 	Losses *losstracker.Tracker
+	// Neighbours are the instances that have called this one, or that it has called, nil for none.
+	Neighbours *Neighbours
 	// Streams are the streams whose software versions this instance keeps.
 	Streams *streamtracker.Keeper
 	// Archive saves origins of streams while this instance holds the lease.
@@ -86,12 +88,16 @@
 	version    uint64 // of its last change
 }
 
-// Report implements peerv1.FleetCommands.
+// Report implements peerv1.FleetCommands. An instance that is not the conductor takes the losses of
+// one that has none.
 func (s *Server) Report(_ context.Context, r *peerv1.ReportRequest) (*peerv1.ReportResponse, error) {
+	now := time.Now()
 	if !s.IsHolder() {
+		s.Neighbours.hear(r.GetMember(), now)
+		s.Losses.MergeExchanged(decodeLosses(r.GetLosses(), s.Log), now)
 		return &peerv1.ReportResponse{}, nil
 	}
-	s.ApplyReport(r, time.Now())
+	s.ApplyReport(r, now)
 	return &peerv1.ReportResponse{IsConductor: true}, nil
 }
 
@@ -338,6 +344,7 @@
 		if c := s.NewestClaim(); !c.IsZero() {
 			out.Claim = encodeClaim(c)
 		}
+		out.Members = append([]*peerv1.Member{s.Self}, s.Neighbours.told(now)...)
 		out.Losses = encodeLosses(s.Losses.Recent(now))
 		out.Limits = encodeLimits(s.Conductor.Upstreams.Limits(now))
 		out.Brittle = encodeBrittle(s.Conductor.Upstreams.Brittle(now))
