losstracker: a restored log gets losses again without holder and observers

After a restore of the log only the holder of the lease and the instances that had seen a loss wrote it again. Now the first three live instances by name write what they know as well, once, if the log may have lost it; a whole fleet would write hundreds of records.

A call that was under way when the restore was found also counted as saved or read, although the restored log may lack it. Calls are now counted against the number of restores.

TestRestoredLogIsSavedAgainWithoutHolderAndObserver and TestSaveBeforeARestoreIsRepeated fail without either change (go test ./internal/losstracker -run Restore, one run each; nothing depends on time).

--- a/internal/assembler/assembler.go
+++ b/internal/assembler/assembler.go
@@ -279,7 +279,7 @@
 		HedgesListing: true,
 	}
 	a.poisonSaver = &losstracker.Saver{
-		Tracker: a.losses, Store: a.PoisonStore, IsHolder: a.lease.IsHolder, After: a.configFollower.FirstRead(), Log: a.Log.Named("losstracker"),
+		Tracker: a.losses, Store: a.PoisonStore, IsHolder: a.lease.IsHolder, MaySaveForOthers: a.maySaveForOthers, After: a.configFollower.FirstRead(), Log: a.Log.Named("losstracker"),
 	}
 	a.upstreamFollower = &follower.Follower{
 		Name: topicUpstreams, Topic: a.UpstreamTopic, MaxWait: a.MaxDrainDelay / 4, MinInterval: a.MaxDrainDelay * 2 / 5, Log: log, OnRecords: a.applyUpstreams,
--- a/internal/assembler/peers.go
+++ b/internal/assembler/peers.go
@@ -48,6 +48,20 @@
 	return relayer.Peer{Address: m.GetPeerAddress(), KnowsAccounts: m.GetKnowsAccounts()}
 }
 
+// maxSavers is the number of instances that save what others have observed after a restore of the log.
+const maxSavers = 3
+
+// maySaveForOthers reports whether this instance is one of the first maxSavers live ones by name.
+func (a *Assembler) maySaveForOthers() bool {
+	numBefore := 0
+	for _, m := range a.client.Members() {
+		if m.GetInstance() < a.Instance && !m.GetIsStopping() {
+			numBefore++
+		}
+	}
+	return numBefore < maxSavers
+}
+
 // peerNamed returns a live peer by the name of its instance.
 func (a *Assembler) peerNamed(instance string) (relayer.Peer, bool) {
 	for _, m := range a.client.Members() {
--- a/internal/losstracker/loss.go
+++ b/internal/losstracker/loss.go
@@ -59,6 +59,8 @@
 	sharedAt uint64
 	// savedLevel is what the platform's log says of the request.
 	savedLevel level
+	// isSaveLost says that a restored log may have lost what it said.
+	isSaveLost bool
 }
 
 type loss struct {
--- a/internal/losstracker/saver.go
+++ b/internal/losstracker/saver.go
@@ -51,6 +51,10 @@
 	// IsHolder reports whether this instance holds the lease. The holder also saves
 	// the requests that only other instances have observed, and removes the old ones.
 	IsHolder func() bool
+	// MaySaveForOthers, if set, reports whether this instance is one of a few that also save the
+	// requests that only others have observed if a restored log may have lost them. There may be no
+	// holder, and the observers may have ended.
+	MaySaveForOthers func() bool
 	// After, if not nil, is closed when the first load may begin.
 	After <-chan struct{}
 	Log   *zap.Logger
@@ -65,6 +69,9 @@
 type saving struct {
 	requests map[uint64]struct{}
 	wake     chan struct{}
+	// numRestores counts the restores of the log. What was read or written before the latest one
+	// says nothing about the log.
+	numRestores int
 }
 
 // Run loads the saved poison requests, and saves new ones as soon as they are known until
@@ -114,6 +121,7 @@
 func (s *Saver) load(ctx context.Context, now time.Time) error {
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
+	numRestores := s.Tracker.numRestores()
 	list, malformed, err := s.Store.Load(ctx)
 	if err != nil {
 		return err
@@ -122,7 +130,7 @@
 		s.Log.Warn("record of a poison request is malformed", logger.Error(err))
 	}
 	s.isLoaded = true
-	old := s.Tracker.mergeSaved(list, now)
+	old := s.Tracker.mergeSaved(list, numRestores, now)
 	s.Log.Info("poison requests loaded", zap.Int("requests", len(list)), zap.Int("expired", len(old)))
 	if !s.IsHolder() {
 		return nil
@@ -152,7 +160,8 @@
 }
 
 func (s *Saver) save(ctx context.Context) {
-	list := s.Tracker.unsaved(s.IsHolder())
+	numRestores := s.Tracker.numRestores()
+	list := s.Tracker.unsaved(s.IsHolder(), s.MaySaveForOthers != nil && s.MaySaveForOthers())
 	if len(list) == 0 {
 		return
 	}
@@ -162,7 +171,7 @@
 		s.Log.Warn("poison requests could not be saved", zap.Int("requests", len(list)), logger.Error(err))
 		return
 	}
-	s.Tracker.recordSaved(list)
+	s.Tracker.recordSaved(list, numRestores)
 	s.Log.Info("poison requests saved", zap.Int("requests", len(list)))
 }
 
@@ -216,7 +225,7 @@
 
 // mergeSaved merges the saved poison requests, and returns the expired ones without
 // their losses.
-func (t *Tracker) mergeSaved(list []Poison, now time.Time) (expired []Poison) {
+func (t *Tracker) mergeSaved(list []Poison, numRestores int, now time.Time) (expired []Poison) {
 	t.mu.Lock()
 	var events []event
 	for _, p := range list {
@@ -227,7 +236,8 @@
 		for _, l := range p.Losses {
 			events = append(events, t.addLocked(loss{Loss: l, learnedAt: now}, Learned, now)...)
 		}
-		if r := t.requestLocked(p.Fingerprint, now); r != nil {
+		if r := t.requestLocked(p.Fingerprint, now); r != nil && numRestores == t.saving.numRestores {
+			r.isSaveLost = false
 			r.savedLevel = suspect
 			if len(p.Losses) >= PoisonThreshold {
 				r.savedLevel = poisonous
@@ -241,14 +251,15 @@
 }
 
 // unsaved returns the poison requests to save or remove: those with a loss that this
-// instance observed, or all.
-func (t *Tracker) unsaved(all bool) []Poison {
+// instance observed, also those that the log may have lost, or all.
+func (t *Tracker) unsaved(all, lost bool) []Poison {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	var out []Poison
 	for f := range t.saving.requests {
 		r, _ := t.requests.Peek(f)
-		if !all && !r.isOwn || len(out) == maxReported {
+		isOurs := all || r.isOwn || lost && r.isSaveLost
+		if !isOurs || len(out) == maxReported {
 			continue
 		}
 		p := Poison{Fingerprint: f, At: r.latestAt}
@@ -264,27 +275,38 @@
 	return out
 }
 
-func (t *Tracker) recordSaved(list []Poison) {
+func (t *Tracker) recordSaved(list []Poison, numRestores int) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if numRestores != t.saving.numRestores {
+		return
+	}
 	for _, p := range list {
 		if r, ok := t.requests.Peek(p.Fingerprint); ok {
-			r.savedLevel = p.level
+			r.savedLevel, r.isSaveLost = p.level, false
 			t.updateSavingLocked(p.Fingerprint, r)
 		}
 	}
 }
 
+func (t *Tracker) numRestores() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.saving.numRestores
+}
+
 // RecordRestore records that the platform's log came back from an older copy, which may
 // have lost what was saved.
 func (t *Tracker) RecordRestore() {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.saving.numRestores++
 	if t.requests == nil {
 		return
 	}
 	for _, f := range t.requests.Keys() {
 		r, _ := t.requests.Peek(f)
+		r.isSaveLost = r.isSaveLost || r.level() != harmless
 		r.savedLevel = harmless
 		t.updateSavingLocked(f, r)
 	}
--- a/internal/losstracker/saver_test.go
+++ b/internal/losstracker/saver_test.go
@@ -173,6 +173,59 @@
 	require.Len(t, f.saved, 1)
 }
 
+// TestRestoredLogIsSavedAgainWithoutHolderAndObserver guards against losses that a restored log lacks
+// although instances know them, since there is no holder and the observers have ended.
+func TestRestoredLogIsSavedAgainWithoutHolderAndObserver(t *testing.T) {
+	f := newFleet(4)
+	for n := range f.trackers {
+		f.start(t, n, start)
+		f.savers[n].IsHolder = func() bool { return false }
+		f.savers[n].MaySaveForOthers = func() bool { return n < 3 }
+	}
+	for n := range PoisonThreshold {
+		f.trackers[1].Begin(inc(n), poison).End(Broken, start)
+	}
+	f.savers[1].save(t.Context())
+	f.exchange(2, start)
+	numSaves := 0
+	for n := range f.savers {
+		save := f.savers[n].Store.Save
+		f.savers[n].Store.Save = func(ctx context.Context, list []Poison) error { numSaves++; return save(ctx, list) }
+	}
+	f.savers[2].save(t.Context())
+	require.Zero(t, numSaves, "the observer has saved it")
+	clear(f.saved)
+	for _, n := range []int{0, 2, 3} {
+		f.trackers[n].RecordRestore()
+		f.savers[n].save(t.Context())
+		f.savers[n].save(t.Context())
+	}
+	require.Len(t, f.saved[poison].Losses, PoisonThreshold)
+	require.Equal(t, 2, numSaves, "by the few that may, once each")
+}
+
+// TestSaveBeforeARestoreIsRepeated guards against a loss that counts as saved although the log was
+// restored while the call was under way.
+func TestSaveBeforeARestoreIsRepeated(t *testing.T) {
+	f := newFleet(1)
+	f.start(t, 0, start)
+	for n := range PoisonThreshold {
+		f.trackers[0].Begin(inc(n), poison).End(Broken, start)
+	}
+	save := f.savers[0].Store.Save
+	f.savers[0].Store.Save = func(ctx context.Context, list []Poison) error {
+		f.savers[0].Store.Save = save
+		err := save(ctx, list)
+		clear(f.saved)
+		f.trackers[0].RecordRestore()
+		return err
+	}
+	f.savers[0].save(t.Context())
+	require.Empty(t, f.saved)
+	f.savers[0].save(t.Context())
+	require.Len(t, f.saved[poison].Losses, PoisonThreshold)
+}
+
 func TestExpiredPoisonRequestsAreRemovedByTheHolder(t *testing.T) {
 	f := newFleet(2)
 	f.saved = map[uint64]Poison{
