internal/arranger: the reasons of skipped loads are computed only for the log

Each plan computed for each load that streams wait for why it is not begun, at every upstream of the version, while the log takes one line of a load each half second. A conductor of hundreds of instances plans after each change. The reasons are a function now, called for a line. The test compares the same fields and reasons as before.

--- a/internal/arranger/arranger.go
+++ b/internal/arranger/arranger.go
@@ -180,7 +180,7 @@
 			moves = append(moves, m)
 			begun[c.model.Name] = c.software != nil
 		case c.software != nil:
-			skipped = append(skipped, Skipped{c.model.Name, *c.software, p.bound[modelWith{c.model.Name, *c.software}], p.obstacles(c)})
+			skipped = append(skipped, Skipped{c.model.Name, *c.software, p.bound[modelWith{c.model.Name, *c.software}], func() []string { return p.obstacles(c) }})
 		}
 	}
 	for i := range moves {
--- a/internal/arranger/fleet.go
+++ b/internal/arranger/fleet.go
@@ -127,8 +127,8 @@
 type Skipped struct {
 	Model, Software string
 	Waiting         int
-	// Obstacles says for each upstream of the version why the model is not loaded there now.
-	Obstacles []string
+	// Obstacles returns for each upstream of the version why the model is not loaded there now.
+	Obstacles func() []string
 }
 
 // LoadedModel returns the model that the last order loads.
--- a/internal/arranger/skipped_test.go
+++ b/internal/arranger/skipped_test.go
@@ -17,5 +17,8 @@
 	f.Demands = append(f.Demands, Demand{Model: "m0", Software: &v1, Waiting: 2})
 	moves, skipped := PlanWithSkipped(f)
 	require.NotContains(t, loadOrders(moves), "e0 m0")
-	require.Equal(t, []Skipped{{Model: "m0", Software: v1, Waiting: 2, Obstacles: []string{"e0: busy for 5.92s", "e2: it takes few requests"}}}, skipped)
+	require.Len(t, skipped, 1)
+	require.Equal(t, []string{"e0: busy for 5.92s", "e2: it takes few requests"}, skipped[0].Obstacles())
+	skipped[0].Obstacles = nil
+	require.Equal(t, Skipped{Model: "m0", Software: v1, Waiting: 2}, skipped[0])
 }
--- a/internal/conductor/skipped.go
+++ b/internal/conductor/skipped.go
@@ -25,6 +25,6 @@
 			c.skippedAt = make(map[boundKey]time.Time)
 		}
 		c.skippedAt[k] = now
-		c.Log.Info("load for streams not begun", zap.String("model", s.Model), zap.String("software", s.Software), zap.Int("bound-waiting", s.Waiting), zap.Strings("why", s.Obstacles))
+		c.Log.Info("load for streams not begun", zap.String("model", s.Model), zap.String("software", s.Software), zap.Int("bound-waiting", s.Waiting), zap.Strings("why", s.Obstacles()))
 	}
 }
