internal/stopper: the expected duration of a route is renewed after some requests

It was sorted anew for each request, stop or no stop, though it changes with recorded durations only. TestMostRequestsEndByTheirExpectedTime holds as before (go test ./internal/stopper).

--- a/internal/stopper/durations.go
+++ b/internal/stopper/durations.go
@@ -15,6 +15,8 @@
 	// percentile of the kept durations is the estimate, in hundredths. A request that is
 	// refused is served elsewhere; one that does not end in time may have run for nothing.
 	percentile = 95
+	// estimateInterval is the number of durations after which the estimate is renewed.
+	estimateInterval = 8
 	// maxRoutes bounds the routes whose durations are kept.
 	maxRoutes = 512
 )
@@ -26,8 +28,9 @@
 }
 
 type samples struct {
-	took [numSamples]time.Duration
-	n    int // recorded so far
+	took     [numSamples]time.Duration
+	n        int           // recorded so far
+	estimate time.Duration // 0 until minSamples are recorded
 }
 
 // Record records how long a request of a route has run.
@@ -44,6 +47,11 @@
 	}
 	s.took[s.n%numSamples] = took
 	s.n++
+	if s.n >= minSamples && (s.n-minSamples)%estimateInterval == 0 {
+		took := slices.Clone(s.took[:min(s.n, numSamples)])
+		slices.Sort(took)
+		s.estimate = max(1, took[(len(took)*percentile-1)/100])
+	}
 }
 
 // Expect returns how long a request of a route is expected to run, 0 if that is not known.
@@ -54,10 +62,8 @@
 		return 0
 	}
 	s, ok := d.routes.Get(route)
-	if !ok || s.n < minSamples {
+	if !ok {
 		return 0
 	}
-	took := slices.Clone(s.took[:min(s.n, numSamples)])
-	slices.Sort(took)
-	return max(1, took[(len(took)*percentile-1)/100])
+	return s.estimate
 }
