internal/stopper, internal/assembler: the time of a stop counts from when its signal may have been sent

Callers of a process that stood still when it was told to stop had requests cut without an answer: the process counted its grace from the moment at which it handled the signal, and the platform's SIGKILL, which counts from the moment at which it sent it, came first.

The process now observes ten times a second, on the clock that counts suspends, that it runs. A gap of 0.25 s or more is a pause, and a signal that is handled within 0.5 s after one may have been sent at its beginning: the stop counts from there. If the signal was sent later the stop ends earlier than it had to, with answers all the same. "instance stops" states how late the signal may be, and what is left.

--- a/internal/assembler/assembler.go
+++ b/internal/assembler/assembler.go
@@ -106,6 +106,7 @@
 	isStopping atomic.Bool // the shutdown has started; new requests are accepted until isClosed
 	isClosed   atomic.Bool // new requests are rejected
 	halt       stopper.Stop
+	pauses     stopper.Pauses
 
 	numHandedOn atomic.Int64 // requests of peers that run here
 
@@ -373,7 +374,7 @@
 	defer end()
 	var wg sync.WaitGroup
 	for _, run := range []func(context.Context){
-		a.configFollower.Run, a.upstreamFollower.Run, a.queue.Run, a.lease.Run, a.conductor.Run, a.client.Run, a.quotas.Run, a.poisonSaver.Run, a.softwareSaver.Run, a.originSender.Run, a.originWriter.Run, a.links.Run, a.refresher.Run, a.sweepPeriodically,
+		a.configFollower.Run, a.upstreamFollower.Run, a.queue.Run, a.lease.Run, a.conductor.Run, a.client.Run, a.quotas.Run, a.poisonSaver.Run, a.softwareSaver.Run, a.originSender.Run, a.originWriter.Run, a.links.Run, a.refresher.Run, a.sweepPeriodically, a.pauses.Run,
 	} {
 		wg.Go(func() { run(work) })
 	}
--- a/internal/assembler/listen.go
+++ b/internal/assembler/listen.go
@@ -12,6 +12,7 @@
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 	"go.uber.org/zap"
 
+	"github.com/primrosedrift/primrosedrift/internal/clocker"
 	"github.com/primrosedrift/primrosedrift/internal/courier"
 	"github.com/primrosedrift/primrosedrift/internal/drainer"
 	"github.com/primrosedrift/primrosedrift/internal/logger"
@@ -154,10 +155,12 @@
 // directory, finishes the running requests, and closes the servers, the callers'
 // server first.
 func (a *Assembler) stop(ctx context.Context, servers []*server) error {
-	plan := stopper.Plan(time.Now(), 0, a.StopGrace)
+	late := a.pauses.Late(clocker.SinceStart())
+	plan := stopper.Plan(time.Now(), late, a.StopGrace)
 	a.isStopping.Store(true)
 	a.halt.Begin(plan)
-	a.Log.Info("instance stops", zap.Duration("grace", a.StopGrace))
+	a.Log.Info("instance stops", zap.Duration("grace", a.StopGrace), zap.Duration("late", late), zap.Duration("until-refuse", time.Until(plan.Refuse)),
+		zap.Duration("until-answer", time.Until(plan.Answer)), zap.Duration("until-close", time.Until(plan.Close)))
 	a.queue.RefuseForStop(func(r queuer.Request) bool { return plan.Fit(r.Takes, time.Now(), r.Deadline).Fits })
 	a.client.ReportNow()
 	sleeper.Sleep(ctx, time.Until(plan.Refuse))
--- a/internal/stopper/stopper_test.go
+++ b/internal/stopper/stopper_test.go
@@ -107,3 +107,37 @@
 	s.End()
 	<-done
 }
+
+// TestSignalIsNeverTakenForYoungerThanItIs plays processes that stand still: a signal is handled when the
+// process runs again, soon before or soon after the goroutine that observes it.
+func TestSignalIsNeverTakenForYoungerThanItIs(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var p Pauses
+		now := time.Second
+		for range rapid.IntRange(1, 20).Draw(t, "ticks") {
+			now += drawDuration(t, "interval", tickInterval, 4*tickInterval)
+			p.Tick(now)
+		}
+		sent := now + drawDuration(t, "sent", 0, tickInterval)
+		now = sent + drawDuration(t, "pause", 0, 10*time.Second)
+		if rapid.Bool().Draw(t, "observed first") {
+			p.Tick(now)
+			now += drawDuration(t, "handled after", 0, time.Millisecond)
+		}
+		late := p.Late(now)
+		require.GreaterOrEqual(t, late+minPause, now-sent)
+		require.LessOrEqual(t, late, now-sent+5*tickInterval+settleTime+minPause)
+	})
+}
+
+// TestPauseThatIsOverDoesNotShortenAStop guards against a stop that ends early because of a pause long ago.
+func TestPauseThatIsOverDoesNotShortenAStop(t *testing.T) {
+	var p Pauses
+	p.Tick(time.Second)
+	p.Tick(10 * time.Second)
+	for now := 10 * time.Second; now <= 11*time.Second; now += tickInterval {
+		p.Tick(now)
+	}
+	require.Zero(t, p.Late(11*time.Second+tickInterval))
+	require.Zero(t, new(Pauses).Late(time.Hour), "nothing was observed")
+}
