arranger, conductor: the last replica at a version where streams ran lately costs more to unload

Plans counted the requests for the rest of streams that wait.

Weighed and left out: a cost for loads from the store at the last free upstream of a version.

--- a/internal/arranger/arranger.go
+++ b/internal/arranger/arranger.go
@@ -30,6 +30,9 @@
 	// one software version can serve. A load from the store takes several times as long as one
 	// from disk or host memory and counts with waitingWeight.
 	boundWeight = 5.0
+	// returnWeight is that of a stream that its client may take up again, at the last replica of
+	// the only version that can serve it.
+	returnWeight = 0.1
 	// minBenefitRatio is the least ratio of a load's benefit to the cost of the
 	// unloads that it needs.
 	minBenefitRatio = 1.0
@@ -102,6 +105,8 @@
 	// bound counts the waiting requests for a model, adapters included, that may run at one
 	// software version only, and replicasWith its replicas there.
 	bound, replicasWith map[modelWith]int
+	// mayReturn counts the streams that may be taken up again.
+	mayReturn map[modelWith]int
 	// activeAdapters is the expected number of adapters in use at once, by model.
 	activeAdapters  map[string]float64
 	planned         map[string]bool // IDs of upstreams that have a planned move
@@ -129,11 +134,12 @@
 // for and that the plan does not begin.
 func PlanWithSkipped(f Fleet) ([]Move, []Skipped) {
 	p := &planner{Fleet: f, demand: make(map[string]Demand), replicas: make(map[string]int), activeAdapters: make(map[string]float64), planned: make(map[string]bool), candidateModels: make(map[string]bool)}
-	p.bound, p.replicasWith = make(map[modelWith]int), make(map[modelWith]int)
+	p.bound, p.mayReturn, p.replicasWith = make(map[modelWith]int), make(map[modelWith]int), make(map[modelWith]int)
 	for _, d := range f.Demands {
 		switch {
 		case d.Software != nil:
 			p.bound[modelWith{d.Model, *d.Software}] += d.Waiting
+			p.mayReturn[modelWith{d.Model, *d.Software}] += d.MayReturn
 		case d.Adapter == "":
 			p.demand[d.Model] = d
 		default:
--- a/internal/arranger/doc.go
+++ b/internal/arranger/doc.go
@@ -19,6 +19,8 @@
 //   - Requests for the rest of streams can run at one software version only. Where they wait
 //     and no upstream of their version has the model, its load is placed before all others
 //     and takes over what drains for new requests: these can go to upstreams of any version.
+//   - The last replica at a version where streams run, or ran a few seconds ago, costs more to
+//     unload: their clients may take them up again there.
 //   - Models are unloaded where that costs least. A replica whose requests other
 //     replicas can serve costs little, the last replica of a requested model
 //     costs its rate, and one that requests wait for is not unloaded.
--- a/internal/arranger/fleet.go
+++ b/internal/arranger/fleet.go
@@ -65,11 +65,13 @@
 type Demand struct {
 	Model, Adapter string
 	// Software, if not nil, is the only software version at which the requests may run. They
-	// are for the rest of streams that began there, and only those that wait are counted.
+	// are for the rest of streams that began there, and only Waiting and MayReturn are set.
 	Software *string
 	// Rate is in requests per second.
 	Rate             float64
 	Waiting, Running int
+	// MayReturn is how many streams that began at the software version may be taken up again.
+	MayReturn int
 }
 
 // mayRunAt reports whether the requests may run at the upstream.
--- a/internal/arranger/place.go
+++ b/internal/arranger/place.go
@@ -166,6 +166,7 @@
 		v := victim{r, p.unloadCost(r)}
 		if k := (modelWith{r.Model, u.Software}); p.replicasWith[k] == 1 {
 			v.cost += boundWeight * float64(p.bound[k])
+			v.cost += returnWeight * float64(p.mayReturn[k])
 		}
 		if tier == FromStore && p.replicas[r.Model] == 1 {
 			v.cost += p.unavailableCost(r.Model, u)
--- a/internal/arranger/streams_test.go
+++ b/internal/arranger/streams_test.go
@@ -107,3 +107,38 @@
 	f.Demands = append(f.Demands, Demand{Model: "m8", Software: &v1, Waiting: 1})
 	require.Contains(t, loadOrders(Plan(f)), "e0 m8")
 }
+
+// TestLastReplicaForStreamsThatBrokeStays guards against the eviction of the only replica that can serve streams whose clients are about to return.
+func TestLastReplicaForStreamsThatBrokeStays(t *testing.T) {
+	var s Streams
+	newFleet := func(at time.Duration) Fleet {
+		f, _ := twoVersions()
+		f.Now = now.Add(at)
+		f.Upstreams[0].OnDisk = append(f.Upstreams[0].OnDisk, "m8")
+		f.busyFor(1, 5*time.Second)
+		f.addDemand("m8", "", 2, 1)
+		return f
+	}
+	victim := func(f Fleet) string {
+		moves := Plan(f)
+		require.Len(t, moves, 1)
+		require.Equal(t, "e0", moves[0].Upstream)
+		return moves[0].Orders[0].Model
+	}
+	require.Equal(t, "m0", victim(newFleet(0)), "no streams")
+	running := newFleet(0)
+	running.Upstreams[0].Models[0].Running = 3
+	s.Observe(&running)
+	broken := newFleet(time.Second)
+	s.Observe(&broken)
+	require.Equal(t, "m1", victim(broken))
+	later := newFleet(time.Second + streamReturnTime)
+	s.Observe(&later)
+	require.Equal(t, "m0", victim(later), "nobody has returned")
+	one := newFleet(time.Second)
+	for i := range one.Upstreams {
+		one.Upstreams[i].Software = "v1"
+	}
+	s.Observe(&one)
+	require.Len(t, one.Demands, 9, "with one version any upstream can serve them")
+}
--- a/internal/conductor/conductor.go
+++ b/internal/conductor/conductor.go
@@ -125,7 +125,8 @@
 	hostSlots     map[string]int // by service, see arranger.Fleet
 	storeLimit    limiter.Limit
 	hasStoreLimit bool
-	skippedAt     map[boundKey]time.Time // when a load for the rest of streams was last logged as skipped
+	streams       map[string]*arranger.Streams // by service
+	skippedAt     map[boundKey]time.Time       // when a load for the rest of streams was last logged as skipped
 	moves         sync.WaitGroup
 }
 
@@ -221,6 +222,7 @@
 	c.rates = make(map[key]*rater.Rate)
 	c.lastArrival = make(map[key]time.Time)
 	c.hostSlots = make(map[string]int)
+	c.streams = make(map[string]*arranger.Streams)
 	c.wake = make(chan struct{}, 1)
 }
 
--- a/internal/conductor/fleet.go
+++ b/internal/conductor/fleet.go
@@ -30,6 +30,12 @@
 	})
 	f.StoreLoads = c.storeLoadsLocked()
 	f.Demands = c.demandsLocked(svc.Name, now)
+	if c.Config().HasResumableStreams(svc.Name) {
+		if c.streams[svc.Name] == nil {
+			c.streams[svc.Name] = &arranger.Streams{}
+		}
+		c.streams[svc.Name].Observe(&f)
+	}
 	return f
 }
 
--- a/internal/emulator/emulator.go
+++ b/internal/emulator/emulator.go
@@ -172,6 +172,7 @@
 	results         map[string]*Result
 	waiting         []*queued
 	hasArrivals     bool
+	streams         arranger.Streams
 	initialReplicas map[string]int // replicas at the start, by model
 }
 
--- a/internal/emulator/engine.go
+++ b/internal/emulator/engine.go
@@ -168,6 +168,7 @@
 		f.Upstreams = append(f.Upstreams, u)
 	}
 	f.Demands = sim.demands(running)
+	sim.streams.Observe(&f)
 	before := sim.drainState()
 	for _, e := range sim.engines {
 		e.draining = nil
--- a/internal/matcher/matcher.go
+++ b/internal/matcher/matcher.go
@@ -155,14 +155,18 @@
 	Accounts *authenticator.Accounts
 
 	routesByHost map[string][]Route // longest prefix first
+	resumable    map[string]bool    // services with streams that may resume
 }
 
 // New returns a configuration. Hosts of routes match without port and case.
 func New(version int64, routes []Route, services map[string]Service, limits Limits) *Config {
-	c := &Config{Version: version, Services: services, Limits: limits, routesByHost: make(map[string][]Route)}
+	c := &Config{Version: version, Services: services, Limits: limits, routesByHost: make(map[string][]Route), resumable: make(map[string]bool)}
 	for _, r := range routes {
 		host := normalize(r.Host)
 		c.routesByHost[host] = append(c.routesByHost[host], r)
+		for _, t := range r.Targets {
+			c.resumable[t.Service] = c.resumable[t.Service] || r.IsStream && r.IsResumable
+		}
 	}
 	for _, list := range c.routesByHost {
 		slices.SortStableFunc(list, func(a, b Route) int { return cmp.Compare(len(b.Prefix), len(a.Prefix)) })
@@ -189,6 +193,9 @@
 	return Route{}, false
 }
 
+// HasResumableStreams reports whether a route to the service has streams that may resume.
+func (c *Config) HasResumableStreams(service string) bool { return c.resumable[service] }
+
 // NumRoutes returns the number of routes.
 func (c *Config) NumRoutes() int {
 	n := 0
