internal/verifier: the version of a stream is that of the process that sends it

Streams went on at another software version. An upstream restarts under its id, with another version, and answers about a second before its registration is read, or long before while the log does not respond. The version of a stream was taken from the registration that the instance knew, so the origin of a stream was recorded with the version of the process before, and the rest of a stream was sent to the process after. No response says which process sends it.

The state of an upstream says when its process started. A registered process that lives after a connection was opened is the one that the connection leads to, since one process at a time has an id. So a state that is requested after the first event, or a registration that was read at least 3 s after, is proof. Until then the origin is unproven: its stream counts as one that nobody knows, and does not go on elsewhere within the response. States are requested only if the service has had several versions or the registrations are old, for many streams at once, and beside the stream. The rest of a stream is forwarded once its process is proven. When a second version appears, or the store is lost, what is not proven yet is proven at once, and the instance that began a stream proves it when another one asks. Registrations do not count as fresh while some may be missing after an outage.

The message has a new field, which earlier builds ignore: they take the version for known, as before. Unproven origins are not archived, so records in the log are as before.

--- a/internal/archiver/archiver.go
+++ b/internal/archiver/archiver.go
@@ -34,5 +34,5 @@
 // isStorable reports whether an origin may be archived. Ids and versions come from outside and may
 // be of any length.
 func isStorable(o streamtracker.Origin) bool {
-	return o.IsBound && o.TTL > 0 && o.Stream != "" && max(len(o.Stream), len(o.Service), len(o.Software)) <= maxTextBytes
+	return o.IsBound && !o.IsUnproven && o.TTL > 0 && o.Stream != "" && max(len(o.Stream), len(o.Service), len(o.Software)) <= maxTextBytes
 }
--- a/internal/assembler/assembler.go
+++ b/internal/assembler/assembler.go
@@ -34,6 +34,7 @@
 	"github.com/primrosedrift/primrosedrift/internal/stopper"
 	"github.com/primrosedrift/primrosedrift/internal/streamtracker"
 	"github.com/primrosedrift/primrosedrift/internal/syncer"
+	"github.com/primrosedrift/primrosedrift/internal/verifier"
 	peerv1 "github.com/primrosedrift/primrosedrift/pkg/api/peer/v1"
 )
 
@@ -200,7 +201,13 @@
 	a.queue.ConductorSilence = func() time.Duration { return a.client.ViewAge() }
 	a.queue.Table.DataCentre, a.queue.Table.IsBrittle = a.DataCentre, a.upstreamTable.IsBrittle
 	a.retryBudgets = &retrier.Budgets{Ratio: usedRetryFraction * a.RetryRatio, Reserve: usedReserveFraction * a.RetryReserve / minReserveMembers, StartsEmpty: true}
+	remote := a.NewRemote(a.pool)
 	a.relayer = &relayer.Relayer{
+		Verifier: &verifier.Verifier{Upstreams: a.upstreamTable, Log: a.Log.Named("verifier"), Metrics: verifier.NewMetrics(a.registry), StartOf: func(ctx context.Context, u *registrar.Upstream) (int64, error) {
+			s, err := remote.State(ctx, u)
+			a.upstreamTable.ApplyNotice(u.ID, u.StartedAtMs, s.Notice, time.Now())
+			return s.StartedAtMs, err
+		}},
 		Codec: a.Codec, Config: a.config.Load, Upstreams: a.upstreamTable, Queue: a.queue, Pool: a.pool, RetryBudgets: a.retryBudgets,
 		Losses: a.losses, Streams: a.streams, Links: a.links, Peers: a.peersToHandOn, PeerOf: a.peerNamed,
 		PeerPool: &courier.Pool{IDHeader: a.Codec.IDHeader, UserTimeout: peerUserTimeout}, Log: a.Log.Named("relayer"), Metrics: relayer.NewMetrics(a.registry),
@@ -284,8 +291,13 @@
 	}
 	a.upstreamFollower = &follower.Follower{
 		Name: topicUpstreams, Topic: a.UpstreamTopic, MaxWait: a.MaxDrainDelay / 4, MinInterval: a.MaxDrainDelay * 2 / 5, Log: log, OnRecords: a.applyUpstreams,
-		OnPlatformLost: func(away bool) { a.upstreamTable.SetPlatformLost(away, time.Now()) },
-		ReadNearby:     a.client.NearbyReader(topicUpstreams, a.MaxDrainDelay*2/5+max(staleReadMargin, a.MaxDrainDelay/staleDrainShare)),
+		OnPlatformLost: func(away bool) {
+			a.upstreamTable.SetPlatformLost(away, time.Now())
+			if away {
+				a.streams.ProveAll()
+			}
+		},
+		ReadNearby: a.client.NearbyReader(topicUpstreams, a.MaxDrainDelay*2/5+max(staleReadMargin, a.MaxDrainDelay/staleDrainShare)),
 		ReadPeers: func(ctx context.Context, from sequencer.Position) (follower.Batch, error) {
 			return a.client.RequestRecords(ctx, topicUpstreams, from)
 		},
--- a/internal/assembler/registrations.go
+++ b/internal/assembler/registrations.go
@@ -40,15 +40,24 @@
 	}
 }
 
+// maxRegistrationDelay is how long before it is appended to the log an upstream may have sent a
+// registration.
+const maxRegistrationDelay = 3 * time.Second
+
 // recordRegistrations records that upstreams lived when they wrote the registrations. Those
 // that are read late, after an outage, are left out.
 func (a *Assembler) recordRegistrations(changes map[string]*registrar.Upstream, now time.Time) {
 	if !a.upstreamTable.IsComplete(now) {
 		return
 	}
+	age, isKnown := a.upstreamFollower.Age() // of what was known before: all records are younger
 	for _, u := range changes {
-		if u != nil {
-			a.losses.RecordRegistration(u.Incarnation(), now)
+		if u == nil {
+			continue
+		}
+		a.losses.RecordRegistration(u.Incarnation(), now)
+		if isKnown {
+			a.upstreamTable.RecordAlive(u.Incarnation(), now.Add(-age-maxRegistrationDelay))
 		}
 	}
 }
--- a/internal/assembler/streams.go
+++ b/internal/assembler/streams.go
@@ -39,7 +39,7 @@
 		},
 		IsFresh: func() bool {
 			age, ok := a.upstreamFollower.Age()
-			return ok && age < a.MaxDrainDelay
+			return ok && age < a.MaxDrainDelay && a.upstreamTable.IsComplete(time.Now())
 		},
 	}
 }
--- a/internal/conductor/move.go
+++ b/internal/conductor/move.go
@@ -223,7 +223,11 @@
 	sctx, cancel := context.WithTimeout(ctx, stateTimeout)
 	defer cancel()
 	c.Metrics.states.Inc()
+	requestedAt := time.Now()
 	s, err := c.Remote.State(sctx, e.up)
+	if err == nil && s.StartedAtMs == e.up.StartedAtMs {
+		c.Upstreams.RecordAlive(e.up.Incarnation(), requestedAt)
+	}
 	c.Upstreams.ApplyNotice(e.up.ID, e.up.StartedAtMs, s.Notice, time.Now())
 	return s, err
 }
--- a/internal/courier/courier.go
+++ b/internal/courier/courier.go
@@ -59,6 +59,8 @@
 	HasLength bool
 	// IsMatched says that the response carries the request's id.
 	IsMatched bool
+	// OpenedAt is when the connection was established.
+	OpenedAt time.Time
 }
 
 // Error is a failure to send a request or to read its response.
@@ -152,7 +154,7 @@
 	x.conn.applyKeepAlive(httpResp.Header)
 	isReusable := hasLength && !httpResp.Close && isMatched && !x.isLongRequest
 	return &Response{
-		Status: httpResp.StatusCode, Header: httpResp.Header, HasLength: hasLength, IsMatched: isMatched,
+		Status: httpResp.StatusCode, Header: httpResp.Header, HasLength: hasLength, IsMatched: isMatched, OpenedAt: x.conn.openedAt,
 		Body: &body{ReadCloser: httpResp.Body, x: x, isReusable: isReusable},
 	}, nil
 }
--- a/internal/courier/pool.go
+++ b/internal/courier/pool.go
@@ -59,6 +59,7 @@
 	r           *bufio.Reader // reads from head
 	numRequests int           // that were written on it
 	ids         []uint64      // hashes of the ids of these requests
+	openedAt    time.Time
 	idleAt      time.Time
 	maxIdle     time.Duration
 }
@@ -104,7 +105,8 @@
 		return nil, &Error{Address: address, Err: err, IsDial: true}
 	}
 	head := &headLimiter{r: nc}
-	return &conn{Conn: nc, head: head, r: bufio.NewReaderSize(head, readBufferBytes), idleAt: time.Now(), maxIdle: orDefault(p.MaxIdle, DefaultMaxIdle)}, nil
+	now := time.Now()
+	return &conn{Conn: nc, head: head, r: bufio.NewReaderSize(head, readBufferBytes), openedAt: now, idleAt: now, maxIdle: orDefault(p.MaxIdle, DefaultMaxIdle)}, nil
 }
 
 // TryConnect opens a connection to an address and closes it. It does not call OnDial.
--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -158,6 +158,7 @@
 	suspicions     map[string]moment               // when a restart was last suspected
 	broken         map[string]moment               // when a connection was last refused or broke
 	served         map[string]moment               // when the last request that was served had been sent
+	alive          map[string]moment               // when the process last lived for sure
 	loadedAt       map[string]map[string]time.Time // when a model was loaded, within settleTime
 	brittleAt      map[string]time.Time            // by service: when an upstream last said that it is brittle
 	vanished       map[string]struct{}             // ids of registrations that vanished and are kept for now
@@ -339,6 +340,7 @@
 	t.suspicions = make(map[string]moment)
 	t.broken = make(map[string]moment)
 	t.served = make(map[string]moment)
+	t.alive = make(map[string]moment)
 	t.loadedAt = make(map[string]map[string]time.Time)
 	t.vanished = make(map[string]struct{})
 }
@@ -356,6 +358,7 @@
 	delete(t.suspicions, id)
 	delete(t.broken, id)
 	delete(t.served, id)
+	delete(t.alive, id)
 	delete(t.loadedAt, id)
 	delete(t.vanished, id)
 	return e
--- a/internal/registrar/registrar_test.go
+++ b/internal/registrar/registrar_test.go
@@ -138,3 +138,24 @@
 	table.ApplyViews([]View{{ID: "u", StartedAtMs: 1}}, now)
 	require.Len(t, table.Snapshot().ByService["s"], 1, "a view of an earlier one does not matter")
 }
+
+// TestLifeOfAProcessIsNotThatOfTheNext guards against a registration of the next process that counts
+// as proof for connections to the one before.
+func TestLifeOfAProcessIsNotThatOfTheNext(t *testing.T) {
+	var table Table
+	first, next := Incarnation{"e1", 1}, Incarnation{"e1", 2}
+	table.RecordAlive(first, start)
+	require.False(t, table.WasAlive(first, start), "not registered")
+	table.ApplyRegistrations(byID(engine("e1", 1)), start)
+	table.RecordAlive(first, start.Add(time.Second))
+	table.RecordAlive(first, start)
+	require.True(t, table.WasAlive(first, start.Add(time.Second)))
+	require.False(t, table.WasAlive(first, start.Add(time.Second+1)))
+	require.False(t, table.WasAlive(next, start))
+	table.ApplyRegistrations(byID(engine("e1", 2)), start)
+	require.False(t, table.WasAlive(next, start))
+	require.True(t, table.WasAlive(first, start), "it lived then, whatever came later")
+	table.RecordAlive(next, start.Add(2*time.Second))
+	require.False(t, table.WasAlive(first, start))
+	require.True(t, table.WasAlive(next, start))
+}
--- a/internal/relayer/attempt.go
+++ b/internal/relayer/attempt.go
@@ -168,6 +168,7 @@
 	defer resp.Body.Close()
 	slot.RecordPrefill()
 	c.headLatency = time.Since(began)
+	c.origin.upstream, c.origin.openedAt = u, resp.OpenedAt
 	r := c.Codec.ParseResponse(resp.Status, resp.Header)
 	if r.IsLimited {
 		c.Metrics.limited.WithLabelValues(c.admission.Service).Inc()
--- a/internal/relayer/origin.go
+++ b/internal/relayer/origin.go
@@ -6,17 +6,27 @@
 
 	"github.com/primrosedrift/primrosedrift/internal/registrar"
 	"github.com/primrosedrift/primrosedrift/internal/streamtracker"
+	"github.com/primrosedrift/primrosedrift/pkg/verdict"
 )
 
 // originMargin is how much longer than its deadline the origin of a stream is kept.
 const originMargin = 5 * time.Second
 
+// maxProofWait bounds how long the rest of a stream waits until the process that sends it is known.
+const maxProofWait = 500 * time.Millisecond
+
 // originState is what is known of the software version that begins a stream.
 type originState struct {
 	delivery     *streamtracker.Delivery // of the record of the last attempt
 	last         streamtracker.Origin    // that record
 	hasRecord    bool
 	isCorrection bool // an earlier attempt was at another version
+	// upstream and openedAt are those of the connection of the last attempt.
+	upstream *registrar.Upstream
+	openedAt time.Time
+	// isUnproven says that the stream has begun here, at a process that may be another one than
+	// the registered one.
+	isUnproven bool
 }
 
 func (c *call) isResumable() bool { return c.route.IsStream && c.route.IsResumable }
@@ -44,7 +54,7 @@
 	o.isCorrection = o.isCorrection || o.hasRecord && o.last.Software != u.Software
 	o.last, o.hasRecord = streamtracker.Origin{
 		Stream: c.requestInfo.ID, Service: c.admission.Service, Software: u.Software, Attempt: c.numSends,
-		TTL: max(c.requestInfo.Deadline, time.Until(c.deadline)) + originMargin,
+		TTL: max(c.requestInfo.Deadline, time.Until(c.deadline)) + originMargin, IsUnproven: c.canVerify(),
 	}, true
 	o.delivery = c.Streams.Begin(o.last)
 }
@@ -56,7 +66,14 @@
 	}
 	// The instance that handed the request on may have recorded attempts of its own.
 	mayDiffer := c.origin.isCorrection || c.handOn.isReceived
-	bound := c.Streams.Bind(c.origin.last, mayDiffer)
+	var verify func(context.Context) bool
+	if c.canVerify() {
+		u, openedAt := c.origin.upstream, c.origin.openedAt
+		verify = func(ctx context.Context) bool { return c.Verifier.Verify(ctx, u, openedAt) }
+		c.origin.isUnproven = !c.Verifier.IsProven(u, openedAt)
+	}
+	c.origin.last.IsUnproven = c.origin.isUnproven
+	bound := c.Streams.Bind(c.origin.last, mayDiffer, verify)
 	if bound != nil {
 		c.origin.delivery = bound
 	}
@@ -88,3 +105,32 @@
 	c.admission.Software = &software
 	return nil
 }
+
+// canVerify reports whether upstreams of the service say when their processes started.
+func (c *call) canVerify() bool {
+	return c.cfg.Services[c.admission.Service].Engine != nil && c.Verifier != nil
+}
+
+// proveOrigin returns an error if a stream that has begun here cannot go on at another upstream,
+// since it is not known which software version began it.
+func (c *call) proveOrigin(ctx context.Context) error {
+	if !c.origin.isUnproven {
+		return nil
+	}
+	if c.Streams.IsAtRisk(c.admission.Service) && !c.Streams.Prove(ctx, c.requestInfo.ID) {
+		return verdict.Refuse(verdict.ReasonUnknownOrigin, 0, "it is not known which version began the stream: %s", c.lastFailure)
+	}
+	c.origin.isUnproven = false
+	return nil
+}
+
+// hasOriginVersion reports whether the process that sends the rest of a stream is known to be the
+// registered one, which is of the version that began the stream.
+func (c *call) hasOriginVersion(ctx context.Context) bool {
+	if c.admission.Software == nil || c.handOn.isRunning || !c.canVerify() || !c.Streams.IsAtRisk(c.admission.Service) {
+		return true
+	}
+	ctx, cancel := context.WithTimeout(ctx, maxProofWait)
+	defer cancel()
+	return c.Verifier.Verify(ctx, c.origin.upstream, c.origin.openedAt)
+}
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -18,6 +18,7 @@
 	"github.com/primrosedrift/primrosedrift/internal/retrier"
 	"github.com/primrosedrift/primrosedrift/internal/stopper"
 	"github.com/primrosedrift/primrosedrift/internal/streamtracker"
+	"github.com/primrosedrift/primrosedrift/internal/verifier"
 	"github.com/primrosedrift/primrosedrift/pkg/verdict"
 )
 
@@ -115,6 +116,9 @@
 	Losses       *losstracker.Tracker
 	// Streams knows which software versions began streams.
 	Streams *streamtracker.Keeper
+	// Verifier finds out whether the processes of upstreams are the registered ones. Without it
+	// they count as such.
+	Verifier *verifier.Verifier
 	// Links knows whether this instance reaches the upstreams. While it does not, requests
 	// are handed on to peers.
 	Links *linkwatcher.Watcher
@@ -341,6 +345,9 @@
 		if err := c.refuseIfStopping(); err != nil {
 			return err
 		}
+		if err := c.proveOrigin(ctx); err != nil {
+			return c.withEarlierAttempts(verdict.FromError(err))
+		}
 		if err := c.refuseIfCut(); err != nil {
 			return err
 		}
--- a/internal/relayer/stream.go
+++ b/internal/relayer/stream.go
@@ -61,6 +61,9 @@
 			if err := before.checkNext(id); ok && err != nil {
 				return attemptResult{hasFailed: true, reason: err.Error()}
 			}
+			if ok && !c.hasOriginVersion(ctx) {
+				return attemptResult{reason: "the upstream is not known to be of the version that began the stream"}
+			}
 			if isRest = !ok; isRest {
 				end = 0 // only comments so far
 			}
--- a/internal/streamtracker/doc.go
+++ b/internal/streamtracker/doc.go
@@ -14,6 +14,10 @@
 //     sent to their homes as well.
 //   - An instance that does not know a stream asks its homes. Of several records of a
 //     stream, that of the latest attempt holds.
+//   - An origin is unproven until the process that sent the first event is known to be the
+//     registered one (package verifier): a registration may be older than the process. While it
+//     is, its stream counts as one that nobody knows, unless the service has one version and the
+//     registrations have been read lately.
 //   - A stream that nobody knows goes on only if its service has had a single version for as
 //     long as a stream may last. Otherwise it is refused: a guess would be wrong half of the
 //     time.
--- a/internal/streamtracker/keeper.go
+++ b/internal/streamtracker/keeper.go
@@ -64,6 +64,8 @@
 	// IsFresh reports whether this instance has read the registrations lately.
 	IsFresh func() bool
 	Log     *zap.Logger
+
+	unproven unproven
 }
 
 // Begin records that an attempt to begin a stream is made. It returns nil if no other
@@ -78,21 +80,39 @@
 }
 
 // Bind records that an attempt has brought the first event of its stream. If the homes may have
-// the record of another attempt, it returns the delivery of this one.
-func (k *Keeper) Bind(o Origin, mayDiffer bool) *Delivery {
+// the record of another attempt, it returns the delivery of this one. verify, if not nil, waits
+// until it is known whether the registered process has sent the event, and reports that. It is called
+// if the origin is unproven, once it matters.
+func (k *Keeper) Bind(o Origin, mayDiffer bool, verify func(context.Context) bool) *Delivery {
 	o.IsBound = true
 	k.Tracker.Record(o, time.Now())
-	if !k.History.HasSeveral(o.Service) {
+	hasSeveral := k.History.HasSeveral(o.Service)
+	switch {
+	case o.IsUnproven:
+		k.unproven.add(o, verify, time.Now())
+		if k.IsAtRisk(o.Service) {
+			go k.Prove(context.Background(), o.Stream)
+		}
+	case hasSeveral:
+		k.archive(o)
+	}
+	isAtRisk := hasSeveral || o.IsUnproven && k.IsAtRisk(o.Service)
+	wasUnproven := verify != nil // when it was sent before the attempt
+	if !isAtRisk || !mayDiffer && !wasUnproven {
 		return nil
 	}
-	k.archive(o)
+	d := k.Send([]Origin{o})
 	if !mayDiffer {
 		return nil
 	}
-	d := k.Send([]Origin{o})
 	return &d
 }
 
+// IsAtRisk reports whether upstreams of a service may be of several software versions.
+func (k *Keeper) IsAtRisk(service string) bool {
+	return k.History.HasSeveral(service) || k.IsFresh != nil && !k.IsFresh()
+}
+
 // Await waits before the first event of a stream until the record is at another instance, for
 // a bounded time. isCorrection says that an earlier attempt was at another version.
 func (k *Keeper) Await(ctx context.Context, d *Delivery, isCorrection bool) {
@@ -122,7 +142,10 @@
 	k.Send(list)
 	var bound []Origin
 	for _, o := range list {
-		if o.IsBound {
+		switch {
+		case o.IsBound && o.IsUnproven:
+			go k.Prove(context.Background(), o.Stream)
+		case o.IsBound:
 			bound = append(bound, o)
 		}
 	}
@@ -138,7 +161,8 @@
 // Resolve returns the software version at which a stream began. It returns a refusal if
 // that is not known and the service has had several.
 func (k *Keeper) Resolve(ctx context.Context, stream, service string) (string, error) {
-	if o, ok := k.Tracker.Find(stream, time.Now()); ok && o.Service == service {
+	o, isKnown := k.Tracker.Find(stream, time.Now())
+	if isKnown = isKnown && o.Service == service; isKnown && (!k.IsAtRisk(service) || k.Prove(ctx, stream)) {
 		return o.Software, nil
 	}
 	actx, cancel := context.WithTimeout(ctx, askTimeout)
@@ -147,9 +171,12 @@
 	now := time.Now()
 	if o, ok := latest(answers); ok && o.Service == service {
 		k.Tracker.Record(o, now)
-		return o.Software, nil
+		if !o.IsUnproven {
+			return o.Software, nil
+		}
+		isKnown = true
 	}
-	versions, err := k.onlyVersion(ctx, service, answers, numAsked)
+	versions, err := k.onlyVersion(ctx, service, answers, numAsked, isKnown)
 	if err != nil {
 		o, ok, lerr := k.findArchived(ctx, stream, service)
 		if ok {
@@ -161,7 +188,7 @@
 		}
 	}
 	k.Log.Info("stream of unknown version taken up", zap.String("stream", stream), zap.String("service", service),
-		zap.Int("asked", numAsked), zap.Int("answers", len(answers)), zap.Strings("versions", versions), logger.Error(err))
+		zap.Bool("unproven", isKnown), zap.Int("asked", numAsked), zap.Int("answers", len(answers)), zap.Strings("versions", versions), logger.Error(err))
 	if err != nil {
 		return "", err
 	}
@@ -177,7 +204,7 @@
 		return Origin{}, false, err
 	}
 	o, ok = k.Tracker.Find(stream, time.Now())
-	return o, ok && o.IsBound && o.Service == service, nil
+	return o, ok && o.IsBound && !o.IsUnproven && o.Service == service, nil
 }
 
 // latest returns the origin that is bound, or else that of the latest attempt.
@@ -191,8 +218,9 @@
 }
 
 // onlyVersion returns the versions that a service has had as far as this and the responding
-// instances know. It returns a refusal unless it is known to be a single one.
-func (k *Keeper) onlyVersion(ctx context.Context, service string, answers []Answer, numAsked int) ([]string, error) {
+// instances know. It returns a refusal unless it is known to be a single one. isUnproven says that
+// the stream is known, and the process that began it is not.
+func (k *Keeper) onlyVersion(ctx context.Context, service string, answers []Answer, numAsked int, isUnproven bool) ([]string, error) {
 	now := time.Now()
 	isFresh := k.IsFresh()
 	for _, a := range answers {
@@ -217,6 +245,8 @@
 		return list, refuse("the service has had %d software versions", len(list))
 	case !known.IsComplete():
 		return list, refuse("software versions of the service are known for %v only", known.Covered.Round(time.Millisecond))
+	case isUnproven && !isFresh:
+		return list, refuse("registrations are old, and another process than the registered one may have begun the stream")
 	case !isFresh && 2*len(answers) < numAsked || !isFresh && numAsked == 0:
 		// Instances that are cut off together would miss a new version.
 		return list, refuse("registrations are old, and %d of %d instances answer", len(answers), numAsked)
--- a/internal/streamtracker/keeper_test.go
+++ b/internal/streamtracker/keeper_test.go
@@ -37,6 +37,8 @@
 		o.IsBound = true
 		return o
 	}
+	unproven := bound("v1", 1)
+	unproven.IsUnproven = true
 	outage := errors.New("the platform is away")
 	all := versions(StreamMemory, "v1")
 	for name, tt := range map[string]struct {
@@ -68,6 +70,13 @@
 		"unknown, outage for all":          {current: []string{"v1"}, saved: all, isOld: true, answers: []Answer{answer(all), answer(all)}, numAsked: 3, want: "v1"},
 		"no version in sight":              {saved: versions(StreamMemory)},
 		"homes differ, one is bound":       {answers: []Answer{answer(all, bound("v2", 1)), answer(all, origin("v1", 2))}, numAsked: 3, current: []string{"v1", "v2"}, want: "v2"},
+		"unproven at a home, two versions": {current: []string{"v1", "v2"}, answers: []Answer{answer(all, unproven)}, numAsked: 1},
+		"unproven at a home, one version":  {current: []string{"v1"}, saved: all, answers: []Answer{answer(all, unproven)}, numAsked: 1, want: "v1"},
+		"unproven at a home, outage":       {current: []string{"v1"}, saved: all, isOld: true, answers: []Answer{answer(all, unproven), answer(all)}, numAsked: 2},
+		"unproven at one home of two":      {current: []string{"v1", "v2"}, answers: []Answer{answer(all, unproven), answer(all, bound("v1", 1))}, numAsked: 2, want: "v1"},
+		"unproven here, outage":            {current: []string{"v1"}, saved: all, isOld: true, own: []Origin{unproven}, answers: []Answer{answer(all)}, numAsked: 1},
+		"unproven here, one version":       {current: []string{"v1"}, own: []Origin{unproven}, want: "v1"},
+		"unproven here, archived":          {current: []string{"v1", "v2"}, own: []Origin{unproven}, archived: []Origin{bound("v1", 1)}, want: "v1"},
 		"archived":                         {current: []string{"v1", "v2"}, archived: []Origin{bound("v2", 1)}, want: "v2"},
 		"archived, versions not saved":     {current: []string{"v1"}, loadErr: outage, archived: []Origin{bound("v2", 1)}, want: "v2"},
 		"another stream is archived":       {current: []string{"v1", "v2"}, archived: []Origin{{Stream: "s", Service: service, Software: "v1", TTL: time.Minute, IsBound: true}}},
@@ -199,13 +208,13 @@
 	k.Begin(origin("not-bound"))
 	for _, stream := range []string{"runs", "has-ended"} {
 		k.Begin(origin(stream))
-		k.Bind(origin(stream), false)
+		k.Bind(origin(stream), false, nil)
 	}
 	k.Tracker.RecordEnd("has-ended")
 	require.Empty(t, archived, "one version only")
 	k.History.Observe(map[string][]string{service: {"v1", "v2"}}, true, time.Now())
 	require.Equal(t, []string{"runs"}, archived)
-	k.Bind(origin("not-bound"), false)
+	k.Bind(origin("not-bound"), false, nil)
 	require.Equal(t, []string{"runs", "not-bound"}, archived)
 }
 
@@ -225,3 +234,44 @@
 	_, err := k.Resolve(t.Context(), "began-at-v1", service)
 	require.Equal(t, verdict.ReasonUnknownOrigin, verdict.FromError(err).Reason)
 }
+
+// TestOriginIsProvenOnceItMatters guards against streams that are refused although the process that
+// began them is known by now, and against proof that is asked for while there is one version.
+func TestOriginIsProvenOnceItMatters(t *testing.T) {
+	for name, isProven := range map[string]bool{"the registered process": true, "another process": false} {
+		t.Run(name, func(t *testing.T) {
+			var sent []Origin
+			done := make(chan struct{})
+			close(done)
+			k := &Keeper{
+				Tracker: &Tracker{}, History: &History{}, Log: zap.NewNop(), IsFresh: func() bool { return true },
+				Send:        func(list []Origin) Delivery { sent = append(sent, list...); return Delivery{First: done, All: done} },
+				Ask:         func(context.Context, string, string) ([]Answer, int) { return nil, 0 },
+				LoadArchive: func(context.Context) error { return nil },
+			}
+			numCalls := 0
+			verify := func(context.Context) bool { numCalls++; return isProven }
+			k.History.Observe(map[string][]string{service: {"v1"}}, true, time.Now())
+			k.Bind(Origin{Stream: "r", Service: service, Software: "v1", Attempt: 1, TTL: time.Minute, IsUnproven: true}, false, verify)
+			_, err := k.Resolve(t.Context(), "r", service)
+			require.NoError(t, err)
+			require.Zero(t, numCalls, "one version")
+			require.Empty(t, sent)
+			k.History.Observe(map[string][]string{service: {"v1", "v2"}}, true, time.Now())
+			software, err := k.Resolve(t.Context(), "r", service)
+			require.Equal(t, 1, numCalls)
+			if !isProven {
+				require.Equal(t, verdict.ReasonUnknownOrigin, verdict.FromError(err).Reason)
+				require.Empty(t, sent)
+				return
+			}
+			require.NoError(t, err)
+			require.Equal(t, "v1", software)
+			require.Len(t, sent, 1)
+			require.False(t, sent[0].IsUnproven)
+			_, err = k.Resolve(t.Context(), "r", service)
+			require.NoError(t, err)
+			require.Equal(t, 1, numCalls, "known by now")
+		})
+	}
+}
--- a/internal/streamtracker/simulation_test.go
+++ b/internal/streamtracker/simulation_test.go
@@ -138,7 +138,7 @@
 		stream, version := fmt.Sprint("r", n), i.seen[s.rng.IntN(len(i.seen))]
 		o := Origin{Stream: stream, Service: service, Software: version, Attempt: 1, TTL: time.Minute}
 		i.keeper.Begin(o)
-		i.keeper.Bind(o, false)
+		i.keeper.Bind(o, false, nil)
 		s.began[stream] = version
 		s.streams = append(s.streams, stream)
 	case x < 16 && len(s.streams) > 0: // a client takes one of the latest up
--- a/internal/streamtracker/tracker.go
+++ b/internal/streamtracker/tracker.go
@@ -26,6 +26,9 @@
 	// IsBound says that this attempt brought the first event. No other record of the stream can
 	// then hold.
 	IsBound bool
+	// IsUnproven says that Software is that of a registration, and that the process which sent the
+	// first event is not known to be the registered one.
+	IsUnproven bool
 	// TTL is how long the stream may still be taken up.
 	TTL time.Duration
 }
@@ -74,7 +77,10 @@
 	if o.IsBound != other.IsBound {
 		return o.IsBound
 	}
-	return o.Attempt > other.Attempt
+	if o.Attempt != other.Attempt {
+		return o.Attempt > other.Attempt
+	}
+	return !o.IsUnproven && other.IsUnproven
 }
 
 // Find returns the origin of a stream.
--- a/internal/syncer/origin.go
+++ b/internal/syncer/origin.go
@@ -211,7 +211,8 @@
 }
 
 // FindOrigin implements peerv1.FleetQueries.
-func (s *Server) FindOrigin(_ context.Context, r *peerv1.FindOriginRequest) (*peerv1.FindOriginResponse, error) {
+func (s *Server) FindOrigin(ctx context.Context, r *peerv1.FindOriginRequest) (*peerv1.FindOriginResponse, error) {
+	s.Streams.Prove(ctx, r.GetStream()) // if it began here
 	now := time.Now()
 	out := &peerv1.FindOriginResponse{IsFresh: s.Streams.IsFresh()}
 	if o, ok := s.Streams.Tracker.Find(r.GetStream(), now); ok {
@@ -230,13 +231,13 @@
 func encodeID(id string) string { return strings.ToValidUTF8(id, "\uFFFD") }
 
 func encodeOrigin(o streamtracker.Origin) *peerv1.Origin {
-	return &peerv1.Origin{Stream: encodeID(o.Stream), Service: o.Service, Software: o.Software, Attempt: uint32(o.Attempt), TtlMs: milliseconds(o.TTL), IsBound: o.IsBound}
+	return &peerv1.Origin{Stream: encodeID(o.Stream), Service: o.Service, Software: o.Software, Attempt: uint32(o.Attempt), TtlMs: milliseconds(o.TTL), IsBound: o.IsBound, IsUnproven: o.IsUnproven}
 }
 
 func decodeOrigin(o *peerv1.Origin) streamtracker.Origin {
 	return streamtracker.Origin{
 		Stream: o.GetStream(), Service: o.GetService(), Software: o.GetSoftware(), Attempt: int(o.GetAttempt()),
-		TTL: time.Duration(o.GetTtlMs()) * time.Millisecond, IsBound: o.GetIsBound(),
+		TTL: time.Duration(o.GetTtlMs()) * time.Millisecond, IsBound: o.GetIsBound(), IsUnproven: o.GetIsUnproven(),
 	}
 }
 
--- /dev/null
+++ b/internal/verifier/verifier.go
@@ -0,0 +1,110 @@
+package verifier
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"go.uber.org/zap"
+
+	"github.com/primrosedrift/primrosedrift/internal/logger"
+	"github.com/primrosedrift/primrosedrift/internal/registrar"
+)
+
+// requestTimeout bounds a request for the state of an upstream.
+const requestTimeout = 400 * time.Millisecond
+
+// Verifier requests the states of upstreams. Its exported fields must be set.
+type Verifier struct {
+	Upstreams *registrar.Table
+	// StartOf requests when the process of an upstream started, in Unix milliseconds. It returns
+	// 0 if the upstream does not state it.
+	StartOf func(ctx context.Context, u *registrar.Upstream) (int64, error)
+	Log     *zap.Logger
+	Metrics *Metrics
+
+	mu       sync.Mutex
+	requests map[registrar.Incarnation]*request // in flight
+}
+
+// Metrics counts the requests.
+type Metrics struct{ requests *prometheus.CounterVec }
+
+// NewMetrics registers the metrics.
+func NewMetrics(r prometheus.Registerer) *Metrics {
+	m := &Metrics{prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "primrosedrift_verified_processes_total",
+		Help: "Requests for the start time of an upstream's process, by what they show: registered, other or unknown.",
+	}, []string{"result"})}
+	r.MustRegister(m.requests)
+	return m
+}
+
+type request struct {
+	sentAt time.Time
+	done   chan struct{}
+}
+
+// IsProven reports whether a connection that was opened at a time is known to lead to the
+// registered process of an upstream.
+func (v *Verifier) IsProven(u *registrar.Upstream, openedAt time.Time) bool {
+	return v.Upstreams.WasAlive(u.Incarnation(), openedAt)
+}
+
+// Verify is IsProven after the state of the upstream was requested. It reports false if ctx ends
+// before, or if the upstream does not respond.
+func (v *Verifier) Verify(ctx context.Context, u *registrar.Upstream, openedAt time.Time) bool {
+	for !v.IsProven(u, openedAt) {
+		r := v.join(u)
+		select {
+		case <-r.done:
+		case <-ctx.Done():
+			return v.IsProven(u, openedAt)
+		}
+		if !r.sentAt.Before(openedAt) {
+			return v.IsProven(u, openedAt)
+		}
+	}
+	return true
+}
+
+// join returns the request for the state of an upstream that is in flight, or a new one.
+func (v *Verifier) join(u *registrar.Upstream) *request {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	i := u.Incarnation()
+	if r := v.requests[i]; r != nil {
+		return r
+	}
+	if v.requests == nil {
+		v.requests = make(map[registrar.Incarnation]*request)
+	}
+	r := &request{time.Now(), make(chan struct{})}
+	v.requests[i] = r
+	go v.run(u, r)
+	return r
+}
+
+func (v *Verifier) run(u *registrar.Upstream, r *request) {
+	ctx, cancel := context.WithTimeout(context.Background(), requestTimeout) // others wait for it as well
+	defer cancel()
+	started, err := v.StartOf(ctx, u)
+	result := "unknown"
+	switch {
+	case err != nil || started == 0:
+		v.Log.Info("process of an upstream not verified", zap.String("upstream", u.ID), zap.Int64("born", u.StartedAtMs), logger.Error(err))
+	case started == u.StartedAtMs:
+		result = "registered"
+		v.Upstreams.RecordAlive(u.Incarnation(), r.sentAt)
+	default:
+		result = "other"
+		v.Log.Warn("another process responds than the registered one", zap.String("upstream", u.ID), zap.Int64("born", u.StartedAtMs), zap.Int64("reported-born", started))
+		v.Upstreams.ConfirmRestart(u.Incarnation(), time.Now())
+	}
+	v.Metrics.requests.WithLabelValues(result).Inc()
+	v.mu.Lock()
+	delete(v.requests, u.Incarnation())
+	v.mu.Unlock()
+	close(r.done)
+}
--- /dev/null
+++ b/internal/verifier/verifier_test.go
@@ -0,0 +1,101 @@
+package verifier
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
+
+	"github.com/primrosedrift/primrosedrift/internal/registrar"
+)
+
+func newVerifier(startOf func(context.Context, *registrar.Upstream) (int64, error)) (*Verifier, *registrar.Upstream) {
+	u := &registrar.Upstream{ID: "e1", Service: "lm", Address: "192.0.2.1:1", StartedAtMs: 1, Slots: 8}
+	table := &registrar.Table{}
+	table.ApplyRegistrations(map[string]*registrar.Upstream{"e1": u}, time.Now())
+	return &Verifier{Upstreams: table, StartOf: startOf, Log: zap.NewNop(), Metrics: NewMetrics(prometheus.NewRegistry())}, u
+}
+
+// TestConnectionIsProvenByALaterState guards against streams whose software version is taken from the
+// registration of another process.
+func TestConnectionIsProvenByALaterState(t *testing.T) {
+	for name, tt := range map[string]struct {
+		started          int64
+		err              error
+		isProven, isGone bool
+	}{
+		"the registered process": {started: 1, isProven: true},
+		"the next process":       {started: 2, isGone: true},
+		"no start time":          {},
+		"no response":            {err: errors.New("refused")},
+	} {
+		t.Run(name, func(t *testing.T) {
+			v, u := newVerifier(func(context.Context, *registrar.Upstream) (int64, error) { return tt.started, tt.err })
+			openedAt := time.Now()
+			require.False(t, v.IsProven(u, openedAt))
+			require.Equal(t, tt.isProven, v.Verify(t.Context(), u, openedAt))
+			require.Equal(t, tt.isProven, v.IsProven(u, openedAt))
+			require.Equal(t, tt.isGone, v.Upstreams.Snapshot().ByID["e1"] == nil)
+			require.False(t, v.IsProven(u, time.Now().Add(time.Second)), "a connection that is opened later")
+		})
+	}
+}
+
+// TestStateOfBeforeProvesNoNewConnection guards against a state that was requested before a connection
+// was opened, and counts as proof for it.
+func TestStateOfBeforeProvesNoNewConnection(t *testing.T) {
+	release, isRequested := make(chan struct{}), make(chan struct{}, 2)
+	var numRequests atomic.Int64
+	v, u := newVerifier(func(context.Context, *registrar.Upstream) (int64, error) {
+		n := numRequests.Add(1)
+		isRequested <- struct{}{}
+		<-release
+		return n, nil // the process restarts after the first request
+	})
+	var wg sync.WaitGroup
+	early := time.Now()
+	wg.Go(func() { v.Verify(t.Context(), u, early) })
+	<-isRequested
+	openedAt := time.Now()
+	wg.Go(func() { require.False(t, v.Verify(t.Context(), u, openedAt)) })
+	close(release)
+	wg.Wait()
+	require.EqualValues(t, 2, numRequests.Load())
+}
+
+// TestConnectionsShareOneRequest guards against a request for the state of an upstream for each of
+// many streams that begin there at once.
+func TestConnectionsShareOneRequest(t *testing.T) {
+	release := make(chan struct{})
+	var numRequests atomic.Int64
+	v, u := newVerifier(func(context.Context, *registrar.Upstream) (int64, error) {
+		numRequests.Add(1)
+		<-release
+		return 1, nil
+	})
+	openedAt := time.Now()
+	var wg sync.WaitGroup
+	for range 20 {
+		wg.Go(func() { require.True(t, v.Verify(t.Context(), u, openedAt)) })
+	}
+	close(release)
+	wg.Wait()
+	require.EqualValues(t, 1, numRequests.Load())
+}
+
+// TestVerifyEndsWithItsContext guards against a client that waits for an upstream which does not respond.
+func TestVerifyEndsWithItsContext(t *testing.T) {
+	v, u := newVerifier(func(ctx context.Context, _ *registrar.Upstream) (int64, error) {
+		<-ctx.Done()
+		return 0, ctx.Err()
+	})
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	require.False(t, v.Verify(ctx, u, time.Now()))
+}
