--- a/internal/stopper/schedule.go
+++ b/internal/stopper/schedule.go
@@ -11,11 +11,11 @@
 	// answerMargin is how long before the end of the grace period what still runs is answered,
 	// at most 1/answerShare of it: upstreams may still be at work in its last sixth.
 	answerMargin = 700 * time.Millisecond
-	answerShare  = 8
+	answerShare  = 7
 	// closeMargin is the same for closing connections. The rest is for what the process has
 	// to do then.
 	closeMargin = 300 * time.Millisecond
-	closeShare  = 20
+	closeShare  = 10
 	// minAnswerTime is the time for the answers if the signal was handled late.
 	minAnswerTime = 200 * time.Millisecond
 )
