internal/drainer: a request that crosses the close of its connection is not handled

Callers of a stopping instance could have a request from a kept connection passed on and the connection closed without an answer: the drainer chose the quiet connections under its lock and closed them after it, and a request that was read in between was handled on a closed connection. On a process that is short of processor time this may take long.

A connection that the drainer closes is marked. If a request is read on it, Track, which runs on the goroutine of the connection before the handler, ends it. Such a request is not passed on, and its client sees the close.

Evidence: TestRequestThatCrossesTheCloseIsNotHandled lets 20 requests cross; before, 20 of 20 were handled and none was answered (3 of 3 runs), now none is handled (7 of 7 runs with -race).

--- a/internal/drainer/drainer.go
+++ b/internal/drainer/drainer.go
@@ -33,6 +33,8 @@
 	mu    sync.Mutex
 	conns map[net.Conn]*connState
 	sleep func() // replaces the sleep between two checks in tests
+	// beforeClose, if set, is called by tests before connections are closed.
+	beforeClose func()
 }
 
 // connState is what is known of an open connection.
@@ -41,9 +43,11 @@
 	isSeen    bool   // the drainer has checked it since its last change
 	received  uint64 // bytes, when it was last checked
 	changedAt time.Time
+	isClosing bool // a request that arrives now must not be handled
 }
 
-// Track records the state of a connection. It is the ConnState function of the server.
+// Track records the state of a connection. It is the ConnState function of the server. It panics with
+// http.ErrAbortHandler, which ends the connection, if a request arrives that could not be answered.
 func (d *Drainer) Track(c net.Conn, s http.ConnState) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -59,6 +63,9 @@
 		st = &connState{}
 		d.conns[c] = st
 	}
+	if st.isClosing && s == http.StateActive {
+		panic(http.ErrAbortHandler) // on the goroutine of the connection, before the handler
+	}
 	st.isActive, st.isSeen = s == http.StateActive, false
 }
 
@@ -108,10 +115,14 @@
 		if !st.isSeen || st.received != received {
 			st.isSeen, st.received, st.changedAt = true, received, now
 		} else if now.Sub(st.changedAt) >= quiet {
+			st.isClosing = true
 			old = append(old, c)
 		}
 	}
 	d.mu.Unlock()
+	if d.beforeClose != nil && len(old) > 0 {
+		d.beforeClose()
+	}
 	for _, c := range old {
 		_ = c.Close() // the server notices it, and calls Track
 	}
--- a/internal/drainer/drainer_test.go
+++ b/internal/drainer/drainer_test.go
@@ -24,6 +24,15 @@
 	ln         net.Listener
 	served     chan struct{} // closed when Serve has returned
 	isStopping atomic.Bool
+	numActive  atomic.Int64 // requests that were read
+}
+
+// track is Track, and counts the requests.
+func (s *server) track(c net.Conn, state http.ConnState) {
+	if state == http.StateActive {
+		defer s.numActive.Add(1)
+	}
+	s.Track(c, state)
 }
 
 func (s *server) drain(ctx context.Context) error {
@@ -43,7 +52,7 @@
 	ln, err := lc.Listen(t.Context(), "tcp4", "127.0.0.1:0")
 	require.NoError(t, err)
 	s.ln = ln
-	s.Server = &http.Server{ConnState: s.Track, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+	s.Server = &http.Server{ConnState: s.track, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if s.isStopping.Load() {
 			w.Header().Set("Connection", "close")
 		}
@@ -261,6 +270,56 @@
 	require.EqualValues(t, 1, numServed.Load())
 }
 
+// TestRequestThatCrossesTheCloseIsNotHandled guards against a request that arrives on a quiet connection when
+// the drainer has decided to close it, is passed on, and gets no answer.
+func TestRequestThatCrossesTheCloseIsNotHandled(t *testing.T) {
+	const numConns = 20
+	var numHandled atomic.Int64
+	closed := make(chan struct{})
+	s := newServer(t, func(http.ResponseWriter, *http.Request) {
+		if numHandled.Add(1) > numConns {
+			<-closed
+		}
+	})
+	s.Quiet = time.Millisecond
+	var callers []*caller
+	for range numConns {
+		c := &caller{address: s.ln.Addr().String()}
+		defer c.end()
+		require.NoError(t, c.call(t.Context()))
+		callers = append(callers, c)
+	}
+	hasCrossed := false
+	s.beforeClose = func() {
+		for _, c := range callers {
+			if !hasCrossed {
+				_, err := io.WriteString(c.conn, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+				require.NoError(t, err)
+			}
+		}
+		hasCrossed = true
+		for s.numActive.Load() < 2*numConns {
+			require.NoError(t, t.Context().Err())
+		}
+	}
+	release := sync.OnceFunc(func() { close(closed) })
+	s.sleep = func() {
+		if hasCrossed {
+			release()
+		}
+		time.Sleep(s.Quiet)
+	}
+	require.NoError(t, s.drain(t.Context()))
+	numAnswered := 0
+	for _, c := range callers {
+		if _, err := http.ReadResponse(c.r, nil); err == nil {
+			numAnswered++
+		}
+	}
+	require.True(t, hasCrossed)
+	require.EqualValues(t, numAnswered, numHandled.Load()-numConns, "each request that is handled is answered")
+}
+
 // heldListener holds connections back until hold is closed, before or after the kernel gives them out.
 type heldListener struct {
 	net.Listener
