internal/relayer: tests of requests that cross a close, and of stops at both ends of a hop

TestRequestThatCrossesACloseIsAnsweredIfItIsPassedOn sends requests on kept connections that the instance closes for being idle, for a stop, or for a body over the limit, and checks that as many are answered as reached the upstream. TestRequestAtAPeerAtTheEndOfAStopIsAnswered: the instance that handed a request on stops while the peer runs it.

--- a/internal/relayer/stop_test.go
+++ b/internal/relayer/stop_test.go
@@ -1,7 +1,15 @@
 package relayer
 
 import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
 	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -129,3 +137,95 @@
 		})
 	}
 }
+
+// TestRequestAtAPeerAtTheEndOfAStopIsAnswered guards against a request that is cut because the instance
+// that has handed it on stops while the peer runs it.
+func TestRequestAtAPeerAtTheEndOfAStopIsAnswered(t *testing.T) {
+	var g *fixture
+	peer := newUpstream(t, func(_ int, r *http.Request, _ string) (string, bool) {
+		g.Stop.End()
+		return responseHead(r, 200, stamped+"Content-Length: 10\r\n\r\n"), false // no body
+	})
+	g, up := newCutFixture(t, peer)
+	g.Stop = &stopper.Stop{}
+	resp, _ := g.do(g.request("POST", "/once/", ""))
+	require.Equal(t, http.StatusBadGateway, resp.StatusCode)
+	require.Equal(t, 1, peer.count())
+	require.Zero(t, up.count())
+}
+
+// TestRequestThatCrossesACloseIsAnsweredIfItIsPassedOn guards against a request from a kept connection that
+// reaches an upstream and gets no answer, because the instance closes the connection at that moment.
+func TestRequestThatCrossesACloseIsAnsweredIfItIsPassedOn(t *testing.T) {
+	const numConns, perConn = 8, 15
+	const idle = 5 * time.Millisecond
+	tests := map[string]struct {
+		change func(g *fixture, s *httptest.Server)
+		// pause is the time between two requests of a connection, and numAtOnce how many are sent at once.
+		pause     time.Duration
+		numAtOnce int
+		bodyBytes int // of the first one
+	}{
+		"idle for too long":   {func(_ *fixture, s *httptest.Server) { s.Config.IdleTimeout = idle }, idle, 1, 1},
+		"stop":                {func(g *fixture, _ *httptest.Server) { g.IsStopping = func() bool { return true } }, 0, 2, 1},
+		"body over the limit": {func(*fixture, *httptest.Server) {}, 0, 2, 1<<20 + 1},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			up := newUpstream(t, func(_ int, r *http.Request, _ string) (string, bool) { return response(r, 200, stamped, "x"), false })
+			g := newFixture(t, up)
+			s := httptest.NewUnstartedServer(g.Relayer)
+			s.Config.ConnContext = WithClientConn
+			tt.change(g, s)
+			s.Start()
+			defer s.Close()
+			var numAnswered, numClosed atomic.Int64
+			var wg sync.WaitGroup
+			for c := range numConns {
+				wg.Go(func() {
+					var conn net.Conn
+					var in *bufio.Reader
+					for n := range perConn {
+						if conn == nil {
+							var err error
+							if conn, err = net.Dial("tcp4", s.Listener.Addr().String()); err != nil {
+								t.Error(err)
+								return
+							}
+							in = bufio.NewReader(conn)
+						}
+						body := strings.Repeat("x", tt.bodyBytes)
+						var out strings.Builder
+						for k := range tt.numAtOnce {
+							fmt.Fprintf(&out, "POST /once/ HTTP/1.1\r\nHost: h.example\r\n%s: %d-%d-%d\r\nContent-Length: %d\r\n\r\n%s", hID, c, n, k, len(body), body)
+							body = "x"
+						}
+						_, _ = io.WriteString(conn, out.String()) // fails if the connection is closed
+						for range tt.numAtOnce {
+							resp, err := http.ReadResponse(in, nil)
+							if err == nil {
+								_, err = io.Copy(io.Discard, resp.Body)
+							}
+							if err != nil {
+								numClosed.Add(1)
+								_ = conn.Close()
+								conn = nil
+								break
+							}
+							if resp.StatusCode == http.StatusOK {
+								numAnswered.Add(1)
+							}
+						}
+						time.Sleep(tt.pause) // the requests are to cross the end of the idle time
+					}
+					if conn != nil {
+						_ = conn.Close()
+					}
+				})
+			}
+			wg.Wait()
+			require.Positive(t, numClosed.Load())
+			require.EqualValues(t, up.count(), numAnswered.Load())
+		})
+	}
+}
