courier: what has arrived before a deadline is read after a pause

What callers would see: 502 or 504, or a request that runs once more, although the upstream's or the peer's response had arrived in time. After a process has stood still (a machine without processor time, a suspended one) the timers fire first: the deadline of the attempt had passed, and the connection was reset with the response in its socket. So it was with attempts, requests that are handed on, orders, reports and probes, and with attempts that end since the links are cut.

A cancellation still resets at once, so the requests of clients that have left end as before.

--- a/internal/courier/courier.go
+++ b/internal/courier/courier.go
@@ -91,7 +91,8 @@
 }
 
 // Do sends the request and returns the response once its head was read. The error
-// is an *Error. When ctx ends, the connection is reset.
+// is an *Error. When ctx ends, the connection is reset. If its deadline has passed, bytes that have
+// arrived before are read first: the process may have been paused.
 func (p *Pool) Do(ctx context.Context, address string, req *Request) (*Response, error) {
 	if cause := context.Cause(ctx); cause != nil {
 		return nil, &Error{Address: address, Err: cause} // an idle connection would be written to before it is reset
@@ -101,7 +102,7 @@
 		return nil, err
 	}
 	x := &exchange{pool: p, conn: c, address: address}
-	x.stop = context.AfterFunc(ctx, c.abort) // cancels the request
+	x.stop = context.AfterFunc(ctx, func() { c.abortAt(context.Cause(ctx)) }) // cancels the request
 	if req.MaySend != nil {
 		if err := req.MaySend(); err != nil {
 			x.end(true) // nothing was sent on it
--- a/internal/relayer/cut.go
+++ b/internal/relayer/cut.go
@@ -4,8 +4,6 @@
 	"context"
 	"sync/atomic"
 	"time"
-
-	"github.com/cockroachdb/errors"
 )
 
 const (
@@ -22,7 +20,17 @@
 
 // errLinksCut ends an attempt that has brought nothing while the links are cut, so that a peer can
 // serve the request while its client still waits.
-var errLinksCut = errors.New("no response or event, and the links to the upstreams are cut")
+var errLinksCut error = linksCutError{}
+
+// linksCutError counts as a passed deadline: what has arrived before is read first.
+type linksCutError struct{}
+
+func (linksCutError) Error() string {
+	return "no response or event, and the links to the upstreams are cut"
+}
+
+// Is supports errors.Is.
+func (linksCutError) Is(target error) bool { return target == context.DeadlineExceeded }
 
 // mayRunAgain reports whether the request may run at several upstreams.
 func (c *call) mayRunAgain() bool { return c.route.MayRetry() || c.isResumable() }
--- a/internal/relayer/cut_test.go
+++ b/internal/relayer/cut_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/stretchr/testify/require"
 )
 
@@ -62,3 +63,13 @@
 		w.stop()
 	}
 }
+
+// TestCutLinksEndAnAttemptLikeADeadline guards against a response that is thrown away because the process was
+// paused while the links were cut: package courier reads first what has arrived before a deadline.
+func TestCutLinksEndAnAttemptLikeADeadline(t *testing.T) {
+	ctx, cancel := context.WithCancelCause(t.Context())
+	cancel(errLinksCut)
+	require.ErrorIs(t, context.Cause(ctx), context.DeadlineExceeded)
+	require.ErrorIs(t, errors.Wrap(context.Cause(ctx), "attempt"), errLinksCut)
+	require.False(t, errors.Is(context.DeadlineExceeded, errLinksCut), "a failure of the upstream")
+}
