courier: a late process does not count as a lost link

What callers would see: requests handed on or refused, and upstreams counted as broken, after a process has stood still for 0.4 s while it opened connections. The timeout of a dial counted against the other end even if it had responded at once, or if the first segment had not been sent yet; connections to two upstreams that fail like this put the links in doubt.

At the timeout the state of the socket now decides: an attempt without a response to its first segment ends, and one that waits for this process itself is given 100 ms more, ten times at most.

It is the cause of the failure of TestLateCopyIsNotTakenForTheResponse on a loaded machine, "a dial to a local address took over 0.4 s".

--- /dev/null
+++ b/internal/courier/dial.go
@@ -0,0 +1,64 @@
+package courier
+
+import (
+	"context"
+	"net"
+	"os"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"golang.org/x/sys/unix"
+)
+
+// maxDialGraces bounds how often an attempt to connect that the other end does not hold up is given arrivedGrace
+// more.
+const maxDialGraces = 10
+
+// dialWithin opens a connection. The timeout bounds how long the other end may take: an attempt that waits for
+// the process itself goes on.
+func dialWithin(ctx context.Context, timeout time.Duration, address string, control func(network, address string, c syscall.RawConn) error) (net.Conn, error) {
+	dctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	var socket atomic.Pointer[syscall.RawConn]
+	d := net.Dialer{KeepAlive: -1, Control: func(network, address string, c syscall.RawConn) error {
+		socket.Store(&c)
+		return control(network, address, c)
+	}}
+	go func() {
+		timer := time.NewTimer(timeout)
+		defer timer.Stop()
+		for numGraces := 0; ; numGraces++ {
+			select {
+			case <-dctx.Done():
+				return
+			case <-timer.C:
+			}
+			if numGraces == maxDialGraces || isUnanswered(socket.Load()) {
+				cancel(os.ErrDeadlineExceeded)
+				return
+			}
+			timer.Reset(arrivedGrace)
+		}
+	}()
+	c, err := d.DialContext(dctx, "tcp4", address)
+	if err != nil && errors.Is(context.Cause(dctx), os.ErrDeadlineExceeded) {
+		err = errors.Wrapf(os.ErrDeadlineExceeded, "dial %s", address) // not the cancellation
+	}
+	return c, err
+}
+
+// isUnanswered reports whether the other end has not responded to the first segment of a socket, which may be
+// nil before that is sent.
+func isUnanswered(socket *syscall.RawConn) bool {
+	if socket == nil {
+		return false
+	}
+	isUnanswered := false
+	err := (*socket).Control(func(fd uintptr) {
+		info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
+		isUnanswered = err == nil && info.State == unix.BPF_TCP_SYN_SENT
+	})
+	return err == nil && isUnanswered
+}
--- a/internal/courier/pool.go
+++ b/internal/courier/pool.go
@@ -119,10 +119,8 @@
 }
 
 func (p *Pool) connect(ctx context.Context, address string) (net.Conn, error) {
-	d := net.Dialer{
-		Timeout: orDefault(p.DialTimeout, DefaultDialTimeout), KeepAlive: -1, Control: SocketControl(orDefault(p.UserTimeout, DefaultUserTimeout), p.SocketBytes),
-	}
-	return d.DialContext(ctx, "tcp4", address)
+	control := SocketControl(orDefault(p.UserTimeout, DefaultUserTimeout), p.SocketBytes)
+	return dialWithin(ctx, orDefault(p.DialTimeout, DefaultDialTimeout), address, control)
 }
 
 // put adds a connection to the idle ones whose response was read to its end, or that was not used.
