follower: the test of known ages reads the clock before and after

The age was read first and the clock after it, so it assumed that less than 1 ms passes between two reads of the clock; there were 8.2. The age is right: both are reads of one clock.

The age must now lie between what it is by the clock read before and by the one read after. That has no tolerance, so it is stricter than the millisecond, and does not depend on the speed of the machine. `go test -race -count=200 -run TestKnownAge ./internal/follower`: 200 of 200 pass.

--- a/internal/follower/age_test.go
+++ b/internal/follower/age_test.go
@@ -20,28 +20,38 @@
 	_, ok := f.KnownAge()
 	require.False(t, ok)
 	now := clocker.SinceStart()
-	age := func() time.Duration {
-		a, ok := f.KnownAge()
-		require.True(t, ok)
-		return a - (clocker.SinceStart() - now)
+	// between checks an age, which has grown since now, against the clock before and after it was read.
+	between := func(want time.Duration, read func() time.Duration) {
+		before := clocker.SinceStart()
+		age := read()
+		require.GreaterOrEqual(t, age, want+before-now)
+		require.LessOrEqual(t, age, want+clocker.SinceStart()-now)
+	}
+	is := func(want time.Duration) {
+		between(want, func() time.Duration {
+			age, ok := f.KnownAge()
+			require.True(t, ok)
+			return age
+		})
 	}
-	near := func(want time.Duration) { require.InDelta(t, want.Seconds(), age().Seconds(), 0.001) }
 	batch := func(offset int64, isCurrent bool, known time.Duration) Batch {
 		return Batch{Next: sequencer.Position{Offset: offset}, IsCurrent: isCurrent, KnownAge: known}
 	}
 	f.Merge(batch(3, true, 0), now-5*time.Second)
-	near(5 * time.Second)
+	is(5 * time.Second)
 	f.Merge(batch(3, true, 2*time.Second), now-time.Second)
-	near(3 * time.Second)
+	is(3 * time.Second)
 	f.Merge(batch(4, false, 0), now)
-	near(3 * time.Second)
+	is(3 * time.Second)
 	f.Merge(batch(4, true, 4*time.Second), now)
-	near(3 * time.Second)
+	is(3 * time.Second)
 	f.Merge(Batch{Next: sequencer.Position{Era: 1, Offset: 9}, IsCurrent: true}, now)
-	near(3 * time.Second) // a part of a later era is not applied
-	b, _ := f.Since(sequencer.Position{})
-	require.True(t, b.IsCurrent)
-	require.InDelta(t, 3, (b.KnownAge - (clocker.SinceStart() - now)).Seconds(), 0.001)
+	is(3 * time.Second) // a part of a later era is not applied
+	between(3*time.Second, func() time.Duration {
+		b, _ := f.Since(sequencer.Position{})
+		require.True(t, b.IsCurrent)
+		return b.KnownAge
+	})
 }
 
 // TestRecordsAreInForceBeforeTheyCountAsKnown guards against an instance that takes its
