syncer: members learn of a loss at once, not with the next view

A loss went to the conductor, and from there with the next view, 20 to 400 ms later, and only from the second on; each instance meanwhile let attempts through by what it knew itself.

An instance now also sends new losses to up to 12 members other than the conductor at once, in rounds that are 3 ms for each of them apart. Before the next attempt, and before the refusal, the request waits until the conductor and these have responded: 100 ms at most, and 20 ms for a first loss, since hardly any request that breaks off crashes upstreams.

--- a/internal/assembler/assembler.go
+++ b/internal/assembler/assembler.go
@@ -213,7 +213,7 @@
 		PeerPool: &courier.Pool{IDHeader: a.Codec.IDHeader, UserTimeout: peerUserTimeout}, Log: a.Log.Named("relayer"), Metrics: relayer.NewMetrics(a.registry),
 		MayTry:         func() bool { return a.lease.IsHolder() },
 		ViewAge:        func() time.Duration { return a.client.ViewAge() },
-		ExchangeLosses: func(ctx context.Context) { a.client.ExchangeLosses(ctx) },
+		ExchangeLosses: func(ctx context.Context, isSuspect bool) { a.client.ExchangeLosses(ctx, isSuspect) },
 		IsStopping:     a.isStopping.Load, IsClosed: a.isClosed.Load, Stop: &a.halt,
 	}
 	a.wireAccounts()
@@ -228,9 +228,12 @@
 		a.relayer.Metrics.RecordLoss(change)
 		a.Log.Named("losstracker").Info("loss "+string(change), zap.String("content", relayer.FormatFingerprint(l.Fingerprint)), zap.String("upstream", l.Incarnation.ID),
 			zap.Int64("born", l.Incarnation.StartedAtMs), zap.Bool("ended", l.IsConfirmed), zap.Int("round", l.Round), zap.Int("known", known))
-		// In a fleet in which an instance cannot call all others, each of those that learn of a loss
-		// passes it on.
-		if change != losstracker.Withdrawn && (change != losstracker.Learned || known >= losstracker.SharedThreshold) {
+		switch {
+		case change == losstracker.Withdrawn:
+		case change != losstracker.Learned:
+			a.client.NotifyLoss()
+		case known >= losstracker.SharedThreshold && !a.client.HasConductor():
+			// An instance may not be able to call all others, so those that learn of a loss pass it on.
 			a.client.NotifyLoss()
 		}
 	}
--- a/internal/losstracker/exchange.go
+++ b/internal/losstracker/exchange.go
@@ -12,8 +12,10 @@
 	// maxReported bounds the losses in one report or response.
 	maxReported = 256
 	// recentAge is the age up to which a loss is sent to peers whatever the number of
-	// losses of its request.
+	// losses of its request, and newAge the age up to which it is sent to peers that have a
+	// conductor.
 	recentAge = 5 * time.Second
+	newAge    = time.Second
 )
 
 // key identifies a loss.
@@ -230,3 +232,41 @@
 	}
 	return out
 }
+
+// New returns the losses that this instance has learned within newAge, whatever the number of losses
+// of their requests.
+func (t *Tracker) New(now time.Time) []Loss {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.requests == nil {
+		return nil
+	}
+	var out []Loss
+	keys := t.requests.Keys() // the most recently used are last
+	for n := len(keys) - 1; n >= 0 && n >= len(keys)-maxReported; n-- {
+		r, _ := t.requests.Peek(keys[n])
+		for _, l := range r.losses {
+			if l.isTold(now) && now.Sub(l.learnedAt) <= newAge {
+				l.isExchanged = true
+				out = append(out, l.Loss)
+			}
+		}
+	}
+	return out
+}
+
+// IsSuspect reports whether another loss may make the content a poison request, or one of the parts
+// a deadly one, or has.
+func (t *Tracker) IsSuspect(content uint64, parts []uint64) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.requests == nil {
+		return false
+	}
+	for _, f := range append([]uint64{content}, parts...) {
+		if r, ok := t.requests.Peek(f); ok && r.level() != harmless {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/relayer/attempt.go
+++ b/internal/relayer/attempt.go
@@ -110,7 +110,7 @@
 		zap.Bool("not-run", res.isNotRun), zap.Bool("left", isCanceled && !hasStopEnded(ctx)),
 		zap.Strings("parts", c.loggedParts()), zap.Int("events", c.stream.numEvents-eventsBefore), zap.Duration("since-event", c.stream.sinceEvent()), zap.String("why", res.reason), zap.Duration("took", time.Since(began)))
 	if ending == losstracker.Broken && c.ExchangeLosses != nil {
-		c.ExchangeLosses(ctx)
+		c.ExchangeLosses(ctx, c.Losses.IsSuspect(c.fingerprint, c.parts))
 	}
 	if isCanceled || res.isNotRun || c.route.MayRetry() || c.route.IsStream && c.route.IsResumable {
 		return false, nil
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -138,8 +138,8 @@
 	// crashes upstreams. It must return true at one instance only.
 	MayTry func() bool
 	// ExchangeLosses, if set, returns when other instances know the losses that this one knows, or
-	// after a short while.
-	ExchangeLosses func(context.Context)
+	// after a while, which is short unless isSuspect says that another loss matters.
+	ExchangeLosses func(ctx context.Context, isSuspect bool)
 	// Quotas charges requests to the quotas of their accounts.
 	Quotas Quotas
 	// ViewAge returns the age of this instance's view of the upstreams.
--- a/internal/syncer/client.go
+++ b/internal/syncer/client.go
@@ -41,8 +41,11 @@
 	// probeIntervalPerPeer lengthens the least time between two rounds of probes with the number of
 	// peers, so that an instance probes 334 times a second at most.
 	probeIntervalPerPeer = 3 * time.Millisecond
-	// maxExchangeWait bounds how long a request waits until others know what it has lost.
-	maxExchangeWait = 100 * time.Millisecond
+	// maxExchangeWait bounds how long a request waits until others know what it has lost, and
+	// maxFirstExchangeWait if it is its first loss and there is a conductor: hardly any of these
+	// requests crashes upstreams.
+	maxExchangeWait      = 100 * time.Millisecond
+	maxFirstExchangeWait = 20 * time.Millisecond
 	// maxReadersProbed and maxOthersProbed bound the members that are probed in a
 	// round: the first of the data centre, and others.
 	maxReadersProbed = 3
@@ -106,8 +109,14 @@
 
 // ReportNow sends the next report at once.
 func (c *Client) ReportNow() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.reportNowLocked()
+}
+
+func (c *Client) reportNowLocked() {
 	select {
-	case c.wakeup() <- struct{}{}:
+	case c.wakeupLocked() <- struct{}{}:
 	default:
 	}
 }
@@ -115,6 +124,10 @@
 func (c *Client) wakeup() chan struct{} {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	return c.wakeupLocked()
+}
+
+func (c *Client) wakeupLocked() chan struct{} {
 	if c.wake == nil {
 		c.wake = make(chan struct{}, 1)
 	}
@@ -169,7 +182,14 @@
 	tick := time.NewTicker(maxReportInterval)
 	defer tick.Stop()
 	for ctx.Err() == nil {
+		c.mu.Lock()
+		c.exchange.reports.begun++
+		c.mu.Unlock()
 		c.sendReport(ctx)
+		c.mu.Lock()
+		c.exchange.reports.done = c.exchange.reports.begun
+		c.exchange.notify()
+		c.mu.Unlock()
 		sleeper.Sleep(ctx, minReportInterval) // coalesces wake-ups that come close together
 		select {
 		case <-ctx.Done():
--- a/internal/syncer/neighbour.go
+++ b/internal/syncer/neighbour.go
@@ -1,6 +1,7 @@
 package syncer
 
 import (
+	"context"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -110,3 +111,16 @@
 	rand.Shuffle(len(out), func(i, j int) { out[i], out[j] = out[j], out[i] })
 	return out[:min(len(out), maxNeighboursTold)]
 }
+
+// Report implements peerv1.FleetCommands. An instance that is not the conductor takes the losses of
+// one that has none.
+func (s *Server) Report(_ context.Context, r *peerv1.ReportRequest) (*peerv1.ReportResponse, error) {
+	now := time.Now()
+	if !s.IsHolder() {
+		s.Neighbours.hear(r.GetMember(), now)
+		s.Losses.MergeExchanged(decodeLosses(r.GetLosses(), s.Log), now)
+		return &peerv1.ReportResponse{}, nil
+	}
+	s.ApplyReport(r, now)
+	return &peerv1.ReportResponse{IsConductor: true}, nil
+}
--- a/internal/syncer/neighbour_test.go
+++ b/internal/syncer/neighbour_test.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -64,6 +65,22 @@
 	require.Equal(t, []losstracker.Loss{lost}, a.Losses.Unreported("conductor", time.Now()))
 }
 
+// TestLossesReachMembersBeforeAView guards against instances that each let a request crash upstreams
+// until the conductor has told them of the losses of the others.
+func TestLossesReachMembersBeforeAView(t *testing.T) {
+	a, b, conductor := newPeer(t, "a"), newPeer(t, "b"), newPeer(t, "conductor")
+	b.members = []*peerv1.Member{a.Self, b.Self, conductor.Self}
+	b.Lease.Observe(leaser.Claim{Holder: "conductor", Incarnation: "conductor1", Address: conductor.Self.GetPeerAddress()})
+	lost := losstracker.Loss{Fingerprint: 7, Incarnation: registrar.Incarnation{ID: "e1", StartedAtMs: 1}}
+	b.Losses.Begin(lost.Incarnation, lost.Fingerprint).End(losstracker.Broken, time.Now())
+	var wg sync.WaitGroup
+	require.Equal(t, 1, b.sendLosses(t.Context(), &wg, callTimeout))
+	wg.Wait()
+	require.Equal(t, []losstracker.Loss{lost}, a.Losses.New(time.Now()))
+	require.Empty(t, conductor.Losses.New(time.Now()), "it gets a report, with the demand")
+	require.Empty(t, b.Losses.New(time.Now().Add(time.Minute)), "it is sent once it is new")
+}
+
 // TestHolderOfAnOlderClaimIsProbed guards against instances that do not find each other although they
 // have all read where the last conductor was.
 func TestHolderOfAnOlderClaimIsProbed(t *testing.T) {
--- a/internal/syncer/probe.go
+++ b/internal/syncer/probe.go
@@ -12,6 +12,7 @@
 
 	"github.com/primrosedrift/primrosedrift/internal/leaser"
 	"github.com/primrosedrift/primrosedrift/internal/logger"
+	"github.com/primrosedrift/primrosedrift/internal/losstracker"
 	"github.com/primrosedrift/primrosedrift/internal/sequencer"
 	"github.com/primrosedrift/primrosedrift/internal/sleeper"
 	peerv1 "github.com/primrosedrift/primrosedrift/pkg/api/peer/v1"
@@ -22,11 +23,14 @@
 	// running holds the addresses of the peers that have not responded yet.
 	running map[string]bool
 	wake    chan struct{}
-	// numBegun and numDone count rounds. changed is closed after each round.
-	numBegun, numDone int
-	changed           chan struct{}
+	// rounds and reports count rounds of probes and reports to the conductor. changed is closed after
+	// each of them.
+	rounds, reports counts
+	changed         chan struct{}
 }
 
+type counts struct{ begun, done int }
+
 func (e *exchange) init() {
 	if e.running == nil {
 		e.running, e.wake, e.changed = make(map[string]bool), make(chan struct{}, 1), make(chan struct{})
@@ -34,7 +38,7 @@
 }
 
 // runProbes probes other instances while there is no conductor, every probeInterval and soon after
-// a loss.
+// a loss. While there is one, it sends new losses to some members, since a view comes later.
 func (c *Client) runProbes(ctx context.Context) {
 	c.mu.Lock()
 	c.exchange.init()
@@ -44,30 +48,39 @@
 	defer tick.Stop()
 	var wg sync.WaitGroup
 	defer wg.Wait()
-	for ctx.Err() == nil {
-		if !c.HasConductor() {
-			numPeers := c.probePeers(ctx, &wg, maxExchangeWait)
-			sleeper.Sleep(ctx, time.Duration(numPeers)*probeIntervalPerPeer)
+	for isAwoken := false; ctx.Err() == nil; {
+		numPeers := 0
+		switch {
+		case !c.HasConductor():
+			numPeers = c.probePeers(ctx, &wg, maxExchangeWait)
+		case isAwoken:
+			numPeers = c.sendLosses(ctx, &wg, maxExchangeWait)
 		}
+		sleeper.Sleep(ctx, time.Duration(numPeers)*probeIntervalPerPeer)
+		isAwoken = false
 		select {
 		case <-ctx.Done():
 		case <-tick.C:
 		case <-wake:
+			isAwoken = true
 		}
 	}
 }
 
-// NotifyLoss reports a new loss at once, or sends it to others if there is no conductor.
+// NotifyLoss reports a new loss at once, and sends it to other instances.
 func (c *Client) NotifyLoss() {
 	c.ReportNow()
-	if c.HasConductor() {
-		return
-	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.exchange.wakeUp()
 }
 
+func (e *exchange) notify() {
+	e.init()
+	close(e.changed)
+	e.changed = make(chan struct{})
+}
+
 func (e *exchange) wakeUp() {
 	e.init()
 	select {
@@ -76,18 +89,21 @@
 	}
 }
 
-// ExchangeLosses returns when other instances know the losses that this one knows, if there is no
-// conductor: after a round of probes that has begun since, and after maxExchangeWait at most.
-func (c *Client) ExchangeLosses(ctx context.Context) {
-	if c.HasConductor() {
-		return
+// ExchangeLosses reports losses, and returns when the conductor and the instances that this one calls
+// in a round know them, and after maxExchangeWait at most, or maxFirstExchangeWait. isSuspect says that
+// another loss matters.
+func (c *Client) ExchangeLosses(ctx context.Context, isSuspect bool) {
+	wait := maxExchangeWait
+	if !isSuspect && c.HasConductor() {
+		wait = maxFirstExchangeWait
 	}
-	timeout := time.NewTimer(maxExchangeWait)
+	timeout := time.NewTimer(wait)
 	defer timeout.Stop()
 	c.mu.Lock()
 	c.exchange.wakeUp()
-	next := c.exchange.numBegun + 1
-	for c.exchange.numDone < next {
+	c.reportNowLocked()
+	round, report := c.exchange.rounds.begun+1, c.exchange.reports.begun+1
+	for c.exchange.rounds.done < round || c.exchange.reports.done < report {
 		changed := c.exchange.changed
 		c.mu.Unlock()
 		select {
@@ -107,11 +123,27 @@
 // peers, without those that have yet to respond to an earlier probe, when all of them have responded,
 // and after maxWait at most.
 func (c *Client) probePeers(ctx context.Context, wg *sync.WaitGroup, maxWait time.Duration) (numPeers int) {
-	peers := c.peersToProbe(time.Now())
+	return c.callPeers(ctx, c.peersToProbe(time.Now()), c.probe, wg, maxWait)
+}
+
+// sendLosses sends new losses to some members other than the conductor, as probePeers does.
+func (c *Client) sendLosses(ctx context.Context, wg *sync.WaitGroup, maxWait time.Duration) (numPeers int) {
+	conductor := c.Lease.Newest().Holder
+	c.mu.Lock()
+	peers := membersToProbe(updateMembers(c.members, nil, []string{conductor}), c.Self, rand.Perm)
+	c.mu.Unlock()
+	losses := c.Losses.New(time.Now())
+	if len(losses) == 0 {
+		peers = nil
+	}
+	return c.callPeers(ctx, peers, func(ctx context.Context, m *peerv1.Member) { c.sendLossesTo(ctx, m, losses) }, wg, maxWait)
+}
+
+func (c *Client) callPeers(ctx context.Context, peers []*peerv1.Member, call func(context.Context, *peerv1.Member), wg *sync.WaitGroup, maxWait time.Duration) (numPeers int) {
 	done := make(chan struct{}, len(peers))
 	c.mu.Lock()
 	c.exchange.init()
-	c.exchange.numBegun++
+	c.exchange.rounds.begun++
 	for _, m := range peers {
 		address := m.GetPeerAddress()
 		if c.exchange.running[address] {
@@ -122,7 +154,7 @@
 		wg.Go(func() {
 			pctx, cancel := context.WithTimeout(ctx, callTimeout)
 			defer cancel()
-			c.probe(pctx, m)
+			call(pctx, m)
 			c.mu.Lock()
 			delete(c.exchange.running, address)
 			c.mu.Unlock()
@@ -141,9 +173,8 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.exchange.numDone = c.exchange.numBegun
-	close(c.exchange.changed)
-	c.exchange.changed = make(chan struct{})
+	c.exchange.rounds.done = c.exchange.rounds.begun
+	c.exchange.notify()
 	return numPeers
 }
 
@@ -181,6 +212,11 @@
 	if len(losses) == 0 && isKnown {
 		return
 	}
+	c.sendLossesTo(ctx, m, losses)
+}
+
+// sendLossesTo sends losses to a peer that is not the conductor.
+func (c *Client) sendLossesTo(ctx context.Context, m *peerv1.Member, losses []losstracker.Loss) {
 	r := &peerv1.ReportRequest{Member: c.member(), Losses: encodeLosses(losses)}
 	if _, err := peerv1.NewFleetCommandsProtobufClient("http://"+m.GetPeerAddress(), c.HTTP).Report(ctx, r); err != nil {
 		c.Log.Debug("peer does not accept losses", zap.String("peer", m.GetInstance()), zap.String("address", m.GetPeerAddress()), logger.Error(err))
--- a/internal/syncer/server.go
+++ b/internal/syncer/server.go
@@ -88,19 +88,6 @@
 	version    uint64 // of its last change
 }
 
-// Report implements peerv1.FleetCommands. An instance that is not the conductor takes the losses of
-// one that has none.
-func (s *Server) Report(_ context.Context, r *peerv1.ReportRequest) (*peerv1.ReportResponse, error) {
-	now := time.Now()
-	if !s.IsHolder() {
-		s.Neighbours.hear(r.GetMember(), now)
-		s.Losses.MergeExchanged(decodeLosses(r.GetLosses(), s.Log), now)
-		return &peerv1.ReportResponse{}, nil
-	}
-	s.ApplyReport(r, now)
-	return &peerv1.ReportResponse{IsConductor: true}, nil
-}
-
 // ApplyReport applies a report of an instance to the view, and passes its demands
 // and outcomes to the conductor.
 func (s *Server) ApplyReport(r *peerv1.ReportRequest, now time.Time) {
