syncer: instances without a conductor spare the seeds, and wait for no report

In a fleet of hundreds each instance called all seeds in every round, and reported itself to each that did not name it among 12 neighbours. An instance that knows 12 others now calls one seed, or the address in the newest claim, in a round, and a peer names its caller if it has heard it within 750 ms.

Without a conductor a request whose attempt broke also waited for a report to the holder of the last claim, which may not respond: 100 ms each time. It waits for the round of probes alone now.

--- a/internal/syncer/neighbour.go
+++ b/internal/syncer/neighbour.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -95,8 +96,9 @@
 	return out
 }
 
-// told returns a random sample of the neighbours that were heard within memberTTL.
-func (n *Neighbours) told(now time.Time) []*peerv1.Member {
+// told returns a random sample of the neighbours that were heard within memberTTL, and the caller
+// unless it should report itself again.
+func (n *Neighbours) told(caller string, now time.Time) []*peerv1.Member {
 	if n == nil {
 		return nil
 	}
@@ -109,7 +111,12 @@
 		}
 	}
 	rand.Shuffle(len(out), func(i, j int) { out[i], out[j] = out[j], out[i] })
-	return out[:min(len(out), maxNeighboursTold)]
+	out = out[:min(len(out), maxNeighboursTold)]
+	out = slices.DeleteFunc(out, func(m *peerv1.Member) bool { return m.GetInstance() == caller })
+	if x, ok := n.list[caller]; ok && now.Sub(x.heardAt) < memberTTL/2 {
+		out = append(out, x.Member)
+	}
+	return out
 }
 
 // Report implements peerv1.FleetCommands. An instance that is not the conductor takes the losses of
--- a/internal/syncer/probe.go
+++ b/internal/syncer/probe.go
@@ -93,8 +93,9 @@
 // in a round know them, and after maxExchangeWait at most, or maxFirstExchangeWait. isSuspect says that
 // another loss matters.
 func (c *Client) ExchangeLosses(ctx context.Context, isSuspect bool) {
+	hasConductor := c.HasConductor()
 	wait := maxExchangeWait
-	if !isSuspect && c.HasConductor() {
+	if !isSuspect && hasConductor {
 		wait = maxFirstExchangeWait
 	}
 	timeout := time.NewTimer(wait)
@@ -103,7 +104,7 @@
 	c.exchange.wakeUp()
 	c.reportNowLocked()
 	round, report := c.exchange.rounds.begun+1, c.exchange.reports.begun+1
-	for c.exchange.rounds.done < round || c.exchange.reports.done < report {
+	for c.exchange.rounds.done < round || hasConductor && c.exchange.reports.done < report {
 		changed := c.exchange.changed
 		c.mu.Unlock()
 		select {
@@ -186,7 +187,12 @@
 	known := updateMembers(neighbours, c.members, nil)
 	c.mu.Unlock()
 	out := membersToProbe(known, c.Self, rand.Perm)
-	for _, a := range append(slices.Clone(c.Seeds), c.Lease.Newest().Address) {
+	addresses := append(slices.Clone(c.Seeds), c.Lease.Newest().Address)
+	if len(out) == maxReadersProbed+maxOthersProbed {
+		// A large fleet would call the seeds all the time.
+		addresses = []string{addresses[rand.IntN(len(addresses))]}
+	}
+	for _, a := range addresses {
 		isProbed := slices.ContainsFunc(out, func(m *peerv1.Member) bool { return m.GetPeerAddress() == a })
 		if a != "" && a != c.Self.GetPeerAddress() && !isProbed {
 			out = append(out, &peerv1.Member{PeerAddress: a})
--- a/internal/syncer/server.go
+++ b/internal/syncer/server.go
@@ -331,7 +331,7 @@
 		if c := s.NewestClaim(); !c.IsZero() {
 			out.Claim = encodeClaim(c)
 		}
-		out.Members = append([]*peerv1.Member{s.Self}, s.Neighbours.told(now)...)
+		out.Members = append([]*peerv1.Member{s.Self}, s.Neighbours.told(instance, now)...)
 		out.Losses = encodeLosses(s.Losses.Recent(now))
 		out.Limits = encodeLimits(s.Conductor.Upstreams.Limits(now))
 		out.Brittle = encodeBrittle(s.Conductor.Upstreams.Brittle(now))
