courier: connections to peers and the store do not fail because this process is late

The same fault as that of connections to upstreams: after 0.6 s without processor time a connection to a peer or to the store that was open already counted as timed out, and for a reader of the log 2 s of direct reads follow.

--- a/internal/courier/dial.go
+++ b/internal/courier/dial.go
@@ -16,9 +16,17 @@
 // more.
 const maxDialGraces = 10
 
+// DialContext returns a function that opens connections for an http.Transport. The timeout bounds how long the
+// other end may take, not this process.
+func DialContext(timeout time.Duration, control func(network, address string, c syscall.RawConn) error) func(ctx context.Context, network, address string) (net.Conn, error) {
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		return dialWithin(ctx, timeout, network, address, control)
+	}
+}
+
 // dialWithin opens a connection. The timeout bounds how long the other end may take: an attempt that waits for
 // the process itself goes on.
-func dialWithin(ctx context.Context, timeout time.Duration, address string, control func(network, address string, c syscall.RawConn) error) (net.Conn, error) {
+func dialWithin(ctx context.Context, timeout time.Duration, network, address string, control func(network, address string, c syscall.RawConn) error) (net.Conn, error) {
 	dctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	var socket atomic.Pointer[syscall.RawConn]
@@ -42,7 +50,7 @@
 			timer.Reset(arrivedGrace)
 		}
 	}()
-	c, err := d.DialContext(dctx, "tcp4", address)
+	c, err := d.DialContext(dctx, network, address)
 	if err != nil && errors.Is(context.Cause(dctx), os.ErrDeadlineExceeded) {
 		err = errors.Wrapf(os.ErrDeadlineExceeded, "dial %s", address) // not the cancellation
 	}
--- a/internal/courier/dial_test.go
+++ b/internal/courier/dial_test.go
@@ -18,10 +18,10 @@
 func TestDialDoesNotBlameTheOtherEnd(t *testing.T) {
 	const timeout, pause = 10 * time.Millisecond, 250 * time.Millisecond
 	address := serve(t, func(_ int, c net.Conn) { _ = c.Close() })
-	c, err := dialWithin(t.Context(), timeout, address, func(string, string, syscall.RawConn) error {
+	c, err := DialContext(timeout, func(string, string, syscall.RawConn) error {
 		<-time.After(pause)
 		return nil
-	})
+	})(t.Context(), "tcp", address)
 	require.NoError(t, err)
 	require.NoError(t, c.Close())
 }
--- a/internal/courier/pool.go
+++ b/internal/courier/pool.go
@@ -120,7 +120,7 @@
 
 func (p *Pool) connect(ctx context.Context, address string) (net.Conn, error) {
 	control := SocketControl(orDefault(p.UserTimeout, DefaultUserTimeout), p.SocketBytes)
-	return dialWithin(ctx, orDefault(p.DialTimeout, DefaultDialTimeout), address, control)
+	return dialWithin(ctx, orDefault(p.DialTimeout, DefaultDialTimeout), "tcp4", address, control)
 }
 
 // put adds a connection to the idle ones whose response was read to its end, or that was not used.
--- a/internal/syncer/client.go
+++ b/internal/syncer/client.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net"
 	"net/http"
 	"sync"
 	"time"
@@ -60,9 +59,8 @@
 
 // NewHTTPClient returns the HTTP client for peers.
 func NewHTTPClient() *http.Client {
-	d := &net.Dialer{Timeout: callTimeout, KeepAlive: -1, Control: courier.UserTimeoutControl(peerUserTimeout)}
 	transport := &http.Transport{
-		DialContext: d.DialContext, MaxIdleConnsPerHost: 4, IdleConnTimeout: time.Minute, DisableCompression: true,
+		DialContext: courier.DialContext(callTimeout, courier.UserTimeoutControl(peerUserTimeout)), MaxIdleConnsPerHost: 4, IdleConnTimeout: time.Minute, DisableCompression: true,
 		MaxResponseHeaderBytes: courier.MaxTransportHeadBytes,
 	}
 	return courier.FramedClient(&http.Client{Transport: courier.LimitedTransport{RoundTripper: transport, MaxBodyBytes: MaxMessageBytes}})
