--- a/internal/syncer/doc.go
+++ b/internal/syncer/doc.go
@@ -10,6 +10,10 @@
 // or reports that it is stopping, is removed from the list, so that callers are not
 // directed to it.
 //
+// While there is no conductor, instances call members of the last view, neighbours that they have
+// heard of from others, and seeds, and exchange losses of requests with them (package losstracker).
+// While there is one, they send new losses to some members, since the view comes later.
+//
 // Instances also read the platform's log through each other: a reader in the same
 // data centre saves calls to the log, and while an instance cannot reach the
 // platform it reads records and claims the lease through its peers.
