internal/courier: an attempt to connect whose state cannot be read ends at its timeout

Where the state of a socket is not known, a silent other end would have been waited for up to a second longer.

--- a/internal/courier/dial.go
+++ b/internal/courier/dial.go
@@ -63,10 +63,10 @@
 	if socket == nil {
 		return false
 	}
-	isUnanswered := false
-	err := (*socket).Control(func(fd uintptr) {
+	isUnanswered := true // also if the state cannot be read
+	_ = (*socket).Control(func(fd uintptr) {
 		info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
-		isUnanswered = err == nil && info.State == unix.BPF_TCP_SYN_SENT
+		isUnanswered = err != nil || info.State == unix.BPF_TCP_SYN_SENT
 	})
-	return err == nil && isUnanswered
+	return isUnanswered
 }
