internal/assembler: a stop leaves time for the answers after a pause

Callers of a process that was paused for 0.1 s at the end of its stop got EOF instead of answers: the time for the answers and the time for closing the connections had both passed, so the server was closed before one handler had run.

Between the two there are now at least 10 sleeps of 5 ms, which take as long as the process runs for. SIGKILL comes at the same time as before, and the release of the lease after the answers matters less than they do.

--- a/internal/assembler/listen.go
+++ b/internal/assembler/listen.go
@@ -38,12 +38,18 @@
 	// peerUserTimeout is the TCP user timeout of connections to peers that serve requests in
 	// place of this instance.
 	peerUserTimeout = time.Second
+	// minAnswerSleeps is how often the process sleeps for answerSleep at least between the end of the
+	// requests that still run and the close of their connections.
+	minAnswerSleeps, answerSleep = 10, 5 * time.Millisecond
 	// otherDrainTime is how long requests on the servers that are not for callers may run on.
 	otherDrainTime = 100 * time.Millisecond
 	// handedOnInterval is the time between two checks for running requests of peers.
 	handedOnInterval = 10 * time.Millisecond
 )
 
+// errStopOver is the cause of the close of connections at the end of a stop.
+var errStopOver = errors.New("the time of the stop is over")
+
 // server is a server with the listener that it serves.
 type server struct {
 	*http.Server
@@ -166,10 +172,18 @@
 	sleeper.Sleep(ctx, time.Until(plan.Refuse))
 	a.isClosed.Store(true)
 	a.queue.Close()
-	answers := time.AfterFunc(time.Until(plan.Answer), a.halt.End)
+	shutdownCtx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	answers := time.AfterFunc(time.Until(plan.Answer), func() {
+		a.halt.End()
+		// Sleeps, not only the time: after a pause of the process both moments may have passed.
+		for range minAnswerSleeps {
+			sleeper.Sleep(shutdownCtx, answerSleep)
+		}
+		sleeper.Sleep(shutdownCtx, time.Until(plan.Close))
+		cancel(errStopOver)
+	})
 	defer answers.Stop()
-	shutdownCtx, cancel := context.WithDeadline(ctx, plan.Close)
-	defer cancel()
 	if err := servers[0].drain(shutdownCtx); err != nil {
 		a.Log.Warn("graceful shutdown incomplete", logger.Error(err))
 	}
