internal/relayer: the log of a stop states the expected duration of each request that it ends

"stop ended a request" had 0 as expected and left for requests that were refused in the queue, refused because the instance takes none any more, or answered at the end. docs/OPERATIONS.md compares them with the duration. They are as of the arrival of the request now.

--- a/internal/relayer/stop.go
+++ b/internal/relayer/stop.go
@@ -89,11 +89,15 @@
 	case refusal.Ran != verdict.NotRun:
 		action = actionAnswered
 	}
+	f := c.stop.fit
+	if f.Expected == 0 { // it was not refused here: as of its arrival
+		f = plan.Fit(c.admission.Takes, c.arrived, c.deadline)
+	}
 	c.Metrics.stopped.WithLabelValues(c.admission.Service, action).Inc()
 	c.Log.Info("stop ended a request", zap.String("request", c.requestInfo.ID), zap.String("route", c.route.Name), zap.String("action", action),
 		zap.String("outcome", outcome), zap.Int("status", c.reply.status), zap.Int("attempts", c.numSends), zap.Int("may-have-run", c.numMayHaveRun),
 		zap.Bool("handed-on", c.handOn.isReceived), zap.String("handed-on-to", c.handOn.peer),
-		zap.Duration("expected", c.stop.fit.Expected), zap.Bool("measured", c.stop.fit.IsMeasured), zap.Duration("left", c.stop.fit.Left),
+		zap.Duration("expected", f.Expected), zap.Bool("measured", f.IsMeasured), zap.Duration("left", f.Left),
 		zap.Duration("since-signal", time.Since(plan.Signaled)), zap.Duration("until-answer", time.Until(plan.Answer)),
 		zap.Duration("until-deadline", time.Until(c.deadline)), zap.Duration("waited", c.queueTime), zap.Duration("took", took),
 		zap.Int("events", c.stream.numEvents), zap.String("upstream", c.lastUpstream), logger.Error(err))
