--- a/internal/syncer/server.go
+++ b/internal/syncer/server.go
@@ -73,6 +73,7 @@
 	watchers map[string]*watcher // by instance
 	version  uint64
 	delta    delta
+	sweptAt  time.Time // when silent members were last dropped
 	// lossesSeen is the version of the losses that are in the view.
 	lossesSeen uint64
 
@@ -246,20 +247,6 @@
 	return w
 }
 
-// sweepLocked drops the members whose last report is too long ago.
-func (s *Server) sweepLocked(now time.Time) {
-	for name, m := range s.members {
-		if now.Sub(m.reportedAt) > memberTTL {
-			delete(s.members, name)
-			s.removed[name] = s.version + 1
-			delete(s.delta.responses, name)
-			delete(s.watchers, name)
-			s.Conductor.RemoveInstance(name)
-			s.notifyWatchersLocked()
-		}
-	}
-}
-
 // Watch implements peerv1.FleetQueries.
 func (s *Server) Watch(ctx context.Context, r *peerv1.WatchRequest) (*peerv1.WatchResponse, error) {
 	wait := min(time.Duration(r.GetWaitMs())*time.Millisecond, maxWait)
