relayer: the upstreams of tests allow for a process that was paused

It is in the same process as the reader of the response, so a pause of the process ends its write before anything can be read.

--- a/internal/relayer/ahead_test.go
+++ b/internal/relayer/ahead_test.go
@@ -57,11 +57,18 @@
 	return responseHead(r, 200, stamped+"Connection: close\r\nTransfer-Encoding: chunked\r\n\r\n")
 }
 
-// send writes a part of a response, and fails if the response stays unread for too long.
+// send writes a part of a response, and fails if the response stays unread for too long. If the time limit is
+// noticed late, this process was paused, the reader of the response with it, and the limit begins again.
 func send(c net.Conn, s string) bool {
-	_ = c.SetWriteDeadline(time.Now().Add(unreadLimit))
-	_, err := io.WriteString(c, s)
-	return err == nil
+	for {
+		limit := time.Now().Add(unreadLimit)
+		_ = c.SetWriteDeadline(limit)
+		n, err := io.WriteString(c, s)
+		s = s[n:]
+		if !errors.Is(err, os.ErrDeadlineExceeded) || time.Since(limit) < maxCheckDelay {
+			return err == nil
+		}
+	}
 }
 
 // slowFixture is a fixture whose sockets have small buffers, with the log lines of ended responses.
