internal/syncer, internal/losstracker: losses begin a bounded number of rounds

When many upstreams crash together, nearly all losses are of requests that crash nothing. Each of them began a round of calls to 12 instances, at most every 36 ms, with up to 256 losses in each.

An instance begins ten such rounds at once and five a second on average; the last ones are left to requests that have lost several upstreams. A report to an instance that is not the conductor holds 16 losses at most, those of such requests first. Without a round a request does not wait for one.

--- a/internal/assembler/assembler.go
+++ b/internal/assembler/assembler.go
@@ -231,10 +231,10 @@
 		switch {
 		case change == losstracker.Withdrawn:
 		case change != losstracker.Learned:
-			a.client.NotifyLoss()
+			a.client.NotifyLoss(known >= losstracker.SharedThreshold)
 		case known >= losstracker.SharedThreshold && !a.client.HasConductor():
 			// An instance may not be able to call all others, so those that learn of a loss pass it on.
-			a.client.NotifyLoss()
+			a.client.NotifyLoss(true)
 		}
 	}
 }
--- a/internal/losstracker/exchange.go
+++ b/internal/losstracker/exchange.go
@@ -234,24 +234,35 @@
 }
 
 // New returns the losses that this instance has learned within newAge, whatever the number of losses
-// of their requests.
-func (t *Tracker) New(now time.Time) []Loss {
+// of their requests: those of requests with several first, and at most limit.
+func (t *Tracker) New(limit int, now time.Time) []Loss {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.requests == nil {
 		return nil
 	}
-	var out []Loss
+	var several, single []*loss
 	keys := t.requests.Keys() // the most recently used are last
 	for n := len(keys) - 1; n >= 0 && n >= len(keys)-maxReported; n-- {
 		r, _ := t.requests.Peek(keys[n])
 		for _, l := range r.losses {
-			if l.isTold(now) && now.Sub(l.learnedAt) <= newAge {
-				l.isExchanged = true
-				out = append(out, l.Loss)
+			switch {
+			case !l.isTold(now) || now.Sub(l.learnedAt) > newAge:
+			case len(r.losses) >= SharedThreshold:
+				several = append(several, l)
+			default:
+				single = append(single, l)
 			}
 		}
 	}
+	var out []Loss
+	for _, l := range append(several, single...) {
+		if len(out) == limit {
+			break
+		}
+		l.isExchanged = true
+		out = append(out, l.Loss)
+	}
 	return out
 }
 
--- a/internal/syncer/neighbour_test.go
+++ b/internal/syncer/neighbour_test.go
@@ -76,9 +76,9 @@
 	var wg sync.WaitGroup
 	require.Equal(t, 1, b.sendLosses(t.Context(), &wg, callTimeout))
 	wg.Wait()
-	require.Equal(t, []losstracker.Loss{lost}, a.Losses.New(time.Now()))
-	require.Empty(t, conductor.Losses.New(time.Now()), "it gets a report, with the demand")
-	require.Empty(t, b.Losses.New(time.Now().Add(time.Minute)), "it is sent once it is new")
+	require.Equal(t, []losstracker.Loss{lost}, a.Losses.New(maxLossesSent, time.Now()))
+	require.Empty(t, conductor.Losses.New(maxLossesSent, time.Now()), "it gets a report, with the demand")
+	require.Empty(t, b.Losses.New(maxLossesSent, time.Now().Add(time.Minute)), "it is sent once it is new")
 }
 
 // TestHolderOfAnOlderClaimIsProbed guards against instances that do not find each other although they
@@ -112,3 +112,18 @@
 	require.Empty(t, c.Neighbours.told("edge-7", now.Add(memberTTL)), "they may be gone")
 	require.Empty(t, c.Neighbours.known(now.Add(neighbourTTL+time.Millisecond)))
 }
+
+// TestManyLossesBeginFewRounds guards against a fleet whose links carry little else than losses when many
+// upstreams crash together.
+func TestManyLossesBeginFewRounds(t *testing.T) {
+	var e exchange
+	began, numFirst := time.Now(), 0
+	for range 1000 {
+		if e.mayBegin(false) && e.urgent.Allow() {
+			numFirst++
+		}
+	}
+	numMore := int(time.Since(began).Seconds()*float64(urgentRounds)) + 1
+	require.LessOrEqual(t, numFirst, urgentBurst-suspectReserve+1+numMore)
+	require.True(t, e.mayBegin(true), "some rounds are left for requests that may crash upstreams")
+}
--- a/internal/syncer/probe.go
+++ b/internal/syncer/probe.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"go.uber.org/zap"
+	"golang.org/x/time/rate"
 
 	"github.com/primrosedrift/primrosedrift/internal/leaser"
 	"github.com/primrosedrift/primrosedrift/internal/logger"
@@ -18,6 +19,18 @@
 	peerv1 "github.com/primrosedrift/primrosedrift/pkg/api/peer/v1"
 )
 
+const (
+	// urgentRounds is how many rounds a second an instance may begin because of a loss, on average, and
+	// urgentBurst how many at once. When many upstreams crash together, hardly any loss is of a request
+	// that crashes upstreams, and the exchange of all of them would take the links of a large fleet.
+	urgentRounds rate.Limit = 5
+	urgentBurst             = 10
+	// suspectReserve is the number of rounds that are left to requests for which another loss matters.
+	suspectReserve = 4
+	// maxLossesSent bounds the losses in a report to an instance that is not the conductor.
+	maxLossesSent = 16
+)
+
 // exchange is the state of the probes.
 type exchange struct {
 	// running holds the addresses of the peers that have not responded yet.
@@ -27,6 +40,7 @@
 	// each of them.
 	rounds, reports counts
 	changed         chan struct{}
+	urgent          *rate.Limiter // of rounds that begin because of a loss
 }
 
 type counts struct{ begun, done int }
@@ -34,9 +48,19 @@
 func (e *exchange) init() {
 	if e.running == nil {
 		e.running, e.wake, e.changed = make(map[string]bool), make(chan struct{}, 1), make(chan struct{})
+		e.urgent = rate.NewLimiter(urgentRounds, urgentBurst)
 	}
 }
 
+// mayBegin reports whether a round may begin because of a loss.
+func (e *exchange) mayBegin(isSuspect bool) bool {
+	e.init()
+	if isSuspect {
+		return e.urgent.Tokens() >= 1
+	}
+	return e.urgent.Tokens() >= suspectReserve
+}
+
 // runProbes probes other instances while there is no conductor, every probeInterval and soon after
 // a loss. While there is one, it sends new losses to some members, since a view comes later.
 func (c *Client) runProbes(ctx context.Context) {
@@ -48,31 +72,36 @@
 	defer tick.Stop()
 	var wg sync.WaitGroup
 	defer wg.Wait()
-	for isAwoken := false; ctx.Err() == nil; {
+	for isAwoken, isDue := false, true; ctx.Err() == nil; {
 		numPeers := 0
 		switch {
+		case !isDue && !isAwoken:
 		case !c.HasConductor():
 			numPeers = c.probePeers(ctx, &wg, maxExchangeWait)
 		case isAwoken:
 			numPeers = c.sendLosses(ctx, &wg, maxExchangeWait)
 		}
 		sleeper.Sleep(ctx, time.Duration(numPeers)*probeIntervalPerPeer)
-		isAwoken = false
+		isAwoken, isDue = false, false
 		select {
 		case <-ctx.Done():
 		case <-tick.C:
+			isDue = true
 		case <-wake:
-			isAwoken = true
+			isAwoken = c.exchange.urgent.Allow()
 		}
 	}
 }
 
-// NotifyLoss reports a new loss at once, and sends it to other instances.
-func (c *Client) NotifyLoss() {
+// NotifyLoss reports a new loss at once, and sends it to other instances. isSuspect says that another
+// loss matters.
+func (c *Client) NotifyLoss(isSuspect bool) {
 	c.ReportNow()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.exchange.wakeUp()
+	if c.exchange.mayBegin(isSuspect) {
+		c.exchange.wakeUp()
+	}
 }
 
 func (e *exchange) notify() {
@@ -90,8 +119,8 @@
 }
 
 // ExchangeLosses reports losses, and returns when the conductor and the instances that this one calls
-// in a round know them, and after maxExchangeWait at most, or maxFirstExchangeWait. isSuspect says that
-// another loss matters.
+// in a round know them, and after maxExchangeWait at most, or maxFirstExchangeWait. It returns at once
+// if too many rounds have begun because of losses. isSuspect says that another loss matters.
 func (c *Client) ExchangeLosses(ctx context.Context, isSuspect bool) {
 	hasConductor := c.HasConductor()
 	wait := maxExchangeWait
@@ -101,8 +130,12 @@
 	timeout := time.NewTimer(wait)
 	defer timeout.Stop()
 	c.mu.Lock()
-	c.exchange.wakeUp()
 	c.reportNowLocked()
+	if !c.exchange.mayBegin(isSuspect) {
+		c.mu.Unlock()
+		return
+	}
+	c.exchange.wakeUp()
 	round, report := c.exchange.rounds.begun+1, c.exchange.reports.begun+1
 	for c.exchange.rounds.done < round || hasConductor && c.exchange.reports.done < report {
 		changed := c.exchange.changed
@@ -133,7 +166,7 @@
 	c.mu.Lock()
 	peers := membersToProbe(updateMembers(c.members, nil, []string{conductor}), c.Self, rand.Perm)
 	c.mu.Unlock()
-	losses := c.Losses.New(time.Now())
+	losses := c.Losses.New(maxLossesSent, time.Now())
 	if len(losses) == 0 {
 		peers = nil
 	}
@@ -213,7 +246,7 @@
 	if v.GetIsConductor() {
 		return // it gets the next report
 	}
-	losses := c.Losses.Recent(now)
+	losses := c.Losses.New(maxLossesSent, now)
 	isKnown := slices.ContainsFunc(v.GetMembers(), func(m *peerv1.Member) bool { return m.GetIncarnation() == c.Self.GetIncarnation() })
 	if len(losses) == 0 && isKnown {
 		return
