cmd/primrosedrift: a SIGHUP during the start does not end the process

An instance that got a SIGHUP before it had asked for the signal ended, since that is what the signal does by default; it asked in a goroutine, after it had read its settings. Nobody starts it again.

The process now asks for the signal before it reads the settings.

--- a/cmd/primrosedrift/entry.go
+++ b/cmd/primrosedrift/entry.go
@@ -29,6 +29,8 @@
 			&cli.BoolFlag{Name: "check", Usage: "check the settings and exit"},
 		},
 		Action: func(ctx context.Context, c *cli.Command) error {
+			hup := make(chan os.Signal, 1)
+			signal.Notify(hup, syscall.SIGHUP) // before anything that takes time; it ends the process otherwise
 			s, err := platform.LoadSettings()
 			if err != nil {
 				return exitError{exitUsage, err}
@@ -36,12 +38,12 @@
 			if c.Bool("check") {
 				return nil
 			}
-			return runEntry(ctx, s, c.String("log-level"))
+			return runEntry(ctx, s, hup, c.String("log-level"))
 		},
 	}
 }
 
-func runEntry(ctx context.Context, s platform.Settings, level string) error {
+func runEntry(ctx context.Context, s platform.Settings, hup <-chan os.Signal, level string) error {
 	out := &logger.Writer{Out: os.Stdout, Limiter: logger.NewLimiter()}
 	log, err := logger.New(out, level)
 	if err != nil {
@@ -50,7 +52,7 @@
 	runCtx, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
 	go out.Run(runCtx)
-	go watchSettings(runCtx, s, log)
+	go watchSettings(runCtx, s, hup, log)
 	err = assembler.New(newDeployment(s), log.With(zap.String("instance", s.Instance))).Run(ctx)
 	return errors.CombineErrors(err, out.Sync())
 }
@@ -92,13 +94,10 @@
 // may change without a signal.
 const settingsPollInterval = 2 * time.Second
 
-// watchSettings logs changes of the settings until ctx ends. A running process
+// watchSettings logs changes of the settings, at once after a SIGHUP, until ctx ends. A running process
 // keeps the addresses and bounds that it started with; changed settings take
 // effect at the next start.
-func watchSettings(ctx context.Context, s platform.Settings, log *zap.Logger) {
-	hup := make(chan os.Signal, 1)
-	signal.Notify(hup, syscall.SIGHUP)
-	defer signal.Stop(hup)
+func watchSettings(ctx context.Context, s platform.Settings, hup <-chan os.Signal, log *zap.Logger) {
 	tick := time.NewTicker(settingsPollInterval)
 	defer tick.Stop()
 	for {
