queuer: the rest of a stream is not refused for slots of other versions

Where there are accounts, a request for the rest of a stream was refused as "no slot in time" because of the requests ahead at the upstreams that hold its model, also if none of them is of the version that began the stream. Such a request waits for a load and not for slots. Since the refusal counted it as one whose model is loaded, it was no demand afterwards either, so that the conductor did not load the model at that version.

The cause is that the rate of slots is measured by model, and the upstreams that may serve the request were not looked at. It is refused for the requests ahead only if one of these upstreams holds its model. For requests that are not bound nothing changes: the rate counts as unknown without a replica.

--- a/internal/queuer/refuse.go
+++ b/internal/queuer/refuse.go
@@ -86,7 +86,7 @@
 		t.Remove(w)
 		return Admission{Estimate: e}
 	}
-	if wait := p.estimateWait(w, t.rateOf(p, s, now), now); now.Add(wait).After(req.StartBy) {
+	if wait := p.estimateWait(w, t.rateOf(p, s, now), now); req.isHeld(s) && now.Add(wait).After(req.StartBy) {
 		t.Remove(w)
 		return Admission{Estimate: p.refuse(w, wait, t.rateOf(p, s, now), now)}
 	}
@@ -264,7 +264,7 @@
 		if rate == 0 || total/rate < shortBacklog.Seconds() {
 			continue
 		}
-		for _, w := range p.overdue(rate, now) {
+		for _, w := range p.overdue(rate, s, now) {
 			t.fair.remove(w)
 			isAny = true
 		}
@@ -276,7 +276,7 @@
 }
 
 // overdue refuses the requests of the pool that cannot start in time and returns them.
-func (p *pool) overdue(rate float64, now time.Time) []*Waiter {
+func (p *pool) overdue(rate float64, s *registrar.Snapshot, now time.Time) []*Waiter {
 	byAccount := make(map[accountKey][]*Waiter)
 	var order []accountKey // of the first requests, so that the result is repeatable
 	for _, f := range p.flows {
@@ -294,6 +294,9 @@
 		others := p.costsAhead(k.priority, k.account)
 		own, late := 0.0, 0.0
 		for _, w := range list {
+			if !w.Request.isHeld(s) {
+				continue
+			}
 			wait := waitBehind(others.of(w), own, w.cost, rate)
 			if w.isLate {
 				wait = p.lateWait(others, own, late, w.cost, rate, now)
--- a/internal/queuer/rest_test.go
+++ b/internal/queuer/rest_test.go
@@ -83,3 +83,17 @@
 		require.Zero(t, waiting[false])
 	}
 }
+
+// TestRestOfAStreamIsNotRefusedForTheBacklogOfAnotherVersion guards against streams that are refused because upstreams that cannot serve them are busy.
+func TestRestOfAStreamIsNotRefusedForTheBacklogOfAnotherVersion(t *testing.T) {
+	table, _, cfg := backlog(t, 50)
+	now, v1 := start.Add(3*time.Second), "v1"
+	s := snapshot(withCopy(), versionEngine("e2", "v2", registrar.Model{Name: "m1"}))
+	req := accountRequest("a", 1, 40*time.Second)
+	req.Software, req.StartBy = &v1, now.Add(5*time.Second)
+	a := table.Admit(req, s, cfg, now)
+	require.NotNil(t, a.Waiter, "a load from disk takes %v, and it is refused for a wait of %v", diskLoadDuration, a.Estimate.Delay)
+	table.Expire(s, cfg, now)
+	e, isRefused := a.Waiter.Refused()
+	require.False(t, isRefused, "refused in the queue for a wait of %v", e.Delay)
+}
--- a/internal/queuer/table.go
+++ b/internal/queuer/table.go
@@ -145,6 +145,14 @@
 	return out
 }
 
+// isHeld reports whether one of the upstreams that may run the request holds its model. Otherwise it
+// waits for a load, and not for slots.
+func (req Request) isHeld(s *registrar.Snapshot) bool {
+	return slices.ContainsFunc(req.candidates(s), func(u *registrar.Upstream) bool {
+		return req.Model == "" || u.Holds(req.Model, "")
+	})
+}
+
 // Table holds the running and the waiting requests of an instance. Its zero
 // value is ready to use; it is not safe for concurrent use.
 type Table struct {
