internal/syncer: rounds that begin because of a loss send losses only

Without a conductor such a round was a whole probe, whose response holds up to 256 losses, members, limits and restarts. It is a report of the new losses now; probes stay every 300 ms.

It is kept since it is simpler.

--- a/internal/syncer/neighbour_test.go
+++ b/internal/syncer/neighbour_test.go
@@ -74,7 +74,7 @@
 	lost := losstracker.Loss{Fingerprint: 7, Incarnation: registrar.Incarnation{ID: "e1", StartedAtMs: 1}}
 	b.Losses.Begin(lost.Incarnation, lost.Fingerprint).End(losstracker.Broken, time.Now())
 	var wg sync.WaitGroup
-	require.Equal(t, 1, b.sendLosses(t.Context(), &wg, callTimeout))
+	require.Equal(t, 1, b.sendLosses(t.Context(), b.membersToTell(), &wg, callTimeout))
 	wg.Wait()
 	require.Equal(t, []losstracker.Loss{lost}, a.Losses.New(maxLossesSent, time.Now()))
 	require.Empty(t, conductor.Losses.New(maxLossesSent, time.Now()), "it gets a report, with the demand")
--- a/internal/syncer/probe.go
+++ b/internal/syncer/probe.go
@@ -61,8 +61,8 @@
 	return e.urgent.Tokens() >= suspectReserve
 }
 
-// runProbes probes other instances while there is no conductor, every probeInterval and soon after
-// a loss. While there is one, it sends new losses to some members, since a view comes later.
+// runProbes probes other instances every probeInterval while there is no conductor, and sends new losses
+// to some instances soon after they have become known: with a conductor, since a view comes later.
 func (c *Client) runProbes(ctx context.Context) {
 	c.mu.Lock()
 	c.exchange.init()
@@ -75,11 +75,12 @@
 	for isAwoken, isDue := false, true; ctx.Err() == nil; {
 		numPeers := 0
 		switch {
-		case !isDue && !isAwoken:
-		case !c.HasConductor():
-			numPeers = c.probePeers(ctx, &wg, maxExchangeWait)
+		case isAwoken && c.HasConductor():
+			numPeers = c.sendLosses(ctx, c.membersToTell(), &wg, maxExchangeWait)
 		case isAwoken:
-			numPeers = c.sendLosses(ctx, &wg, maxExchangeWait)
+			numPeers = c.sendLosses(ctx, c.peersToProbe(time.Now()), &wg, maxExchangeWait)
+		case isDue && !c.HasConductor():
+			numPeers = c.probePeers(ctx, &wg, maxExchangeWait)
 		}
 		sleeper.Sleep(ctx, time.Duration(numPeers)*probeIntervalPerPeer)
 		isAwoken, isDue = false, false
@@ -160,12 +161,16 @@
 	return c.callPeers(ctx, c.peersToProbe(time.Now()), c.probe, wg, maxWait)
 }
 
-// sendLosses sends new losses to some members other than the conductor, as probePeers does.
-func (c *Client) sendLosses(ctx context.Context, wg *sync.WaitGroup, maxWait time.Duration) (numPeers int) {
+// membersToTell returns some members other than the conductor.
+func (c *Client) membersToTell() []*peerv1.Member {
 	conductor := c.Lease.Newest().Holder
 	c.mu.Lock()
-	peers := membersToProbe(updateMembers(c.members, nil, []string{conductor}), c.Self, rand.Perm)
-	c.mu.Unlock()
+	defer c.mu.Unlock()
+	return membersToProbe(updateMembers(c.members, nil, []string{conductor}), c.Self, rand.Perm)
+}
+
+// sendLosses sends new losses to peers, as probePeers does.
+func (c *Client) sendLosses(ctx context.Context, peers []*peerv1.Member, wg *sync.WaitGroup, maxWait time.Duration) (numPeers int) {
 	losses := c.Losses.New(maxLossesSent, time.Now())
 	if len(losses) == 0 {
 		peers = nil
