internal/losstracker: single losses of others are not passed on to the conductor

What an instance without a conductor sends to others was reported by each of these to the conductor. When many upstreams crash together nearly all losses are of requests that crash nothing, and in a large fleet each of them reached the conductor once from every instance. The losses of a request are passed on from the second on, all of them; a single one is reported by its own instance once that has a conductor again.

--- a/internal/losstracker/exchange.go
+++ b/internal/losstracker/exchange.go
@@ -104,16 +104,18 @@
 }
 
 // MergeExchanged merges the losses that an instance without a conductor has sent, or that an instance
-// that is not the conductor has returned. They are reported to the present conductor as well, which
-// may not get them from anywhere else.
+// that is not the conductor has returned. Those of requests with several are reported to the present
+// conductor as well, which may not get them from anywhere else.
 func (t *Tracker) MergeExchanged(losses []Loss, now time.Time) {
 	t.mu.Lock()
 	events := t.mergeLocked(losses, now)
 	for _, e := range events {
-		if r, ok := t.requests.Peek(e.Fingerprint); ok {
-			if l := r.find(keyOf(e.Loss)); l != nil {
-				t.reporting.unreported[keyOf(l.Loss)] = l.Loss
-			}
+		r, ok := t.requests.Peek(e.Fingerprint)
+		if !ok || len(r.losses) < SharedThreshold {
+			continue
+		}
+		for _, l := range r.losses {
+			t.reporting.unreported[keyOf(l.Loss)] = l.Loss
 		}
 	}
 	t.mu.Unlock()
