--- a/internal/syncer/probe.go
+++ b/internal/syncer/probe.go
@@ -23,7 +23,7 @@
 	// urgentRounds is how many rounds a second an instance may begin because of a loss, on average, and
 	// urgentBurst how many at once. When many upstreams crash together, hardly any loss is of a request
 	// that crashes upstreams, and the exchange of all of them would take the links of a large fleet.
-	urgentRounds = rate.Limit(5)
+	urgentRounds = rate.Limit(2)
 	urgentBurst  = 10
 	// suspectReserve is the number of rounds that are left to requests for which another loss matters.
 	suspectReserve = 4
