internal/verifier: the proof that a request has brought begins no other request

A check that came right before the answer of a request in flight began another request when that had ended: upstreams were asked twice for their state, which is priced. The proof is looked for once more under the lock.

--- a/internal/verifier/verifier.go
+++ b/internal/verifier/verifier.go
@@ -56,7 +56,10 @@
 // before, or if the upstream does not respond.
 func (v *Verifier) Verify(ctx context.Context, u *registrar.Upstream, openedAt time.Time) bool {
 	for !v.IsProven(u, openedAt) {
-		r := v.join(u)
+		r := v.join(u, openedAt)
+		if r == nil {
+			return true
+		}
 		select {
 		case <-r.done:
 		case <-ctx.Done():
@@ -69,14 +72,18 @@
 	return true
 }
 
-// join returns the request for the state of an upstream that is in flight, or a new one.
-func (v *Verifier) join(u *registrar.Upstream) *request {
+// join returns the request for the state of an upstream that is in flight, or a new one. It returns nil
+// if the last one has brought the proof meanwhile. The table of upstreams is locked after mu.
+func (v *Verifier) join(u *registrar.Upstream, openedAt time.Time) *request {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	i := u.Incarnation()
 	if r := v.requests[i]; r != nil {
 		return r
 	}
+	if v.IsProven(u, openedAt) {
+		return nil
+	}
 	if v.requests == nil {
 		v.requests = make(map[registrar.Incarnation]*request)
 	}
