streamtracker, follower: an instance that nobody answers reads the registrations before it guesses a version

Unless all instances that were asked answer, the registrations are now read up to the end that the log has at that moment, by one read for all streams that wait. A stream begins at an upstream that was registered before, so a version that such a read does not show has no streams yet. If the read fails, half of the instances must answer, as in an outage before. The rest of a stream whose other instances have ended goes on, as before.

Two reads at the same time could deliver records in another order than the log's, so deliveries are serialized.

TestResolve: "cut off just now" and "a second not read yet" fail without the read.

--- a/internal/assembler/streams.go
+++ b/internal/assembler/streams.go
@@ -37,6 +37,7 @@
 		Ask: func(ctx context.Context, stream, service string) ([]streamtracker.Answer, int) {
 			return a.client.AskForOrigin(ctx, stream, service)
 		},
+		ReadCurrent: func(ctx context.Context) error { return a.upstreamFollower.ReadCurrent(ctx) },
 		IsFresh: func() bool {
 			age, ok := a.upstreamFollower.Age()
 			return ok && age < a.MaxDrainDelay && a.upstreamTable.IsComplete(time.Now())
--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -96,7 +96,7 @@
 	// between the starts of two reads.
 	MaxWait, MinInterval time.Duration
 	// OnRecords is called with new records, one for each key. If isComplete is set,
-	// they are the records of all keys of the topic.
+	// they are the records of all keys of the topic. It must not read the topic.
 	OnRecords func(records []Record, isComplete bool)
 	// OnPlatformLost is called with true when the platform is lost, and with false
 	// when it is regained.
@@ -140,6 +140,11 @@
 	numFailures    int           // consecutive failed calls
 	advanced       chan struct{} // closed when next increases
 	firstRead      chan struct{} // closed after the first read
+	currentRead    chan struct{} // holds an element while ReadCurrent reads
+
+	// delivery is locked before mu, and held while OnRecords is called: records of two reads
+	// would otherwise be delivered in another order than that of the log.
+	delivery sync.Mutex
 }
 
 // Age returns the time since the log was last read, here or by a peer. It reports false if
@@ -241,15 +246,15 @@
 			return true, nil
 		}
 	}
-	return false, f.read(ctx, from)
+	return false, f.read(ctx, from, f.MaxWait)
 }
 
 // read reads the log from a position on.
-func (f *Follower) read(ctx context.Context, from sequencer.Position) error {
-	cctx, cancel := context.WithTimeout(ctx, f.MaxWait+callMargin)
+func (f *Follower) read(ctx context.Context, from sequencer.Position, wait time.Duration) error {
+	cctx, cancel := context.WithTimeout(ctx, wait+callMargin)
 	defer cancel()
 	sentAt := clocker.SinceStart()
-	b, err := f.Topic.Read(cctx, from, f.MaxWait)
+	b, err := f.Topic.Read(cctx, from, wait)
 	var dropped TruncatedError
 	var restored RestoredError
 	switch {
@@ -272,6 +277,8 @@
 // apply keeps the records that are newer than the known records of their keys, and
 // passes them to OnRecords. The batch was requested at sentAt.
 func (f *Follower) apply(b Batch, sentAt time.Duration) {
+	f.delivery.Lock()
+	defer f.delivery.Unlock()
 	f.mu.Lock()
 	isNewEra := b.Next.Era != f.next.Era
 	if f.hasRead && isNewEra && (b.Next.Era < f.next.Era || !b.IsComplete) {
--- a/internal/relayer/continuation_test.go
+++ b/internal/relayer/continuation_test.go
@@ -131,6 +131,7 @@
 func (g *fixture) knowStreams() {
 	g.Streams.Ask = func(context.Context, string, string) ([]streamtracker.Answer, int) { return nil, 0 }
 	g.Streams.IsFresh, g.Streams.Log = func() bool { return true }, zap.NewNop()
+	g.Streams.ReadCurrent = func(context.Context) error { return nil }
 	g.Streams.History.Observe(map[string][]string{"s": {""}}, true, time.Now())
 	g.Streams.History.Merge("s", allCovered, time.Now())
 }
--- a/internal/streamtracker/keeper.go
+++ b/internal/streamtracker/keeper.go
@@ -21,8 +21,9 @@
 	maxCorrectionHold = 150 * time.Millisecond
 	// askTimeout bounds the questions to the homes of a stream.
 	askTimeout = 200 * time.Millisecond
-	// loadTimeout bounds the read of the saved versions.
+	// loadTimeout bounds the read of the saved versions, and readTimeout that of the registrations.
 	loadTimeout = 300 * time.Millisecond
+	readTimeout = 300 * time.Millisecond
 	// unknownRetryAfter is the retry delay of a stream that no instance knows.
 	unknownRetryAfter = 8 * time.Second
 	// unloadedRetryAfter is that of a stream whose origin may be saved, while the platform's
@@ -63,7 +64,9 @@
 	LoadArchive func(ctx context.Context) error
 	// IsFresh reports whether this instance has read the registrations lately.
 	IsFresh func() bool
-	Log     *zap.Logger
+	// ReadCurrent returns once all registrations are known that were there when it was called.
+	ReadCurrent func(ctx context.Context) error
+	Log         *zap.Logger
 
 	unproven unproven
 }
@@ -227,7 +230,16 @@
 		isFresh = isFresh || a.IsFresh
 		k.History.Merge(service, a.Versions, now)
 	}
-	known := k.History.Versions(service, now)
+	// An instance that does not answer may know a version that was registered since this one has
+	// read the registrations.
+	var readErr error
+	if numAsked == 0 || len(answers) < numAsked {
+		rctx, cancel := context.WithTimeout(ctx, readTimeout)
+		readErr = k.ReadCurrent(rctx)
+		cancel()
+		isFresh = isFresh || readErr == nil && k.IsFresh()
+	}
+	known := k.History.Versions(service, time.Now())
 	if len(known.Ages) == 1 && !known.IsComplete() {
 		lctx, cancel := context.WithTimeout(ctx, loadTimeout)
 		saved, err := k.Load(lctx, service)
@@ -247,9 +259,9 @@
 		return list, refuse("software versions of the service are known for %v only", known.Covered.Round(time.Millisecond))
 	case isUnproven && !isFresh:
 		return list, refuse("registrations are old, and another process than the registered one may have begun the stream")
-	case !isFresh && 2*len(answers) < numAsked || !isFresh && numAsked == 0:
+	case (!isFresh || readErr != nil) && (numAsked == 0 || 2*len(answers) < numAsked):
 		// Instances that are cut off together would miss a new version.
-		return list, refuse("registrations are old, and %d of %d instances answer", len(answers), numAsked)
+		return list, refuse("registrations are old, and %d of %d instances answer: %v", len(answers), numAsked, readErr)
 	}
 	return list, nil
 }
--- a/internal/streamtracker/keeper_test.go
+++ b/internal/streamtracker/keeper_test.go
@@ -47,6 +47,8 @@
 		answers  []Answer
 		numAsked int
 		isOld    bool // the registrations
+		readErr  error
+		read     []string // versions that a read of the registrations shows
 		saved    Versions
 		loadErr  error
 		archived []Origin
@@ -65,16 +67,19 @@
 		"unknown, one is saved":            {current: []string{"v1"}, saved: all, want: "v1"},
 		"unknown, covered by another":      {current: []string{"v1"}, answers: []Answer{answer(all)}, numAsked: 1, loadErr: outage, want: "v1"},
 		"unknown, nobody covers":           {current: []string{"v1"}, answers: []Answer{answer(versions(time.Second, "v1"))}, numAsked: 1, loadErr: outage},
-		"unknown, cut off":                 {current: []string{"v1"}, saved: all, isOld: true},
-		"unknown, cut off with a minority": {current: []string{"v1"}, saved: all, isOld: true, answers: []Answer{answer(all)}, numAsked: 3},
-		"unknown, outage for all":          {current: []string{"v1"}, saved: all, isOld: true, answers: []Answer{answer(all), answer(all)}, numAsked: 3, want: "v1"},
+		"unknown, cut off":                 {current: []string{"v1"}, saved: all, isOld: true, readErr: outage},
+		"unknown, cut off with a minority": {current: []string{"v1"}, saved: all, isOld: true, readErr: outage, answers: []Answer{answer(all)}, numAsked: 3},
+		"unknown, outage for all":          {current: []string{"v1"}, saved: all, isOld: true, readErr: outage, answers: []Answer{answer(all), answer(all)}, numAsked: 3, want: "v1"},
+		"unknown, cut off just now":        {current: []string{"v1"}, saved: all, readErr: outage, numAsked: 2},
+		"unknown, a second not read yet":   {current: []string{"v1"}, saved: all, read: []string{"v1", "v2"}, numAsked: 2},
+		"unknown, the others have ended":   {current: []string{"v1"}, saved: all, read: []string{"v1"}, numAsked: 2, want: "v1"},
 		"no version in sight":              {saved: versions(StreamMemory)},
 		"homes differ, one is bound":       {answers: []Answer{answer(all, bound("v2", 1)), answer(all, origin("v1", 2))}, numAsked: 3, current: []string{"v1", "v2"}, want: "v2"},
 		"unproven at a home, two versions": {current: []string{"v1", "v2"}, answers: []Answer{answer(all, unproven)}, numAsked: 1},
 		"unproven at a home, one version":  {current: []string{"v1"}, saved: all, answers: []Answer{answer(all, unproven)}, numAsked: 1, want: "v1"},
-		"unproven at a home, outage":       {current: []string{"v1"}, saved: all, isOld: true, answers: []Answer{answer(all, unproven), answer(all)}, numAsked: 2},
+		"unproven at a home, outage":       {current: []string{"v1"}, saved: all, isOld: true, readErr: outage, answers: []Answer{answer(all, unproven), answer(all)}, numAsked: 2},
 		"unproven at one home of two":      {current: []string{"v1", "v2"}, answers: []Answer{answer(all, unproven), answer(all, bound("v1", 1))}, numAsked: 2, want: "v1"},
-		"unproven here, outage":            {current: []string{"v1"}, saved: all, isOld: true, own: []Origin{unproven}, answers: []Answer{answer(all)}, numAsked: 1},
+		"unproven here, outage":            {current: []string{"v1"}, saved: all, isOld: true, own: []Origin{unproven}, readErr: outage, answers: []Answer{answer(all)}, numAsked: 1},
 		"unproven here, one version":       {current: []string{"v1"}, own: []Origin{unproven}, want: "v1"},
 		"unproven here, archived":          {current: []string{"v1", "v2"}, own: []Origin{unproven}, archived: []Origin{bound("v1", 1)}, want: "v1"},
 		"archived":                         {current: []string{"v1", "v2"}, archived: []Origin{bound("v2", 1)}, want: "v2"},
@@ -90,6 +95,12 @@
 				Load:    func(context.Context, string) (Versions, error) { return tt.saved, tt.loadErr },
 				IsFresh: func() bool { return !tt.isOld },
 			}
+			k.ReadCurrent = func(context.Context) error {
+				if tt.read != nil {
+					k.History.Observe(map[string][]string{service: tt.read}, true, time.Now())
+				}
+				return tt.readErr
+			}
 			k.LoadArchive = func(context.Context) error {
 				for _, o := range tt.archived {
 					k.Tracker.Record(o, time.Now())
@@ -228,7 +239,7 @@
 	k := &Keeper{
 		Tracker: &Tracker{}, History: &History{}, Log: zap.NewNop(), Load: store.LoadService,
 		Ask:     func(context.Context, string, string) ([]Answer, int) { return nil, 0 },
-		IsFresh: func() bool { return true },
+		IsFresh: func() bool { return true }, ReadCurrent: func(context.Context) error { return nil },
 	}
 	k.History.Observe(map[string][]string{service: {"v2"}}, true, time.Now()) // v1 has left, which nobody saw
 	_, err := k.Resolve(t.Context(), "began-at-v1", service)
@@ -245,6 +256,7 @@
 			close(done)
 			k := &Keeper{
 				Tracker: &Tracker{}, History: &History{}, Log: zap.NewNop(), IsFresh: func() bool { return true },
+				ReadCurrent: func(context.Context) error { return nil },
 				Send:        func(list []Origin) Delivery { sent = append(sent, list...); return Delivery{First: done, All: done} },
 				Ask:         func(context.Context, string, string) ([]Answer, int) { return nil, 0 },
 				LoadArchive: func(context.Context) error { return nil },
--- a/internal/streamtracker/simulation_test.go
+++ b/internal/streamtracker/simulation_test.go
@@ -68,6 +68,7 @@
 	close(done)
 	i.keeper = &Keeper{
 		Tracker: &Tracker{}, History: history, IsFresh: func() bool { return true }, Log: zap.NewNop(),
+		ReadCurrent: func(context.Context) error { return nil },
 		Send: func(list []Origin) Delivery {
 			for _, o := range list {
 				for _, x := range homes(o.Stream, s.numHomes) {
