internal/arranger: a drain for streams does not stand for a load that new requests wait for

New requests of a model waited for seconds while another upstream with a copy on its disk was free. A plan that begins a load for the rest of streams places no other load of the model for new requests, since they can use the same replica. That held for a load that first has to wait until other models have drained as well. A move that begins a drain does not count now.

--- a/internal/arranger/arranger.go
+++ b/internal/arranger/arranger.go
@@ -184,7 +184,8 @@
 		switch {
 		case ok:
 			moves = append(moves, m)
-			begun[c.model.Name] = c.software != nil
+			// A drain may take seconds, in which new requests need another replica.
+			begun[c.model.Name] = c.software != nil && len(m.ModelsToDrain) == 0
 		case c.software != nil:
 			skipped = append(skipped, Skipped{c.model.Name, *c.software, p.bound[modelWith{c.model.Name, *c.software}], func() []string { return p.obstacles(c) }})
 		}
