internal/registrar, internal/verifier: a process that has ended can still be proven

Callers saw streams refused that they took up after a release had begun, although upstreams of the version that began them were there: the upstream of the stream had ended while the service had one version, and could not state its start time when the second one appeared.

Cause: an origin is proven only when it matters, and what proved it went with the registration. The table forgot when a process had lived as soon as its registration was removed or the next process of its id was seen to live, and the state of a process that has ended cannot be requested.

Besides, if no state comes, the process counts as the registered one if no other process of its id has registered within 3 s of the opening of the connection, while the registrations were read without a gap, an outage, a restore or a new listing, and if no other one is known by a state, a refusal for a missing model or the conductor either.

--- a/internal/assembler/assembler.go
+++ b/internal/assembler/assembler.go
@@ -414,6 +414,9 @@
 			a.pool.Sweep(now)
 			a.relayer.PeerPool.Sweep(now)
 			a.upstreamTable.Sweep(now)
+			if age, ok := a.upstreamFollower.KnownAge(); ok {
+				a.upstreamTable.RecordWatch(now.Add(-age), now)
+			}
 			a.observeSoftware(now)
 			a.streams.Tracker.Sweep(now)
 			if a.losses.Tick(now) {
--- a/internal/assembler/registrations.go
+++ b/internal/assembler/registrations.go
@@ -40,10 +40,6 @@
 	}
 }
 
-// maxRegistrationDelay is how long before it is appended to the log an upstream may have sent a
-// registration.
-const maxRegistrationDelay = 3 * time.Second
-
 // recordRegistrations records that upstreams lived when they wrote the registrations. Those
 // that are read late, after an outage, are left out.
 func (a *Assembler) recordRegistrations(changes map[string]*registrar.Upstream, now time.Time) {
@@ -57,7 +53,7 @@
 		}
 		a.losses.RecordRegistration(u.Incarnation(), now)
 		if isKnown {
-			a.upstreamTable.RecordAlive(u.Incarnation(), now.Add(-age-maxRegistrationDelay))
+			a.upstreamTable.RecordAlive(u.Incarnation(), now.Add(-age-registrar.MaxRegistrationDelay))
 		}
 	}
 }
--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -158,7 +158,12 @@
 	suspicions     map[string]moment               // when a restart was last suspected
 	broken         map[string]moment               // when a connection was last refused or broke
 	served         map[string]moment               // when the last request that was served had been sent
-	alive          map[string]moment               // when the process last lived for sure
+	lives          map[Incarnation]*life           // of those that are registered, or were within lifeMemory
+	lastRegistered map[string]int64                // id to the start time of the incarnation that was registered last
+	ended          []endedLife                     // the lives that have ended, in the order of their ends
+	watches        []watch                         // within lifeMemory, in order
+	isWatching     bool                            // the last watch goes on
+	completeAt     time.Time                       // since when no registration can be missing, of the present watch or the next one
 	loadedAt       map[string]map[string]time.Time // when a model was loaded, within settleTime
 	brittleAt      map[string]time.Time            // by service: when an upstream last said that it is brittle
 	vanished       map[string]struct{}             // ids of registrations that vanished and are kept for now
@@ -208,6 +213,7 @@
 				delete(t.restarts, id)
 			}
 			t.reviveLocked(e)
+			t.beginLifeLocked(e.Incarnation())
 			t.registrations[id] = e
 		}
 	}
@@ -223,6 +229,7 @@
 		changes = make(map[string]*Upstream)
 	}
 	t.mu.Lock()
+	t.interruptWatchLocked(now) // what came and went before the list is not known
 	for id := range t.registrations {
 		if _, ok := all[id]; !ok {
 			changes[id] = nil
@@ -240,6 +247,7 @@
 		t.keepUntil = now.Add(t.RemovalGrace)
 	}
 	t.isPlatformLost = isLost
+	t.interruptWatchLocked(t.keepUntil)
 }
 
 // IsComplete reports whether the registrations are those of all upstreams, as far as the
@@ -247,6 +255,10 @@
 func (t *Table) IsComplete(now time.Time) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	return t.isCompleteLocked(now)
+}
+
+func (t *Table) isCompleteLocked(now time.Time) bool {
 	return t.registrations != nil && !t.isPlatformLost && !now.Before(t.keepUntil)
 }
 
@@ -265,6 +277,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.keepUntil = now.Add(t.RemovalGrace)
+	t.interruptWatchLocked(t.keepUntil)
 }
 
 // Sweep drops the registrations that vanished while the platform was unreachable and
@@ -278,6 +291,7 @@
 			ended = append(ended, t.dropLocked(id))
 		}
 	}
+	t.expireLivesLocked()
 	if t.expireRestartsLocked() || len(ended) > 0 || t.hasExpiredAbsenceLocked() {
 		t.rebuildLocked()
 	}
@@ -293,6 +307,9 @@
 	t.initLocked()
 	t.latest = now
 	for _, v := range views {
+		if last, ok := t.lastRegistered[v.ID]; ok && v.StartedAtMs > last {
+			t.recordSuccessorLocked(Incarnation{v.ID, last})
+		}
 		t.recordLoadsLocked(v, now)
 		t.views[v.ID] = v
 	}
@@ -340,13 +357,17 @@
 	t.suspicions = make(map[string]moment)
 	t.broken = make(map[string]moment)
 	t.served = make(map[string]moment)
-	t.alive = make(map[string]moment)
+	t.lives = make(map[Incarnation]*life)
+	t.lastRegistered = make(map[string]int64)
 	t.loadedAt = make(map[string]map[string]time.Time)
 	t.vanished = make(map[string]struct{})
 }
 
 func (t *Table) dropLocked(id string) *Upstream {
 	e := t.registrations[id]
+	if e != nil {
+		t.endLifeLocked(e.Incarnation())
+	}
 	delete(t.registrations, id)
 	delete(t.views, id)
 	delete(t.absences, id)
@@ -358,7 +379,6 @@
 	delete(t.suspicions, id)
 	delete(t.broken, id)
 	delete(t.served, id)
-	delete(t.alive, id)
 	delete(t.loadedAt, id)
 	delete(t.vanished, id)
 	return e
--- a/internal/registrar/restart.go
+++ b/internal/registrar/restart.go
@@ -234,6 +234,9 @@
 // recordRestartLocked records evidence if it is newer or stronger than what is known. It
 // unlocks the table, and calls OnRestart with the models that were hidden.
 func (t *Table) recordRestartLocked(id string, r restart, why string) {
+	if r.certainty == Evident || r.certainty == Confirmed {
+		t.recordSuccessorLocked(Incarnation{id, r.startedAtMs})
+	}
 	e := t.registrations[id]
 	known, isKnown := t.restarts[id]
 	isKnown = isKnown && known.startedAtMs == r.startedAtMs && t.latest.Sub(known.at) < restartTTL
--- a/internal/verifier/verifier_test.go
+++ b/internal/verifier/verifier_test.go
@@ -99,3 +99,36 @@
 	cancel()
 	require.False(t, v.Verify(ctx, u, time.Now()))
 }
+
+// TestUpstreamThatHasEndedIsProvenByTheRegistrations guards against streams that are refused because
+// their upstream has ended, and against proof without a response while another process may respond.
+func TestUpstreamThatHasEndedIsProvenByTheRegistrations(t *testing.T) {
+	for name, tt := range map[string]struct {
+		started     int64
+		err         error
+		isWatched   bool // the registrations were read all along
+		isRestarted bool
+		isProven    bool
+	}{
+		"it does not respond":                       {err: errors.New("refused"), isWatched: true, isProven: true},
+		"registrations were missed":                 {err: errors.New("refused")},
+		"the next process does not respond":         {err: errors.New("refused"), isWatched: true, isRestarted: true},
+		"the next process responds":                 {started: 2, isWatched: true},
+		"a process responds without its start time": {isWatched: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			v, u := newVerifier(func(context.Context, *registrar.Upstream) (int64, error) { return tt.started, tt.err })
+			openedAt := time.Now()
+			require.False(t, v.Verify(t.Context(), u, openedAt), "nothing is known yet")
+			v.Upstreams.ApplyRegistrations(map[string]*registrar.Upstream{"e1": nil}, openedAt)
+			if tt.isRestarted {
+				v.Upstreams.ApplyRegistrations(map[string]*registrar.Upstream{"e1": {ID: "e1", Service: "lm", StartedAtMs: 2}}, openedAt)
+			}
+			for d := time.Duration(0); tt.isWatched && d <= registrar.MaxRegistrationDelay; d += 100 * time.Millisecond {
+				v.Upstreams.RecordWatch(openedAt.Add(d), openedAt.Add(d))
+			}
+			require.Equal(t, tt.isProven, v.Verify(t.Context(), u, openedAt))
+			require.False(t, v.IsProven(u, openedAt), "it was not seen to live")
+		})
+	}
+}
