internal/streamtracker: proofs that could not be had are tried again

Callers saw streams refused that they took up at another instance, after the upstream and then the instance that began them had ended during a release, although upstreams of their version were there.

Cause: when a second version appears, each unproven origin is proven in one try of 400 ms, and afterwards only if a client takes the stream up. If the upstream does not respond in that moment, the homes of the stream and the platform's log never have a proven origin, although 3 s later the registrations prove it.

An origin at risk is now tried again after 0.5, 1, 2, 4, 8 and 16 s at most, and sent to the homes and saved when it is proven. A try that no client waits for takes up to 1 s: it has to outlast the request to an upstream that does not respond, since only after that the registrations are looked at. No state is requested any more if the next process of the upstream is registered, since that cannot prove anything. Origins whose streams nobody can take up any more are dropped.

TestProofsAreTriedAgain checks that there are no requests while the service has one version, and no more than six retries.

--- a/internal/assembler/assembler.go
+++ b/internal/assembler/assembler.go
@@ -419,6 +419,7 @@
 			}
 			a.observeSoftware(now)
 			a.streams.Tracker.Sweep(now)
+			a.streams.RetryProofs(now)
 			if a.losses.Tick(now) {
 				a.client.ReportNow()
 			}
--- a/internal/registrar/alive.go
+++ b/internal/registrar/alive.go
@@ -105,6 +105,13 @@
 	return false
 }
 
+// IsReplaced reports whether a later process of the id of an incarnation is registered, or was.
+func (t *Table) IsReplaced(i Incarnation) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.lastRegistered[i.ID] > i.StartedAtMs
+}
+
 // beginLifeLocked records that an incarnation is registered.
 func (t *Table) beginLifeLocked(i Incarnation) {
 	if last, ok := t.lastRegistered[i.ID]; ok && last != i.StartedAtMs {
--- a/internal/streamtracker/keeper.go
+++ b/internal/streamtracker/keeper.go
@@ -94,7 +94,7 @@
 	case o.IsUnproven:
 		k.unproven.add(o, verify, time.Now())
 		if k.IsAtRisk(o.Service) {
-			go k.Prove(context.Background(), o.Stream)
+			go k.proveUnawaited(o.Stream)
 		}
 	case hasSeveral:
 		k.archive(o)
@@ -147,7 +147,7 @@
 	for _, o := range list {
 		switch {
 		case o.IsBound && o.IsUnproven:
-			go k.Prove(context.Background(), o.Stream)
+			go k.proveUnawaited(o.Stream)
 		case o.IsBound:
 			bound = append(bound, o)
 		}
--- a/internal/streamtracker/keeper_test.go
+++ b/internal/streamtracker/keeper_test.go
@@ -287,3 +287,68 @@
 		})
 	}
 }
+
+// TestProofsAreTriedAgain guards against origins that are proven nowhere when their instance ends, since
+// their upstreams did not respond for a moment, and against requests without end to an upstream that
+// never does.
+func TestProofsAreTriedAgain(t *testing.T) {
+	proofs := make(chan bool)
+	sent, archived := make(chan Origin, 9), make(chan Origin, 9)
+	done := make(chan struct{})
+	close(done)
+	k := &Keeper{
+		Tracker: &Tracker{}, History: &History{}, Log: zap.NewNop(), IsFresh: func() bool { return true },
+		Send: func(list []Origin) Delivery {
+			for _, o := range list {
+				sent <- o
+			}
+			return Delivery{First: done, All: done}
+		},
+		Archive: func(list ...Origin) {
+			for _, o := range list {
+				archived <- o
+			}
+		},
+	}
+	k.History.OnChange = func(service string, versions []string) {
+		if len(versions) > 1 {
+			k.Spread(service)
+		}
+	}
+	now := time.Now()
+	k.History.Observe(map[string][]string{service: {"v1"}}, true, now)
+	bind := func(stream string) {
+		k.Bind(Origin{Stream: stream, Service: service, Software: "v1", Attempt: 1, TTL: time.Minute, IsUnproven: true}, false, func(context.Context) bool { return <-proofs })
+	}
+	bind("r")
+	for range 3 {
+		now = now.Add(proofRetryDelay)
+		k.RetryProofs(now) // asks for no proof: the service has had one version
+	}
+	k.History.Observe(map[string][]string{service: {"v1", "v2"}}, true, time.Now())
+	proofs <- false
+	require.True(t, (<-sent).IsUnproven)
+	k.RetryProofs(now)
+	k.RetryProofs(now.Add(proofRetryDelay - 1))
+	k.RetryProofs(now.Add(proofRetryDelay))
+	proofs <- true
+	require.False(t, (<-sent).IsUnproven)
+	require.Equal(t, "r", (<-archived).Stream)
+
+	bind("never")
+	proofs <- false
+	require.True(t, (<-sent).IsUnproven)
+	numTries := 0
+	for ; now.Before(time.Now().Add(50 * time.Second)); now = now.Add(proofRetryDelay) {
+		before := k.unproven.list.Values()[0].numRetries
+		k.RetryProofs(now)
+		if k.unproven.list.Values()[0].numRetries > before {
+			proofs <- false
+			numTries++
+		}
+	}
+	require.Equal(t, maxProofRetries, numTries)
+	k.RetryProofs(now.Add(time.Minute))
+	require.Zero(t, k.unproven.list.Len(), "nobody takes the stream up any more")
+	require.Empty(t, sent)
+}
--- a/internal/streamtracker/proof.go
+++ b/internal/streamtracker/proof.go
@@ -13,45 +13,85 @@
 	maxUnproven = 1 << 14
 	// proofTimeout bounds the time that a client waits until the origin of its stream is proven.
 	proofTimeout = 400 * time.Millisecond
+	// unawaitedProofTimeout bounds a proof that no client waits for. It is longer than a request to an
+	// upstream that does not respond, since that shows something as well.
+	unawaitedProofTimeout = time.Second
+	// proofRetryDelay is the delay until a proof that could not be had is tried again. It doubles
+	// with each of maxProofRetries.
+	proofRetryDelay = 500 * time.Millisecond
+	maxProofRetries = 6
 )
 
 // unproven holds what proves the origins of streams that began here. Its zero value is ready to use.
 type unproven struct {
 	mu   sync.Mutex
-	list *simplelru.LRU[string, unprovenOrigin] // by stream
+	list *simplelru.LRU[string, *unprovenOrigin] // by stream
 }
 
 type unprovenOrigin struct {
 	Origin
 	until  time.Time
 	verify func(context.Context) bool
+
+	retryAt    time.Time // zero before the first retry is planned
+	numRetries int
 }
 
 func (u *unproven) add(o Origin, verify func(context.Context) bool, now time.Time) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	if u.list == nil {
-		u.list, _ = simplelru.NewLRU[string, unprovenOrigin](maxUnproven, nil) // fails only for a size below one
+		u.list, _ = simplelru.NewLRU[string, *unprovenOrigin](maxUnproven, nil) // fails only for a size below one
 	}
-	u.list.Add(o.Stream, unprovenOrigin{o, now.Add(o.TTL), verify})
+	u.list.Add(o.Stream, &unprovenOrigin{Origin: o, until: now.Add(o.TTL), verify: verify})
 }
 
-func (u *unproven) find(stream string) (unprovenOrigin, bool) {
+func (u *unproven) find(stream string) (*unprovenOrigin, bool) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	if u.list == nil {
-		return unprovenOrigin{}, false
+		return nil, false
 	}
 	return u.list.Peek(stream)
 }
 
-func (u *unproven) all() []unprovenOrigin {
+// streams returns the streams that may still be taken up, and drops the others.
+func (u *unproven) streams(now time.Time) []string {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.selectLocked(now, func(*unprovenOrigin) bool { return true })
+}
+
+// due returns the streams of services at risk whose proof is to be tried again, and plans the next
+// retries. The first try was made when the stream began or its service came to be at risk.
+func (u *unproven) due(isAtRisk func(service string) bool, now time.Time) []string {
 	u.mu.Lock()
 	defer u.mu.Unlock()
+	return u.selectLocked(now, func(o *unprovenOrigin) bool {
+		if o.numRetries == maxProofRetries || !isAtRisk(o.Service) || now.Before(o.retryAt) {
+			return false
+		}
+		isFirst := o.retryAt.IsZero()
+		o.retryAt = now.Add(proofRetryDelay << o.numRetries)
+		if !isFirst {
+			o.numRetries++
+		}
+		return !isFirst
+	})
+}
+
+func (u *unproven) selectLocked(now time.Time, isSelected func(*unprovenOrigin) bool) (out []string) {
 	if u.list == nil {
 		return nil
 	}
-	return u.list.Values()
+	for _, o := range u.list.Values() {
+		if !now.Before(o.until) {
+			u.list.Remove(o.Stream)
+		} else if isSelected(o) {
+			out = append(out, o.Stream)
+		}
+	}
+	return out
 }
 
 func (u *unproven) remove(stream string) bool {
@@ -63,6 +103,15 @@
 // Prove reports whether the software version that began a stream is known for sure. It waits for
 // the proof for a bounded time.
 func (k *Keeper) Prove(ctx context.Context, stream string) bool {
+	return k.proveWithin(ctx, stream, proofTimeout)
+}
+
+// proveUnawaited is Prove if no client waits for it.
+func (k *Keeper) proveUnawaited(stream string) {
+	k.proveWithin(context.Background(), stream, unawaitedProofTimeout)
+}
+
+func (k *Keeper) proveWithin(ctx context.Context, stream string, timeout time.Duration) bool {
 	o, isKnown := k.Tracker.Find(stream, time.Now())
 	if isKnown && !o.IsUnproven {
 		return true
@@ -71,7 +120,7 @@
 	if !isKnown || !ok {
 		return false
 	}
-	ctx, cancel := context.WithTimeout(ctx, proofTimeout)
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	if !u.verify(ctx) {
 		return false
@@ -93,10 +142,24 @@
 // ProveAll proves the origins of the streams that run here. It is called when the registrations
 // cannot be read any more.
 func (k *Keeper) ProveAll() {
-	now := time.Now()
-	for _, u := range k.unproven.all() {
-		if now.Before(u.until) {
-			go k.Prove(context.Background(), u.Stream)
+	for _, stream := range k.unproven.streams(time.Now()) {
+		go k.proveUnawaited(stream)
+	}
+}
+
+// RetryProofs tries again to prove origins of services at risk, so that the homes of the streams and
+// the platform's log have them proven before this instance ends. It is called periodically.
+func (k *Keeper) RetryProofs(now time.Time) {
+	known := make(map[string]bool)
+	isAtRisk := func(service string) bool {
+		r, ok := known[service]
+		if !ok {
+			r = k.IsAtRisk(service)
+			known[service] = r
 		}
+		return r
+	}
+	for _, stream := range k.unproven.due(isAtRisk, now) {
+		go k.proveUnawaited(stream)
 	}
 }
--- a/internal/verifier/verifier.go
+++ b/internal/verifier/verifier.go
@@ -59,6 +59,9 @@
 // reports false if ctx ends before that is known.
 func (v *Verifier) Verify(ctx context.Context, u *registrar.Upstream, openedAt time.Time) bool {
 	for !v.IsProven(u, openedAt) {
+		if v.Upstreams.IsReplaced(u.Incarnation()) {
+			return false // the process has ended
+		}
 		r := v.join(u, openedAt)
 		if r == nil {
 			return true
--- a/internal/verifier/verifier_test.go
+++ b/internal/verifier/verifier_test.go
@@ -89,6 +89,19 @@
 	require.EqualValues(t, 1, numRequests.Load())
 }
 
+// TestNobodyIsAskedForAProcessThatWasReplaced guards against requests that cannot prove anything, since
+// the upstream is registered with its next process.
+func TestNobodyIsAskedForAProcessThatWasReplaced(t *testing.T) {
+	numRequests := 0
+	v, u := newVerifier(func(context.Context, *registrar.Upstream) (int64, error) { numRequests++; return 2, nil })
+	openedAt := time.Now()
+	v.Upstreams.RecordAlive(u.Incarnation(), openedAt)
+	v.Upstreams.ApplyRegistrations(map[string]*registrar.Upstream{"e1": {ID: "e1", Service: "lm", StartedAtMs: 2}}, openedAt)
+	require.True(t, v.Verify(t.Context(), u, openedAt), "known before")
+	require.False(t, v.Verify(t.Context(), u, openedAt.Add(time.Millisecond)))
+	require.Zero(t, numRequests)
+}
+
 // TestVerifyEndsWithItsContext guards against a client that waits for an upstream which does not respond.
 func TestVerifyEndsWithItsContext(t *testing.T) {
 	v, u := newVerifier(func(ctx context.Context, _ *registrar.Upstream) (int64, error) {
