internal/syncer: what losses cost an instance does not grow with the fleet

The cause: a round was bounded, not its calls, so that two rounds a second are 24 calls in a large fleet. A call held losses that its sender had only learned, which the receivers passed on again.

An instance makes 4 calls a second on average because of losses, and 48 at once, half of them left to requests for which another loss matters. A single loss is sent once, by the instance that has observed it. A response to a probe holds 32 losses, and names of neighbours only if the caller wants them: fewer than 12 instances have responded to it lately (wants_members; neither sends nor uses names). All of it is bounded for an instance, so the fleet's total is linear. Few losses are told as before.

--- a/internal/losstracker/exchange.go
+++ b/internal/losstracker/exchange.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"iter"
 	"slices"
 	"time"
 
@@ -16,6 +17,8 @@
 	// conductor.
 	recentAge = 5 * time.Second
 	newAge    = time.Second
+	// maxExchanged bounds the losses in a response to a peer that has no conductor, about 50 bytes each.
+	maxExchanged = 32
 )
 
 // key identifies a loss.
@@ -190,82 +193,122 @@
 }
 
 func (t *Tracker) sharedLocked(version uint64, now time.Time) []Loss {
-	var out []Loss
+	var list []*loss
 	for _, f := range t.mostSharedLocked(version) {
 		r, _ := t.requests.Peek(f)
-		if now.Sub(r.latestAt) > lossTTL {
-			continue
-		}
-		numBefore := len(out)
-		for _, l := range r.losses {
-			if l.isTold(now) {
-				l.isExchanged = true
-				out = append(out, l.Loss)
-			}
-		}
-		if len(out) == numBefore {
-			delete(t.shared, f) // all are refuted
-		}
+		list = append(list, t.sharedToldLocked(f, r, now)...)
+	}
+	return exchanged(list, len(list))
+}
+
+// sharedToldLocked returns the losses of a shared request that others are told, and stops sharing it if
+// all are refuted.
+func (t *Tracker) sharedToldLocked(fingerprint uint64, r *request, now time.Time) []*loss {
+	if now.Sub(r.latestAt) > lossTTL {
+		return nil
+	}
+	out := r.told(now)
+	if len(out) == 0 {
+		delete(t.shared, fingerprint)
 	}
 	return out
 }
 
-// Recent returns the losses for peers that have no conductor: the shared ones, and those
-// that are new.
+// Recent returns at most maxExchanged losses for a peer that has no conductor: shared ones that have
+// changed lately, single ones that are new, those that this instance has observed first, and others of
+// the shared ones at random. A few responses together hold all of them.
 func (t *Tracker) Recent(now time.Time) []Loss {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	out := t.sharedLocked(0, now)
 	if t.requests == nil {
-		return out
+		return nil
 	}
-	keys := t.requests.Keys() // the most recently used are last
-	for n := len(keys) - 1; n >= 0 && n >= len(keys)-maxReported; n-- {
-		r, _ := t.requests.Peek(keys[n])
-		if _, isShared := t.shared[keys[n]]; isShared || now.Sub(r.latestAt) > recentAge {
-			continue
+	var shared, own, learned []*loss
+	isListed := make(map[uint64]bool)
+	for f, r := range t.latestLocked() {
+		switch _, isShared := t.shared[f]; {
+		case isShared && len(shared) < maxExchanged/2:
+			isListed[f] = true
+			shared = append(shared, t.sharedToldLocked(f, r, now)...)
+		case !isShared && now.Sub(r.latestAt) <= recentAge && r.isOwn:
+			own = append(own, r.told(now)...)
+		case !isShared && now.Sub(r.latestAt) <= recentAge:
+			learned = append(learned, r.told(now)...)
 		}
-		for _, l := range r.losses {
-			if l.isTold(now) {
-				l.isExchanged = true
-				out = append(out, l.Loss)
+	}
+	list := slices.Concat(shared, own, learned)
+	for f := range t.shared { // in random order
+		if len(list) >= maxExchanged {
+			break
+		}
+		if r, _ := t.requests.Peek(f); !isListed[f] {
+			list = append(list, t.sharedToldLocked(f, r, now)...)
+		}
+	}
+	return exchanged(list, maxExchanged)
+}
+
+// latestLocked iterates over at most maxReported requests, the most recently used first.
+func (t *Tracker) latestLocked() iter.Seq2[uint64, *request] {
+	return func(yield func(uint64, *request) bool) {
+		keys := t.requests.Keys() // the most recently used are last
+		for n := len(keys) - 1; n >= max(0, len(keys)-maxReported); n-- {
+			if r, _ := t.requests.Peek(keys[n]); !yield(keys[n], r) {
+				return
 			}
 		}
 	}
+}
+
+// told returns the losses that others are told.
+func (r *request) told(now time.Time) []*loss {
+	var out []*loss
+	for _, l := range r.losses {
+		if l.isTold(now) {
+			out = append(out, l)
+		}
+	}
+	return out
+}
+
+// exchanged returns at most limit of the losses, and marks these as known to another instance.
+func exchanged(list []*loss, limit int) []Loss {
+	var out []Loss
+	for _, l := range list[:min(len(list), limit)] {
+		l.isExchanged = true
+		out = append(out, l.Loss)
+	}
 	return out
 }
 
-// New returns the losses that this instance has learned within newAge, whatever the number of losses
-// of their requests: those of requests with several first, and at most limit.
+// New returns at most limit of the losses that this instance has learned within newAge: first those of
+// requests for which another loss matters, then those of other requests that this instance has
+// observed, each of them once. The others pass them on no further: when many upstreams crash
+// together, hardly any of them matters.
 func (t *Tracker) New(limit int, now time.Time) []Loss {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.requests == nil {
 		return nil
 	}
-	var several, single []*loss
-	keys := t.requests.Keys() // the most recently used are last
-	for n := len(keys) - 1; n >= 0 && n >= len(keys)-maxReported; n-- {
-		r, _ := t.requests.Peek(keys[n])
-		for _, l := range r.losses {
+	var suspects, single []*loss
+	for _, r := range t.latestLocked() {
+		isSuspect := r.level() != harmless
+		for _, l := range r.told(now) {
 			switch {
-			case !l.isTold(now) || now.Sub(l.learnedAt) > newAge:
-			case len(r.losses) >= SharedThreshold:
-				several = append(several, l)
-			default:
+			case now.Sub(l.learnedAt) > newAge:
+			case isSuspect:
+				suspects = append(suspects, l)
+			case l.isOwn && !l.isSent:
 				single = append(single, l)
 			}
 		}
 	}
-	var out []Loss
-	for _, l := range append(several, single...) {
-		if len(out) == limit {
-			break
-		}
-		l.isExchanged = true
-		out = append(out, l.Loss)
+	list := slices.Concat(suspects, single)
+	for _, l := range list[:min(len(list), limit)] {
+		l.isSent = true
 	}
-	return out
+	return exchanged(list, limit)
 }
 
 // IsSuspect reports whether another loss may make the content a poison request, or one of the parts
--- a/internal/losstracker/loss.go
+++ b/internal/losstracker/loss.go
@@ -69,6 +69,7 @@
 	isOwn     bool // observed by this instance
 	// isExchanged says that another instance knows the loss.
 	isExchanged bool
+	isSent      bool      // returned by Tracker.New
 	refutedAt   time.Time // when this instance learned that it is refuted
 	// isDeferred says that others are told later, unless it is refuted by then.
 	isDeferred bool
--- a/internal/syncer/doc.go
+++ b/internal/syncer/doc.go
@@ -12,7 +12,9 @@
 //
 // While there is no conductor, instances call members of the last view, neighbours that they have
 // heard of from others, and seeds, and exchange losses of requests with them (package losstracker).
-// While there is one, they send new losses to some members, since the view comes later.
+// While there is one, they send new losses to some members, since the view comes later. What they send
+// and return is bounded for each instance, whatever the number of instances and of losses: when many
+// upstreams crash together, each of them is a loss of many requests that crash nothing.
 //
 // Instances also read the platform's log through each other: a reader in the same
 // data centre saves calls to the log, and while an instance cannot reach the
--- a/internal/syncer/probe.go
+++ b/internal/syncer/probe.go
@@ -20,13 +20,14 @@
 )
 
 const (
-	// urgentRounds is how many rounds a second an instance may begin because of a loss, on average, and
-	// urgentBurst how many at once. When many upstreams crash together, hardly any loss is of a request
-	// that crashes upstreams, and the exchange of all of them would take the links of a large fleet.
-	urgentRounds = rate.Limit(2)
-	urgentBurst  = 10
-	// suspectReserve is the number of rounds that are left to requests for which another loss matters.
-	suspectReserve = 4
+	// urgentCalls is how many calls a second an instance may make because of a loss, on average, and
+	// urgentBurst how many at once, besides its probes and reports. When many upstreams crash together, hardly
+	// any loss is of a request that crashes upstreams, and in a large fleet the exchange of all of them would
+	// take the links and the processors.
+	urgentCalls = rate.Limit(4)
+	urgentBurst = 48
+	// suspectReserve is the number of calls that are left to requests for which another loss matters.
+	suspectReserve = 24
 	// maxLossesSent bounds the losses in a report to an instance that is not the conductor.
 	maxLossesSent = 16
 )
@@ -40,7 +41,7 @@
 	// each of them.
 	rounds, reports counts
 	changed         chan struct{}
-	urgent          *rate.Limiter // of rounds that begin because of a loss
+	urgent          *rate.Limiter // of calls that are made because of a loss
 }
 
 type counts struct{ begun, done int }
@@ -48,17 +49,22 @@
 func (e *exchange) init() {
 	if e.running == nil {
 		e.running, e.wake, e.changed = make(map[string]bool), make(chan struct{}, 1), make(chan struct{})
-		e.urgent = rate.NewLimiter(urgentRounds, urgentBurst)
+		e.urgent = rate.NewLimiter(urgentCalls, urgentBurst)
 	}
 }
 
 // mayBegin reports whether a round may begin because of a loss.
 func (e *exchange) mayBegin(isSuspect bool) bool {
-	e.init()
 	if isSuspect {
-		return e.urgent.Tokens() >= 1
+		return e.numCalls() >= 1
 	}
-	return e.urgent.Tokens() >= suspectReserve
+	return e.numCalls() >= suspectReserve
+}
+
+// numCalls returns how many calls may be made because of a loss now.
+func (e *exchange) numCalls() int {
+	e.init()
+	return int(e.urgent.Tokens())
 }
 
 // runProbes probes other instances every probeInterval while there is no conductor, and sends new losses
@@ -89,7 +95,7 @@
 		case <-tick.C:
 			isDue = true
 		case <-wake:
-			isAwoken = c.exchange.urgent.Allow()
+			isAwoken = true
 		}
 	}
 }
@@ -121,7 +127,7 @@
 
 // ExchangeLosses reports losses, and returns when the conductor and the instances that this one calls
 // in a round know them, and after maxExchangeWait at most, or maxFirstExchangeWait. It returns at once
-// if too many rounds have begun because of losses. isSuspect says that another loss matters.
+// if it has made too many calls because of losses. isSuspect says that another loss matters.
 func (c *Client) ExchangeLosses(ctx context.Context, isSuspect bool) {
 	hasConductor := c.HasConductor()
 	wait := maxExchangeWait
@@ -158,7 +164,39 @@
 // peers, without those that have yet to respond to an earlier probe, when all of them have responded,
 // and after maxWait at most.
 func (c *Client) probePeers(ctx context.Context, wg *sync.WaitGroup, maxWait time.Duration) (numPeers int) {
-	return c.callPeers(ctx, c.peersToProbe(time.Now()), c.probe, wg, maxWait)
+	now := time.Now()
+	peers, wantsMembers := c.peersToProbe(now), c.wantsMembers(now)
+	losses := c.newLosses(len(peers), now)
+	return c.callPeers(ctx, peers, func(ctx context.Context, m *peerv1.Member) { c.probe(ctx, m, losses, wantsMembers) }, wg, maxWait)
+}
+
+// wantsMembers reports whether fewer instances have responded lately than a round probes.
+func (c *Client) wantsMembers(now time.Time) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	n := 0
+	for _, at := range c.respondedAt {
+		if now.Sub(at) < memberTTL {
+			n++
+		}
+	}
+	return n < maxReadersProbed+maxOthersProbed
+}
+
+// newLosses returns new losses to send to numPeers, none if that would be too many calls.
+func (c *Client) newLosses(numPeers int, now time.Time) []losstracker.Loss {
+	c.mu.Lock()
+	c.exchange.init()
+	urgent := c.exchange.urgent
+	c.mu.Unlock()
+	if numPeers == 0 || urgent.TokensAt(now) < float64(numPeers) {
+		return nil
+	}
+	losses := c.Losses.New(maxLossesSent, now)
+	if len(losses) > 0 {
+		urgent.AllowN(now, numPeers)
+	}
+	return losses
 }
 
 // membersToTell returns some members other than the conductor.
@@ -169,9 +207,17 @@
 	return membersToProbe(updateMembers(c.members, nil, []string{conductor}), c.Self, rand.Perm)
 }
 
-// sendLosses sends new losses to peers, as probePeers does.
+// sendLosses sends new losses to peers, as probePeers does, and to as many of them as urgentCalls permits.
 func (c *Client) sendLosses(ctx context.Context, peers []*peerv1.Member, wg *sync.WaitGroup, maxWait time.Duration) (numPeers int) {
-	losses := c.Losses.New(maxLossesSent, time.Now())
+	c.mu.Lock()
+	numCalls := c.exchange.numCalls()
+	c.mu.Unlock()
+	if len(peers) > numCalls {
+		// Otherwise the readers of a data centre, which come first, would get most of the calls.
+		rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
+		peers = peers[:numCalls]
+	}
+	losses := c.newLosses(len(peers), time.Now())
 	if len(losses) == 0 {
 		peers = nil
 	}
@@ -239,24 +285,23 @@
 	return out
 }
 
-// probe calls a peer for what it knows, and sends it the losses that this instance knows.
-func (c *Client) probe(ctx context.Context, m *peerv1.Member) {
-	v, err := peerv1.NewFleetQueriesProtobufClient("http://"+m.GetPeerAddress(), c.HTTP).Watch(ctx, &peerv1.WatchRequest{Instance: c.Self.GetInstance()})
+// probe calls a peer for what it knows, and sends it losses. wantsMembers says that this instance wants to
+// learn of further instances, and others of it.
+func (c *Client) probe(ctx context.Context, m *peerv1.Member, losses []losstracker.Loss, wantsMembers bool) {
+	r := &peerv1.WatchRequest{Instance: c.Self.GetInstance(), WantsMembers: wantsMembers}
+	v, err := peerv1.NewFleetQueriesProtobufClient("http://"+m.GetPeerAddress(), c.HTTP).Watch(ctx, r)
 	if err != nil {
 		c.Log.Debug("peer does not respond", zap.String("peer", m.GetInstance()), zap.String("address", m.GetPeerAddress()), logger.Error(err))
 		return
 	}
-	now := time.Now()
-	c.applyProbe(v, m, now)
+	c.applyProbe(v, m, time.Now())
 	if v.GetIsConductor() {
 		return // it gets the next report
 	}
-	losses := c.Losses.New(maxLossesSent, now)
 	isKnown := slices.ContainsFunc(v.GetMembers(), func(m *peerv1.Member) bool { return m.GetIncarnation() == c.Self.GetIncarnation() })
-	if len(losses) == 0 && isKnown {
-		return
+	if len(losses) > 0 || wantsMembers && !isKnown {
+		c.sendLossesTo(ctx, m, losses)
 	}
-	c.sendLossesTo(ctx, m, losses)
 }
 
 // sendLossesTo sends losses to a peer that is not the conductor.
--- a/internal/syncer/server.go
+++ b/internal/syncer/server.go
@@ -257,7 +257,12 @@
 	if r.GetIncarnation() != s.Self.GetIncarnation() {
 		responseNumber = 0 // the number is of another incarnation
 	}
-	return s.View(r.GetInstance(), responseNumber, time.Now()), nil
+	now := time.Now()
+	v := s.View(r.GetInstance(), responseNumber, now)
+	if !v.GetIsConductor() && r.GetWantsMembers() {
+		v.Members = append(v.Members, s.Neighbours.told(r.GetInstance(), now)...)
+	}
+	return v, nil
 }
 
 // await returns when the view differs from the version in something that the instance
@@ -318,7 +323,7 @@
 		if c := s.NewestClaim(); !c.IsZero() {
 			out.Claim = encodeClaim(c)
 		}
-		out.Members = append([]*peerv1.Member{s.Self}, s.Neighbours.told(instance, now)...)
+		out.Members = []*peerv1.Member{s.Self}
 		out.Losses = encodeLosses(s.Losses.Recent(now))
 		out.Limits = encodeLimits(s.Conductor.Upstreams.Limits(now))
 		out.Brittle = encodeBrittle(s.Conductor.Upstreams.Brittle(now))
