queuer: requests ahead count by the versions that can serve them

Where upstreams are limited, callers that took up a stream were refused because of requests that only upstreams of another version could serve: with five rests of v2 ahead, a rest of v1 was refused for a wait of 3 s though v1 had nothing to do. New requests were refused for the rest of streams in the same way.

Cause: the wait was that of all waiting requests of the model, divided by the rate of all its limited upstreams. It had no version.

The requests ahead are now counted by version. Those bound to one use up what its upstreams give, and the others share what is left, so that the estimate is the time at which that exceeds what is ahead. The rest of a stream is refused only if it cannot start in time in any case, so new requests do not count against it while another version holds the model.

TestLimitOfOneVersionDoesNotDelayAnother, TestRestOfAStreamIsNotRefusedForWhatOtherVersionsCanServe and TestLimitsOfVersionsAddUp, which compares the estimate with a play for 200 seeds, fail before and pass now: go test ./internal/queuer.

--- a/internal/queuer/estimate.go
+++ b/internal/queuer/estimate.go
@@ -30,15 +30,15 @@
 	return t.estimateBehind(t.numAhead(req), req, s, cfg, now)
 }
 
-// numAhead returns how many waiting requests are for the same model.
-func (t *Table) numAhead(req Request) int {
-	n := 0
+// numAhead counts the waiting requests for the same model.
+func (t *Table) numAhead(req Request) ahead {
+	var a ahead
 	for _, w := range t.waiting {
 		if w.Request.Service == req.Service && w.Request.Model == req.Model {
-			n++
+			a.add(w.Request)
 		}
 	}
-	return n
+	return a
 }
 
 // overheads are the parts of an estimate that are assumed. Their zero value gives the earliest
@@ -51,12 +51,12 @@
 }
 
 // estimateBehind is Estimate for a request that starts after some others of its model.
-func (t *Table) estimateBehind(ahead int, req Request, s *registrar.Snapshot, cfg *matcher.Config, now time.Time) StartEstimate {
+func (t *Table) estimateBehind(a ahead, req Request, s *registrar.Snapshot, cfg *matcher.Config, now time.Time) StartEstimate {
 	o := overheads{swap: swapOverhead, adapter: adapterLoadDelay, overdue: minRetryDelay}
 	if !t.HasConductor {
 		o.failover = failoverLeft(t.ConductorSilence)
 	}
-	return t.estimateWith(o, ahead, req, s, cfg, now)
+	return t.estimateWith(o, a, req, s, cfg, now)
 }
 
 // failoverLeft returns when a conductor is expected to send orders again. One that was cut off
@@ -71,14 +71,17 @@
 // isTooLate reports whether the request is refused by its estimate. One for the rest of a stream
 // is refused only if it cannot start in time in any case: new requests can go elsewhere, but only
 // upstreams of its version can serve it.
-func (t *Table) isTooLate(e StartEstimate, ahead int, req Request, s *registrar.Snapshot, cfg *matcher.Config, now time.Time) bool {
+func (t *Table) isTooLate(e StartEstimate, a ahead, req Request, s *registrar.Snapshot, cfg *matcher.Config, now time.Time) bool {
 	if now.Add(e.Delay).After(req.StartBy) && req.Software != nil {
-		e = t.estimateWith(overheads{}, ahead, req, s, cfg, now)
+		if req.isHeldElsewhere(s) {
+			a.anywhere = 0 // other versions may take them
+		}
+		e = t.estimateWith(overheads{}, a, req, s, cfg, now)
 	}
 	return now.Add(e.Delay).After(req.StartBy)
 }
 
-func (t *Table) estimateWith(o overheads, ahead int, req Request, s *registrar.Snapshot, cfg *matcher.Config, now time.Time) StartEstimate {
+func (t *Table) estimateWith(o overheads, a ahead, req Request, s *registrar.Snapshot, cfg *matcher.Config, now time.Time) StartEstimate {
 	t.init()
 	svc, ok := cfg.Services[req.Service]
 	if !ok {
@@ -93,17 +96,17 @@
 		}
 	}
 	if req.Model == "" || svc.Engine == nil {
-		return StartEstimate{Delay: t.plainDelay(ahead, list, now)}
+		return StartEstimate{Delay: t.plainDelay(a, list, now)}
 	}
 	model := svc.Engine.Models[req.Model]
 	best := shortestPause(list, now) + o.failover + model.StoreLoadDuration + o.swap
 	isLoaded := false
-	var limited limitedDelay
+	limited := make(limits)
 	for _, u := range list {
 		if m, ok := u.Model(req.Model); ok {
 			if req.Adapter == "" || slices.Contains(m.Adapters, req.Adapter) {
 				if u.IsLimited && m.ReadyAt.IsZero() && !u.IsPaused(now) {
-					limited.add(t.bucketOf(u, now), now)
+					limited.add(u, t.bucketOf(u, now), now)
 					continue
 				}
 				isLoaded = isLoaded || m.ReadyAt.IsZero()
@@ -121,8 +124,8 @@
 			best = min(best, o.failover+model.DiskLoadDuration+o.swap)
 		}
 	}
-	if limited.count > 0 {
-		delay := limited.after(ahead)
+	if len(limited) > 0 {
+		delay := limited.after(a)
 		isLoaded = isLoaded || delay == 0
 		best = min(best, delay)
 	}
@@ -130,23 +133,23 @@
 }
 
 // plainDelay returns when an upstream without a model engine takes a request.
-func (t *Table) plainDelay(ahead int, list []*registrar.Upstream, now time.Time) time.Duration {
-	var limited limitedDelay
+func (t *Table) plainDelay(a ahead, list []*registrar.Upstream, now time.Time) time.Duration {
+	limited := make(limits)
 	var others []*registrar.Upstream
 	for _, u := range list {
 		if u.IsLimited && !u.IsPaused(now) {
-			limited.add(t.bucketOf(u, now), now)
+			limited.add(u, t.bucketOf(u, now), now)
 		} else {
 			others = append(others, u)
 		}
 	}
 	switch {
-	case limited.count == 0:
+	case len(limited) == 0:
 		return shortestPause(list, now)
 	case len(others) == 0:
-		return limited.after(ahead)
+		return limited.after(a)
 	}
-	return min(shortestPause(others, now), limited.after(ahead))
+	return min(shortestPause(others, now), limited.after(a))
 }
 
 // pauseOf returns how long the upstream accepts nothing from this instance.
--- a/internal/queuer/refuse.go
+++ b/internal/queuer/refuse.go
@@ -52,9 +52,9 @@
 	if u := t.Grant(req, s, cfg, now); u != nil {
 		return Admission{Upstream: u, Choice: t.pacing.chosen}
 	}
-	ahead := t.numAhead(req)
-	e := t.estimateBehind(ahead, req, s, cfg, now)
-	if t.isTooLate(e, ahead, req, s, cfg, now) {
+	before := t.numAhead(req)
+	e := t.estimateBehind(before, req, s, cfg, now)
+	if t.isTooLate(e, before, req, s, cfg, now) {
 		return Admission{Estimate: e}
 	}
 	return Admission{Waiter: t.Wait(req, now), Estimate: e}
@@ -72,8 +72,8 @@
 			return Admission{Upstream: u, Choice: t.pacing.chosen}
 		}
 	}
-	ahead := t.numAhead(req)
-	e := t.estimateBehind(ahead, req, s, cfg, now)
+	before := t.numAhead(req)
+	e := t.estimateBehind(before, req, s, cfg, now)
 	w := t.Wait(req, now)
 	if p.waiting > 1 {
 		// The request must not overtake those that wait, but may have room where they have none.
@@ -82,7 +82,7 @@
 			return Admission{Upstream: u, Choice: w.choice}
 		}
 	}
-	if t.isTooLate(e, ahead, req, s, cfg, now) {
+	if t.isTooLate(e, before, req, s, cfg, now) {
 		t.Remove(w)
 		return Admission{Estimate: e}
 	}
--- a/internal/queuer/share.go
+++ b/internal/queuer/share.go
@@ -1,6 +1,7 @@
 package queuer
 
 import (
+	"cmp"
 	"math"
 	"slices"
 	"time"
@@ -101,31 +102,66 @@
 	}
 }
 
-// limitedDelay is the delay until limited upstreams take another request of this instance.
-type limitedDelay struct {
-	rate, tokens float64
-	count        int // upstreams
+// ahead counts the requests of a model that start before another one.
+type ahead struct {
+	anywhere int            // those that upstreams of any software version may run
+	bound    map[string]int // those that may run at one software version only
 }
 
-func (d *limitedDelay) add(b *rate.Limiter, now time.Time) {
-	d.count++
+// add counts a request.
+func (a *ahead) add(req Request) {
+	if req.Software == nil {
+		a.anywhere++
+		return
+	}
+	if a.bound == nil {
+		a.bound = make(map[string]int)
+	}
+	a.bound[*req.Software]++
+}
+
+// limit is what the limited upstreams of a software version take from this instance.
+type limit struct{ rate, tokens float64 }
+
+// limits are the limits of the upstreams that may run a request, by software version.
+type limits map[string]limit
+
+// add adds a limited upstream.
+func (l limits) add(u *registrar.Upstream, b *rate.Limiter, now time.Time) {
+	x := l[u.Software]
 	if b.Limit() > 0 {
-		d.rate += float64(b.Limit())
-		d.tokens += math.Max(0, b.TokensAt(now))
+		x.rate += float64(b.Limit())
+		x.tokens += math.Max(0, b.TokensAt(now))
 	}
+	l[u.Software] = x
 }
 
-// after returns the delay of a request that is granted after some others.
-func (d *limitedDelay) after(ahead int) time.Duration {
-	missing := float64(ahead+1) - math.Floor(d.tokens+tokenTolerance)
-	switch {
-	case missing <= 0:
+// after returns the delay of a request that is granted after some others. Those that may run at one
+// version only use its tokens, and the others use what is left of any version.
+func (l limits) after(a ahead) time.Duration {
+	needed, free := float64(a.anywhere+1), 0.0
+	var left []limit // tokens are negative where requests of the version wait
+	for software, x := range l {
+		x.tokens -= float64(a.bound[software])
+		free += math.Max(0, x.tokens)
+		if x.rate > 0 {
+			left = append(left, x)
+		}
+	}
+	if needed <= math.Floor(free+tokenTolerance) {
 		return 0
-	case d.rate == 0:
-		return maxLimitedDelay
 	}
-	missing = float64(ahead+1) - d.tokens
-	return min(time.Duration(missing/d.rate*float64(time.Second)), maxLimitedDelay)
+	// The versions with the shortest queues of their own are used first.
+	slices.SortFunc(left, func(a, b limit) int { return cmp.Compare(-a.tokens/a.rate, -b.tokens/b.rate) })
+	seconds, sum := maxLimitedDelay.Seconds(), limit{}
+	for _, x := range left {
+		if sum.rate > 0 && -x.tokens/x.rate >= seconds {
+			break
+		}
+		sum.rate, sum.tokens = sum.rate+x.rate, sum.tokens+x.tokens
+		seconds = (needed - sum.tokens) / sum.rate
+	}
+	return min(time.Duration(seconds*float64(time.Second)), maxLimitedDelay)
 }
 
 const (
--- a/internal/queuer/share_test.go
+++ b/internal/queuer/share_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -143,3 +144,93 @@
 	}
 	require.Equal(t, minSenders, numSenders)
 }
+
+// limitedVersion is limitedEngine with a software version.
+func limitedVersion(id, software string, rate float64) *registrar.Upstream {
+	u := limitedEngine(id, rate)
+	u.Software = software
+	return u
+}
+
+// boundRequest is newRequest for the rest of a stream that began at a version.
+func boundRequest(software string, objective time.Duration) Request {
+	req := newRequest(1, objective)
+	req.Software = &software
+	return req
+}
+
+// useUp takes the first request that each limited upstream grants at once.
+func useUp(t *testing.T, table *Table, s *registrar.Snapshot, versions ...string) {
+	for _, v := range versions {
+		require.NotNil(t, table.Grant(boundRequest(v, 0), s, config(), start))
+	}
+}
+
+// TestLimitOfOneVersionDoesNotDelayAnother guards against requests that are refused because of those
+// ahead which only upstreams of other versions can serve.
+func TestLimitOfOneVersionDoesNotDelayAnother(t *testing.T) {
+	table, s, cfg := newTable(), snapshot(limitedVersion("e1", "v1", 2), limitedVersion("e2", "v2", 2)), config()
+	table.SetInstances("a", []string{"a"})
+	useUp(t, table, s, "v1", "v2")
+	for n := range 5 {
+		table.Wait(boundRequest("v2", time.Duration(n)), start)
+	}
+	rest := table.Admit(boundRequest("v1", 10), s, cfg, start).Waiter
+	require.NotNil(t, rest, "its version grants one every 500 ms, and nothing waits for it")
+	for n := range 4 {
+		table.Wait(boundRequest("v2", time.Duration(5+n)), start)
+	}
+	late := boundRequest("v2", 11)
+	late.StartBy = start.Add(4 * time.Second)
+	require.Equal(t, 5*time.Second, table.Estimate(late, s, cfg, start).Delay, "behind 9 of its version")
+	require.Nil(t, table.Admit(late, s, cfg, start).Waiter)
+	anywhere := newRequest(1, 12)
+	require.Equal(t, time.Second, table.Estimate(anywhere, s, cfg, start).Delay, "v1 grants it behind one request")
+	table.Expire(s, cfg, start)
+	_, isRefused := rest.Refused()
+	require.False(t, isRefused, "refused in the queue")
+}
+
+// TestRestOfAStreamIsNotRefusedForWhatOtherVersionsCanServe guards against the rest of a stream that is
+// refused because of new requests, which upstreams of another version may take.
+func TestRestOfAStreamIsNotRefusedForWhatOtherVersionsCanServe(t *testing.T) {
+	table, s, cfg := newTable(), snapshot(limitedVersion("e1", "v1", 2), limitedVersion("e2", "v2", 50)), config()
+	table.SetInstances("a", []string{"a"})
+	useUp(t, table, s, "v1", "v2")
+	for n := range 8 {
+		table.Wait(newRequest(1, time.Duration(n)), start)
+	}
+	rest := table.Admit(boundRequest("v1", 10), s, cfg, start).Waiter
+	require.NotNil(t, rest, "v2 grants the eight within 160 ms")
+	table.Expire(s, cfg, start)
+	_, isRefused := rest.Refused()
+	require.False(t, isRefused, "refused in the queue")
+
+	one := snapshot(limitedVersion("e1", "v1", 2))
+	require.Nil(t, table.Admit(boundRequest("v1", 10), one, cfg, start).Waiter, "only v1 has the model")
+}
+
+// TestLimitsOfVersionsAddUp checks the wait of a request that any version may run against a play.
+func TestLimitsOfVersionsAddUp(t *testing.T) {
+	for seed := range uint64(200) {
+		rng := rand.New(rand.NewPCG(seed, 1))
+		table, cfg := newTable(), config()
+		table.SetInstances("a", []string{"a"})
+		s := snapshot(limitedVersion("e1", "v1", 1+9*rng.Float64()), limitedVersion("e2", "v2", 1+9*rng.Float64()))
+		useUp(t, table, s, "v1", "v2")
+		for n := range rng.IntN(20) {
+			req := newRequest(1, time.Duration(n))
+			if v := rng.IntN(3); v > 0 {
+				req = boundRequest(fmt.Sprint("v", v), time.Duration(n))
+			}
+			table.Wait(req, start)
+		}
+		last := newRequest(1, time.Hour)
+		estimate := table.Estimate(last, s, cfg, start).Delay
+		w, at := table.Wait(last, start), time.Duration(0)
+		for ; len(w.granted) == 0; at += time.Millisecond {
+			table.GrantWaiting(s, cfg, start.Add(at))
+		}
+		require.InDelta(t, at.Seconds(), estimate.Seconds(), 1, "seed %d: one request at a rate of 1 is 1 s", seed)
+	}
+}
--- a/internal/queuer/table.go
+++ b/internal/queuer/table.go
@@ -153,6 +153,14 @@
 	})
 }
 
+// isHeldElsewhere reports whether an upstream of another software version holds the model of a request
+// that may run at one version only.
+func (req Request) isHeldElsewhere(s *registrar.Snapshot) bool {
+	return slices.ContainsFunc(s.ByService[req.Service], func(u *registrar.Upstream) bool {
+		return req.Software != nil && u.Software != *req.Software && (req.Model == "" || u.Holds(req.Model, ""))
+	})
+}
+
 // Table holds the running and the waiting requests of an instance. Its zero
 // value is ready to use; it is not safe for concurrent use.
 type Table struct {
@@ -251,7 +259,7 @@
 		t.expireBusy(s, now)
 	}
 	kept := t.waiting[:0]
-	ahead := make(map[key]int) // waiting requests before this one, by service and model
+	before := make(map[key]ahead) // waiting requests before this one, by service and model
 	estimates := make(map[key]StartEstimate)
 	for _, w := range t.waiting {
 		k := key{service: w.Request.Service, model: w.Request.Model}
@@ -262,18 +270,20 @@
 		}
 		e, isKnown := estimates[w.Request.key()]
 		if !isKnown {
-			e = t.estimateBehind(ahead[k], w.Request, s, cfg, now)
+			e = t.estimateBehind(before[k], w.Request, s, cfg, now)
 			// Only limited upstreams make an estimate depend on the requests ahead.
 			if !hasLimited(s.ByService[w.Request.Service]) {
 				estimates[w.Request.key()] = e
 			}
 		}
-		if t.isTooLate(e, ahead[k], w.Request, s, cfg, now) {
+		if t.isTooLate(e, before[k], w.Request, s, cfg, now) {
 			w.refused <- e
 			t.leaveOrder(w)
 			continue
 		}
-		ahead[k]++
+		a := before[k]
+		a.add(w.Request)
+		before[k] = a
 		kept = append(kept, w)
 	}
 	clear(t.waiting[len(kept):])
