internal/entry: a stop answers what outlasts it, and takes nothing that cannot end

What callers saw: during a planned stop the product's own interface took calls that could not end by stop-after, and at its end requests that still ran got "unexpected EOF", among them calls that may run at most once. Nothing told whether they had run.

Cause: work was accepted in a stop without asking whether it can end, and http.Server.Shutdown followed by Close ended the servers under their handlers. Shutdown also closes idle connections on which a request has begun to arrive.

Now a stop follows the plan of package stopper, with durations measured by service and method or by model. A request that is not expected to end is refused as not run, on arrival, while it waits, or when it gets a slot; at the end the contexts of the others end, and their handlers answer "stopping" with what is known of the run. A stream that is cut ends with an error without a verdict, as one that breaks off, so that callers of every version resume it. Servers are closed by package drainer, which could not see what had arrived on connections with TLS. The server with its drainer and the end of a stop in two steps are shared with internal/assembler, which had them for itself.

A generation that the caller leaves before it was sent is now reported as not run; it was "may have run".

--- a/internal/assembler/listen.go
+++ b/internal/assembler/listen.go
@@ -38,31 +38,12 @@
 	// peerUserTimeout is the TCP user timeout of connections to peers that serve requests in
 	// place of this instance.
 	peerUserTimeout = time.Second
-	// minAnswerSleeps is how often the process sleeps for answerSleep at least between the end of the
-	// requests that still run and the close of their connections.
-	minAnswerSleeps, answerSleep = 10, 5 * time.Millisecond
 	// otherDrainTime is how long requests on the servers that are not for callers may run on.
 	otherDrainTime = 100 * time.Millisecond
 	// handedOnInterval is the time between two checks for running requests of peers.
 	handedOnInterval = 10 * time.Millisecond
 )
 
-// errStopOver is the cause of the close of connections at the end of a stop.
-var errStopOver = errors.New("the time of the stop is over")
-
-// server is a server with the listener that it serves.
-type server struct {
-	*http.Server
-	drainer.Drainer
-	listener net.Listener
-	served   chan struct{} // closed when Serve has returned
-}
-
-// drain closes the server without cutting off requests, until ctx ends.
-func (s *server) drain(ctx context.Context) error {
-	return s.Drain(ctx, s.Server, s.listener, s.served)
-}
-
 type metrics struct {
 	dials prometheus.Counter
 	// refusedConfigs counts configurations that were refused as a whole.
@@ -117,12 +98,12 @@
 
 // listen starts the HTTP servers. The one for callers is first in the result.
 // The listen addresses must be distinct.
-func (a *Assembler) listen() ([]*server, error) {
+func (a *Assembler) listen() ([]*drainer.Server, error) {
 	errorLog, err := zap.NewStdLogAt(a.Log.Named("http"), zap.DebugLevel)
 	if err != nil {
 		return nil, errors.Wrap(err, "log")
 	}
-	var servers []*server
+	var servers []*drainer.Server
 	for address, h := range a.handlers() {
 		socketBytes := 0
 		if address == a.Listen.Caller {
@@ -137,19 +118,14 @@
 			}
 			return nil, errors.Wrapf(err, "listen on %s", address)
 		}
-		s := &server{listener: ln, served: make(chan struct{})}
-		s.Server = &http.Server{
+		s := drainer.Start(&http.Server{
 			Handler: h, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes, ErrorLog: errorLog,
-			ConnState: s.Track, ConnContext: relayer.WithClientConn,
-		}
-		go func() {
-			defer close(s.served)
-			if err := s.Serve(ln); !errors.IsAny(err, http.ErrServerClosed, net.ErrClosed) {
-				a.Log.Error("HTTP server failed", zap.String("address", address), logger.Error(err))
-			}
-		}()
+			ConnContext: relayer.WithClientConn,
+		}, ln, nil, func(err error) {
+			a.Log.Error("HTTP server failed", zap.String("address", address), logger.Error(err))
+		})
 		if address == a.Listen.Caller {
-			servers = append([]*server{s}, servers...)
+			servers = append([]*drainer.Server{s}, servers...)
 		} else {
 			servers = append(servers, s)
 		}
@@ -160,7 +136,7 @@
 // stop shuts the instance down gracefully: it removes the instance from the
 // directory, finishes the running requests, and closes the servers, the callers'
 // server first.
-func (a *Assembler) stop(ctx context.Context, servers []*server) error {
+func (a *Assembler) stop(ctx context.Context, servers []*drainer.Server) error {
 	late := a.pauses.Late(clocker.SinceStart())
 	plan := stopper.Plan(time.Now(), late, a.StopGrace)
 	a.isStopping.Store(true)
@@ -172,19 +148,9 @@
 	sleeper.Sleep(ctx, time.Until(plan.Refuse))
 	a.isClosed.Store(true)
 	a.queue.Close()
-	shutdownCtx, cancel := context.WithCancelCause(ctx)
-	defer cancel(nil)
-	answers := time.AfterFunc(time.Until(plan.Answer), func() {
-		a.halt.End()
-		// Sleeps, not only the time: after a pause of the process both moments may have passed.
-		for range minAnswerSleeps {
-			sleeper.Sleep(shutdownCtx, answerSleep)
-		}
-		sleeper.Sleep(shutdownCtx, time.Until(plan.Close))
-		cancel(errStopOver)
-	})
-	defer answers.Stop()
-	if err := servers[0].drain(shutdownCtx); err != nil {
+	shutdownCtx, cancel := a.halt.EndInTime(ctx)
+	defer cancel()
+	if err := servers[0].DrainUntil(shutdownCtx); err != nil {
 		a.Log.Warn("graceful shutdown incomplete", logger.Error(err))
 	}
 	for a.numHandedOn.Load() > 0 && shutdownCtx.Err() == nil {
@@ -201,7 +167,7 @@
 	defer cancelOthers()
 	var wg sync.WaitGroup
 	for _, s := range servers[1:] {
-		wg.Go(func() { _ = s.drain(othersCtx) })
+		wg.Go(func() { _ = s.DrainUntil(othersCtx) })
 	}
 	wg.Wait()
 	return nil
--- a/internal/dispatcher/admit.go
+++ b/internal/dispatcher/admit.go
@@ -15,12 +15,15 @@
 
 // admit waits until a candidate has a free slot for the request. The candidates
 // are the same for all requests of a target; refine, if not nil, adapts them to
-// this request. The caller must call the grant's Done.
-func (d *Dispatcher) admit(ctx context.Context, req admitter.Request, tried map[string]bool, candidates func(time.Time) []router.Candidate, refine refineFunc) (admitter.Grant, error) {
+// this request. The caller must call the grant's Done. The request ends by deadline, and its route
+// tells how long it is expected to run.
+func (d *Dispatcher) admit(ctx context.Context, req admitter.Request, route string, deadline time.Time, tried map[string]bool, candidates func(time.Time) []router.Candidate, refine refineFunc) (admitter.Grant, error) {
 	d.initOnce.Do(d.initAdmitter)
-	return d.Admitter.Admit(ctx, req, admitter.Source{
-		Candidates: candidates,
-		Choose:     func(list []router.Candidate) int { return choose(list, tried, refine) },
+	return d.admitUnlessStopping(ctx, route, deadline, func(ctx context.Context) (admitter.Grant, error) {
+		return d.Admitter.Admit(ctx, req, admitter.Source{
+			Candidates: candidates,
+			Choose:     func(list []router.Candidate) int { return choose(list, tried, refine) },
+		})
 	})
 }
 
--- a/internal/dispatcher/call.go
+++ b/internal/dispatcher/call.go
@@ -10,7 +10,6 @@
 	"github.com/primrosedrift/primrosedrift/internal/admitter"
 	"github.com/primrosedrift/primrosedrift/internal/applier"
 	"github.com/primrosedrift/primrosedrift/internal/attempter"
-	"github.com/primrosedrift/primrosedrift/internal/router"
 	callerv1 "github.com/primrosedrift/primrosedrift/pkg/api/caller/v1"
 	recordv1 "github.com/primrosedrift/primrosedrift/pkg/api/record/v1"
 	upstreamv1 "github.com/primrosedrift/primrosedrift/pkg/api/upstream/v1"
@@ -63,7 +62,7 @@
 		if attempt > 0 && !d.RetryBudget.TryWithdraw() {
 			break
 		}
-		c, err := d.admit(ctx, adm, tried, func(now time.Time) []router.Candidate { return d.services(req.GetService(), now) }, nil)
+		c, err := d.admitCall(ctx, req, tried, adm)
 		if err != nil {
 			return Response{}, verdict.FromError(err).AfterAttempts(lastFailure.Ran)
 		}
@@ -94,6 +93,9 @@
 	switch {
 	case err == nil:
 		d.Monitor.RecordSuccess(c.Upstream, time.Since(startedAt))
+		d.Stop.Record(callRoute(req), time.Since(startedAt))
+	case errors.Is(ctx.Err(), context.DeadlineExceeded) && verdict.FromError(err).Ran == verdict.MayHaveRun:
+		d.Stop.Record(callRoute(req), time.Since(startedAt))
 	case errors.As(err, &f) && f.Kind == attempter.KindUnreachable:
 		d.Monitor.MarkUnreachable(c.Upstream)
 	case errors.As(err, &f) && f.Kind == attempter.KindLeaving:
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -22,6 +22,7 @@
 	"github.com/primrosedrift/primrosedrift/internal/quarantiner"
 	"github.com/primrosedrift/primrosedrift/internal/recorder"
 	"github.com/primrosedrift/primrosedrift/internal/retrier"
+	"github.com/primrosedrift/primrosedrift/internal/stopper"
 	"github.com/primrosedrift/primrosedrift/internal/tallier"
 	callerv1 "github.com/primrosedrift/primrosedrift/pkg/api/caller/v1"
 	recordv1 "github.com/primrosedrift/primrosedrift/pkg/api/record/v1"
@@ -66,6 +67,8 @@
 	// IsFirstIntent reports whether an intent that was read back is the first
 	// with its key. If nil, applier.Event.Counted decides.
 	IsFirstIntent func(applier.Event) bool
+	// Stop is the planned stop of the instance. If nil, there is none.
+	Stop *stopper.Stop
 
 	outcomeWaiters outcomeWaiters
 }
--- a/internal/dispatcher/generate.go
+++ b/internal/dispatcher/generate.go
@@ -86,9 +86,12 @@
 		g.finishAttempt(ctx, c, a, err)
 		switch {
 		case err == nil:
+			if attempt == 0 && g.req.GetFromToken() == 0 {
+				g.d.Stop.Record(generateRoute(g.req), time.Since(g.attemptedAt))
+			}
 			return n, nil
 		case ctx.Err() != nil:
-			return 0, verdict.RefuseMayHaveRun(verdict.ReasonCanceled, 0, "caller went away")
+			return 0, g.refuse(verdict.Refuse(verdict.ReasonCanceled, 0, "caller went away"))
 		}
 	}
 	return 0, g.refuse(g.lastFailure.WithRetryAfter(shortRetryDelay))
@@ -124,7 +127,7 @@
 // that runs no other suspect. Losses may become known during the wait.
 func (g *generation) admit(ctx context.Context) (admitter.Grant, *quarantiner.Attempt, error) {
 	for {
-		c, err := g.d.admit(ctx, g.adm, g.tried, g.candidates, g.refine)
+		c, err := g.d.admit(ctx, g.adm, generateRoute(g.req), time.Now().Add(maxStreamTime), g.tried, g.candidates, g.refine)
 		if err != nil {
 			return c, nil, err
 		}
--- a/internal/dispatcher/once.go
+++ b/internal/dispatcher/once.go
@@ -74,7 +74,7 @@
 }
 
 func (d *Dispatcher) admitCall(ctx context.Context, req *callerv1.CallRequest, tried map[string]bool, adm admitter.Request) (admitter.Grant, error) {
-	return d.admit(ctx, adm, tried, func(now time.Time) []router.Candidate { return d.services(req.GetService(), now) }, nil)
+	return d.admit(ctx, adm, callRoute(req), adm.Deadline, tried, func(now time.Time) []router.Candidate { return d.services(req.GetService(), now) }, nil)
 }
 
 // submitWhileLogResponds submits a record and returns an error as soon as the log
--- a/internal/drainer/drainer.go
+++ b/internal/drainer/drainer.go
@@ -190,6 +190,9 @@
 }
 
 func rawConn(c any) (syscall.RawConn, error) {
+	if w, ok := c.(interface{ NetConn() net.Conn }); ok { // a connection with TLS
+		c = w.NetConn()
+	}
 	sc, ok := c.(syscall.Conn)
 	if !ok {
 		return nil, errors.Newf("%T is not a socket", c)
--- a/internal/drainer/drainer_test.go
+++ b/internal/drainer/drainer_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"crypto/tls"
 	"fmt"
 	"io"
 	"net"
@@ -15,6 +16,9 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/stretchr/testify/require"
+
+	"github.com/primrosedrift/primrosedrift/internal/keyring"
+	"github.com/primrosedrift/primrosedrift/internal/standin/certifier"
 )
 
 // server is a server with a handler that states the end of the connection once it stops.
@@ -203,18 +207,32 @@
 // TestRequestThatArrivesInPartsIsAnswered guards against closing a connection whose request has
 // begun to arrive: the server shows such a connection as idle or new.
 func TestRequestThatArrivesInPartsIsAnswered(t *testing.T) {
-	for name, isKept := range map[string]bool{"new connection": false, "kept connection": true} {
+	files, err := certifier.Write(t.TempDir())
+	require.NoError(t, err)
+	keys := &keyring.Keyring{Files: files}
+	for name, tt := range map[string]struct{ isKept, hasTLS bool }{
+		"new connection": {}, "kept connection": {isKept: true},
+		"new connection with TLS": {hasTLS: true}, "kept connection with TLS": {isKept: true, hasTLS: true},
+	} {
 		t.Run(name, func(t *testing.T) {
-			s := newServer(t, func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "x") })
+			s := newServerBehind(t, func(ln net.Listener) net.Listener {
+				if tt.hasTLS {
+					return tls.NewListener(ln, keys.Server())
+				}
+				return ln
+			}, func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "x") })
 			s.Quiet = 200 * time.Millisecond
 			c := caller{address: s.ln.Addr().String()}
 			defer c.end()
-			if isKept {
+			dial := (&net.Dialer{}).DialContext
+			if tt.hasTLS {
+				dial = keys.Dial
+			}
+			conn, err := dial(t.Context(), "tcp4", c.address)
+			require.NoError(t, err)
+			c.open(conn)
+			if tt.isKept {
 				require.NoError(t, c.call(t.Context()))
-			} else {
-				conn, err := net.Dial("tcp4", c.address)
-				require.NoError(t, err)
-				c.open(conn)
 			}
 			done := make(chan error, 1)
 			go func() { done <- s.drain(t.Context()) }()
--- a/internal/entry/caller.go
+++ b/internal/entry/caller.go
@@ -28,9 +28,13 @@
 		return err
 	}
 	if address, ok := c.e.forwardAddress(m.GetModel(), m.GetForwarded()); ok {
+		if err := c.e.dispatcher.RefuseGenerateForStop(m); err != nil {
+			return c.e.refuse("generate", m.GetRequestId(), m.GetCustomer(), m.GetModel(), err)
+		}
 		err := c.e.forwarder.generate(ctx, address, m, c.e.forwardTimeout(m.GetCustomer(), m.GetDeadlineMs()), stream.Send)
 		if !errors.Is(err, errNotForwarded) {
-			return c.e.recordForwarded("generate", m.GetRequestId(), err)
+			err = endedByStop(ctx, err)
+			return streamError(err, c.e.recordForwarded("generate", m.GetRequestId(), err))
 		}
 	}
 	start := time.Now()
@@ -45,7 +49,8 @@
 		return stream.Send(&callerv1.GenerateResponse{RequestId: m.GetRequestId(), Index: i, Token: token, Software: software})
 	})
 	if err != nil {
-		return c.e.refuse("generate", m.GetRequestId(), m.GetCustomer(), m.GetModel(), err)
+		err = endedByStop(ctx, err)
+		return streamError(err, c.e.refuse("generate", m.GetRequestId(), m.GetCustomer(), m.GetModel(), err))
 	}
 	c.e.burn.recordAnswer(m.GetCustomer(), m.GetModel(), firstTokenAfter)
 	c.e.recordAnswer("generate", m.GetRequestId(), m.GetCustomer(), m.GetModel())
@@ -62,15 +67,19 @@
 		return nil, err
 	}
 	if address, ok := c.e.forwardAddress(m.GetService(), m.GetForwarded()); ok {
-		resp, err := c.e.forwarder.call(ctx, address, m, c.e.forwardTimeout(m.GetCustomer(), m.GetDeadlineMs()))
+		timeout := c.e.forwardTimeout(m.GetCustomer(), m.GetDeadlineMs())
+		if err := c.e.dispatcher.RefuseCallForStop(m, timeout); err != nil {
+			return nil, c.e.refuse("call", m.GetRequestId(), m.GetCustomer(), m.GetService(), err)
+		}
+		resp, err := c.e.forwarder.call(ctx, address, m, timeout)
 		if !errors.Is(err, errNotForwarded) {
-			return connect.NewResponse(resp), c.e.recordForwarded("call", m.GetRequestId(), err)
+			return connect.NewResponse(resp), c.e.recordForwarded("call", m.GetRequestId(), endedByStop(ctx, err))
 		}
 	}
 	start := time.Now()
 	resp, err := c.e.dispatcher.Call(ctx, m)
 	if err != nil {
-		return nil, c.e.refuse("call", m.GetRequestId(), m.GetCustomer(), m.GetService(), err)
+		return nil, c.e.refuse("call", m.GetRequestId(), m.GetCustomer(), m.GetService(), endedByStop(ctx, err))
 	}
 	c.e.metrics.wait.WithLabelValues("call").Observe(time.Since(start).Seconds())
 	c.e.burn.recordAnswer(m.GetCustomer(), m.GetService(), time.Since(start))
@@ -78,8 +87,11 @@
 	return connect.NewResponse(&callerv1.CallResponse{RequestId: m.GetRequestId(), Body: resp.Body, Earlier: resp.IsReplay}), nil
 }
 
-// checkReady refuses requests until the instance has a state to serve from.
+// checkReady refuses requests until the instance has a state to serve from, and when it accepts no more.
 func (e *Entry) checkReady(requestID string) error {
+	if err := e.checkAccepts(); err != nil {
+		return verdict.FromError(err).ToConnect(requestID)
+	}
 	if e.tailer.HasState() {
 		return nil
 	}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -33,6 +33,7 @@
 	"github.com/primrosedrift/primrosedrift/internal/retrier"
 	"github.com/primrosedrift/primrosedrift/internal/settings"
 	"github.com/primrosedrift/primrosedrift/internal/sharer"
+	"github.com/primrosedrift/primrosedrift/internal/stopper"
 	"github.com/primrosedrift/primrosedrift/internal/tailer"
 	"github.com/primrosedrift/primrosedrift/internal/tallier"
 	"github.com/primrosedrift/primrosedrift/internal/watcher"
@@ -76,6 +77,8 @@
 	burn       *burnCounter
 	checkpoint *checkpointer.Writer
 	metrics    *metrics
+	halt       stopper.Stop
+	pauses     stopper.Pauses
 }
 
 // New returns an entry instance. Run starts it.
@@ -92,6 +95,7 @@
 		Keeper: &e.keeper, Recorder: e.recorder, Monitor: e.monitor, Tallier: e.tallier,
 		Attempter: &attempter.Attempter{HTTP: client}, RetryBudget: &retrier.Budget{}, Quarantiner: &quarantiner.Quarantiner{},
 		Log: log.Named("dispatcher"), IsLogAvailable: e.isLogAvailable, HasProcessEnded: e.watcher.HasProcessEnded,
+		Stop: &e.halt,
 	}
 	e.dispatcher.Admitter.Table.MaxWaiting = s.Limits.QueuedRequests
 	e.forwarder = forwarder{HTTP: tlsClient(client, s.TLS.Caller), Scheme: scheme(s.TLS.Caller)}
@@ -216,24 +220,24 @@
 // Run runs the instance until ctx ends, then shuts it down gracefully. Locate no
 // longer returns the instance, but it keeps serving for as long as callers may
 // cache an older response. It releases its shards, and stops when its requests
-// have ended.
+// have ended. A request that cannot end in time is refused or answered, see package stopper.
 func (e *Entry) Run(ctx context.Context) error {
 	work, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
-	servers, err := e.listen()
+	all, err := e.listen()
 	if err != nil {
 		return err
 	}
 	var components sync.WaitGroup
 	for _, run := range []func(context.Context){
 		e.recorder.Run, e.tailer.Run, e.watcher.Run, e.monitor.Run, e.tallier.Run, e.controller.Run,
-		e.checkpoint.Run, e.sharer.Run,
+		e.checkpoint.Run, e.sharer.Run, e.pauses.Run,
 	} {
 		components.Go(func() { run(work) })
 	}
 	e.Log.Info("serving", zap.String("caller", e.Settings.Listen.Caller), zap.String("incarnation", e.Incarnation))
 	<-ctx.Done()
-	e.stop(servers)
+	e.stop(all)
 	cancel()
 	return e.awaitComponents(&components)
 }
@@ -254,21 +258,3 @@
 		return errors.Newf("components still running %s after shutdown", componentStopTimeout)
 	}
 }
-
-func (e *Entry) stop(servers []*http.Server) {
-	e.Log.Info("shutdown started; Locate no longer returns this instance")
-	ctx, cancel := context.WithTimeout(context.Background(), e.Settings.Timing.StopAfter.Duration)
-	defer cancel()
-	e.watcher.SetLeaving()
-	e.controller.Wake()
-	select {
-	case <-ctx.Done():
-	case <-time.After(e.Settings.Timing.LocateKeep.Duration + time.Second):
-	}
-	for _, s := range servers {
-		if err := s.Shutdown(ctx); err != nil {
-			e.Log.Warn("shutdown timed out; closing connections with running requests", zap.Error(err))
-			_ = s.Close()
-		}
-	}
-}
--- a/internal/entry/listen.go
+++ b/internal/entry/listen.go
@@ -1,10 +1,12 @@
 package entry
 
 import (
+	"context"
 	"crypto/tls"
 	"net"
 	"net/http"
 	"net/http/pprof"
+	"slices"
 	"time"
 
 	"connectrpc.com/connect"
@@ -12,21 +14,29 @@
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 	"go.uber.org/zap"
 
+	"github.com/primrosedrift/primrosedrift/internal/drainer"
 	"github.com/primrosedrift/primrosedrift/internal/keyring"
 	"github.com/primrosedrift/primrosedrift/pkg/api/caller/v1/callerv1connect"
 	"github.com/primrosedrift/primrosedrift/pkg/api/operator/v1/operatorv1connect"
 	peerv1 "github.com/primrosedrift/primrosedrift/pkg/api/peer/v1"
 )
 
-const readHeaderTimeout = 10 * time.Second
+const (
+	readHeaderTimeout = 10 * time.Second
+	// keepAliveTime is the interval of TCP's probes on idle connections.
+	keepAliveTime = 15 * time.Second
+)
 
 // compressMinBytes is the minimum size of a response to a caller that is
 // compressed.
 const compressMinBytes = 1024
 
+// servers holds the servers of an instance: those whose requests a stop ends, and the others.
+type servers struct{ ending, others []*drainer.Server }
+
 // listen starts the HTTP servers. Callers, operators, peers and debugging each
 // have their own address.
-func (e *Entry) listen() ([]*http.Server, error) {
+func (e *Entry) listen() (servers, error) {
 	// Compressing tokens of a few bytes costs more than it saves.
 	compression := connect.WithCompressMinBytes(compressMinBytes)
 	callers := http.NewServeMux()
@@ -41,54 +51,59 @@
 	peers.Handle(peerCommandsServer.PathPrefix(), peerCommandsServer)
 	peers.Handle(peerQueriesServer.PathPrefix(), peerQueriesServer)
 
-	var servers []*http.Server
+	var all servers
 	for _, l := range []struct {
-		address string
-		handler http.Handler
-		keys    keyring.Files
+		address  string
+		handler  http.Handler
+		keys     keyring.Files
+		isEnding bool
 	}{
-		{e.Settings.Listen.Caller, callers, e.Settings.TLS.Caller},
-		{e.Settings.Listen.Operator, operators, e.Settings.TLS.Operator},
-		{e.Settings.Listen.Peer, peers, e.Settings.TLS.Peer},
-		{e.Settings.Listen.Debug, e.debug(), keyring.Files{}},
+		{e.Settings.Listen.Caller, e.untilStop(callers), e.Settings.TLS.Caller, true},
+		{e.Settings.Listen.Operator, e.untilStop(operators), e.Settings.TLS.Operator, true},
+		{e.Settings.Listen.Peer, peers, e.Settings.TLS.Peer, false},
+		{e.Settings.Listen.Debug, e.debug(), keyring.Files{}, false},
 	} {
 		if l.address == "" {
 			continue
 		}
 		s, err := e.serve(l.address, l.handler, l.keys)
 		if err != nil {
-			for _, other := range servers {
+			for _, other := range slices.Concat(all.ending, all.others) {
 				_ = other.Close()
 			}
-			return nil, err
+			return servers{}, err
+		}
+		if l.isEnding {
+			all.ending = append(all.ending, s)
+		} else {
+			all.others = append(all.others, s)
 		}
-		servers = append(servers, s)
 	}
-	return servers, nil
+	return all, nil
 }
 
-func (e *Entry) serve(address string, h http.Handler, files keyring.Files) (*http.Server, error) {
+func (e *Entry) serve(address string, h http.Handler, files keyring.Files) (*drainer.Server, error) {
 	keys, err := e.keyring(files)
 	if err != nil {
 		return nil, err
 	}
-	ln, err := net.Listen("tcp", address)
+	lc := net.ListenConfig{KeepAlive: keepAliveTime}
+	lc.SetMultipathTCP(false) // such sockets take no filter, which draining them needs
+	ln, err := lc.Listen(context.Background(), "tcp", address)
 	if err != nil {
 		return nil, errors.Wrapf(err, "listen on %s", address)
 	}
 	var protocols http.Protocols
 	protocols.SetHTTP1(true)
 	protocols.SetUnencryptedHTTP2(true)
-	s := &http.Server{Handler: h, ReadHeaderTimeout: readHeaderTimeout, Protocols: &protocols}
+	var wrap func(net.Listener) net.Listener
 	if keys != nil {
-		ln = tls.NewListener(ln, keys.Server())
+		wrap = func(ln net.Listener) net.Listener { return tls.NewListener(ln, keys.Server()) }
 	}
-	go func() {
-		if err := s.Serve(ln); !errors.Is(err, http.ErrServerClosed) {
-			e.Log.Error("HTTP server failed", zap.String("address", address), zap.Error(err))
-		}
-	}()
-	return s, nil
+	s := &http.Server{Handler: h, ReadHeaderTimeout: readHeaderTimeout, Protocols: &protocols}
+	return drainer.Start(s, ln, wrap, func(err error) {
+		e.Log.Error("HTTP server failed", zap.String("address", address), zap.Error(err))
+	}), nil
 }
 
 // keyring loads the TLS keys from files. It returns nil if files is empty.
--- a/internal/entry/operator.go
+++ b/internal/entry/operator.go
@@ -24,6 +24,9 @@
 // Publish changes the configuration if the base version of the request is in
 // force. The result is accepted only after the change was read back from the log.
 func (c *operatorCommands) Publish(ctx context.Context, req *connect.Request[operatorv1.PublishRequest]) (*connect.Response[operatorv1.PublishResponse], error) {
+	if err := c.e.checkAccepts(); err != nil {
+		return nil, connect.NewError(connect.CodeUnavailable, errors.Newf("nothing was published: %v", err))
+	}
 	m := req.Msg
 	ctx, cancel := context.WithTimeout(ctx, publishTimeout)
 	defer cancel()
--- a/internal/relayer/attempt.go
+++ b/internal/relayer/attempt.go
@@ -16,6 +16,7 @@
 	"github.com/primrosedrift/primrosedrift/internal/losstracker"
 	"github.com/primrosedrift/primrosedrift/internal/queuer"
 	"github.com/primrosedrift/primrosedrift/internal/registrar"
+	"github.com/primrosedrift/primrosedrift/internal/stopper"
 )
 
 // maxBufferedBytes is the size up to which a plain response is read completely
@@ -107,7 +108,7 @@
 	c.Metrics.attempts.WithLabelValues(c.admission.Service, "failed").Inc()
 	c.Log.Info("attempt failed", zap.String("request", c.requestInfo.ID), zap.String("upstream", u.ID), zap.String("software", u.Software),
 		zap.String("content", FormatFingerprint(c.fingerprint)), zap.Int64("born", u.StartedAtMs), zap.Int64("orders", u.NumOrders),
-		zap.Bool("not-run", res.isNotRun), zap.Bool("left", isCanceled && !hasStopEnded(ctx)),
+		zap.Bool("not-run", res.isNotRun), zap.Bool("left", isCanceled && !stopper.HasEnded(ctx)),
 		zap.Strings("parts", c.loggedParts()), zap.Int("events", c.stream.numEvents-eventsBefore), zap.Duration("since-event", c.stream.sinceEvent()), zap.String("why", res.reason), zap.Duration("took", time.Since(began)))
 	if ending == losstracker.Broken && c.ExchangeLosses != nil {
 		c.ExchangeLosses(ctx, c.Losses.IsSuspect(c.fingerprint, c.parts))
--- a/internal/relayer/handon.go
+++ b/internal/relayer/handon.go
@@ -11,6 +11,7 @@
 
 	"github.com/primrosedrift/primrosedrift/internal/courier"
 	"github.com/primrosedrift/primrosedrift/internal/logger"
+	"github.com/primrosedrift/primrosedrift/internal/stopper"
 	"github.com/primrosedrift/primrosedrift/pkg/verdict"
 )
 
@@ -89,7 +90,7 @@
 			c.numMayHaveRun++
 		}
 		c.Log.Info("request handed on", zap.String("request", c.requestInfo.ID), zap.String("peer", address), zap.Bool("forwarded", res.isForwarded),
-			zap.Bool("not-run", res.isNotRun), zap.Bool("left", ctx.Err() != nil && !hasStopEnded(ctx)), zap.String("why", res.reason), zap.Duration("since-event", c.stream.sinceEvent()), zap.Duration("took", time.Since(began)), logger.Error(res.err))
+			zap.Bool("not-run", res.isNotRun), zap.Bool("left", ctx.Err() != nil && !stopper.HasEnded(ctx)), zap.String("why", res.reason), zap.Duration("since-event", c.stream.sinceEvent()), zap.Duration("took", time.Since(began)), logger.Error(res.err))
 		c.Metrics.handedOn.WithLabelValues(c.admission.Service, handOnOutcome(res)).Inc()
 		switch {
 		case res.isForwarded || res.err != nil:
--- a/internal/relayer/left.go
+++ b/internal/relayer/left.go
@@ -10,6 +10,8 @@
 	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
 	"golang.org/x/sys/unix"
+
+	"github.com/primrosedrift/primrosedrift/internal/stopper"
 )
 
 // The connections on which a request is sent on, as labels of metrics.
@@ -47,7 +49,7 @@
 }
 
 // checkPresence is called right before each send. It returns errClientLeft if the client, or the
-// peer that handed the request on, has closed the connection, and errStopEnds if the stop of this
+// peer that handed the request on, has closed the connection, and stopper.ErrEnded if the stop of this
 // instance has ended the request. The end of the context alone does not
 // show that in time: it follows only when the goroutine that reads the connection has run.
 func (c *call) checkPresence(ctx context.Context, hop string) error {
@@ -55,8 +57,8 @@
 		c.presence.sentAfter = max(1, time.Since(c.arrived))
 		return nil
 	}
-	if hasStopEnded(ctx) {
-		return errStopEnds
+	if stopper.HasEnded(ctx) {
+		return stopper.ErrEnded
 	}
 	c.presence.hasLeft = true
 	c.Metrics.withheldSends.WithLabelValues(c.admission.Service, hop).Inc()
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -206,7 +206,7 @@
 	defer cancel(nil)
 	c.cancel = func() { cancel(nil) }
 	defer c.watchClient(r.Context())()
-	defer h.Stop.OnEnd(func() { cancel(errStopEnds) })()
+	defer h.Stop.OnEnd(func() { cancel(stopper.ErrEnded) })()
 	err := c.prepare(r)
 	if err == nil {
 		c.startProgress(ctx)
@@ -217,7 +217,7 @@
 		c.recordStreamEnd()
 	}
 	c.refundQuota()
-	c.stop.hasEnded = hasStopEnded(ctx)
+	c.stop.hasEnded = stopper.HasEnded(ctx)
 	if err != nil && c.stop.hasEnded {
 		err = c.endedByStop(err)
 	}
--- a/internal/relayer/stop.go
+++ b/internal/relayer/stop.go
@@ -1,7 +1,6 @@
 package relayer
 
 import (
-	"context"
 	"net/http"
 	"time"
 
@@ -13,9 +12,6 @@
 	"github.com/primrosedrift/primrosedrift/pkg/verdict"
 )
 
-// errStopEnds is the cause of the end of a request that still runs when the time of a stop is over.
-var errStopEnds = errors.New("the instance has stopped")
-
 // What a stop does with a request, as labels of metrics.
 const (
 	actionRefused  = "refused"  // it did not run
@@ -29,9 +25,6 @@
 	hasEnded bool        // the time of the stop was over before the request was
 }
 
-// hasStopEnded reports whether a stop has ended the context of a request.
-func hasStopEnded(ctx context.Context) bool { return errors.Is(context.Cause(ctx), errStopEnds) }
-
 // recordDuration records how long a request of the route runs, if the attempt shows it.
 func (c *call) recordDuration(res attemptResult, began time.Time) {
 	isWhole := c.requestInfo.LastEventID == "" && c.numMayHaveRun <= 1
--- a/internal/stopper/stopper_test.go
+++ b/internal/stopper/stopper_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math/rand/v2"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/require"
@@ -97,6 +98,7 @@
 		_, hasBegun := s.Schedule()
 		require.False(t, hasBegun)
 		remove := s.OnEnd(func() { t.Error("ended") })
+		require.True(t, s.OnBegin(func() { t.Error("begun") })())
 		s.Record("r", time.Second)
 		require.Zero(t, s.Expect("r"))
 		require.True(t, remove())
@@ -108,6 +110,31 @@
 	<-done
 }
 
+// TestRequestsAreToldToEndBeforeConnectionsClose guards against a close that comes with the end of the
+// requests, as after a pause of the process in which the times of both have passed.
+func TestRequestsAreToldToEndBeforeConnectionsClose(t *testing.T) {
+	for name, pause := range map[string]time.Duration{"no pause": 0, "a pause over the end": 4 * time.Second} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				var s Stop
+				var begun, ended time.Time
+				s.OnBegin(func() { begun = time.Now() })
+				s.OnEnd(func() { ended = time.Now() })
+				plan := Plan(time.Now(), pause, 3*time.Second)
+				s.Begin(plan)
+				ctx, cancel := s.EndInTime(t.Context())
+				defer cancel()
+				<-ctx.Done()
+				synctest.Wait()
+				require.False(t, begun.IsZero())
+				require.GreaterOrEqual(t, time.Since(ended), minAnswerSleeps*answerSleep)
+				require.False(t, time.Now().Before(plan.Close))
+				require.False(t, HasEnded(ctx), "the close is no answer")
+			})
+		})
+	}
+}
+
 // TestSignalIsNeverTakenForYoungerThanItIs plays processes that stand still: a signal is handled when the
 // process runs again, soon before or soon after the goroutine that observes it.
 func TestSignalIsNeverTakenForYoungerThanItIs(t *testing.T) {
--- a/test/fleet_test.go
+++ b/test/fleet_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -149,7 +150,9 @@
 	procs                    map[string]*process
 	addresses                map[string]string // by stand-in
 	entries                  []*entryProcess
-	upstreams                strings.Builder // registrations in the operators' file
+	// timing holds lines of the table timing of the entry instances' settings.
+	timing    string
+	upstreams strings.Builder // registrations in the operators' file
 }
 
 func newFleet(t testing.TB, logArgs ...string) *fleet {
@@ -227,8 +230,7 @@
 instance-list = "http://%s"
 [timing]
 takeover-after = "1s"
-locate-keep = "500ms"
-`, name, e.caller, e.peer, e.operator, e.debug, f.log, f.instanceList), 0o600))
+%s`, name, e.caller, e.peer, e.operator, e.debug, f.log, f.instanceList, cmp.Or(f.timing, "locate-keep = \"500ms\"\n")), 0o600))
 	}
 	e.process = startProcess(f.t, name, "primrosedrift", "serve", e.settings)
 	f.waitForListener(e.caller)
