internal/relayer: a response that is ended for its slow client is not completed

What callers saw: a request from a kept connection was passed on to an upstream, and the connection was reset without an answer.

Cause: a response whose client stalls, or that is in the way of the bound of the buffers, was marked as ended under a lock; its connection was reset after that, behind a log line. If the client took the rest of the response meanwhile, the handler completed it, and the server read the next request on the same connection, which the reset then met. A pause of the process between the two makes the time for it long.

Now a response is completed only if it has not been ended, which is decided under the same lock. One that has been ended makes the server close the connection, so no other request is read on it.

--- a/internal/relayer/ahead.go
+++ b/internal/relayer/ahead.go
@@ -221,12 +221,19 @@
 }
 
 // close releases what is held. The body is closed by the caller.
-func (a *readAhead) close() {
+func (a *readAhead) close() { _ = a.finish() }
+
+// finish is close, and returns why this instance has ended the response, nil if it has not and will not any
+// more. A response that it has ended must not be completed, even if the client has taken it meanwhile: the
+// connection is about to be reset, and another request on it would be passed on and get no answer.
+func (a *readAhead) finish() error {
 	a.mu.Lock()
 	a.isClosed = true
 	a.releaseLocked()
+	err := a.endErr
 	a.mu.Unlock()
 	a.c.Buffers.unwatch(a)
+	return err
 }
 
 func (a *readAhead) releaseLocked() {
--- a/internal/relayer/ahead_test.go
+++ b/internal/relayer/ahead_test.go
@@ -221,6 +221,58 @@
 	require.Equal(t, errClientStalled.Error(), line["why"])
 }
 
+// TestResetOfASlowClientMeetsNoOtherRequest guards against the reset of a connection whose client takes the
+// response at that moment, after all: the next request on the connection is passed on, and meets the reset.
+func TestResetOfASlowClientMeetsNoOtherRequest(t *testing.T) {
+	for name, eventTimeout := range map[string]time.Duration{"stalled": 500 * time.Millisecond, "bound of the buffers": time.Minute} {
+		t.Run(name, func(t *testing.T) {
+			reached, broken := make(chan struct{}), make(chan struct{})
+			up := newUpstream(t, func(n int, r *http.Request, _ string) (string, bool) {
+				if n > 1 {
+					close(reached)
+					<-broken
+				}
+				return response(r, 200, stamped, strings.Repeat("x", maxBufferedBytes-1)), false
+			})
+			g := newSlowFixture(t, eventTimeout, up)
+			c := g.open("/once/", "1")
+			_, err := fmt.Fprintf(c, "POST /once/ HTTP/1.1\r\nHost: h.example\r\n%s: 2\r\nContent-Length: 0\r\n\r\n", hID)
+			require.NoError(t, err)
+			numAnswered := 0
+			read := func() {
+				defer close(broken)
+				in := bufio.NewReader(c)
+				for {
+					resp, err := http.ReadResponse(in, nil)
+					if err == nil {
+						_, err = io.Copy(io.Discard, resp.Body)
+					}
+					if err != nil {
+						return
+					}
+					numAnswered++
+				}
+			}
+			core, logs := observer.New(zap.WarnLevel)
+			g.Log = zap.New(core, zap.Hooks(func(zapcore.Entry) error { // the response has been ended, and not yet reset
+				go read()
+				select {
+				case <-reached:
+				case <-broken:
+				}
+				return nil
+			}))
+			require.Eventually(t, func() bool { return g.Buffers.numSlow() == 1 }, time.Minute, time.Millisecond)
+			if name != "stalled" {
+				require.NoError(t, g.Buffers.reserve(g.Buffers.limit()-g.Buffers.Used()+1))
+			}
+			<-broken
+			require.Equal(t, 1, logs.Len())
+			require.Equal(t, numAnswered, up.count(), "each request that is passed on is answered")
+		})
+	}
+}
+
 // TestBoundEndsTheResponseWithoutProgressFirst guards against memory that grows with the slow clients,
 // and against ending those first that still take something.
 func TestBoundEndsTheResponseWithoutProgressFirst(t *testing.T) {
--- a/internal/relayer/attempt.go
+++ b/internal/relayer/attempt.go
@@ -261,6 +261,9 @@
 			return attemptResult{hasFailed: !isEndedHere(err), err: truncatedError{err}}
 		}
 	}
+	if err := ahead.finish(); err != nil {
+		return attemptResult{isForwarded: true, hasFailed: failed, isComplete: true, err: truncatedError{err}}
+	}
 	c.reply.complete()
 	return attemptResult{isForwarded: true, hasFailed: failed, isComplete: true}
 }
--- a/internal/relayer/stop_test.go
+++ b/internal/relayer/stop_test.go
@@ -161,14 +161,17 @@
 	const idle = 5 * time.Millisecond
 	tests := map[string]struct {
 		change func(g *fixture, s *httptest.Server)
-		// pause is the time between two requests of a connection, and numAtOnce how many are sent at once.
+		// pause is the time between two requests of a connection, headPause that within a head, and
+		// numAtOnce how many are sent at once.
 		pause     time.Duration
 		numAtOnce int
 		bodyBytes int // of the first one
+		headPause time.Duration
 	}{
-		"idle for too long":   {func(_ *fixture, s *httptest.Server) { s.Config.IdleTimeout = idle }, idle, 1, 1},
-		"stop":                {func(g *fixture, _ *httptest.Server) { g.IsStopping = func() bool { return true } }, 0, 2, 1},
-		"body over the limit": {func(*fixture, *httptest.Server) {}, 0, 2, 1<<20 + 1},
+		"idle for too long":    {func(_ *fixture, s *httptest.Server) { s.Config.IdleTimeout = idle }, idle, 1, 1, 0},
+		"headers for too long": {func(_ *fixture, s *httptest.Server) { s.Config.ReadHeaderTimeout = idle }, 0, 1, 1, idle},
+		"stop":                 {func(g *fixture, _ *httptest.Server) { g.IsStopping = func() bool { return true } }, 0, 2, 1, 0},
+		"body over the limit":  {func(*fixture, *httptest.Server) {}, 0, 2, 1<<20 + 1, 0},
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -200,7 +203,10 @@
 							fmt.Fprintf(&out, "POST /once/ HTTP/1.1\r\nHost: h.example\r\n%s: %d-%d-%d\r\nContent-Length: %d\r\n\r\n%s", hID, c, n, k, len(body), body)
 							body = "x"
 						}
-						_, _ = io.WriteString(conn, out.String()) // fails if the connection is closed
+						first := min(len("POST /"), out.Len())
+						_, _ = io.WriteString(conn, out.String()[:first]) // fails if the connection is closed
+						time.Sleep(tt.headPause)                          // the rest is to cross the end of the time for headers
+						_, _ = io.WriteString(conn, out.String()[first:])
 						for range tt.numAtOnce {
 							resp, err := http.ReadResponse(in, nil)
 							if err == nil {
--- a/internal/relayer/stream.go
+++ b/internal/relayer/stream.go
@@ -102,6 +102,9 @@
 		case errors.Is(rerr, io.EOF) && !resp.HasLength:
 			return c.interrupted(ctx, errNoLength)
 		case errors.Is(rerr, io.EOF) && len(pending) == 0:
+			if err := ahead.finish(); err != nil {
+				return attemptResult{err: truncatedError{err}}
+			}
 			c.reply.complete()
 			return attemptResult{isForwarded: true}
 		case errors.Is(rerr, io.EOF):
