internal/relayer: the kernel does not end slow clients before the instance does

What callers saw: a client that takes something now and then was reset, and a stalled one was logged as one that has left, when the process of the instance had stood still for some time.

Cause: the TCP user timeout of a connection whose response is read ahead was the limit of the instance plus 1 s. The kernel counts the time in which the process stands still, and the instance does not.

Now the kernel waits ten times the limit while the instance watches the client, which ends it much earlier, and the limit plus 1 s, as before, when only the end of the response is left in the socket.

--- a/internal/relayer/ahead.go
+++ b/internal/relayer/ahead.go
@@ -228,11 +228,14 @@
 // connection is about to be reset, and another request on it would be passed on and get no answer.
 func (a *readAhead) finish() error {
 	a.mu.Lock()
+	wasClosed, err := a.isClosed, a.endErr
 	a.isClosed = true
 	a.releaseLocked()
-	err := a.endErr
 	a.mu.Unlock()
 	a.c.Buffers.unwatch(a)
+	if a.isAhead && !wasClosed {
+		allowSlowClient(a.c.clientConn, a.clientTimeout+unwatchedMargin)
+	}
 	return err
 }
 
@@ -301,7 +304,7 @@
 
 // run reads the response ahead until its end.
 func (a *readAhead) run() {
-	allowSlowClient(a.c.clientConn, a.clientTimeout)
+	allowSlowClient(a.c.clientConn, watchedFactor*a.clientTimeout)
 	if err := a.reserve(clientSocketBytes); err != nil {
 		a.end(errMadeRoom)
 		return
--- a/internal/relayer/client.go
+++ b/internal/relayer/client.go
@@ -39,12 +39,20 @@
 	_ = c.clientConn.Close()
 }
 
-// allowSlowClient makes the kernel wait a while longer than the timeout for a client that
-// acknowledges nothing. Otherwise the user timeout of the connection, which is meant for
-// clients that are not reachable, ends slow ones first.
+const (
+	// watchedFactor times the timeout of a slow client is how long the kernel waits for one that this instance
+	// watches. The instance ends it much earlier, unless its process is paused: the kernel counts that time.
+	watchedFactor = 10
+	// unwatchedMargin is added to the timeout when the client is not watched any more, while the end of its
+	// response is in the socket.
+	unwatchedMargin = time.Second
+)
+
+// allowSlowClient sets how long the kernel waits for a client that acknowledges nothing. Otherwise the
+// user timeout of the connection, which is meant for clients that are not reachable, ends slow ones first.
 func allowSlowClient(c *net.TCPConn, timeout time.Duration) {
 	control(c, func(fd int) {
-		_ = unix.SetsockoptInt(fd, unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int((timeout + time.Second).Milliseconds())) // the shorter one stays in force
+		_ = unix.SetsockoptInt(fd, unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(timeout.Milliseconds())) // the shorter one stays in force
 	})
 }
 
