internal/relayer: upstreams of tests do not count time in which the process stands still

The upstream of the tests with slow clients cuts a response that stays unread for 0.7 s. A pause that ended less than 0.15 s before that limit was counted, though the instance, in the same process, had not been able to read either. The limit is now counted in steps of 50 ms, and a step that is noticed late does not count.

--- a/internal/relayer/ahead_test.go
+++ b/internal/relayer/ahead_test.go
@@ -27,6 +27,8 @@
 	testSocketBytes = 16 << 10
 	// unreadLimit is how long an upstream of these tests lets a response stay unread.
 	unreadLimit = 700 * time.Millisecond
+	// unreadStep is how often it looks at the time, and maxStepDelay how late that may be in a process that runs.
+	unreadStep, maxStepDelay = unreadLimit / 14, 25 * time.Millisecond
 )
 
 // rawUpstream returns an upstream that serves one request on each connection.
@@ -57,18 +59,22 @@
 	return responseHead(r, 200, stamped+"Connection: close\r\nTransfer-Encoding: chunked\r\n\r\n")
 }
 
-// send writes a part of a response, and fails if the response stays unread for too long. If the time limit is
-// noticed late, this process was paused, the reader of the response with it, and the limit begins again.
+// send writes a part of a response, and fails if the response stays unread for too long. Only time counts in which
+// this process runs: the reader of the response is in it, and a pause ends the time limit before it has read.
 func send(c net.Conn, s string) bool {
-	for {
-		limit := time.Now().Add(unreadLimit)
-		_ = c.SetWriteDeadline(limit)
+	for unread := time.Duration(0); unread < unreadLimit; {
+		began := time.Now()
+		_ = c.SetWriteDeadline(began.Add(unreadStep))
 		n, err := io.WriteString(c, s)
 		s = s[n:]
-		if !errors.Is(err, os.ErrDeadlineExceeded) || time.Since(limit) < maxCheckDelay {
+		if !errors.Is(err, os.ErrDeadlineExceeded) {
 			return err == nil
 		}
+		if time.Since(began) < unreadStep+maxStepDelay {
+			unread += unreadStep
+		}
 	}
+	return false
 }
 
 // slowFixture is a fixture whose sockets have small buffers, with the log lines of ended responses.
