queuer: a lower priority waits for what higher ones go on taking

Cause: the wait of a request counted the higher priorities that wait. But these are granted as they arrive and hardly wait, so nothing of what they take was counted, and the lowest priority was promised the whole rate.

What higher priorities were granted in the last 2 s is now taken off the rate for 3 s, as long as a burst is assumed to go on elsewhere, and at most down to the sixteenth that a lower priority gets in any case.

Evidence: TestLowerPriorityWaitsForWhatHigherOnesGoOnTaking fails before and passes now.

--- a/internal/queuer/pool.go
+++ b/internal/queuer/pool.go
@@ -63,8 +63,8 @@
 	d.sum, d.at = d.value(window, now)+x, now
 }
 
-// levelCount counts the requests of one priority.
-type levelCount struct{ arrived, served decaying }
+// levelCount counts the requests of one priority. cost is that of those that were granted.
+type levelCount struct{ arrived, served, cost decaying }
 
 // servedShare returns the share of the recent requests that were granted.
 func (l *levelCount) servedShare(now time.Time) float64 {
@@ -321,4 +321,5 @@
 	p.meanCost += measureWeight * (cost - p.meanCost)
 	p.granted.add(cost, rateWindow, now)
 	p.level(req.Priority).served.add(1, servedWindow, now)
+	p.level(req.Priority).cost.add(cost, rateWindow, now)
 }
--- a/internal/queuer/refuse.go
+++ b/internal/queuer/refuse.go
@@ -149,6 +149,34 @@
 	return rateMargin * max(free, p.granted.value(rateWindow, now)/rateWindow.Seconds())
 }
 
+// grantRate says how fast requests of one priority are granted, in tokens a second.
+type grantRate struct {
+	// beside is the rate while higher priorities go on taking what they take now, and alone the one
+	// after that.
+	beside, alone float64
+	until         time.Duration // how long they are assumed to go on
+}
+
+// grantRateOf returns the rates of a priority. rate is that of all priorities together.
+func (p *pool) grantRateOf(priority int, rate float64, now time.Time) grantRate {
+	higher := 0.0
+	for other, l := range p.levels {
+		if other < priority {
+			higher += l.cost.value(rateWindow, now) / rateWindow.Seconds()
+		}
+	}
+	return grantRate{beside: max(rate-higher, rate*lowerShare), alone: rate, until: burstHorizon}
+}
+
+// after returns the time until requests of the given cost have been granted.
+func (g grantRate) after(cost float64) time.Duration {
+	seconds, until := cost/g.beside, g.until.Seconds()
+	if seconds > until {
+		seconds = until + (cost-until*g.beside)/g.alone
+	}
+	return time.Duration(min(seconds, maxWait.Seconds()) * float64(time.Second))
+}
+
 // estimateWait returns how long an arriving request waits for those of the pool that go before
 // it, 0 if it is unknown.
 func (p *pool) estimateWait(w *Waiter, rate float64, now time.Time) time.Duration {
@@ -175,22 +203,23 @@
 		}
 	}
 	others := p.costsAhead(w.Request.Priority, w.Request.Account)
-	wait := waitBehind(others.of(w), ahead, w.cost, rate)
+	at := p.grantRateOf(w.Request.Priority, rate, now)
+	wait := waitBehind(others.of(w), ahead, w.cost, at)
 	if p.isPastObjective(w, now.Add(wait)) {
-		wait = max(wait, p.lateWait(others, inTime, late, w.cost, rate, now))
+		wait = max(wait, p.lateWait(others, inTime, late, w.cost, at, now))
 	}
 	return wait
 }
 
 // lateWait returns the wait of a request that is past its objective, behind others of its
 // account that are in time and late.
-func (p *pool) lateWait(others costsAhead, inTime, late, cost, rate float64, now time.Time) time.Duration {
-	byShare := waitBehind(others, late/lateShare, cost, rate)
+func (p *pool) lateWait(others costsAhead, inTime, late, cost float64, at grantRate, now time.Time) time.Duration {
+	byShare := waitBehind(others, late/lateShare, cost, at)
 	if others.higher > 0 {
-		byShare = waitBehind(costsAhead{sharing: others.sharing}, min(inTime+late, late/lateShare), cost, rate*lowerShare)
+		byShare = waitBehind(costsAhead{sharing: others.sharing}, min(inTime+late, late/lateShare), cost, grantRate{beside: at.alone * lowerShare, until: maxWait})
 	}
-	drained := waitBehind(others, inTime+late, cost, rate)
-	isBusy := now.Sub(p.backlogSince) >= unmeasuredBacklog && waitBehind(others, inTime, 0, rate) > shortBacklog
+	drained := waitBehind(others, inTime+late, cost, at)
+	isBusy := now.Sub(p.backlogSince) >= unmeasuredBacklog && waitBehind(others, inTime, 0, at) > shortBacklog
 	if isBusy {
 		drained = max(drained, burstHorizon)
 	}
@@ -239,12 +268,12 @@
 
 // waitBehind returns the wait of a request behind some cost of its own account. Each other
 // account gets as much as this one meanwhile.
-func waitBehind(others costsAhead, own, cost, rate float64) time.Duration {
+func waitBehind(others costsAhead, own, cost float64, at grantRate) time.Duration {
 	ahead := others.higher + own
 	for _, c := range others.sharing {
 		ahead += min(c, own+cost)
 	}
-	return time.Duration(min(ahead/rate, maxWait.Seconds()) * float64(time.Second))
+	return at.after(ahead)
 }
 
 // expireBusy refuses the waiting requests that cannot start in time because of those ahead:
@@ -293,13 +322,14 @@
 		slices.SortFunc(list, compareGrants)
 		others := p.costsAhead(k.priority, k.account)
 		own, late := 0.0, 0.0
+		at := p.grantRateOf(k.priority, rate, now)
 		for _, w := range list {
 			if !w.Request.isHeld(s) {
 				continue
 			}
-			wait := waitBehind(others.of(w), own, w.cost, rate)
+			wait := waitBehind(others.of(w), own, w.cost, at)
 			if w.isLate {
-				wait = p.lateWait(others, own, late, w.cost, rate, now)
+				wait = p.lateWait(others, own, late, w.cost, at, now)
 			}
 			if now.Add(wait).After(w.Request.StartBy) {
 				w.refused <- p.refuse(w, wait, rate, now)
--- a/internal/queuer/refuse_test.go
+++ b/internal/queuer/refuse_test.go
@@ -150,3 +150,36 @@
 	require.Equal(t, 1, table.Waiting())
 	require.False(t, table.Remove(long), "refused before")
 }
+
+// TestLowerPriorityWaitsForWhatHigherOnesGoOnTaking guards against requests of a low priority that are held
+// until their client leaves: higher ones do not wait, but take the slots as they arrive.
+func TestLowerPriorityWaitsForWhatHigherOnesGoOnTaking(t *testing.T) {
+	for name, isBusy := range map[string]bool{"higher ones arrive": true, "none arrive": false} {
+		t.Run(name, func(t *testing.T) {
+			table, s, cfg := backlog(t, 0)
+			now := start
+			for range 20 { // both slots have the next request each half a second
+				now = now.Add(500 * time.Millisecond)
+				if !isBusy {
+					continue
+				}
+				req := accountRequest("a", 1, now.Sub(start)+time.Second)
+				table.Release(req, "e1")
+				u := table.Admit(req, s, cfg, now).Upstream
+				require.NotNil(t, u)
+				table.RecordPrefill(req, "e1")
+				table.RecordService(req, time.Second)
+			}
+			low := accountRequest("b", 2, time.Minute)
+			low.StartBy = now.Add(time.Minute)
+			for range 4 {
+				require.NotNil(t, table.Admit(low, s, cfg, now).Waiter)
+			}
+			low.StartBy = now.Add(2500 * time.Millisecond)
+			a := table.Admit(low, s, cfg, now)
+			require.Equal(t, isBusy, a.Waiter == nil, "two requests a second, less the margin: %v", a.Estimate.Delay)
+			low.StartBy = now.Add(5 * time.Second)
+			require.NotNil(t, table.Admit(low, s, cfg, now).Waiter, "the higher ones are a burst")
+		})
+	}
+}
