internal/assembler: the release of the lease ends within the grace of a stop

What was seen: in a stop that goes on to its end while the store does not respond, the release of the lease went on for up to 2 s beyond the grace (0.8 s for the store, 1.5 s through peers), so that the process was killed in the middle of it, and before its other servers were drained.

Cause: it came after the answers, 0.3 s before the end of the grace, with the time-outs of a running instance.

Now the plan of a stop has a moment at which all that is left is given up, 0.1 s before the end. The release ends there, with half of the time left for the way through peers, and the servers that are not for callers are drained at the same time. If the signal was handled late, the moment is late by as much as that of the close.

--- a/internal/assembler/listen.go
+++ b/internal/assembler/listen.go
@@ -159,13 +159,17 @@
 	if n := a.numHandedOn.Load(); n > 0 {
 		a.Log.Warn("requests of peers are cut off", zap.Int64("requests", n))
 	}
-	// After the release, the next incarnation of this instance may send orders at
-	// once. Other instances may do so only later.
-	a.lease.Release(ctx)
+	var wg sync.WaitGroup
+	wg.Go(func() {
+		// After the release, the next incarnation of this instance may send orders at
+		// once. Other instances may do so only later.
+		releaseCtx, cancelRelease := context.WithDeadline(ctx, plan.Exit)
+		defer cancelRelease()
+		a.lease.Release(releaseCtx)
+	})
 	// Short requests on the other servers are answered. What peers wait for is cut off.
 	othersCtx, cancelOthers := context.WithTimeout(ctx, otherDrainTime)
 	defer cancelOthers()
-	var wg sync.WaitGroup
 	for _, s := range servers[1:] {
 		wg.Go(func() { _ = s.DrainUntil(othersCtx) })
 	}
--- a/internal/leaser/leaser.go
+++ b/internal/leaser/leaser.go
@@ -233,7 +233,11 @@
 // append appends a claim, through peers if the store does not respond. Trying
 // both is safe: only one of two appends at the same position succeeds.
 func (l *Lease) append(ctx context.Context, c Claim) error {
-	direct, cancel := context.WithTimeout(ctx, storeTimeout)
+	timeout := storeTimeout
+	if end, ok := ctx.Deadline(); ok && l.PeerStore.Append != nil {
+		timeout = min(timeout, time.Until(end)/2) // the rest is for the peers
+	}
+	direct, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	err := l.Store.Append(direct, c)
 	if err == nil || errors.Is(err, ErrConflict) || l.PeerStore.Append == nil {
--- a/internal/stopper/schedule.go
+++ b/internal/stopper/schedule.go
@@ -16,6 +16,9 @@
 	// to do then.
 	closeMargin = 300 * time.Millisecond
 	closeShare  = 10
+	// exitMargin is the same for all that the process does then.
+	exitMargin = 100 * time.Millisecond
+	exitShare  = 30
 	// minAnswerTime is the time for the answers if the signal was handled late.
 	minAnswerTime = 200 * time.Millisecond
 )
@@ -25,7 +28,7 @@
 	// Signaled is the earliest time at which the signal may have been sent.
 	Signaled time.Time
 	// Refuse, Answer and Close are described in the documentation of the package.
-	Refuse, Answer, Close time.Time
+	Refuse, Answer, Close, Exit time.Time
 }
 
 // Plan returns the schedule of a stop whose signal is handled now and may have been sent some time
@@ -36,7 +39,9 @@
 	s.Refuse = s.Signaled.Add(min(acceptTime, grace/acceptShare))
 	s.Answer = end.Add(-min(answerMargin, grace/answerShare))
 	s.Close = end.Add(-min(closeMargin, grace/closeShare))
+	s.Exit = end.Add(-min(exitMargin, grace/exitShare))
 	if earliest := now.Add(min(minAnswerTime, grace/answerShare)); s.Close.Before(earliest) {
+		s.Exit = s.Exit.Add(earliest.Sub(s.Close)) // all that is left is late by as much
 		s.Close = earliest
 	}
 	return s
--- a/internal/stopper/stopper_test.go
+++ b/internal/stopper/stopper_test.go
@@ -24,12 +24,14 @@
 		s := Plan(now, 0, grace)
 		require.True(t, s.Refuse.Before(s.Answer))
 		require.Less(t, s.Answer.UnixNano(), s.Close.UnixNano())
-		require.Less(t, s.Close.UnixNano(), now.Add(grace).UnixNano())
+		require.Less(t, s.Close.UnixNano(), s.Exit.UnixNano())
+		require.Less(t, s.Exit.UnixNano(), now.Add(grace).UnixNano())
 		require.Greater(t, s.Answer.Sub(now), grace*5/6)
 		late := drawDuration(t, "late", 0, grace)
 		l := Plan(now, late, grace)
 		require.Equal(t, s.Answer.Add(-late), l.Answer, "counted from the signal")
 		require.True(t, l.Close.After(now), "there is time for the answers")
+		require.Equal(t, s.Exit.Sub(s.Close), l.Exit.Sub(l.Close), "and for what follows")
 	})
 }
 
