internal/dispatcher: a stop takes streams whose duration is not known

A stream has no deadline, and its caller resumes it at another instance if the stop cuts it. It is taken unless it is known to last longer.

--- a/internal/dispatcher/generate.go
+++ b/internal/dispatcher/generate.go
@@ -127,7 +127,7 @@
 // that runs no other suspect. Losses may become known during the wait.
 func (g *generation) admit(ctx context.Context) (admitter.Grant, *quarantiner.Attempt, error) {
 	for {
-		c, err := g.d.admit(ctx, g.adm, generateRoute(g.req), time.Now().Add(maxStreamTime), g.tried, g.candidates, g.refine)
+		c, err := g.d.admit(ctx, g.adm, generateRoute(g.req), time.Time{}, g.tried, g.candidates, g.refine)
 		if err != nil {
 			return c, nil, err
 		}
--- a/internal/dispatcher/stop.go
+++ b/internal/dispatcher/stop.go
@@ -11,22 +11,25 @@
 	"github.com/primrosedrift/primrosedrift/pkg/verdict"
 )
 
-const (
-	// stopRetryDelay is the retry delay of a request that a stop refuses. Other instances may
-	// serve it at once.
-	stopRetryDelay = time.Second
-	// maxStreamTime is how long a stream may run whose duration is not known. It has no deadline.
-	maxStreamTime = 24 * time.Hour
-)
+// stopRetryDelay is the retry delay of a request that a stop refuses. Other instances may
+// serve it at once.
+const stopRetryDelay = time.Second
 
 // refuseForStop refuses a request that is not expected to end before a stop of the instance does.
-// deadline is the time by which it has ended in any case.
+// deadline is the time by which it has ended in any case, zero for a stream, which has none.
 func (d *Dispatcher) refuseForStop(route string, deadline time.Time) error {
 	plan, ok := d.Stop.Schedule()
 	if !ok {
 		return nil
 	}
-	f := plan.Fit(d.Stop.Expect(route), time.Now(), deadline)
+	now, takes := time.Now(), d.Stop.Expect(route)
+	if deadline.IsZero() {
+		if takes == 0 {
+			return nil // its caller resumes it elsewhere if the stop cuts it
+		}
+		deadline = now.Add(takes)
+	}
+	f := plan.Fit(takes, now, deadline)
 	if f.Fits {
 		return nil
 	}
@@ -42,7 +45,7 @@
 
 // RefuseGenerateForStop is the same for a request to a model.
 func (d *Dispatcher) RefuseGenerateForStop(req *callerv1.GenerateRequest) error {
-	return d.refuseForStop(generateRoute(req), time.Now().Add(maxStreamTime))
+	return d.refuseForStop(generateRoute(req), time.Time{})
 }
 
 func callRoute(req *callerv1.CallRequest) string {
