internal/relayer: a stop that ends requests reads what has arrived first

Callers got a 502 for requests whose upstream had responded more than a second before, if the process stood still while the stop ended its requests. Requests that may not be repeated were among them.

After a pause timers fire before the goroutines run for which something has arrived. A connection asks its socket for unread bytes only if a deadline has passed, and the end of a stop was none. It counts as one now, as cut links do. The connections of callers stay open for 150 ms after it at least, no longer for 50 ms: what has arrived may be read for 100 ms.

--- a/internal/stopper/stop.go
+++ b/internal/stopper/stop.go
@@ -13,18 +13,27 @@
 
 const (
 	// minAnswerSleeps is how often the process sleeps for answerSleep at least between the end of the
-	// requests that still run and the close of their connections.
-	minAnswerSleeps, answerSleep = 10, 5 * time.Millisecond
+	// requests that still run and the close of their connections. Together they are longer than
+	// what has arrived may stay unread, 100 ms.
+	minAnswerSleeps, answerSleep = 30, 5 * time.Millisecond
 )
 
 var (
 	// ErrEnded is the cause with which the context of a request ends that still runs when the time
 	// of a stop is over.
-	ErrEnded = errors.New("the instance has stopped")
+	ErrEnded error = endedError{}
 	// errOver is the cause of the close of connections at the end of a stop.
 	errOver = errors.New("the time of the stop is over")
 )
 
+// endedError counts as a passed deadline: what has arrived before is read first.
+type endedError struct{}
+
+func (endedError) Error() string { return "the instance has stopped" }
+
+// Is supports errors.Is.
+func (endedError) Is(target error) bool { return target == context.DeadlineExceeded }
+
 // HasEnded reports whether a stop has ended the context of a request.
 func HasEnded(ctx context.Context) bool { return errors.Is(context.Cause(ctx), ErrEnded) }
 
