internal/stopper: a signal may have been sent before more than one pause

Callers got EOF: a stop in a process that was paused again before it had handled its signal counted the grace from the newest pause, and was killed at the end of the grace with requests running.

Only the newest pause was kept, though a signal of an earlier one may be handled for 0.5 s of running after it. All pauses are kept now until the process has run for that time, and the oldest of them gives the age. The age is bounded: a pause is dropped at the latest after 0.85 s, in which a later pause counts as 0.4 s at most. So two more pauses hide no signal, however long they are, and the bound that TestSignalIsNeverTakenForYoungerThanItIs asks for holds. One series without a bound, the first idea, breaks that.

--- a/internal/stopper/pauses.go
+++ b/internal/stopper/pauses.go
@@ -12,17 +12,30 @@
 	// tickInterval is the time between two observations of the process, and minPause the time
 	// without one above which it counts as paused.
 	tickInterval, minPause = 100 * time.Millisecond, 250 * time.Millisecond
-	// settleTime is how long after a pause a signal that was sent during it may still be handled.
+	// settleTime is how long the process may run after a pause until a signal that was sent during it
+	// is handled.
 	settleTime = 500 * time.Millisecond
+	// seriesTime bounds the time from the end of a pause until such a signal is handled if there are
+	// more pauses in between. A pause counts there as maxCounted at most, however long it is: two more do
+	// not hide the signal. Without a bound, a process that is always short of processor time would take each signal
+	// for one that was sent long ago, and refuse what it can still serve.
+	seriesTime, maxCounted = 850 * time.Millisecond, 400 * time.Millisecond
 )
 
-// Pauses knows when the process last stood still, because it was stopped, suspended or short of processor
-// time. A signal that is sent meanwhile is handled later. Its zero value is ready to use; times are
-// those of clocker.SinceStart.
+// Pauses knows when the process lately stood still, because it was stopped, suspended or short of processor
+// time. A signal that is sent meanwhile is handled later, and maybe after another pause. Its zero value is ready
+// to use; times are those of clocker.SinceStart.
 type Pauses struct {
-	mu           sync.Mutex
-	last         time.Duration // when the process was last seen to run
-	began, ended time.Duration // of the last pause
+	mu     sync.Mutex
+	last   time.Duration // when the process was last seen to run
+	recent []pause       // those in which a signal that is handled now may have been sent, oldest first
+}
+
+type pause struct {
+	began time.Duration
+	// ran is how long the process has run since the end of the pause, and counted the same and the pauses
+	// since, each as maxCounted at most.
+	ran, counted time.Duration
 }
 
 // Tick records that the process runs.
@@ -33,8 +46,20 @@
 }
 
 func (p *Pauses) tickLocked(now time.Duration) {
-	if p.last > 0 && now-p.last >= minPause {
-		p.began, p.ended = p.last, now
+	gap, isPause := now-p.last, p.last > 0 && now-p.last >= minPause
+	for i := range p.recent {
+		r := &p.recent[i]
+		if isPause {
+			r.counted += min(gap, maxCounted)
+		} else {
+			r.ran, r.counted = r.ran+gap, r.counted+gap
+		}
+	}
+	for len(p.recent) > 0 && (p.recent[0].ran > settleTime || p.recent[0].counted > seriesTime) {
+		p.recent = p.recent[1:]
+	}
+	if isPause {
+		p.recent = append(p.recent, pause{began: p.last})
 	}
 	p.last = now
 }
@@ -45,10 +70,10 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.tickLocked(now)
-	if p.ended > 0 && now-p.ended <= settleTime {
-		return now - p.began
+	if len(p.recent) == 0 {
+		return 0
 	}
-	return 0
+	return now - p.recent[0].began
 }
 
 // Run observes the process until ctx ends.
