internal/syncer: the time without the lease is not a pause of the conductor

Callers were directed to instances that had ended: one that held the lease again within 8 s took the time between for a pause of its process, and listed members again that had been silent for that time.

--- a/internal/syncer/client.go
+++ b/internal/syncer/client.go
@@ -272,6 +272,7 @@
 
 func (c *Client) runWatch(ctx context.Context) {
 	for ctx.Err() == nil {
+		c.Server.endSweepsWithoutLease()
 		claim := c.Lease.Newest()
 		switch {
 		case claim.IsZero() || claim.IsReleased:
--- a/internal/syncer/sweep.go
+++ b/internal/syncer/sweep.go
@@ -33,3 +33,14 @@
 		}
 	}
 }
+
+// endSweepsWithoutLease makes the next sweep the first one if this instance does not hold the lease: other
+// instances do not report to it, and the time until it holds the lease again is not a pause.
+func (s *Server) endSweepsWithoutLease() {
+	if s.IsHolder() {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.sweptAt = time.Time{}
+}
