internal/stopper: a pause that was over before the signal does not shorten a stop

What callers saw: requests got 502 as late as the stop began, or up to 2 s before the end of what runs is to be answered, though their upstreams were at work, when the process had been short of processor time before the stop.

Cause: a signal that is handled within 0.5 s after a pause counted as sent when the pause began.

Now a process sends itself SIGWINCH after a pause. Pending signals are delivered in the order of their numbers, so that SIGTERM, if it was sent during the pause, is handled before it; if it is handled after it, it was sent after the pause.

--- a/internal/stopper/stopper_test.go
+++ b/internal/stopper/stopper_test.go
@@ -1,14 +1,19 @@
 package stopper
 
 import (
+	"context"
 	"fmt"
 	"math/rand/v2"
+	"sync"
+	"syscall"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
+
+	"github.com/primrosedrift/primrosedrift/internal/clocker"
 )
 
 func drawDuration(t *rapid.T, name string, least, most time.Duration) time.Duration {
@@ -170,3 +175,46 @@
 	require.Zero(t, p.Late(11*time.Second+tickInterval))
 	require.Zero(t, new(Pauses).Late(time.Hour), "nothing was observed")
 }
+
+// TestPauseBeforeASignalDoesNotShortenAStop guards against requests that are answered early, because a pause
+// that was over when the signal was sent is taken for one during which it was sent.
+func TestPauseBeforeASignalDoesNotShortenAStop(t *testing.T) {
+	const ended, handled = 10 * time.Second, 10*time.Second + tickInterval
+	pause := func() *Pauses {
+		p := &Pauses{numProbes: 1}
+		p.Tick(time.Second)
+		require.True(t, p.Tick(ended))
+		return p
+	}
+	p := pause()
+	p.handle(probeSignal, ended+1)
+	require.Zero(t, p.Late(handled), "no signal was sent during the pause")
+	p = pause()
+	p.handle(syscall.SIGTERM, ended+1)
+	p.handle(probeSignal, ended+2)
+	require.Equal(t, handled-time.Second, p.Late(handled), "it was sent during the pause")
+	p = pause()
+	p.numProbes = 0
+	p.handle(probeSignal, ended+1)
+	require.Equal(t, handled-time.Second, p.Late(handled), "the signal was another one's")
+	p = pause()
+	p.handle(probeSignal, ended+1)
+	p.handle(syscall.SIGTERM, ended+2)
+	require.Equal(t, handled-ended-2, p.Late(handled), "it was sent after the pause")
+}
+
+// TestProbeIsHandledAfterAPause runs the observation of a process that seems to have been paused.
+func TestProbeIsHandledAfterAPause(t *testing.T) {
+	var p Pauses
+	p.Tick(max(1, clocker.SinceStart()-time.Hour))
+	ctx, cancel := context.WithCancel(t.Context())
+	var wg sync.WaitGroup
+	wg.Go(func() { p.Run(ctx) })
+	require.Eventually(t, func() bool {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		return p.last > time.Second && len(p.recent) == 0 && p.numProbes == 0
+	}, time.Minute, time.Millisecond)
+	cancel()
+	wg.Wait()
+}
