internal/registrar: a complete list leaves the processes that it names proven

By reading: whenever a complete list of the registrations replaced the changes before it, for example because a peer that has just started is read through, the proof that no other process had registered began anew for all upstreams, so that streams of the last 3 s could not be proven after the end of their upstream.

A process that the list names has had no successor: a later registration of its id would stand in its place. Only a process whose registration is not in the list may have had one that has gone again, and it alone is in doubt now.

--- a/internal/registrar/alive.go
+++ b/internal/registrar/alive.go
@@ -19,8 +19,8 @@
 type life struct {
 	aliveAt time.Time // when the process last lived for sure, zero if that is not known
 	endedAt time.Time // when the registration was removed or replaced, zero while it is there
-	// hasSuccessor says that another process of the id has registered, or that there was evidence
-	// of one.
+	// hasSuccessor says that another process of the id has registered or may have, or that there was
+	// evidence of one.
 	hasSuccessor bool
 }
 
@@ -74,6 +74,22 @@
 	t.isWatching = true
 }
 
+// recordListLocked records that a complete list was read instead of the changes before it. A process that
+// it names has had no successor. Others may have had one that has gone again.
+func (t *Table) recordListLocked(all map[string]*Upstream, now time.Time) {
+	if !t.isWatching {
+		t.completeAt = now
+		if now.Before(t.keepUntil) {
+			t.completeAt = t.keepUntil
+		}
+	}
+	for i, l := range t.lives {
+		if e := all[i.ID]; e == nil || e.StartedAtMs != i.StartedAtMs {
+			l.hasSuccessor = true
+		}
+	}
+}
+
 // interruptWatchLocked ends the watch. Another one begins when the registrations are read again, at a
 // time at the earliest.
 func (t *Table) interruptWatchLocked(completeAt time.Time) {
--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -229,7 +229,7 @@
 		changes = make(map[string]*Upstream)
 	}
 	t.mu.Lock()
-	t.interruptWatchLocked(now) // what came and went before the list is not known
+	t.recordListLocked(all, now)
 	for id := range t.registrations {
 		if _, ok := all[id]; !ok {
 			changes[id] = nil
