internal/streamtracker, internal/conductor: what upstreams run names streams that nobody knows

Callers saw streams refused that they took up after all instances had lost power while two software versions were in service: their origins were in no process, and not in the log, which was down.

The state of an upstream lists the requests that it runs, with the events made (`runs`), and the start time of its process. The holder of the lease requests all states before anything else. It now remembers the requests with events that the registered process of an upstream runs, for as long as a stream may last, and answers questions about them. An instance that takes up a stream which no home knows asks the holder too. Any record of an attempt, proven or not, takes precedence, and a request that upstreams of two versions have run stays unknown.

--- a/internal/assembler/assembler.go
+++ b/internal/assembler/assembler.go
@@ -259,6 +259,9 @@
 			a.upstreamTable.ApplyViews(views, time.Now())
 			a.server.NotifyViews(views)
 		},
+		OnRequests: func(u *registrar.Upstream, requests []string) {
+			a.streams.RecordRuns(u.Service, u.Software, requests, time.Now())
+		},
 		Log: a.Log.Named("conductor"), Metrics: conductor.NewMetrics(a.registry),
 	}
 	neighbours := &syncer.Neighbours{}
--- a/internal/conductor/conductor.go
+++ b/internal/conductor/conductor.go
@@ -72,6 +72,8 @@
 	Running      int
 	InHostMemory []string
 	OnDisk       []string
+	// Requests are the ids of the requests that run and have sent events.
+	Requests []string
 }
 
 // Remote sends requests to upstreams.
@@ -108,8 +110,10 @@
 	IsHolder func() bool
 	// OnViews is called with the state of all upstreams whenever it has changed.
 	OnViews func([]registrar.View)
-	Log     *zap.Logger
-	Metrics *Metrics
+	// OnRequests, if set, is called with the requests that the registered process of an upstream runs.
+	OnRequests func(u *registrar.Upstream, requests []string)
+	Log        *zap.Logger
+	Metrics    *Metrics
 
 	mu            sync.Mutex
 	reports       map[string]report  // by instance
--- a/internal/conductor/move.go
+++ b/internal/conductor/move.go
@@ -227,6 +227,9 @@
 	s, err := c.Remote.State(sctx, e.up)
 	if err == nil && s.StartedAtMs == e.up.StartedAtMs {
 		c.Upstreams.RecordAlive(e.up.Incarnation(), requestedAt)
+		if c.OnRequests != nil && len(s.Requests) > 0 {
+			c.OnRequests(e.up, s.Requests)
+		}
 	}
 	c.Upstreams.ApplyNotice(e.up.ID, e.up.StartedAtMs, s.Notice, time.Now())
 	return s, err
--- a/internal/streamtracker/keeper.go
+++ b/internal/streamtracker/keeper.go
@@ -69,6 +69,7 @@
 	Log         *zap.Logger
 
 	unproven unproven
+	runs     runs
 }
 
 // Begin records that an attempt to begin a stream is made. It returns nil if no other
@@ -172,7 +173,11 @@
 	answers, numAsked := k.Ask(actx, stream, service)
 	cancel()
 	now := time.Now()
-	if o, ok := latest(answers); ok && o.Service == service {
+	o, ok := latest(answers)
+	if !ok && !isKnown {
+		o, ok = k.FindRun(stream, service, now)
+	}
+	if ok && o.Service == service {
 		k.Tracker.Record(o, now)
 		if !o.IsUnproven {
 			return o.Software, nil
--- a/internal/streamtracker/keeper_test.go
+++ b/internal/streamtracker/keeper_test.go
@@ -352,3 +352,55 @@
 	require.Zero(t, k.unproven.list.Len(), "nobody takes the stream up any more")
 	require.Empty(t, sent)
 }
+
+// TestStreamThatOutlivesAllInstancesGoesOn guards against streams that are refused although an upstream
+// has said that it runs them, and against what upstreams say where it is no proof.
+func TestStreamThatOutlivesAllInstancesGoesOn(t *testing.T) {
+	now := time.Now()
+	for name, tt := range map[string]struct {
+		record func(k *Keeper)
+		answer *Origin // of a home
+		want   string  // version, empty if refused
+	}{
+		"an upstream runs it": {func(k *Keeper) { k.RecordRuns(service, "v2", []string{"other", "r"}, now) }, nil, "v2"},
+		"upstreams of one version run it": {func(k *Keeper) {
+			k.RecordRuns(service, "v2", []string{"r"}, now)
+			k.RecordRuns(service, "v2", []string{"r"}, now)
+		}, nil, "v2"},
+		"upstreams of two versions run it": {func(k *Keeper) {
+			k.RecordRuns(service, "v2", []string{"r"}, now)
+			k.RecordRuns(service, "v1", []string{"r"}, now)
+		}, nil, ""},
+		"and one of them still does": {func(k *Keeper) {
+			k.RecordRuns(service, "v2", []string{"r"}, now)
+			k.RecordRuns(service, "v1", []string{"r"}, now)
+			k.RecordRuns(service, "v1", []string{"r"}, now)
+		}, nil, ""},
+		"an upstream of another service does": {func(k *Keeper) { k.RecordRuns("other", "v2", []string{"r"}, now) }, nil, ""},
+		"it did long ago":                     {func(k *Keeper) { k.RecordRuns(service, "v2", []string{"r"}, now.Add(-StreamMemory)) }, nil, ""},
+		"a home knows the attempt":            {func(k *Keeper) { k.RecordRuns(service, "v2", []string{"r"}, now) }, &Origin{Stream: "r", Service: service, Software: "v1", Attempt: 1, TTL: time.Minute}, "v1"},
+		"a home knows of an unproven attempt": {func(k *Keeper) { k.RecordRuns(service, "v2", []string{"r"}, now) }, &Origin{Stream: "r", Service: service, Software: "v1", Attempt: 1, TTL: time.Minute, IsUnproven: true}, ""},
+		"nobody has said so":                  {func(*Keeper) {}, nil, ""},
+	} {
+		t.Run(name, func(t *testing.T) {
+			k := &Keeper{
+				Tracker: &Tracker{}, History: &History{}, Log: zap.NewNop(), IsFresh: func() bool { return true },
+				Ask: func(context.Context, string, string) ([]Answer, int) {
+					if tt.answer == nil {
+						return []Answer{{IsFresh: true}}, 1
+					}
+					return []Answer{{Origin: *tt.answer, IsKnown: true}}, 1
+				},
+			}
+			k.History.Observe(map[string][]string{service: {"v1", "v2"}}, true, now)
+			tt.record(k)
+			software, err := k.Resolve(t.Context(), "r", service)
+			if tt.want == "" {
+				require.Equal(t, verdict.ReasonUnknownOrigin, verdict.FromError(err).Reason)
+				return
+			}
+			require.NoError(t, err)
+			require.Equal(t, tt.want, software)
+		})
+	}
+}
--- a/internal/syncer/origin.go
+++ b/internal/syncer/origin.go
@@ -181,17 +181,26 @@
 	homes = homes[:min(len(homes), numHomesAsked)]
 	var mu sync.Mutex
 	var wg sync.WaitGroup
+	ask := func(address string, isHome bool) {
+		r, err := peerv1.NewFleetQueriesProtobufClient("http://"+address, c.HTTP).FindOrigin(ctx, &peerv1.FindOriginRequest{Stream: encodeID(stream), Service: service})
+		if err != nil {
+			c.Log.Debug("instance not asked for a stream", zap.String("address", address), logger.Error(err))
+			return
+		}
+		mu.Lock()
+		defer mu.Unlock()
+		if a := decodeAnswer(r); isHome || a.IsKnown {
+			answers = append(answers, a)
+		}
+	}
+	isAsked := map[string]bool{"": true}
 	for _, m := range homes {
-		wg.Go(func() {
-			r, err := peerv1.NewFleetQueriesProtobufClient("http://"+m.GetPeerAddress(), c.HTTP).FindOrigin(ctx, &peerv1.FindOriginRequest{Stream: encodeID(stream), Service: service})
-			if err != nil {
-				c.Log.Debug("instance not asked for a stream", zap.String("member", m.GetInstance()), logger.Error(err))
-				return
-			}
-			mu.Lock()
-			defer mu.Unlock()
-			answers = append(answers, decodeAnswer(r))
-		})
+		isAsked[m.GetPeerAddress()] = true
+		wg.Go(func() { ask(m.GetPeerAddress(), true) })
+	}
+	// The holder of the lease has requested the states of all upstreams, which name what they run.
+	if holder := c.Lease.Newest(); !holder.IsReleased && !isAsked[holder.Address] && holder.Holder != c.Self.GetInstance() {
+		wg.Go(func() { ask(holder.Address, false) })
 	}
 	wg.Wait()
 	return answers, len(homes)
@@ -215,7 +224,11 @@
 	s.Streams.Prove(ctx, r.GetStream()) // if it began here
 	now := time.Now()
 	out := &peerv1.FindOriginResponse{IsFresh: s.Streams.IsFresh()}
-	if o, ok := s.Streams.Tracker.Find(r.GetStream(), now); ok {
+	o, ok := s.Streams.Tracker.Find(r.GetStream(), now)
+	if !ok {
+		o, ok = s.Streams.FindRun(r.GetStream(), r.GetService(), now)
+	}
+	if ok {
 		out.Origin = encodeOrigin(o)
 	}
 	v := s.Streams.History.Versions(r.GetService(), now)
