--- a/internal/streamtracker/doc.go
+++ b/internal/streamtracker/doc.go
@@ -23,6 +23,8 @@
 //     time.
 //   - Origins that are bound, which means that the first event has come, are also saved in the
 //     platform's log by package archiver. A stream that no instance knows is looked up there.
+//   - A stream that no record names began at the version of the process that is seen to run it. The
+//     holder of the lease learns that from the states of the upstreams.
 //   - What versions a service has had is known to an instance that has watched the
 //     registrations for that long, and to the instances that it tells. The holder of the
 //     lease also keeps it in the platform's log, for the case that all instances end at once.
