internal/verifier: a state that comes late is proof, and clients wait for it

Where upstreams took longer than 0.4 s to state their start time, no stream of a service with two versions went on: the rest was refused, or cut within a response, though the upstreams responded to requests at once.

Cause: a request for a state ended after 0.4 s, and what came later was thrown away, so that each later try failed the same way. Clients waited 0.4 s for the proof of an origin and 0.5 s for that of the process that sends the rest.

Now the request that calls share runs for 2 s, and its result counts for all later calls. A client waits for the proof of an origin, after other instances were asked, until its request could not start any more; the rest of a stream waits as long less 0.5 s, which is left for an attempt at another upstream, and 0.5 s at least as before. A call that knows at once that no state can come (connection refused, another process registered) does not wait, and for an upstream that is silent the registrations count after 0.4 s as before. No request is made that was not made before: while one runs, all calls share it. An instance that is asked for an origin that began there waits 0.15 s for its proof, since the asking one waits 0.2 s; it waited 0.4 s, and its answer came too late.

An attempt whose process is not proven in time counts as one that may have run, and the next one is charged to the retry budget, as before: the upstream did run it, and the next one is an additional arrival.

--- a/internal/relayer/origin.go
+++ b/internal/relayer/origin.go
@@ -12,8 +12,14 @@
 // originMargin is how much longer than its deadline the origin of a stream is kept.
 const originMargin = 5 * time.Second
 
-// maxProofWait bounds how long the rest of a stream waits until the process that sends it is known.
-const maxProofWait = 500 * time.Millisecond
+const (
+	// minProofWait is how long the rest of a stream waits at least until the process that sends it is
+	// known.
+	minProofWait = 500 * time.Millisecond
+	// otherAttemptTime is what the wait leaves of the time to the first event for an attempt at another
+	// upstream.
+	otherAttemptTime = 500 * time.Millisecond
+)
 
 // originState is what is known of the software version that begins a stream.
 type originState struct {
@@ -32,11 +38,13 @@
 func (c *call) isResumable() bool { return c.route.IsStream && c.route.IsResumable }
 
 // resolveOrigin restricts a request for the rest of a stream to the software version that
-// began it.
+// began it. It waits for the proof of that for as long as the request can still start.
 func (c *call) resolveOrigin(ctx context.Context) error {
 	if !c.isResumable() || c.requestInfo.LastEventID == "" {
 		return nil
 	}
+	ctx, cancel := context.WithDeadline(ctx, c.admission.StartBy)
+	defer cancel()
 	software, err := c.Streams.Resolve(ctx, c.requestInfo.Resumes, c.admission.Service)
 	if err != nil {
 		return err
@@ -98,6 +106,8 @@
 	if !c.reply.hasBegun() || !c.isResumable() || c.admission.Software != nil {
 		return nil
 	}
+	ctx, cancel := context.WithDeadline(ctx, c.admission.StartBy)
+	defer cancel()
 	software, err := c.Streams.Resolve(ctx, c.requestInfo.ID, c.admission.Service)
 	if err != nil {
 		return err
@@ -117,6 +127,8 @@
 	if !c.origin.isUnproven {
 		return nil
 	}
+	ctx, cancel := context.WithDeadline(ctx, c.admission.StartBy)
+	defer cancel()
 	if c.Streams.IsAtRisk(c.admission.Service) && !c.Streams.Prove(ctx, c.requestInfo.ID) {
 		return verdict.Refuse(verdict.ReasonUnknownOrigin, 0, "it is not known which version began the stream: %s", c.lastFailure)
 	}
@@ -125,12 +137,12 @@
 }
 
 // hasOriginVersion reports whether the process that sends the rest of a stream is known to be the
-// registered one, which is of the version that began the stream.
+// registered one, which is of the version that began the stream. It waits for the proof of that.
 func (c *call) hasOriginVersion(ctx context.Context) bool {
 	if c.admission.Software == nil || c.handOn.isRunning || !c.canVerify() || !c.Streams.IsAtRisk(c.admission.Service) {
 		return true
 	}
-	ctx, cancel := context.WithTimeout(ctx, maxProofWait)
+	ctx, cancel := context.WithTimeout(ctx, max(minProofWait, time.Until(c.admission.StartBy)-otherAttemptTime))
 	defer cancel()
 	return c.Verifier.Verify(ctx, c.origin.upstream, c.origin.openedAt)
 }
--- a/internal/streamtracker/keeper.go
+++ b/internal/streamtracker/keeper.go
@@ -163,11 +163,18 @@
 }
 
 // Resolve returns the software version at which a stream began. It returns a refusal if
-// that is not known and the service has had several.
+// that is not known and the service has had several. The proof of an origin that is known here is
+// waited for until ctx ends.
 func (k *Keeper) Resolve(ctx context.Context, stream, service string) (string, error) {
-	o, isKnown := k.Tracker.Find(stream, time.Now())
-	if isKnown = isKnown && o.Service == service; isKnown && (!k.IsAtRisk(service) || k.Prove(ctx, stream)) {
-		return o.Software, nil
+	own, isKnown := k.Tracker.Find(stream, time.Now())
+	proof := proofFailed
+	if isKnown = isKnown && own.Service == service; isKnown {
+		if !k.IsAtRisk(service) {
+			return own.Software, nil
+		}
+		if proof = k.proveWithin(ctx, stream, proofTimeout); proof == proofFound {
+			return own.Software, nil
+		}
 	}
 	actx, cancel := context.WithTimeout(ctx, askTimeout)
 	answers, numAsked := k.Ask(actx, stream, service)
@@ -191,6 +198,9 @@
 			k.Log.Info("stream of saved version taken up", zap.String("stream", stream), zap.String("service", service), zap.String("software", o.Software))
 			return o.Software, nil
 		}
+		if proof == proofPending && k.Prove(ctx, stream) {
+			return own.Software, nil
+		}
 		if lerr != nil {
 			err = verdict.Refuse(verdict.ReasonUnknownOrigin, unloadedRetryAfter, "it is not known which version began the stream: saved origins not loaded: %v", lerr)
 		}
--- a/internal/streamtracker/keeper_test.go
+++ b/internal/streamtracker/keeper_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -404,3 +405,53 @@
 		})
 	}
 }
+
+// TestClientWaitsForALateProof guards against a stream that is refused before its client has to be
+// answered, although the proof of its origin is on its way, and against a wait where there can be none.
+func TestClientWaitsForALateProof(t *testing.T) {
+	const limit = 3 * time.Second
+	for name, tt := range map[string]struct {
+		after    time.Duration // until the proof, or until it is known that there is none
+		isProven bool
+		want     time.Duration
+	}{
+		"proof":                  {after: time.Second, isProven: true, want: time.Second},
+		"none, known at once":    {},
+		"none, known late":       {after: time.Second, want: time.Second},
+		"longer than the client": {after: 5 * time.Second, isProven: true, want: limit},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				done := make(chan struct{})
+				close(done)
+				k := &Keeper{
+					Tracker: &Tracker{}, History: &History{}, Log: zap.NewNop(), IsFresh: func() bool { return true },
+					ReadCurrent: func(context.Context) error { return nil },
+					Send:        func([]Origin) Delivery { return Delivery{First: done, All: done} },
+					Ask:         func(context.Context, string, string) ([]Answer, int) { return nil, 0 },
+				}
+				began := time.Now()
+				verify := func(ctx context.Context) bool {
+					select {
+					case <-time.After(time.Until(began.Add(tt.after))):
+						return tt.isProven
+					case <-ctx.Done():
+						return false
+					}
+				}
+				k.History.Observe(map[string][]string{service: {"v1", "v2"}}, true, time.Now())
+				k.Bind(Origin{Stream: "r", Service: service, Software: "v1", Attempt: 1, TTL: time.Minute, IsUnproven: true}, false, verify)
+				ctx, cancel := context.WithTimeout(t.Context(), limit)
+				defer cancel()
+				software, err := k.Resolve(ctx, "r", service)
+				require.Equal(t, tt.want, time.Since(began))
+				if tt.isProven && tt.after < limit {
+					require.NoError(t, err)
+					require.Equal(t, "v1", software)
+				} else {
+					require.Equal(t, verdict.ReasonUnknownOrigin, verdict.FromError(err).Reason)
+				}
+			})
+		})
+	}
+}
--- a/internal/streamtracker/proof.go
+++ b/internal/streamtracker/proof.go
@@ -11,11 +11,12 @@
 const (
 	// maxUnproven bounds the streams whose origins can still be proven.
 	maxUnproven = 1 << 14
-	// proofTimeout bounds the time that a client waits until the origin of its stream is proven.
+	// proofTimeout is how long a client waits for the proof of its stream's origin before other
+	// instances are asked.
 	proofTimeout = 400 * time.Millisecond
 	// unawaitedProofTimeout bounds a proof that no client waits for. It is longer than a request to an
 	// upstream that does not respond, since that shows something as well.
-	unawaitedProofTimeout = time.Second
+	unawaitedProofTimeout = 2500 * time.Millisecond
 	// proofRetryDelay is the delay until a proof that could not be had is tried again. It doubles
 	// with each of maxProofRetries.
 	proofRetryDelay = 500 * time.Millisecond
@@ -100,10 +101,19 @@
 	return u.list.Remove(stream)
 }
 
+// proofState says what is known of the origin of a stream.
+type proofState int
+
+const (
+	proofFailed proofState = iota
+	proofPending
+	proofFound
+)
+
 // Prove reports whether the software version that began a stream is known for sure. It waits for
-// the proof for a bounded time.
+// the proof until ctx ends, or until there can be none.
 func (k *Keeper) Prove(ctx context.Context, stream string) bool {
-	return k.proveWithin(ctx, stream, proofTimeout)
+	return k.prove(ctx, stream) == proofFound
 }
 
 // proveUnawaited is Prove if no client waits for it.
@@ -111,19 +121,28 @@
 	k.proveWithin(context.Background(), stream, unawaitedProofTimeout)
 }
 
-func (k *Keeper) proveWithin(ctx context.Context, stream string, timeout time.Duration) bool {
+// proveWithin is prove with a timeout.
+func (k *Keeper) proveWithin(ctx context.Context, stream string, timeout time.Duration) proofState {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	return k.prove(ctx, stream)
+}
+
+// prove returns proofPending if ctx has ended before anything was shown.
+func (k *Keeper) prove(ctx context.Context, stream string) proofState {
 	o, isKnown := k.Tracker.Find(stream, time.Now())
 	if isKnown && !o.IsUnproven {
-		return true
+		return proofFound
 	}
 	u, ok := k.unproven.find(stream)
 	if !isKnown || !ok {
-		return false
+		return proofFailed
 	}
-	ctx, cancel := context.WithTimeout(ctx, timeout)
-	defer cancel()
 	if !u.verify(ctx) {
-		return false
+		if ctx.Err() != nil {
+			return proofPending
+		}
+		return proofFailed
 	}
 	if k.unproven.remove(stream) { // the first caller records it
 		proven := u.Origin
@@ -136,7 +155,7 @@
 			k.Send([]Origin{proven})
 		}
 	}
-	return true
+	return proofFound
 }
 
 // ProveAll proves the origins of the streams that run here. It is called when the registrations
--- a/internal/syncer/origin.go
+++ b/internal/syncer/origin.go
@@ -27,6 +27,9 @@
 	numHomesAsked = 6
 	// maxOriginsPerCall bounds the origins in one call.
 	maxOriginsPerCall = 4096
+	// homeProofTimeout is how long a question for an origin that began here waits for its proof. It is
+	// below the time that the asking instance waits.
+	homeProofTimeout = 150 * time.Millisecond
 )
 
 // originSender sends origins to other instances, one call at a time to each. Its zero value
@@ -221,7 +224,9 @@
 
 // FindOrigin implements peerv1.FleetQueries.
 func (s *Server) FindOrigin(ctx context.Context, r *peerv1.FindOriginRequest) (*peerv1.FindOriginResponse, error) {
-	s.Streams.Prove(ctx, r.GetStream()) // if it began here
+	pctx, cancel := context.WithTimeout(ctx, homeProofTimeout)
+	s.Streams.Prove(pctx, r.GetStream()) // if it began here
+	cancel()
 	now := time.Now()
 	out := &peerv1.FindOriginResponse{IsFresh: s.Streams.IsFresh()}
 	o, ok := s.Streams.Tracker.Find(r.GetStream(), now)
--- a/internal/verifier/verifier.go
+++ b/internal/verifier/verifier.go
@@ -12,8 +12,13 @@
 	"github.com/primrosedrift/primrosedrift/internal/registrar"
 )
 
-// requestTimeout bounds a request for the state of an upstream.
-const requestTimeout = 400 * time.Millisecond
+const (
+	// requestTimeout bounds a request for the state of an upstream. Upstreams that are busy state it
+	// late, although they respond to requests at once.
+	requestTimeout = 2 * time.Second
+	// silenceTimeout is the time without a state after which the registrations may prove a process.
+	silenceTimeout = 400 * time.Millisecond
+)
 
 // Verifier requests the states of upstreams. Its exported fields must be set.
 type Verifier struct {
@@ -56,7 +61,8 @@
 
 // Verify is IsProven after the state of the upstream was requested. If the upstream does not respond,
 // the process may have ended: it was the registered one if no other has registered since. Verify
-// reports false if ctx ends before that is known.
+// reports false if ctx ends before that is known. The request goes on, and what it shows counts for
+// later calls.
 func (v *Verifier) Verify(ctx context.Context, u *registrar.Upstream, openedAt time.Time) bool {
 	for !v.IsProven(u, openedAt) {
 		if v.Upstreams.IsReplaced(u.Incarnation()) {
@@ -66,18 +72,41 @@
 		if r == nil {
 			return true
 		}
+		isSentAfter := !r.sentAt.Before(openedAt)
+		if isSentAfter && r.isSilent(ctx) && v.Upstreams.HadNoSuccessor(u.Incarnation(), openedAt) {
+			return true
+		}
 		select {
 		case <-r.done:
 		case <-ctx.Done():
 			return v.IsProven(u, openedAt)
 		}
-		if !r.sentAt.Before(openedAt) {
+		if isSentAfter {
 			return v.IsProven(u, openedAt) || r.isUnanswered && v.Upstreams.HadNoSuccessor(u.Incarnation(), openedAt)
 		}
 	}
 	return true
 }
 
+// isSilent waits for the state, and reports whether none has come within silenceTimeout.
+func (r *request) isSilent(ctx context.Context) bool {
+	timer := time.NewTimer(time.Until(r.sentAt.Add(silenceTimeout)))
+	defer timer.Stop()
+	select {
+	case <-r.done:
+		return false
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+	}
+	select {
+	case <-r.done:
+		return false
+	default:
+		return true
+	}
+}
+
 // join returns the request for the state of an upstream that is in flight, or a new one. It returns nil
 // if the last one has brought the proof meanwhile. The table of upstreams is locked after mu.
 func (v *Verifier) join(u *registrar.Upstream, openedAt time.Time) *request {
--- a/internal/verifier/verifier_test.go
+++ b/internal/verifier/verifier_test.go
@@ -5,6 +5,7 @@
 	"sync"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -145,3 +146,65 @@
 		})
 	}
 }
+
+// TestStateThatComesLateIsProof guards against upstreams that state their start time after a second, for
+// which no wait would ever be long enough, and against another request for the same state.
+func TestStateThatComesLateIsProof(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		numRequests := 0
+		v, u := newVerifier(func(ctx context.Context, _ *registrar.Upstream) (int64, error) {
+			numRequests++
+			select {
+			case <-time.After(time.Second):
+				return 1, nil
+			case <-ctx.Done():
+				return 0, ctx.Err()
+			}
+		})
+		openedAt := time.Now()
+		verify := func(timeout time.Duration) bool {
+			ctx, cancel := context.WithTimeout(t.Context(), timeout)
+			defer cancel()
+			return v.Verify(ctx, u, openedAt)
+		}
+		require.False(t, verify(300*time.Millisecond))
+		require.False(t, verify(300*time.Millisecond))
+		require.True(t, verify(time.Second))
+		require.Equal(t, time.Second, time.Since(openedAt))
+		require.True(t, verify(0))
+		require.Equal(t, 1, numRequests)
+	})
+}
+
+// TestNobodyWaitsWhereNoStateCanCome guards against clients that wait for the state of an upstream which
+// refuses connections, or which is silent and is proven by the registrations.
+func TestNobodyWaitsWhereNoStateCanCome(t *testing.T) {
+	for name, tt := range map[string]struct {
+		isSilent, isWatched bool
+		wait                time.Duration
+		isProven            bool
+	}{
+		"refused":             {},
+		"refused, but known":  {isWatched: true, isProven: true},
+		"silent, but known":   {isSilent: true, isWatched: true, wait: silenceTimeout, isProven: true},
+		"silent, not watched": {isSilent: true, wait: requestTimeout},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				v, u := newVerifier(func(ctx context.Context, _ *registrar.Upstream) (int64, error) {
+					if tt.isSilent {
+						<-ctx.Done()
+					}
+					return 0, errors.New("no state")
+				})
+				openedAt := time.Now()
+				for d := time.Duration(0); tt.isWatched && d <= registrar.MaxRegistrationDelay; d += 100 * time.Millisecond {
+					v.Upstreams.RecordWatch(openedAt.Add(d), openedAt.Add(d))
+				}
+				require.Equal(t, tt.isProven, v.Verify(t.Context(), u, openedAt))
+				require.Equal(t, tt.wait, time.Since(openedAt))
+				time.Sleep(requestTimeout) // until the request has ended
+			})
+		})
+	}
+}
