internal/streamtracker: a planned stop leaves the origins of its streams to others

Streams of a service with one version were refused by all instances if the one at which they began was stopped as planned, and a second version appeared before their clients were back.

Cause: while a service has one version, an origin is recorded only at the instance at which its stream began. Its stop neither proved nor sent it.

When a stop begins, the instance now proves the origins of the streams that clients may take up, and sends them to their homes in one batch; so it does with those of streams that begin later. Streams that ended in the last 4 s, the TCP user timeout of clients, are among them, since their clients may not have received the end.

--- a/internal/assembler/listen.go
+++ b/internal/assembler/listen.go
@@ -40,6 +40,9 @@
 	peerUserTimeout = time.Second
 	// otherDrainTime is how long requests on the servers that are not for callers may run on.
 	otherDrainTime = 100 * time.Millisecond
+	// originsTime bounds how long a stop waits, after the last request, until other instances know the
+	// origins of streams.
+	originsTime = 500 * time.Millisecond
 	// handedOnInterval is the time between two checks for running requests of peers.
 	handedOnInterval = 10 * time.Millisecond
 )
@@ -144,6 +147,7 @@
 	a.Log.Info("instance stops", zap.Duration("grace", a.StopGrace), zap.Duration("late", late), zap.Duration("until-refuse", time.Until(plan.Refuse)),
 		zap.Duration("until-answer", time.Until(plan.Answer)), zap.Duration("until-close", time.Until(plan.Close)))
 	a.queue.RefuseForStop(func(r queuer.Request) bool { return plan.Fit(r.Takes, time.Now(), r.Deadline).Fits })
+	a.streams.BeginStop()
 	a.client.ReportNow()
 	sleeper.Sleep(ctx, time.Until(plan.Refuse))
 	a.isClosed.Store(true)
@@ -167,6 +171,11 @@
 		defer cancelRelease()
 		a.lease.Release(releaseCtx)
 	})
+	wg.Go(func() {
+		originsCtx, cancelOrigins := context.WithTimeout(ctx, min(originsTime, time.Until(plan.Exit)))
+		defer cancelOrigins()
+		a.streams.EndStop(originsCtx)
+	})
 	// Short requests on the other servers are answered. What peers wait for is cut off.
 	othersCtx, cancelOthers := context.WithTimeout(ctx, otherDrainTime)
 	defer cancelOthers()
--- a/internal/streamtracker/keeper.go
+++ b/internal/streamtracker/keeper.go
@@ -4,6 +4,7 @@
 	"context"
 	"maps"
 	"slices"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -68,8 +69,11 @@
 	ReadCurrent func(ctx context.Context) error
 	Log         *zap.Logger
 
-	unproven unproven
-	runs     runs
+	unproven   unproven
+	runs       runs
+	isStopping atomic.Bool
+	numProofs  atomic.Int64 // that no client waits for
+	outbox     outbox
 }
 
 // Begin records that an attempt to begin a stream is made. It returns nil if no other
@@ -94,14 +98,17 @@
 	switch {
 	case o.IsUnproven:
 		k.unproven.add(o, verify, time.Now())
-		if k.IsAtRisk(o.Service) {
-			go k.proveUnawaited(o.Stream)
+		if k.IsAtRisk(o.Service) || k.isStopping.Load() {
+			k.startProof(o.Stream)
 		}
 	case hasSeveral:
 		k.archive(o)
 	}
 	isAtRisk := hasSeveral || o.IsUnproven && k.IsAtRisk(o.Service)
 	wasUnproven := verify != nil // when it was sent before the attempt
+	if !isAtRisk && k.isStopping.Load() {
+		k.sendSoon(o)
+	}
 	if !isAtRisk || !mayDiffer && !wasUnproven {
 		return nil
 	}
@@ -148,7 +155,7 @@
 	for _, o := range list {
 		switch {
 		case o.IsBound && o.IsUnproven:
-			go k.proveUnawaited(o.Stream)
+			k.startProof(o.Stream)
 		case o.IsBound:
 			bound = append(bound, o)
 		}
--- a/internal/streamtracker/proof.go
+++ b/internal/streamtracker/proof.go
@@ -113,23 +113,28 @@
 // Prove reports whether the software version that began a stream is known for sure. It waits for
 // the proof until ctx ends, or until there can be none.
 func (k *Keeper) Prove(ctx context.Context, stream string) bool {
-	return k.prove(ctx, stream) == proofFound
+	return k.prove(ctx, stream, k.sendOne) == proofFound
 }
 
 // proveUnawaited is Prove if no client waits for it.
 func (k *Keeper) proveUnawaited(stream string) {
-	k.proveWithin(context.Background(), stream, unawaitedProofTimeout)
+	ctx, cancel := context.WithTimeout(context.Background(), unawaitedProofTimeout)
+	defer cancel()
+	k.prove(ctx, stream, k.sendSoon)
 }
 
 // proveWithin is prove with a timeout.
 func (k *Keeper) proveWithin(ctx context.Context, stream string, timeout time.Duration) proofState {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	return k.prove(ctx, stream)
+	return k.prove(ctx, stream, k.sendOne)
 }
 
-// prove returns proofPending if ctx has ended before anything was shown.
-func (k *Keeper) prove(ctx context.Context, stream string) proofState {
+func (k *Keeper) sendOne(o Origin) { k.Send([]Origin{o}) }
+
+// prove returns proofPending if ctx has ended before anything was shown. An origin that others have to
+// know is passed to send.
+func (k *Keeper) prove(ctx context.Context, stream string, send func(Origin)) proofState {
 	o, isKnown := k.Tracker.Find(stream, time.Now())
 	if isKnown && !o.IsUnproven {
 		return proofFound
@@ -151,8 +156,8 @@
 		if k.History.HasSeveral(proven.Service) {
 			k.archive(proven)
 		}
-		if k.IsAtRisk(proven.Service) {
-			k.Send([]Origin{proven})
+		if k.IsAtRisk(proven.Service) || k.isStopping.Load() {
+			send(proven)
 		}
 	}
 	return proofFound
@@ -162,15 +167,19 @@
 // cannot be read any more.
 func (k *Keeper) ProveAll() {
 	for _, stream := range k.unproven.streams(time.Now()) {
-		go k.proveUnawaited(stream)
+		k.startProof(stream)
 	}
 }
 
-// RetryProofs tries again to prove origins of services at risk, so that the homes of the streams and
-// the platform's log have them proven before this instance ends. It is called periodically.
+// RetryProofs tries again to prove origins of services at risk, or all during a stop, so that the
+// homes of the streams and the platform's log have them proven before this instance ends. It is called
+// periodically.
 func (k *Keeper) RetryProofs(now time.Time) {
 	known := make(map[string]bool)
 	isAtRisk := func(service string) bool {
+		if k.isStopping.Load() {
+			return true
+		}
 		r, ok := known[service]
 		if !ok {
 			r = k.IsAtRisk(service)
@@ -179,6 +188,6 @@
 		return r
 	}
 	for _, stream := range k.unproven.due(isAtRisk, now) {
-		go k.proveUnawaited(stream)
+		k.startProof(stream)
 	}
 }
--- a/internal/streamtracker/tracker.go
+++ b/internal/streamtracker/tracker.go
@@ -13,6 +13,9 @@
 	StreamMemory = 2 * time.Minute
 	// maxOrigins bounds the streams of which an instance knows the version.
 	maxOrigins = 1 << 16
+	// receiptTime is how long after its end a stream may not have been received by its client: the
+	// TCP user timeout of connections from clients.
+	receiptTime = 4 * time.Second
 )
 
 // Origin is the software version at which a stream began.
@@ -42,7 +45,7 @@
 type expiring struct {
 	Origin
 	until   time.Time
-	isEnded bool
+	endedAt time.Time // when it was forwarded to its end, zero before
 }
 
 // Record adds an origin, unless one that is bound or of a later attempt of the stream is known.
@@ -67,7 +70,7 @@
 		return
 	}
 	if e, ok := t.origins.Peek(stream); ok {
-		e.isEnded = true
+		e.endedAt = time.Now()
 		t.origins.Add(stream, e)
 	}
 }
@@ -100,6 +103,15 @@
 
 // OfService returns the origins of the streams of a service that have not ended here.
 func (t *Tracker) OfService(service string, now time.Time) []Origin {
+	return t.selectOrigins(func(e expiring) bool { return e.Service == service && e.endedAt.IsZero() }, now)
+}
+
+// Unreceived returns the origins of the streams whose clients may not have received all of them.
+func (t *Tracker) Unreceived(now time.Time) []Origin {
+	return t.selectOrigins(func(e expiring) bool { return e.endedAt.IsZero() || now.Sub(e.endedAt) < receiptTime }, now)
+}
+
+func (t *Tracker) selectOrigins(isSelected func(expiring) bool, now time.Time) []Origin {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.origins == nil {
@@ -107,7 +119,7 @@
 	}
 	var out []Origin
 	for _, e := range t.origins.Values() {
-		if e.Service == service && !e.isEnded && now.Before(e.until) {
+		if now.Before(e.until) && isSelected(e) {
 			e.TTL = e.until.Sub(now)
 			out = append(out, e.Origin)
 		}
