internal/streamtracker: test of the sends for many proofs

When a second version appeared, or the store was lost, each origin that was proven was a send of its own: 1,001 sends for 1,000 streams.

Each stream still has a goroutine that waits for its proof; not changed here.

--- a/internal/streamtracker/stop_test.go
+++ b/internal/streamtracker/stop_test.go
@@ -81,3 +81,44 @@
 		time.Sleep(unawaitedProofTimeout) // until the proof has ended
 	})
 }
+
+// TestProofsOfManyStreamsAreSentTogether guards against a call to each home for each stream when a second
+// version appears.
+func TestProofsOfManyStreamsAreSentTogether(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const numStreams = 1000
+		var mu sync.Mutex
+		numSends, proven := 0, make(map[string]bool)
+		k := &Keeper{
+			Tracker: &Tracker{}, History: &History{}, Log: zap.NewNop(), IsFresh: func() bool { return true },
+			Send: func(list []Origin) Delivery {
+				mu.Lock()
+				defer mu.Unlock()
+				numSends++
+				for _, o := range list {
+					proven[o.Stream] = !o.IsUnproven
+				}
+				return Delivery{}
+			},
+		}
+		k.History.OnChange = func(service string, versions []string) {
+			if len(versions) > 1 {
+				k.Spread(service)
+			}
+		}
+		k.History.Observe(map[string][]string{service: {"v1"}}, true, time.Now())
+		verify := func(context.Context) bool { time.Sleep(time.Second); return true }
+		for n := range numStreams {
+			k.Bind(Origin{Stream: fmt.Sprint(n), Service: service, Software: "v1", Attempt: 1, TTL: time.Minute, IsUnproven: true}, false, verify)
+		}
+		k.History.Observe(map[string][]string{service: {"v1", "v2"}}, true, time.Now())
+		time.Sleep(time.Second + 2*sendDelay)
+		mu.Lock()
+		defer mu.Unlock()
+		require.Len(t, proven, numStreams)
+		for _, isProven := range proven {
+			require.True(t, isProven)
+		}
+		require.LessOrEqual(t, numSends, 3)
+	})
+}
