internal/syncer: probes spare a conductor and peers that respond late

Where a large fleet had lost its conductor, each instance probed on every 300 ms, whether its peers responded or not, and a probe of the conductor returned the whole view, 35 KB for 195 instances.

A probe says that it is one (is_probe): a conductor returns its claim and losses only. The next round does not begin while more than three calls have no response, so a fleet that is short of processor time probes less.

TestProbeOfTheConductorIsSmall, TestLateProbesDelayTheNextRound.

--- a/internal/syncer/neighbour_test.go
+++ b/internal/syncer/neighbour_test.go
@@ -132,3 +132,33 @@
 	require.LessOrEqual(t, numFirst, (urgentBurst-suspectReserve)/(maxReadersProbed+maxOthersProbed)+1+numMore)
 	require.True(t, e.mayBegin(true), "some calls are left for requests that may crash upstreams")
 }
+
+// TestProbeOfTheConductorIsSmall guards against a conductor that sends its whole view to each instance that
+// has lost it and probes it, and is lost by more of them for that work.
+func TestProbeOfTheConductorIsSmall(t *testing.T) {
+	s, _ := newServer()
+	for n := range 200 {
+		s.ApplyReport(report(fmt.Sprint("edge-", n), "1", false), time.Now())
+	}
+	c := newClientOf(t, s)
+	s.Self.PeerAddress = c.members[0].GetPeerAddress()
+	v, err := s.Watch(t.Context(), &peerv1.WatchRequest{Instance: "b", IsProbe: true})
+	require.NoError(t, err)
+	require.Len(t, v.GetMembers(), 1)
+	require.Zero(t, v.GetAnswer(), "the next watch gets a whole view")
+	c.probeOnce(t)
+	require.Equal(t, s.Self.GetIncarnation(), c.Lease.Newest().Incarnation, "it is found by the probe")
+}
+
+// TestLateProbesDelayTheNextRound guards against a fleet whose probes take the processor time that the
+// responses need.
+func TestLateProbesDelayTheNextRound(t *testing.T) {
+	c := &Client{}
+	c.exchange.init()
+	for n := range maxLateProbes {
+		c.exchange.running[fmt.Sprint(n)] = true
+	}
+	require.False(t, c.areProbesLate(), "a few addresses may be those of instances that have ended")
+	c.exchange.running["another"] = true
+	require.True(t, c.areProbesLate())
+}
--- a/internal/syncer/probe.go
+++ b/internal/syncer/probe.go
@@ -28,6 +28,8 @@
 	urgentBurst = 48
 	// suspectReserve is the number of calls that are left to requests for which another loss matters.
 	suspectReserve = 24
+	// maxLateProbes is the number of calls without a response up to which the next round of probes begins.
+	maxLateProbes = 3
 	// maxLossesSent bounds the losses in a report to an instance that is not the conductor.
 	maxLossesSent = 16
 )
@@ -85,7 +87,7 @@
 			numPeers = c.sendLosses(ctx, c.membersToTell(), &wg, maxExchangeWait)
 		case isAwoken:
 			numPeers = c.sendLosses(ctx, c.peersToProbe(time.Now()), &wg, maxExchangeWait)
-		case isDue && !c.HasConductor():
+		case isDue && !c.HasConductor() && !c.areProbesLate():
 			numPeers = c.probePeers(ctx, &wg, maxExchangeWait)
 		}
 		sleeper.Sleep(ctx, time.Duration(numPeers)*probeIntervalPerPeer)
@@ -100,6 +102,14 @@
 	}
 }
 
+// areProbesLate reports whether several peers have yet to respond. More calls would take the processor time
+// of a fleet that has little left.
+func (c *Client) areProbesLate() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.exchange.running) > maxLateProbes
+}
+
 // NotifyLoss reports a new loss at once, and sends it to other instances. isSuspect says that another
 // loss matters.
 func (c *Client) NotifyLoss(isSuspect bool) {
@@ -288,7 +298,7 @@
 // probe calls a peer for what it knows, and sends it losses. wantsMembers says that this instance wants to
 // learn of further instances, and others of it.
 func (c *Client) probe(ctx context.Context, m *peerv1.Member, losses []losstracker.Loss, wantsMembers bool) {
-	r := &peerv1.WatchRequest{Instance: c.Self.GetInstance(), WantsMembers: wantsMembers}
+	r := &peerv1.WatchRequest{Instance: c.Self.GetInstance(), IsProbe: true, WantsMembers: wantsMembers}
 	v, err := peerv1.NewFleetQueriesProtobufClient("http://"+m.GetPeerAddress(), c.HTTP).Watch(ctx, r)
 	if err != nil {
 		c.Log.Debug("peer does not respond", zap.String("peer", m.GetInstance()), zap.String("address", m.GetPeerAddress()), logger.Error(err))
--- a/internal/syncer/server.go
+++ b/internal/syncer/server.go
@@ -258,6 +258,11 @@
 		responseNumber = 0 // the number is of another incarnation
 	}
 	now := time.Now()
+	if r.GetIsProbe() && s.IsHolder() {
+		return &peerv1.WatchResponse{
+			Incarnation: s.Self.GetIncarnation(), IsConductor: true, Token: s.Token(), Members: []*peerv1.Member{s.Self}, Losses: encodeLosses(s.Losses.Recent(now)),
+		}, nil
+	}
 	v := s.View(r.GetInstance(), responseNumber, now)
 	if !v.GetIsConductor() && r.GetWantsMembers() {
 		v.Members = append(v.Members, s.Neighbours.told(r.GetInstance(), now)...)
