test: an interrupted request has reached its intent

TestKeyRunsOnceWhenEntryIsKilledOrFrozen failed in a run of ./test at load average 40: "killed between intent and send" was served by the other instance, where an error is expected. The test waited until the log had one more record, and took it for the intent of its request. At that moment the instances were still writing claims of shards, as their logs show. The request had not begun then, so that the other instance was right to run it.

--- a/test/check_test.go
+++ b/test/check_test.go
@@ -33,7 +33,12 @@
 // state reads the whole log and returns the resulting state.
 func (f *fleet) state() *applier.State {
 	f.t.Helper()
-	next := f.nextOffset()
+	return f.stateBefore(f.nextOffset())
+}
+
+// stateBefore returns the state that results from the records before an offset.
+func (f *fleet) stateBefore(next uint64) *applier.State {
+	f.t.Helper()
 	ctx, cancel := context.WithTimeout(context.Background(), conditionTimeout)
 	defer cancel()
 	stream, err := platformv1connect.NewLogQueriesClient(http.DefaultClient, "http://"+f.log).
@@ -42,7 +47,9 @@
 	s := new(applier.State)
 	for s.NextOffset < next && stream.Receive() {
 		for _, e := range stream.Msg().GetEntries() {
-			s.Apply(e.GetOffset(), e.GetPayload())
+			if e.GetOffset() < next {
+				s.Apply(e.GetOffset(), e.GetPayload())
+			}
 		}
 	}
 	require.GreaterOrEqual(f.t, s.NextOffset, next, "%v", stream.Err())
@@ -84,6 +91,13 @@
 	return ok && in.Outcome != recordv1.OutcomeKind_OUTCOME_KIND_UNSPECIFIED
 }
 
+// hasIntentBefore reports whether the intent of the key is among the records before an offset.
+func (f *fleet) hasIntentBefore(key string, offset uint64) bool {
+	f.t.Helper()
+	_, ok := f.stateBefore(offset).Intents.Get(applier.IntentKey{Customer: "tolwerk", Key: key})
+	return ok
+}
+
 // callLog collects the results of calls by key.
 type callLog struct {
 	mu      sync.Mutex
--- a/test/once_test.go
+++ b/test/once_test.go
@@ -40,6 +40,9 @@
 	// waits until the request has reached it.
 	prepare func(f *fleet)
 	await   func(f *fleet, key string, offset uint64)
+	// wantsIntent says that the intent of the request is in the log at the point. Records of other
+	// instances may have ended the wait.
+	wantsIntent bool
 }
 
 func interruptCases() []interruptCase {
@@ -52,10 +55,10 @@
 		require.Eventually(f.t, func() bool { return f.runCounts("kernheffing-1")[key] > 0 }, conditionTimeout, time.Millisecond)
 	}
 	return []interruptCase{
-		{"killed between intent and send", syscall.SIGKILL, delayTail, awaitIntent},
-		{"frozen between intent and send", syscall.SIGSTOP, delayTail, awaitIntent},
-		{"killed during the call", syscall.SIGKILL, slowService, awaitRun},
-		{"frozen during the call", syscall.SIGSTOP, slowService, awaitRun},
+		{"killed between intent and send", syscall.SIGKILL, delayTail, awaitIntent, true},
+		{"frozen between intent and send", syscall.SIGSTOP, delayTail, awaitIntent, true},
+		{"killed during the call", syscall.SIGKILL, slowService, awaitRun, false},
+		{"frozen during the call", syscall.SIGSTOP, slowService, awaitRun, false},
 	}
 }
 
@@ -67,29 +70,34 @@
 	var calls callLog
 	for _, tc := range interruptCases() {
 		t.Run(tc.name, func(t *testing.T) {
-			tc.prepare(f)
-			key := ulid.Make().String()
-			offset := f.nextOffset()
-			first := make(chan struct{})
-			go func() {
-				defer close(first)
-				_, _ = f.call(&calls, f.entries[0], key, 20_000)
-			}()
-			tc.await(f, key, offset)
-			f.entries[0].signal(tc.signal)
-			_, err := f.call(&calls, f.entries[1], key, 2_000)
-			require.Error(t, err)
-			require.Equal(t, verdict.MayHaveRun, verdict.FromError(err).Ran)
-			f.setFaults("log", faulter.Faults{})
-			f.setFaults("kernheffing-1", faulter.Faults{})
-			if tc.signal == syscall.SIGSTOP {
-				f.entries[0].signal(syscall.SIGCONT)
-			} else {
-				f.startEntry(f.entries[0].name)
+			for isReached := false; !isReached; {
+				tc.prepare(f)
+				key := ulid.Make().String()
+				offset := f.nextOffset()
+				first := make(chan struct{})
+				go func() {
+					defer close(first)
+					_, _ = f.call(&calls, f.entries[0], key, 20_000)
+				}()
+				tc.await(f, key, offset)
+				f.entries[0].signal(tc.signal)
+				interruptedAt := f.nextOffset()
+				_, err := f.call(&calls, f.entries[1], key, 2_000)
+				if isReached = !tc.wantsIntent || f.hasIntentBefore(key, interruptedAt); isReached {
+					require.Error(t, err)
+					require.Equal(t, verdict.MayHaveRun, verdict.FromError(err).Ran)
+				}
+				f.setFaults("log", faulter.Faults{})
+				f.setFaults("kernheffing-1", faulter.Faults{})
+				if tc.signal == syscall.SIGSTOP {
+					f.entries[0].signal(syscall.SIGCONT)
+				} else {
+					f.startEntry(f.entries[0].name)
+				}
+				<-first
+				_, _ = f.call(&calls, f.entries[2], key, 2_000)
+				f.checkCalls(&calls)
 			}
-			<-first
-			_, _ = f.call(&calls, f.entries[2], key, 2_000)
-			f.checkCalls(&calls)
 		})
 	}
 	t.Run("killed after the answer", func(t *testing.T) {
