--- a/internal/arranger/streams.go
+++ b/internal/arranger/streams.go
@@ -11,10 +11,10 @@
 // Streams remembers where streams ran lately: while upstreams have several versions of their
 // software, a client can take its stream up again at the same version only. The zero value is
 // ready to use.
-type Streams struct{ lately map[modelWith]lately }
+type Streams struct{ peaks map[modelWith]peak }
 
-// lately is the greatest number of requests that ran since a time.
-type lately struct {
+// peak is the greatest number of requests that ran since a time.
+type peak struct {
 	running int
 	since   time.Time
 }
@@ -32,19 +32,19 @@
 			}
 		}
 	}
-	maps.DeleteFunc(s.lately, func(_ modelWith, l lately) bool { return f.Now.Sub(l.since) > streamReturnTime })
-	if s.lately == nil {
-		s.lately = make(map[modelWith]lately)
+	maps.DeleteFunc(s.peaks, func(_ modelWith, l peak) bool { return f.Now.Sub(l.since) > streamReturnTime })
+	if s.peaks == nil {
+		s.peaks = make(map[modelWith]peak)
 	}
 	for k, n := range running {
-		if n >= s.lately[k].running {
-			s.lately[k] = lately{n, f.Now}
+		if n >= s.peaks[k].running {
+			s.peaks[k] = peak{n, f.Now}
 		}
 	}
 	if len(versions) < 2 {
 		return
 	}
-	for k, l := range s.lately {
+	for k, l := range s.peaks {
 		f.Demands = append(f.Demands, Demand{Model: k.model, Software: &k.software, MayReturn: l.running})
 	}
 }
--- a/internal/courier/transport.go
+++ b/internal/courier/transport.go
@@ -70,16 +70,16 @@
 	// Compressed bodies and those of HTTP/2 have an end of their own.
 	hasEnd := resp.ContentLength >= 0 || slices.Contains(resp.TransferEncoding, "chunked") || resp.Uncompressed || resp.ProtoMajor != 1 || resp.Body == http.NoBody
 	if !hasEnd {
-		resp.Body = endlessBody{resp.Body}
+		resp.Body = unframedBody{resp.Body}
 	}
 	return resp, nil
 }
 
-// endlessBody is a body whose end cannot be told from the end of its connection.
-type endlessBody struct{ io.ReadCloser }
+// unframedBody is a body whose end cannot be told from the end of its connection.
+type unframedBody struct{ io.ReadCloser }
 
 // Read implements io.Reader.
-func (b endlessBody) Read(p []byte) (int, error) {
+func (b unframedBody) Read(p []byte) (int, error) {
 	n, err := b.ReadCloser.Read(p)
 	if errors.Is(err, io.EOF) {
 		err = io.ErrUnexpectedEOF
--- a/internal/losstracker/exchange.go
+++ b/internal/losstracker/exchange.go
@@ -49,7 +49,7 @@
 				continue
 			}
 			for _, l := range r.losses {
-				if l.isTold(now) {
+				if l.isShareable(now) {
 					t.reporting.unreported[keyOf(l.Loss)] = l.Loss
 				}
 			}
@@ -196,18 +196,18 @@
 	var list []*loss
 	for _, f := range t.mostSharedLocked(version) {
 		r, _ := t.requests.Peek(f)
-		list = append(list, t.sharedToldLocked(f, r, now)...)
+		list = append(list, t.sharedLossesLocked(f, r, now)...)
 	}
 	return exchanged(list, len(list))
 }
 
-// sharedToldLocked returns the losses of a shared request that others are told, and stops sharing it if
+// sharedLossesLocked returns the losses of a shared request that others are told, and stops sharing it if
 // all are refuted.
-func (t *Tracker) sharedToldLocked(fingerprint uint64, r *request, now time.Time) []*loss {
+func (t *Tracker) sharedLossesLocked(fingerprint uint64, r *request, now time.Time) []*loss {
 	if now.Sub(r.latestAt) > lossTTL {
 		return nil
 	}
-	out := r.told(now)
+	out := r.shareable(now)
 	if len(out) == 0 {
 		delete(t.shared, fingerprint)
 	}
@@ -229,11 +229,11 @@
 		switch _, isShared := t.shared[f]; {
 		case isShared && len(shared) < maxExchanged/2:
 			isListed[f] = true
-			shared = append(shared, t.sharedToldLocked(f, r, now)...)
+			shared = append(shared, t.sharedLossesLocked(f, r, now)...)
 		case !isShared && now.Sub(r.latestAt) <= recentAge && r.isOwn:
-			own = append(own, r.told(now)...)
+			own = append(own, r.shareable(now)...)
 		case !isShared && now.Sub(r.latestAt) <= recentAge:
-			learned = append(learned, r.told(now)...)
+			learned = append(learned, r.shareable(now)...)
 		}
 	}
 	list := slices.Concat(shared, own, learned)
@@ -242,7 +242,7 @@
 			break
 		}
 		if r, _ := t.requests.Peek(f); !isListed[f] {
-			list = append(list, t.sharedToldLocked(f, r, now)...)
+			list = append(list, t.sharedLossesLocked(f, r, now)...)
 		}
 	}
 	return exchanged(list, maxExchanged)
@@ -260,11 +260,11 @@
 	}
 }
 
-// told returns the losses that others are told.
-func (r *request) told(now time.Time) []*loss {
+// shareable returns the losses that are sent to other instances.
+func (r *request) shareable(now time.Time) []*loss {
 	var out []*loss
 	for _, l := range r.losses {
-		if l.isTold(now) {
+		if l.isShareable(now) {
 			out = append(out, l)
 		}
 	}
@@ -294,7 +294,7 @@
 	var suspects, single []*loss
 	for _, r := range t.latestLocked() {
 		isSuspect := r.level() != harmless
-		for _, l := range r.told(now) {
+		for _, l := range r.shareable(now) {
 			switch {
 			case now.Sub(l.learnedAt) > newAge:
 			case isSuspect:
--- a/internal/losstracker/loss.go
+++ b/internal/losstracker/loss.go
@@ -112,9 +112,9 @@
 	return counted, confirmed
 }
 
-// isTold reports whether others are told of the loss: one that counts, or one that they
+// isShareable reports whether others are told of the loss: one that counts, or one that they
 // may count although it is refuted.
-func (l *loss) isTold(now time.Time) bool {
+func (l *loss) isShareable(now time.Time) bool {
 	if l.isDeferred {
 		return false
 	}
--- a/internal/stopper/doc.go
+++ b/internal/stopper/doc.go
@@ -11,8 +11,8 @@
 //   - Exit: what the process still does is given up. It is killed soon after.
 //
 // The expected duration of a request is measured by route. Where it is not known, or the
-// request is of a route that has served too few, it is the time until the request's deadline: the
-// request is refused, unless it is over in time whatever happens.
+// request is of a route that has served too few, it is the time until the request's deadline. A
+// stream without a deadline is taken then, since its caller resumes it elsewhere if it is cut.
 //
 // Requests are not handed on to a peer because of a stop. Their responses would pass through this
 // instance, and end with it.
--- a/internal/stopper/pauses.go
+++ b/internal/stopper/pauses.go
@@ -31,7 +31,7 @@
 // order of their numbers, so that SIGTERM, if it was sent during the pause, is handled before it.
 const probeSignal = syscall.SIGWINCH
 
-// Pauses knows when the process lately stood still, because it was stopped, suspended or short of processor
+// Pauses knows when the process was not scheduled lately, because it was stopped, suspended or short of processor
 // time. A signal that is sent meanwhile is handled later, and maybe after another pause. Its zero value is ready
 // to use; times are those of clocker.SinceStart.
 type Pauses struct {
--- a/internal/syncer/neighbour.go
+++ b/internal/syncer/neighbour.go
@@ -13,10 +13,10 @@
 const (
 	// neighbourTTL is how long an instance is probed after it was last heard of.
 	neighbourTTL = 10 * time.Second
-	// maxNeighbours bounds the neighbours that an instance keeps, and maxNeighboursTold those
+	// maxNeighbours bounds the neighbours that an instance keeps, and maxNeighboursNamed those
 	// that it tells another one.
-	maxNeighbours     = 256
-	maxNeighboursTold = maxReadersProbed + maxOthersProbed
+	maxNeighbours      = 256
+	maxNeighboursNamed = maxReadersProbed + maxOthersProbed
 )
 
 // Neighbours are the instances that an instance has heard of other than through a view. It exchanges
@@ -29,21 +29,21 @@
 
 type neighbour struct {
 	*peerv1.Member
-	// heardAt is when the instance called or responded, zero if it never has.
-	heardAt time.Time
-	// toldAt is when another instance last named it.
-	toldAt time.Time
+	// respondedAt is when the instance called or responded, zero if it never has.
+	respondedAt time.Time
+	// namedAt is when another instance last named it.
+	namedAt time.Time
 }
 
-// hear records that an instance has called or responded.
-func (n *Neighbours) hear(m *peerv1.Member, now time.Time) {
-	n.add(neighbour{Member: m, heardAt: now}, now)
+// recordResponse records that an instance has called or responded.
+func (n *Neighbours) recordResponse(m *peerv1.Member, now time.Time) {
+	n.add(neighbour{Member: m, respondedAt: now}, now)
 }
 
-// learn records the instances that another one has heard lately.
-func (n *Neighbours) learn(list []*peerv1.Member, now time.Time) {
+// recordNamed records the instances that another one has named.
+func (n *Neighbours) recordNamed(list []*peerv1.Member, now time.Time) {
 	for _, m := range list {
-		n.add(neighbour{Member: m, toldAt: now}, now)
+		n.add(neighbour{Member: m, namedAt: now}, now)
 	}
 }
 
@@ -61,21 +61,21 @@
 	if n.list == nil {
 		n.list = make(map[string]neighbour)
 	}
-	if x.heardAt.IsZero() {
-		x.heardAt = old.heardAt
-		if !old.heardAt.IsZero() {
+	if x.respondedAt.IsZero() {
+		x.respondedAt = old.respondedAt
+		if !old.respondedAt.IsZero() {
 			x.Member = old.Member // from the instance itself
 		}
 	}
-	if x.toldAt.IsZero() {
-		x.toldAt = old.toldAt
+	if x.namedAt.IsZero() {
+		x.namedAt = old.namedAt
 	}
 	n.list[x.GetInstance()] = x
 }
 
 func (n *Neighbours) sweepLocked(now time.Time) {
 	for name, x := range n.list {
-		if now.Sub(x.heardAt) > neighbourTTL && now.Sub(x.toldAt) > neighbourTTL {
+		if now.Sub(x.respondedAt) > neighbourTTL && now.Sub(x.namedAt) > neighbourTTL {
 			delete(n.list, name)
 		}
 	}
@@ -96,9 +96,9 @@
 	return out
 }
 
-// told returns a random sample of the neighbours that were heard within memberTTL, and the caller
+// sample returns some neighbours at random that have called or responded within memberTTL, and the caller
 // unless it should report itself again.
-func (n *Neighbours) told(caller string, now time.Time) []*peerv1.Member {
+func (n *Neighbours) sample(caller string, now time.Time) []*peerv1.Member {
 	if n == nil {
 		return nil
 	}
@@ -106,14 +106,14 @@
 	defer n.mu.Unlock()
 	var out []*peerv1.Member
 	for _, x := range n.list {
-		if now.Sub(x.heardAt) < memberTTL {
+		if now.Sub(x.respondedAt) < memberTTL {
 			out = append(out, x.Member)
 		}
 	}
 	rand.Shuffle(len(out), func(i, j int) { out[i], out[j] = out[j], out[i] })
-	out = out[:min(len(out), maxNeighboursTold)]
+	out = out[:min(len(out), maxNeighboursNamed)]
 	out = slices.DeleteFunc(out, func(m *peerv1.Member) bool { return m.GetInstance() == caller })
-	if x, ok := n.list[caller]; ok && now.Sub(x.heardAt) < memberTTL/2 {
+	if x, ok := n.list[caller]; ok && now.Sub(x.respondedAt) < memberTTL/2 {
 		out = append(out, x.Member)
 	}
 	return out
@@ -124,7 +124,7 @@
 func (s *Server) Report(_ context.Context, r *peerv1.ReportRequest) (*peerv1.ReportResponse, error) {
 	now := time.Now()
 	if !s.IsHolder() {
-		s.Neighbours.hear(r.GetMember(), now)
+		s.Neighbours.recordResponse(r.GetMember(), now)
 		s.Losses.MergeExchanged(decodeLosses(r.GetLosses(), s.Log), now)
 		return &peerv1.ReportResponse{}, nil
 	}
--- a/internal/syncer/neighbour_test.go
+++ b/internal/syncer/neighbour_test.go
@@ -79,7 +79,7 @@
 	lost := losstracker.Loss{Fingerprint: 7, Incarnation: registrar.Incarnation{ID: "e1", StartedAtMs: 1}}
 	b.Losses.Begin(lost.Incarnation, lost.Fingerprint).End(losstracker.Broken, time.Now())
 	var wg sync.WaitGroup
-	require.Equal(t, 1, b.sendLosses(t.Context(), b.membersToTell(), &wg, callTimeout))
+	require.Equal(t, 1, b.sendLosses(t.Context(), b.membersForLosses(), &wg, callTimeout))
 	wg.Wait()
 	require.Equal(t, []losstracker.Loss{lost}, a.Losses.Recent(time.Now()))
 	require.Empty(t, conductor.Losses.Recent(time.Now()), "it gets a report, with the demand")
@@ -105,16 +105,16 @@
 	c := newPeer(t, "seed", "192.0.2.1:1")
 	for n := range 2 * maxNeighbours {
 		name := fmt.Sprint("edge-", n)
-		c.Neighbours.hear(&peerv1.Member{Instance: name, PeerAddress: name + ":1"}, now)
+		c.Neighbours.recordResponse(&peerv1.Member{Instance: name, PeerAddress: name + ":1"}, now)
 	}
 	require.Len(t, c.Neighbours.known(now), maxNeighbours)
-	told := c.Neighbours.told("edge-7", now)
-	require.LessOrEqual(t, len(told), maxNeighboursTold+1)
+	told := c.Neighbours.sample("edge-7", now)
+	require.LessOrEqual(t, len(told), maxNeighboursNamed+1)
 	require.Equal(t, "edge-7", told[len(told)-1].GetInstance(), "it need not report itself")
-	require.Len(t, c.Neighbours.told("", now), maxNeighboursTold)
+	require.Len(t, c.Neighbours.sample("", now), maxNeighboursNamed)
 	c.Lease.Observe(leaser.Claim{Holder: "x", Incarnation: "x1", Address: "192.0.2.2:1"})
 	require.Len(t, c.peersToProbe(now), maxReadersProbed+maxOthersProbed+1, "one seed, or where the last conductor was")
-	require.Empty(t, c.Neighbours.told("edge-7", now.Add(memberTTL)), "they may be gone")
+	require.Empty(t, c.Neighbours.sample("edge-7", now.Add(memberTTL)), "they may be gone")
 	require.Empty(t, c.Neighbours.known(now.Add(neighbourTTL+time.Millisecond)))
 }
 
--- a/internal/syncer/probe.go
+++ b/internal/syncer/probe.go
@@ -84,7 +84,7 @@
 		numPeers := 0
 		switch {
 		case isAwoken && c.HasConductor():
-			numPeers = c.sendLosses(ctx, c.membersToTell(), &wg, maxExchangeWait)
+			numPeers = c.sendLosses(ctx, c.membersForLosses(), &wg, maxExchangeWait)
 		case isAwoken:
 			numPeers = c.sendLosses(ctx, c.peersToProbe(time.Now()), &wg, maxExchangeWait)
 		case isDue && !c.HasConductor() && !c.areProbesLate():
@@ -209,8 +209,8 @@
 	return losses
 }
 
-// membersToTell returns some members other than the conductor.
-func (c *Client) membersToTell() []*peerv1.Member {
+// membersForLosses returns some members other than the conductor.
+func (c *Client) membersForLosses() []*peerv1.Member {
 	conductor := c.Lease.Newest().Holder
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -336,8 +336,8 @@
 	c.Upstreams.MergeBrittle(decodeBrittle(v.GetBrittle()), now)
 	c.Upstreams.MergeRestarts(decodeRestarts(v.GetRestarts()), now)
 	if !v.GetIsConductor() && len(v.GetMembers()) > 0 { // an earlier build names none
-		c.Neighbours.hear(v.GetMembers()[0], now)
-		c.Neighbours.learn(v.GetMembers()[1:], now)
+		c.Neighbours.recordResponse(v.GetMembers()[0], now)
+		c.Neighbours.recordNamed(v.GetMembers()[1:], now)
 	}
 	if m.GetInstance() == "" {
 		return
--- a/internal/syncer/server.go
+++ b/internal/syncer/server.go
@@ -265,7 +265,7 @@
 	}
 	v := s.View(r.GetInstance(), responseNumber, now)
 	if !v.GetIsConductor() && r.GetWantsMembers() {
-		v.Members = append(v.Members, s.Neighbours.told(r.GetInstance(), now)...)
+		v.Members = append(v.Members, s.Neighbours.sample(r.GetInstance(), now)...)
 	}
 	return v, nil
 }
