--- a/review/standin/instance.go
+++ b/review/standin/instance.go
@@ -143,8 +143,8 @@
 }
 
 func (i *instance) kill() {
-	if i.cmd == nil {
-		return
+	if i.ended == nil {
+		return // it was never started
 	}
 	i.signal(syscall.SIGCONT)
 	i.signal(syscall.SIGKILL)
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -84,6 +84,8 @@
 
 type notRun struct{ err error }
 
+func (n notRun) String() string { return n.err.Error() }
+
 // check ends a case that cannot run.
 func check(err error) {
 	if err != nil {
