losstracker, relayer: log what was known when a broken attempt began

A line of a broken attempt did not say whether the attempt knew of earlier losses of its content, so upstreams that crash together could not be told from a request that crashes one upstream after the other. known-losses says it.

--- a/internal/losstracker/attempt.go
+++ b/internal/losstracker/attempt.go
@@ -29,6 +29,7 @@
 	incarnation registrar.Incarnation
 	fingerprint uint64 // of the content
 	repeat      int    // see Loss.Repeat
+	known       int    // losses of the content that counted when the attempt began
 	parts       []partMark
 	hasSurvived bool // see RecordSurvival
 	// isContinuation says that the attempt is for the rest of a stream.
@@ -77,6 +78,7 @@
 	a := &Attempt{tracker: t, incarnation: i, fingerprint: content}
 	if r, ok := t.requests.Peek(content); ok {
 		a.repeat = r.numRepeats(i)
+		a.known, _ = r.numLosses()
 	}
 	for _, p := range parts {
 		m := partMark{fingerprint: p, round: 1}
@@ -94,6 +96,10 @@
 	return a
 }
 
+// KnownLosses returns how many losses of the content counted when the attempt began. Losses of
+// attempts that knew of none may have one cause, a crash of several upstreams.
+func (a *Attempt) KnownLosses() int { return a.known }
+
 // RecordSurvival records that the upstream has gone on after it began its response, so no
 // part of the request crashes upstreams.
 func (a *Attempt) RecordSurvival(now time.Time) {
