trier, losstracker, relayer: a refused content is tried again, three times over all instances

What callers saw: three upstreams crash together once while they run one popular request.

Cause: a verdict that keeps itself true. Only a request that runs to its end refutes the losses of its content, and a refused content does not run. The losses are saved, so a restart keeps them; only an hour ended the state. The crash of several upstreams at one moment is the trigger (all broken attempts knew of no losses), not the cause: a rack that fails one upstream after the other is refused as long.

Now one request with the content is sent 2 s after the latest loss, and others 8 s and 32 s after the trial before. Each trial is claimed before it is sent, by an append to the log that fails if the log has changed since the count was read, so a poison request gets three trials over all instances, restarts and changes of the holder. A claim whose result is not known counts and is not used.

--- a/cmd/primrosedrift/entry.go
+++ b/cmd/primrosedrift/entry.go
@@ -70,7 +70,7 @@
 		StopGrace: s.Grace, AddressTTL: s.ResolveLife, MaxDrainDelay: s.Drain, MaxApplyDelay: s.Apply, RevokeAfter: s.RevokeAfter, MinOrderGap: s.OrderGap,
 		RetryRatio: s.RetryShare, RetryReserve: s.RetryReserve,
 		QuotaWindow: s.QuotaWindow, QuotaOverage: s.QuotaOverage, QuotaSlack: s.QuotaSlack,
-		ConfigTopic: store.ConfigTopic(), UpstreamTopic: store.UpstreamTopic(), LeaseStore: store.LeaseStore(), PoisonStore: store.PoisonStore(),
+		ConfigTopic: store.ConfigTopic(), UpstreamTopic: store.UpstreamTopic(), LeaseStore: store.LeaseStore(), PoisonStore: store.PoisonStore(), TrialStore: store.TrialStore(),
 		SoftwareStore: store.SoftwareStore(), OriginStore: store.OriginStore(),
 		IsOlderConfig: platform.IsOlderConfig, IsOlderRegistration: platform.IsOlderRegistration,
 		DecodeConfig: platform.DecodeConfig, DecodeUpstream: platform.DecodeUpstream, Codec: platform.Codec(),
--- a/internal/assembler/assembler.go
+++ b/internal/assembler/assembler.go
@@ -4,6 +4,7 @@
 	"context"
 	cryptorand "crypto/rand"
 	"io"
+	"math/rand/v2"
 	"net/http"
 	"runtime/debug"
 	"sync"
@@ -34,6 +35,7 @@
 	"github.com/primrosedrift/primrosedrift/internal/stopper"
 	"github.com/primrosedrift/primrosedrift/internal/streamtracker"
 	"github.com/primrosedrift/primrosedrift/internal/syncer"
+	"github.com/primrosedrift/primrosedrift/internal/trier"
 	"github.com/primrosedrift/primrosedrift/internal/verifier"
 	peerv1 "github.com/primrosedrift/primrosedrift/pkg/api/peer/v1"
 )
@@ -117,6 +119,7 @@
 	queue            *queuer.Queue
 	losses           *losstracker.Tracker
 	poisonSaver      *losstracker.Saver
+	trier            *trier.Trier
 	streams          *streamtracker.Keeper
 	links            *linkwatcher.Watcher
 	refresher        *refresher.Refresher
@@ -153,6 +156,13 @@
 	return a
 }
 
+// minTrialDelay and trialDelaySpread are how much later than the holder of the lease the other instances
+// claim trials of refused contents. Hundreds of them may get requests with one.
+const (
+	minTrialDelay    = time.Second
+	trialDelaySpread = 4 * time.Second
+)
+
 // newIncarnation returns the name of a run of the instance's process. It contains the
 // name of the instance, because instances that start at the same moment may draw the
 // same random numbers.
@@ -201,6 +211,8 @@
 	a.queue.ConductorSilence = func() time.Duration { return a.client.ViewAge() }
 	a.queue.Table.DataCentre, a.queue.Table.IsBrittle = a.DataCentre, a.upstreamTable.IsBrittle
 	a.retryBudgets = &retrier.Budgets{Ratio: usedRetryFraction * a.RetryRatio, Reserve: usedReserveFraction * a.RetryReserve / minReserveMembers, StartsEmpty: true}
+	a.trier = &trier.Trier{Store: a.TrialStore, Log: a.Log.Named("trier"), Metrics: trier.NewMetrics(a.registry)}
+	a.losses.OnTrialsOver = a.trier.Reset
 	remote := a.NewRemote(a.pool)
 	a.relayer = &relayer.Relayer{
 		Verifier: &verifier.Verifier{Upstreams: a.upstreamTable, Log: a.Log.Named("verifier"), Metrics: verifier.NewMetrics(a.registry), StartOf: func(ctx context.Context, u *registrar.Upstream) (int64, error) {
@@ -211,7 +223,8 @@
 		Codec: a.Codec, Config: a.config.Load, Upstreams: a.upstreamTable, Queue: a.queue, Pool: a.pool, RetryBudgets: a.retryBudgets,
 		Losses: a.losses, Streams: a.streams, Links: a.links, Peers: a.peersToHandOn, PeerOf: a.peerNamed,
 		PeerPool: &courier.Pool{IDHeader: a.Codec.IDHeader, UserTimeout: peerUserTimeout}, Log: a.Log.Named("relayer"), Metrics: relayer.NewMetrics(a.registry),
-		MayTry:         func() bool { return a.lease.IsHolder() },
+		MayTry:     func() bool { return a.lease.IsHolder() },
+		ClaimTrial: a.trier.Claim, TrialDelay: minTrialDelay + rand.N(trialDelaySpread),
 		ViewAge:        func() time.Duration { return a.client.ViewAge() },
 		ExchangeLosses: func(ctx context.Context, isSuspect bool) { a.client.ExchangeLosses(ctx, isSuspect) },
 		IsStopping:     a.isStopping.Load, IsClosed: a.isClosed.Load, Stop: &a.halt,
@@ -226,7 +239,7 @@
 	)
 	a.losses.OnChange = func(l losstracker.Loss, change losstracker.Change, known int) {
 		a.relayer.Metrics.RecordLoss(change)
-		a.Log.Named("losstracker").Info("loss "+string(change), zap.String("content", relayer.FormatFingerprint(l.Fingerprint)), zap.String("upstream", l.Incarnation.ID),
+		a.Log.Named("losstracker").Info("loss "+string(change), zap.String("content", losstracker.FormatFingerprint(l.Fingerprint)), zap.String("upstream", l.Incarnation.ID),
 			zap.Int64("born", l.Incarnation.StartedAtMs), zap.Bool("ended", l.IsConfirmed), zap.Int("round", l.Round), zap.Int("known", known))
 		switch {
 		case change == losstracker.Withdrawn:
@@ -392,7 +405,7 @@
 	defer end()
 	var wg sync.WaitGroup
 	for _, run := range []func(context.Context){
-		a.configFollower.Run, a.upstreamFollower.Run, a.queue.Run, a.lease.Run, a.conductor.Run, a.client.Run, a.quotas.Run, a.poisonSaver.Run, a.softwareSaver.Run, a.originSender.Run, a.originWriter.Run, a.links.Run, a.refresher.Run, a.sweepPeriodically, a.pauses.Run,
+		a.configFollower.Run, a.upstreamFollower.Run, a.queue.Run, a.lease.Run, a.conductor.Run, a.client.Run, a.quotas.Run, a.poisonSaver.Run, a.trier.Run, a.softwareSaver.Run, a.originSender.Run, a.originWriter.Run, a.links.Run, a.refresher.Run, a.sweepPeriodically, a.pauses.Run,
 	} {
 		wg.Go(func() { run(work) })
 	}
--- a/internal/assembler/deployment.go
+++ b/internal/assembler/deployment.go
@@ -14,6 +14,7 @@
 	"github.com/primrosedrift/primrosedrift/internal/registrar"
 	"github.com/primrosedrift/primrosedrift/internal/relayer"
 	"github.com/primrosedrift/primrosedrift/internal/streamtracker"
+	"github.com/primrosedrift/primrosedrift/internal/trier"
 )
 
 // Deployment configures one instance for the platform on which it is deployed:
@@ -57,6 +58,7 @@
 	ConfigTopic, UpstreamTopic follower.Topic
 	LeaseStore                 leaser.Store
 	PoisonStore                losstracker.Store
+	TrialStore                 trier.Store
 	SoftwareStore              streamtracker.Store
 	OriginStore                archiver.Store
 	DecodeConfig               func([]follower.Record) (*matcher.Config, error)
--- a/internal/losstracker/attempt.go
+++ b/internal/losstracker/attempt.go
@@ -13,6 +13,8 @@
 const (
 	// Completed means that the upstream responded, or did not run the request.
 	Completed Ending = iota
+	// Unsent means that nothing of the request was sent.
+	Unsent
 	// Succeeded means that the upstream ran the request to its end.
 	Succeeded
 	// Left means that the client left or its time was over while the upstream responded.
@@ -37,6 +39,7 @@
 	// hasEnded says that the incarnation has ended since the attempt began. Another
 	// incarnation may run the request.
 	hasEnded bool
+	trial    *Trial // nil unless the attempt is one
 }
 
 // partMark is what was known of a part when an attempt began.
@@ -64,13 +67,30 @@
 
 // TryBegin is Begin, unless the request is a poison request (see Find).
 func (t *Tracker) TryBegin(i registrar.Incarnation, content uint64, parts []uint64, mayTry bool, now time.Time) (*Attempt, Finding) {
+	return t.TryBeginTrial(i, content, parts, mayTry, nil, now)
+}
+
+// TryBeginTrial is TryBegin for a request that may have a trial, which uses it up if its content is
+// refused.
+func (t *Tracker) TryBeginTrial(i registrar.Incarnation, content uint64, parts []uint64, mayTry bool, trial *Trial, now time.Time) (*Attempt, Finding) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if f, isPoison := t.findLocked(content, parts, mayTry, now); isPoison {
+	if f, isRefused := t.findPartLocked(parts, mayTry, now); isRefused {
 		return nil, f
 	}
+	isTrial := false
+	if f, isRefused := t.findContentLocked(content, now); isRefused {
+		r, _ := t.requests.Peek(content)
+		if isTrial = trial.sendLocked(r); !isTrial {
+			return nil, f
+		}
+	}
 	t.recordTrialsLocked(parts, now)
-	return t.beginLocked(i, content, parts), Finding{}
+	a := t.beginLocked(i, content, parts)
+	if isTrial {
+		a.trial = trial
+	}
+	return a, Finding{}
 }
 
 func (t *Tracker) beginLocked(i registrar.Incarnation, content uint64, parts []uint64) *Attempt {
@@ -146,12 +166,17 @@
 		}
 	}
 	var events []event
+	var isTried bool
+	if e == Unsent && a.trial != nil {
+		a.trial.takeBackLocked()
+	}
 	switch e {
-	case Completed:
+	case Completed, Unsent:
 		if a.hasEnded {
 			events = a.refuteOwnLocked(now)
 		}
 	case Succeeded:
+		isTried = t.isTriedLocked(a.fingerprint)
 		events = append(a.surviveLocked(now), t.refuteLocked(a.fingerprint, now)...)
 	default:
 		l := loss{Loss: Loss{Incarnation: a.incarnation}, learnedAt: now, isOwn: true}
@@ -159,6 +184,9 @@
 	}
 	t.mu.Unlock()
 	t.notify(events)
+	if isTried && t.OnTrialsOver != nil {
+		t.OnTrialsOver(a.fingerprint)
+	}
 }
 
 // refuteOwnLocked takes back the loss that was added when the incarnation ended.
--- a/internal/losstracker/doc.go
+++ b/internal/losstracker/doc.go
@@ -22,6 +22,10 @@
 //   - A request that runs to its end is no poison request: its losses so far are refuted.
 //     Many callers may send the same content, which then runs on every upstream that
 //     ends. All instances that know these losses are told.
+//   - A request with a refused content is sent again at most three times, over all instances and
+//     their restarts, as a trial that package trier claims in the platform's log: a content that is
+//     refused everywhere could not be refuted otherwise. Upstreams that crash together accuse every
+//     content that ran on three of them.
 //   - A part of a prompt is lost with an attempt whose response has not begun. A response
 //     that has begun, on an upstream that goes on, refutes the losses of all parts of its
 //     request. So most parts of the requests that one crash breaks are acquitted at once.
@@ -37,7 +41,7 @@
 //     deadly, or ever was.
 //   - Losses are merged, never replaced: a message that comes late or from an earlier
 //     conductor cannot take back a later one.
-//   - Losses of a request count until lossTTL after the latest of them.
+//   - Losses of a request count until LossTTL after the latest of them.
 //   - A poison request is kept in the platform's log, at once, by the instances that
 //     observed its losses and by the conductor, and read by each instance that starts.
 //     It is removed when it is none any more.
--- a/internal/losstracker/exchange.go
+++ b/internal/losstracker/exchange.go
@@ -45,7 +45,7 @@
 	if t.reporting.conductor != conductor {
 		t.reporting.conductor = conductor
 		for _, r := range t.requests.Values() {
-			if now.Sub(r.latestAt) > lossTTL {
+			if now.Sub(r.latestAt) > LossTTL {
 				continue
 			}
 			for _, l := range r.losses {
@@ -60,7 +60,7 @@
 		if len(out) == maxReported {
 			break
 		}
-		if r, ok := t.requests.Peek(l.Fingerprint); !ok || now.Sub(r.latestAt) > lossTTL {
+		if r, ok := t.requests.Peek(l.Fingerprint); !ok || now.Sub(r.latestAt) > LossTTL {
 			delete(t.reporting.unreported, k)
 			continue
 		}
@@ -204,7 +204,7 @@
 // sharedLossesLocked returns the losses of a shared request that others are told, and stops sharing it if
 // all are refuted.
 func (t *Tracker) sharedLossesLocked(fingerprint uint64, r *request, now time.Time) []*loss {
-	if now.Sub(r.latestAt) > lossTTL {
+	if now.Sub(r.latestAt) > LossTTL {
 		return nil
 	}
 	out := r.shareable(now)
--- a/internal/losstracker/loss.go
+++ b/internal/losstracker/loss.go
@@ -53,6 +53,8 @@
 	// numTrials and triedAt are of the trials by this instance since it knows the part.
 	numTrials int
 	triedAt   time.Time
+	// trials are those of a content.
+	trials contentTrials
 	// isOwn says that this instance observed one of them.
 	isOwn bool
 	// sharedAt is the Tracker.sharedVersion of the last change that others are told.
--- a/internal/losstracker/losstracker.go
+++ b/internal/losstracker/losstracker.go
@@ -10,6 +10,9 @@
 	"github.com/primrosedrift/primrosedrift/internal/registrar"
 )
 
+// LossTTL is how long the losses of a request count after the latest of them.
+const LossTTL = time.Hour
+
 const (
 	// PoisonThreshold is the number of losses from which on a request is a poison
 	// request. Two may be a coincidence when several upstreams crash at once.
@@ -22,8 +25,6 @@
 	maxRequests = 4096
 	// maxLosses bounds the losses that are kept of a content.
 	maxLosses = 8
-	// lossTTL is how long the losses of a request count after the latest of them.
-	lossTTL = time.Hour
 	// refutationTTL is how long other instances are told that a loss is refuted.
 	refutationTTL = 30 * time.Second
 )
@@ -37,6 +38,8 @@
 	// OnChange, if set, is called after a loss is added or has changed. known is the
 	// number of losses of the request that count.
 	OnChange func(l Loss, c Change, known int)
+	// OnTrialsOver, if set, is called when a request with a content that was tried has run to its end.
+	OnTrialsOver func(content uint64)
 
 	mu       sync.Mutex
 	running  map[registrar.Incarnation]map[*Attempt]struct{}
@@ -75,7 +78,7 @@
 	if !ok {
 		return nil
 	}
-	if now.Sub(r.latestAt) > lossTTL {
+	if now.Sub(r.latestAt) > LossTTL {
 		t.requests.Remove(fingerprint)
 		return nil
 	}
@@ -254,6 +257,9 @@
 
 func (t *Tracker) refuteLossLocked(r *request, l *loss, now time.Time) {
 	l.IsRefuted, l.refutedAt = true, now
+	if counted, _ := r.numLosses(); counted == 0 {
+		r.trials.count, r.trials.latestAt = 0, time.Time{}
+	}
 	t.indexLocked(r, l.Loss)
 	if l.isExchanged {
 		t.reporting.unreported[keyOf(l.Loss)] = l.Loss
--- a/internal/losstracker/losstracker_test.go
+++ b/internal/losstracker/losstracker_test.go
@@ -103,13 +103,13 @@
 func TestLossesExpireAfterTheLatest(t *testing.T) {
 	tr := newTracker()
 	for n := range 20 {
-		now := start.Add(time.Duration(n) * lossTTL * 3 / 4)
+		now := start.Add(time.Duration(n) * LossTTL * 3 / 4)
 		tr.Begin(inc(n), poison).End(Broken, now)
 		tr.RecordEnd(inc(n), now)
-		counted, _ := tr.Losses(poison, now.Add(lossTTL))
+		counted, _ := tr.Losses(poison, now.Add(LossTTL))
 		require.Equal(t, min(n+1, maxLosses), counted, "each further loss renews the earlier ones")
 	}
-	require.Equal(t, [2]int{0, 0}, tr.counts(poison, start.Add(20*lossTTL)))
+	require.Equal(t, [2]int{0, 0}, tr.counts(poison, start.Add(20*LossTTL)))
 }
 
 // TestPopularRequestIsNotRefusedAfterSimultaneousEnds guards against the refusal of a
@@ -205,8 +205,8 @@
 	tr := newTracker()
 	tr.Begin(inc(1), poison).End(Broken, start)
 	require.Len(t, tr.Unreported("c1", start), 1)
-	require.Empty(t, tr.Unreported("c1", start.Add(lossTTL+1)))
-	require.Empty(t, tr.Unreported("c2", start.Add(lossTTL+1)))
+	require.Empty(t, tr.Unreported("c1", start.Add(LossTTL+1)))
+	require.Empty(t, tr.Unreported("c2", start.Add(LossTTL+1)))
 }
 
 // TestStreamThatMakesProgressIsNoPoison guards against a stream that is refused after three
--- a/internal/losstracker/part.go
+++ b/internal/losstracker/part.go
@@ -219,6 +219,9 @@
 	Counted, Confirmed int
 	// IsCertain says that the confirmed ones suffice.
 	IsCertain bool
+	// UntilTrial is the time until a request with the content may be sent again as a trial, the
+	// greatest duration if none is left. It is 0 for a part.
+	UntilTrial time.Duration
 }
 
 // Find reports whether a request with a content and parts is a poison request, which must
@@ -230,6 +233,23 @@
 }
 
 func (t *Tracker) findLocked(content uint64, parts []uint64, mayTry bool, now time.Time) (Finding, bool) {
+	if f, isRefused := t.findContentLocked(content, now); isRefused {
+		return f, true
+	}
+	return t.findPartLocked(parts, mayTry, now)
+}
+
+func (t *Tracker) findContentLocked(content uint64, now time.Time) (Finding, bool) {
+	r := t.requestLocked(content, now)
+	if r == nil || !r.isPoison() {
+		return Finding{}, false
+	}
+	f := newFinding(r, content)
+	f.UntilTrial = max(0, r.untilTrial(now))
+	return f, true
+}
+
+func (t *Tracker) findPartLocked(parts []uint64, mayTry bool, now time.Time) (Finding, bool) {
 	var first Finding
 	var found []*request
 	for n, p := range parts {
@@ -240,9 +260,6 @@
 			}
 		}
 	}
-	if r := t.requestLocked(content, now); r != nil && r.isPoison() {
-		return newFinding(r, content), true
-	}
 	for _, r := range found {
 		if !mayTry || !r.isTrialDue(len(found), now) {
 			return first, true
--- a/internal/losstracker/part_test.go
+++ b/internal/losstracker/part_test.go
@@ -44,7 +44,7 @@
 	require.True(t, isPoison)
 	require.Equal(t, Finding{Fingerprint: deadly, IsPart: true, Part: 2, Counted: 3}, f)
 	require.False(t, tr.isPoison(start, first, subject), "the other parts began before")
-	require.False(t, tr.isPoison(start.Add(lossTTL+1), deadly))
+	require.False(t, tr.isPoison(start.Add(LossTTL+1), deadly))
 }
 
 // crashTogether plays a crash of many upstreams with a request each.
@@ -266,7 +266,7 @@
 			threshold = RelapseThreshold
 		}
 		numSent := 0
-		for now := start; now.Before(start.Add(lossTTL)); now = now.Add(time.Second) {
+		for now := start; now.Before(start.Add(LossTTL)); now = now.Add(time.Second) {
 			if a, _ := tr.TryBegin(inc(numSent), uint64(now.UnixNano()), []uint64{deadly}, true, now); a != nil {
 				numSent++
 				a.End(Broken, now)
@@ -403,7 +403,7 @@
 	tr := newTracker()
 	tr.crashTogether(WideThreshold, start, deadly)
 	var sent []time.Duration
-	for now := start; now.Before(start.Add(lossTTL)); now = now.Add(time.Second) {
+	for now := start; now.Before(start.Add(LossTTL)); now = now.Add(time.Second) {
 		if a, _ := tr.TryBegin(inc(50), uint64(now.UnixNano()), []uint64{deadly}, true, now); a != nil {
 			sent = append(sent, now.Sub(start))
 			a.End(Completed, now)
--- a/internal/losstracker/saver.go
+++ b/internal/losstracker/saver.go
@@ -15,7 +15,7 @@
 	// minSaveInterval is the least time between two calls that save poison requests.
 	minSaveInterval = 100 * time.Millisecond
 	// tidyInterval is the time between two removals of old poison requests by the holder.
-	tidyInterval = lossTTL / 4
+	tidyInterval = LossTTL / 4
 	// loadRetryInterval is the time between two attempts to load the saved ones, and
 	// between two checks for requests that could not be saved.
 	loadRetryInterval = 2 * time.Second
@@ -229,7 +229,7 @@
 	t.mu.Lock()
 	var events []event
 	for _, p := range list {
-		if age := now.Sub(p.At); age.Abs() > lossTTL { // one from the future would never expire
+		if age := now.Sub(p.At); age.Abs() > LossTTL { // one from the future would never expire
 			expired = append(expired, Poison{Fingerprint: p.Fingerprint})
 			continue
 		}
--- a/internal/losstracker/saver_test.go
+++ b/internal/losstracker/saver_test.go
@@ -229,7 +229,7 @@
 func TestExpiredPoisonRequestsAreRemovedByTheHolder(t *testing.T) {
 	f := newFleet(2)
 	f.saved = map[uint64]Poison{
-		poison: {Fingerprint: poison, Losses: []Loss{{Fingerprint: poison, Incarnation: inc(1), IsConfirmed: true}}, At: start.Add(-2 * lossTTL)}, 8: {Fingerprint: 8, Losses: []Loss{{Fingerprint: 8, Incarnation: inc(1), IsConfirmed: true}}, At: start},
+		poison: {Fingerprint: poison, Losses: []Loss{{Fingerprint: poison, Incarnation: inc(1), IsConfirmed: true}}, At: start.Add(-2 * LossTTL)}, 8: {Fingerprint: 8, Losses: []Loss{{Fingerprint: 8, Incarnation: inc(1), IsConfirmed: true}}, At: start},
 	}
 	f.start(t, 1, start)
 	require.Len(t, f.saved, 2)
@@ -310,11 +310,11 @@
 func TestExpiredPoisonRequestsAreRemovedByALaterHolder(t *testing.T) {
 	f := newFleet(1)
 	isHolder := false
-	f.saved = map[uint64]Poison{poison: {Fingerprint: poison, Losses: []Loss{{Fingerprint: poison, Incarnation: inc(1)}}, At: start.Add(-2 * lossTTL)}}
+	f.saved = map[uint64]Poison{poison: {Fingerprint: poison, Losses: []Loss{{Fingerprint: poison, Incarnation: inc(1)}}, At: start.Add(-2 * LossTTL)}}
 	f.start(t, 0, start)
 	s := f.savers[0]
 	s.IsHolder = func() bool { return isHolder }
-	f.saved[poison] = Poison{Fingerprint: poison, Losses: []Loss{{Fingerprint: poison, Incarnation: inc(1)}}, At: start.Add(-2 * lossTTL)}
+	f.saved[poison] = Poison{Fingerprint: poison, Losses: []Loss{{Fingerprint: poison, Incarnation: inc(1)}}, At: start.Add(-2 * LossTTL)}
 	numLoads := 0
 	load := s.Store.Load
 	s.Store.Load = func(ctx context.Context) ([]Poison, []error, error) {
@@ -332,6 +332,6 @@
 	s.tidy(t.Context(), start.Add(time.Minute))
 	require.Equal(t, 2, numLoads, "not again at once")
 	f.saved[8] = Poison{Fingerprint: 8, Losses: []Loss{{Fingerprint: 8, Incarnation: inc(1)}}, At: start}
-	s.tidy(t.Context(), start.Add(lossTTL+1))
+	s.tidy(t.Context(), start.Add(LossTTL+1))
 	require.Empty(t, f.saved, "those that expire while the lease is held")
 }
--- a/internal/relayer/attempt.go
+++ b/internal/relayer/attempt.go
@@ -107,7 +107,7 @@
 	}
 	c.Metrics.attempts.WithLabelValues(c.admission.Service, "failed").Inc()
 	c.Log.Info("attempt failed", zap.String("request", c.requestInfo.ID), zap.String("upstream", u.ID), zap.String("software", u.Software),
-		zap.String("content", FormatFingerprint(c.fingerprint)), zap.Int("known-losses", c.tracked.KnownLosses()), zap.Int64("born", u.StartedAtMs), zap.Int64("orders", u.NumOrders),
+		zap.String("content", losstracker.FormatFingerprint(c.fingerprint)), zap.Int("known-losses", c.tracked.KnownLosses()), zap.Int64("born", u.StartedAtMs), zap.Int64("orders", u.NumOrders),
 		zap.Bool("not-run", res.isNotRun), zap.Bool("left", isCanceled && !stopper.HasEnded(ctx)),
 		zap.Strings("parts", c.loggedParts()), zap.Int("events", c.stream.numEvents-eventsBefore), zap.Duration("since-event", c.stream.sinceEvent()), zap.String("why", res.reason), zap.Duration("took", time.Since(began)))
 	if ending == losstracker.Broken && c.ExchangeLosses != nil {
@@ -124,6 +124,8 @@
 	switch {
 	case res.isForwarded && !res.hasFailed && c.reply.status < http.StatusMultipleChoices:
 		return losstracker.Succeeded
+	case res.isUnsent || res.isWithheld:
+		return losstracker.Unsent
 	case res.isNotRun || res.isComplete || res.isForwarded && !res.hasFailed:
 		return losstracker.Completed
 	case isCanceled || !res.hasFailed:
--- a/internal/relayer/finish.go
+++ b/internal/relayer/finish.go
@@ -9,6 +9,7 @@
 	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
 
+	"github.com/primrosedrift/primrosedrift/internal/losstracker"
 	"github.com/primrosedrift/primrosedrift/pkg/verdict"
 )
 
@@ -70,7 +71,7 @@
 		fields = append(fields, zap.Int64("config", c.cfg.Version))
 	}
 	if err != nil && c.fingerprint != 0 {
-		fields = append(fields, zap.String("content", FormatFingerprint(c.fingerprint)))
+		fields = append(fields, zap.String("content", losstracker.FormatFingerprint(c.fingerprint)))
 	}
 	if err != nil {
 		fields = append(fields, zap.String("why", err.Error()))
--- a/internal/relayer/poison.go
+++ b/internal/relayer/poison.go
@@ -1,7 +1,7 @@
 package relayer
 
 import (
-	"strconv"
+	"context"
 	"time"
 
 	"github.com/primrosedrift/primrosedrift/internal/losstracker"
@@ -13,15 +13,37 @@
 // that time it is known whether the upstreams have ended.
 const suspectRetryAfter = time.Second
 
-// refusePoison returns a refusal if the request is a poison request, nil otherwise.
-func (c *call) refusePoison() error {
+// refusePoison returns a refusal if the request is a poison request and not a trial, nil otherwise.
+func (c *call) refusePoison(ctx context.Context) error {
 	f, isPoison := c.Losses.Find(c.fingerprint, c.parts, c.mayTry(), time.Now())
-	if !isPoison {
+	if !isPoison || !f.IsPart && (c.trial.CanSend() || c.claimTrial(ctx)) {
 		return nil
 	}
 	return c.refuseFinding(f)
 }
 
+// claimTrial makes the request a trial of its content if one is due and this instance reaches the
+// upstreams.
+func (c *call) claimTrial(ctx context.Context) bool {
+	if c.ClaimTrial == nil || c.trial != nil || c.numSends > 0 || len(c.peersToTry()) > 0 {
+		return false
+	}
+	delay := c.TrialDelay
+	if c.mayTry() {
+		delay = 0
+	}
+	trial, mustClaim, known := c.Losses.BeginTrial(c.fingerprint, c.parts, c.mayTry(), delay, time.Now())
+	if trial == nil {
+		return false
+	}
+	if mustClaim && !trial.SetClaim(c.ClaimTrial(ctx, c.fingerprint, known), time.Now()) {
+		trial.End()
+		return false
+	}
+	c.trial = trial
+	return true
+}
+
 func (c *call) mayTry() bool { return c.MayTry != nil && c.MayTry() }
 
 func (c *call) refuseFinding(f losstracker.Finding) error {
@@ -31,10 +53,11 @@
 	}
 	if f.IsPart {
 		return c.refuse(verdict.ReasonPoison, retryAfter, "upstreams ended or broke off %d times in succession before they began a response with part %s of the prompt, %d times for sure; content %s",
-			f.Counted, c.requestInfo.Parts[f.Part], f.Confirmed, FormatFingerprint(f.Fingerprint))
+			f.Counted, c.requestInfo.Parts[f.Part], f.Confirmed, losstracker.FormatFingerprint(f.Fingerprint))
 	}
+	retryAfter = min(retryAfter, max(f.UntilTrial, suspectRetryAfter))
 	return c.refuse(verdict.ReasonPoison, retryAfter, "%d upstreams ended or broke off while they ran this request, %d of them ended for sure; content %s",
-		f.Counted, f.Confirmed, FormatFingerprint(f.Fingerprint))
+		f.Counted, f.Confirmed, losstracker.FormatFingerprint(f.Fingerprint))
 }
 
 // fingerprint identifies the content of a request, independent of its id, its client and
@@ -59,6 +82,3 @@
 func (c *call) loggedParts() []string {
 	return c.requestInfo.Parts[:min(len(c.requestInfo.Parts), maxLoggedParts)]
 }
-
-// FormatFingerprint returns the fingerprint of a request as it stands in logs.
-func FormatFingerprint(f uint64) string { return strconv.FormatUint(f, 16) }
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -137,6 +137,10 @@
 	// MayTry, if set, reports whether this instance tries whether a part of a prompt still
 	// crashes upstreams. It must return true at one instance only.
 	MayTry func() bool
+	// ClaimTrial, if set, claims a trial of a refused content, of which known are known. TrialDelay is
+	// how much later than the instance at which MayTry holds this one does so.
+	ClaimTrial func(ctx context.Context, content uint64, known int) losstracker.Claim
+	TrialDelay time.Duration
 	// ExchangeLosses, if set, returns when other instances know the losses that this one knows, or
 	// after a while, which is short unless isSuspect says that another loss matters.
 	ExchangeLosses func(ctx context.Context, isSuspect bool)
@@ -169,6 +173,7 @@
 	fingerprint uint64   // of the content
 	parts       []uint64 // fingerprints of the parts
 	tracked     *losstracker.Attempt
+	trial       *losstracker.Trial // nil unless the request is one
 
 	reply          reply
 	clientConn     *net.TCPConn // nil if it is not known
@@ -212,6 +217,7 @@
 		c.startProgress(ctx)
 		defer c.reply.progress.stop()
 		err = c.serve(ctx)
+		c.trial.End()
 	}
 	if err == nil {
 		c.recordStreamEnd()
@@ -334,7 +340,7 @@
 		if err := c.checkKey(ctx); err != nil {
 			return err
 		}
-		if err := c.refusePoison(); err != nil {
+		if err := c.refusePoison(ctx); err != nil {
 			return err
 		}
 		if c.reply.hasBegun() {
@@ -386,7 +392,7 @@
 		}
 		// More losses may have become known while the request waited.
 		var found losstracker.Finding
-		if c.tracked, found = c.Losses.TryBegin(slot.Upstream.Incarnation(), c.fingerprint, c.parts, c.mayTry(), time.Now()); c.tracked == nil {
+		if c.tracked, found = c.Losses.TryBeginTrial(slot.Upstream.Incarnation(), c.fingerprint, c.parts, c.mayTry(), c.trial, time.Now()); c.tracked == nil {
 			slot.Release()
 			return c.refuseFinding(found)
 		}
