versioner, streamtracker, relayer: streams from an outage of the log go on after all instances ended

What callers saw: the log is down, two software versions serve, and streams begin. All instances are killed and are back.

Cause: which version began a stream is known to processes only while the log takes no records. The lines 'origins of streams not saved' name the streams, and all homes answer without knowing them.

Now the log holds a default version for each model beforehand (package versioner). A stream that begins at another version has its record before its first event; while no record can be saved, streams begin at the default version alone, at a process that is known to be the registered one. So a stream that nobody knows began at the default version. That counts only for a table that is trusted, has no former version, and is of the present era of the log. Members state that they follow default versions, and a fleet with an earlier build has no trusted table.

Calls of Resolve name the model.

--- a/cmd/primrosedrift/entry.go
+++ b/cmd/primrosedrift/entry.go
@@ -71,7 +71,7 @@
 		RetryRatio: s.RetryShare, RetryReserve: s.RetryReserve,
 		QuotaWindow: s.QuotaWindow, QuotaOverage: s.QuotaOverage, QuotaSlack: s.QuotaSlack,
 		ConfigTopic: store.ConfigTopic(), UpstreamTopic: store.UpstreamTopic(), LeaseStore: store.LeaseStore(), PoisonStore: store.PoisonStore(), TrialStore: store.TrialStore(),
-		SoftwareStore: store.SoftwareStore(), OriginStore: store.OriginStore(),
+		SoftwareStore: store.SoftwareStore(), OriginStore: store.OriginStore(), DefaultsStore: store.DefaultsStore(),
 		IsOlderConfig: platform.IsOlderConfig, IsOlderRegistration: platform.IsOlderRegistration,
 		DecodeConfig: platform.DecodeConfig, DecodeUpstream: platform.DecodeUpstream, Codec: platform.Codec(),
 		NewRemote:           func(p *courier.Pool) conductor.Remote { return platform.NewRemote(p, s.Instance) },
--- a/internal/archiver/reader.go
+++ b/internal/archiver/reader.go
@@ -58,6 +58,31 @@
 	}
 }
 
+// LoadSince makes the tracker know all origins that were saved before a time.
+func (r *Reader) LoadSince(ctx context.Context, at time.Time) error {
+	for {
+		r.mu.Lock()
+		if !r.loadedAt.Before(at) {
+			r.mu.Unlock()
+			return nil
+		}
+		if r.running == nil {
+			r.running = &load{done: make(chan struct{})}
+			go r.run(context.WithoutCancel(ctx), r.running)
+		}
+		l := r.running
+		r.mu.Unlock()
+		select {
+		case <-l.done:
+			if l.err != nil {
+				return l.err
+			}
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
 func (r *Reader) run(ctx context.Context, l *load) {
 	ctx, cancel := context.WithTimeout(ctx, loadTimeout)
 	defer cancel()
--- a/internal/archiver/sender.go
+++ b/internal/archiver/sender.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
 
 	"github.com/primrosedrift/primrosedrift/internal/logger"
@@ -22,10 +23,18 @@
 	// call. The holder waits for the log meanwhile.
 	retryInterval = 500 * time.Millisecond
 	sendTimeout   = 1500 * time.Millisecond
+	// slowSaveTime is the time without a response of the holder from which on it counts as failed.
+	slowSaveTime = 300 * time.Millisecond
+	// failureTime is how long a failure counts if no later call says otherwise. Nothing may be left to
+	// be sent.
+	failureTime = time.Second
 	// maxUnsaved bounds the origins that wait at an instance. The oldest are dropped.
 	maxUnsaved = 8192
 )
 
+// errNotStorable is returned for an origin whose texts are too long, or that nothing has proven.
+var errNotStorable = errors.New("the origin cannot be saved")
+
 // Sender sends the origins of an instance to the holder of the lease until they are saved. Its
 // exported fields must be set.
 type Sender struct {
@@ -39,11 +48,14 @@
 	mu      sync.Mutex
 	unsaved []unsaved
 	wake    chan struct{}
+	// failedAt is when the last call failed, zero if it did not, and sentAt is when the present one began.
+	failedAt, sentAt time.Time
 }
 
 type unsaved struct {
 	streamtracker.Origin
 	until time.Time
+	saved chan struct{} // closed once it is saved, nil if nobody waits for it
 }
 
 // Add saves origins soon.
@@ -52,14 +64,48 @@
 	s.mu.Lock()
 	for _, o := range list {
 		if isStorable(o) {
-			s.unsaved = append(s.unsaved, unsaved{o, now.Add(o.TTL)})
+			s.unsaved = append(s.unsaved, unsaved{Origin: o, until: now.Add(o.TTL)})
 		}
 	}
+	s.dropOldestLocked()
+	s.mu.Unlock()
+	s.notify()
+}
+
+// Save saves an origin and returns once it is saved.
+func (s *Sender) Save(ctx context.Context, o streamtracker.Origin) error {
+	if !isStorable(o) {
+		return errNotStorable
+	}
+	saved := make(chan struct{})
+	s.mu.Lock()
+	s.unsaved = append(s.unsaved, unsaved{o, time.Now().Add(o.TTL), saved})
+	s.dropOldestLocked()
+	s.mu.Unlock()
+	s.notify()
+	select {
+	case <-saved:
+		return nil
+	case <-ctx.Done():
+		return errors.Wrap(ctx.Err(), "origin not saved")
+	}
+}
+
+// IsSaving reports whether origins are saved, as far as the last call and the present one say.
+func (s *Sender) IsSaving() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return (s.failedAt.IsZero() || time.Since(s.failedAt) >= failureTime) && (s.sentAt.IsZero() || time.Since(s.sentAt) < slowSaveTime)
+}
+
+func (s *Sender) dropOldestLocked() {
 	if n := len(s.unsaved) - maxUnsaved; n > 0 {
 		s.unsaved = append([]unsaved(nil), s.unsaved[n:]...)
 		s.Metrics.origins.WithLabelValues("dropped").Add(float64(n))
 	}
-	s.mu.Unlock()
+}
+
+func (s *Sender) notify() {
 	select {
 	case s.wakeup() <- struct{}{}:
 	default:
@@ -102,18 +148,41 @@
 	}
 	sctx, cancel := context.WithTimeout(ctx, sendTimeout)
 	defer cancel()
-	if err := s.Send(sctx, out); err != nil {
+	s.beginCall()
+	err := s.Send(sctx, out)
+	s.endCall(err)
+	if err != nil {
 		s.Log.Info("origins of streams not saved", zap.Int("streams", len(out)), logger.Error(err))
 		s.Metrics.origins.WithLabelValues("failed").Add(float64(len(out)))
 		s.putBack(list)
 		sleeper.Sleep(ctx, retryInterval)
 		return true
 	}
+	for _, u := range list {
+		if u.saved != nil {
+			close(u.saved)
+		}
+	}
 	s.Metrics.origins.WithLabelValues("saved").Add(float64(len(out)))
 	sleeper.Sleep(ctx, max(minSendInterval, time.Duration(s.NumInstances())*sendIntervalPerInstance))
 	return true
 }
 
+func (s *Sender) beginCall() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.sentAt = time.Now()
+}
+
+func (s *Sender) endCall(err error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.sentAt, s.failedAt = time.Time{}, time.Time{}
+	if err != nil {
+		s.failedAt = time.Now()
+	}
+}
+
 // take removes a batch of origins that have not expired.
 func (s *Sender) take(now time.Time) (out []unsaved) {
 	s.mu.Lock()
--- a/internal/assembler/assembler.go
+++ b/internal/assembler/assembler.go
@@ -37,6 +37,7 @@
 	"github.com/primrosedrift/primrosedrift/internal/syncer"
 	"github.com/primrosedrift/primrosedrift/internal/trier"
 	"github.com/primrosedrift/primrosedrift/internal/verifier"
+	"github.com/primrosedrift/primrosedrift/internal/versioner"
 	peerv1 "github.com/primrosedrift/primrosedrift/pkg/api/peer/v1"
 )
 
@@ -113,29 +114,32 @@
 
 	numHandedOn atomic.Int64 // requests of peers that run here
 
-	registry         *prometheus.Registry
-	upstreamTable    *registrar.Table
-	pool             *courier.Pool
-	queue            *queuer.Queue
-	losses           *losstracker.Tracker
-	poisonSaver      *losstracker.Saver
-	trier            *trier.Trier
-	streams          *streamtracker.Keeper
-	links            *linkwatcher.Watcher
-	refresher        *refresher.Refresher
-	softwareSaver    *streamtracker.Saver
-	originSender     *archiver.Sender
-	originWriter     *archiver.Writer
-	retryBudgets     *retrier.Budgets
-	relayer          *relayer.Relayer
-	conductor        *conductor.Conductor
-	lease            *leaser.Lease
-	client           *syncer.Client
-	server           *syncer.Server
-	quotas           *syncer.Quotas
-	configFollower   *follower.Follower
-	upstreamFollower *follower.Follower
-	metrics          *metrics
+	registry           *prometheus.Registry
+	upstreamTable      *registrar.Table
+	pool               *courier.Pool
+	queue              *queuer.Queue
+	losses             *losstracker.Tracker
+	poisonSaver        *losstracker.Saver
+	trier              *trier.Trier
+	streams            *streamtracker.Keeper
+	links              *linkwatcher.Watcher
+	refresher          *refresher.Refresher
+	softwareSaver      *streamtracker.Saver
+	originSender       *archiver.Sender
+	originWriter       *archiver.Writer
+	defaults           *versioner.Follower
+	defaultsMaintainer *versioner.Maintainer
+	era                atomic.Int64 // newest known era of the platform's log
+	retryBudgets       *retrier.Budgets
+	relayer            *relayer.Relayer
+	conductor          *conductor.Conductor
+	lease              *leaser.Lease
+	client             *syncer.Client
+	server             *syncer.Server
+	quotas             *syncer.Quotas
+	configFollower     *follower.Follower
+	upstreamFollower   *follower.Follower
+	metrics            *metrics
 }
 
 // New returns an instance for a deployment. It does not start it.
@@ -145,7 +149,7 @@
 	a.metrics = newMetrics(a.registry)
 	self := &peerv1.Member{
 		Instance: d.Instance, Incarnation: newIncarnation(d.Instance, time.Now(), cryptorand.Reader), DataCentre: d.DataCentre,
-		PeerAddress: d.Listen.Peer, CallerAddress: d.Listen.Caller,
+		PeerAddress: d.Listen.Peer, CallerAddress: d.Listen.Caller, FollowsDefaults: true,
 	}
 	a.wireStreams()
 	a.wireLinks()
@@ -281,11 +285,11 @@
 	a.server = &syncer.Server{
 		Self: self, Conductor: a.conductor, IsHolder: a.lease.IsHolder, Store: a.LeaseStore,
 		Token: func() int64 { return a.lease.Newest().Token() }, NewestClaim: func() leaser.Claim { return a.lease.Newest() },
-		Losses: a.losses, Neighbours: neighbours, Streams: a.streams, Archive: a.originWriter, Log: a.Log.Named("syncer"),
+		Losses: a.losses, Neighbours: neighbours, Streams: a.streams, Archive: a.originWriter, Defaults: a.defaultsMaintainer.Defaults, Followed: a.defaults, Log: a.Log.Named("syncer"),
 	}
 	a.client = &syncer.Client{
 		Self: self, HTTP: syncer.NewHTTPClient(), Lease: a.lease, Server: a.server, Queue: a.queue, Upstreams: a.upstreamTable,
-		Losses: a.losses, Seeds: a.Seeds, Neighbours: neighbours, IsStopping: a.isStopping.Load, Links: a.links, Log: a.Log.Named("syncer"),
+		Losses: a.losses, Seeds: a.Seeds, Neighbours: neighbours, IsStopping: a.isStopping.Load, Links: a.links, Defaults: a.defaults, Log: a.Log.Named("syncer"),
 	}
 	a.lease.PeerStore = a.client.PeerStore()
 }
@@ -327,11 +331,13 @@
 		After: a.poisonSaver.FirstLoad(),
 		OnEra: func(era int64, isRestored bool) {
 			a.lease.ObserveEra(era)
+			a.era.Store(era)
 			if isRestored {
 				a.upstreamTable.RecordRestore(time.Now())
 				a.losses.RecordRestore()
 				a.softwareSaver.RecordRestore()
 				a.originWriter.RecordRestore()
+				a.defaultsMaintainer.RecordRestore()
 			}
 		},
 	}
@@ -405,7 +411,7 @@
 	defer end()
 	var wg sync.WaitGroup
 	for _, run := range []func(context.Context){
-		a.configFollower.Run, a.upstreamFollower.Run, a.queue.Run, a.lease.Run, a.conductor.Run, a.client.Run, a.quotas.Run, a.poisonSaver.Run, a.trier.Run, a.softwareSaver.Run, a.originSender.Run, a.originWriter.Run, a.links.Run, a.refresher.Run, a.sweepPeriodically, a.pauses.Run,
+		a.configFollower.Run, a.upstreamFollower.Run, a.queue.Run, a.lease.Run, a.conductor.Run, a.client.Run, a.quotas.Run, a.poisonSaver.Run, a.trier.Run, a.softwareSaver.Run, a.originSender.Run, a.originWriter.Run, a.defaultsMaintainer.Run, a.links.Run, a.refresher.Run, a.sweepPeriodically, a.pauses.Run,
 	} {
 		wg.Go(func() { run(work) })
 	}
--- a/internal/assembler/deployment.go
+++ b/internal/assembler/deployment.go
@@ -15,6 +15,7 @@
 	"github.com/primrosedrift/primrosedrift/internal/relayer"
 	"github.com/primrosedrift/primrosedrift/internal/streamtracker"
 	"github.com/primrosedrift/primrosedrift/internal/trier"
+	"github.com/primrosedrift/primrosedrift/internal/versioner"
 )
 
 // Deployment configures one instance for the platform on which it is deployed:
@@ -61,6 +62,7 @@
 	TrialStore                 trier.Store
 	SoftwareStore              streamtracker.Store
 	OriginStore                archiver.Store
+	DefaultsStore              versioner.Store
 	DecodeConfig               func([]follower.Record) (*matcher.Config, error)
 	DecodeUpstream             func(id string, value []byte) (*registrar.Upstream, error)
 	// IsOlderConfig and IsOlderRegistration report whether the value a is of an older
--- a/internal/leaser/claims.go
+++ b/internal/leaser/claims.go
@@ -21,6 +21,14 @@
 	return appointments, l.isFirst && len(appointments) == 1
 }
 
+// IsInitial reports whether this instance holds the lease, and no instance has held it before, in a log that
+// was never restored or states no era.
+func (l *Lease) IsInitial() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.state.IsHolder() && l.isInitial
+}
+
 func (l *Lease) appointments() (appointments string, ok bool) {
 	if l.Appointments == nil {
 		return "", false
--- a/internal/leaser/leaser.go
+++ b/internal/leaser/leaser.go
@@ -90,6 +90,8 @@
 	// claim.
 	end     sequencer.Position
 	isFirst bool // this instance holds the lease by the first claim of all
+	// isInitial is isFirst whatever the appointments, and also in a log that states no era.
+	isInitial bool
 
 	// Used only by the goroutine in Run.
 	unreachableSince time.Duration // when the holder stopped responding, 0 while it responds
@@ -313,6 +315,7 @@
 	isFirst := l.state.newest.IsZero() && !l.state.MayMissClaims() && c.Offset == 0
 	l.state.RecordAcquired(c, sentAt, clocker.SinceStart())
 	l.settleAttemptsLocked()
+	l.isInitial = (isFirst || l.isInitial && wasHolder) && c.Era <= sequencer.FirstEra
 	l.isFirst = (isFirst || l.isFirst && wasHolder) && c.Appointments == "" && c.Era == sequencer.FirstEra
 	l.unknownSentAt = 0
 	wait := max(0, l.state.firstOrderAt-clocker.SinceStart())
@@ -356,6 +359,7 @@
 	}
 	l.settleAttemptsLocked()
 	l.isFirst = l.isFirst && isHolder && after.Appointments == ""
+	l.isInitial = l.isInitial && isHolder
 	l.mu.Unlock()
 	if wasHolder && !isHolder {
 		l.Log.Warn("lease lost", zap.String("holder", after.Holder), zap.Int64("token", after.Token()))
--- a/internal/relayer/origin.go
+++ b/internal/relayer/origin.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/primrosedrift/primrosedrift/internal/queuer"
 	"github.com/primrosedrift/primrosedrift/internal/registrar"
 	"github.com/primrosedrift/primrosedrift/internal/streamtracker"
 	"github.com/primrosedrift/primrosedrift/pkg/verdict"
@@ -45,7 +46,7 @@
 	}
 	ctx, cancel := context.WithDeadline(ctx, c.admission.StartBy)
 	defer cancel()
-	software, err := c.Streams.Resolve(ctx, c.requestInfo.Resumes, c.admission.Service)
+	software, err := c.Streams.Resolve(ctx, c.requestInfo.Resumes, c.admission.Service, c.requestInfo.Model)
 	if err != nil {
 		return err
 	}
@@ -67,10 +68,23 @@
 	o.delivery = c.Streams.Begin(o.last)
 }
 
-// bindToOrigin restricts a stream that begins to the software version of its upstream.
-func (c *call) bindToOrigin(ctx context.Context) {
+// startAdmission returns the request to the queue. A stream that begins while its origin cannot be saved
+// begins at the default software version.
+func (c *call) startAdmission(ctx context.Context) (queuer.Request, error) {
+	admission := c.admission
+	if !c.isResumable() || admission.Software != nil || c.requestInfo.LastEventID != "" || c.reply.hasBegun() {
+		return admission, nil
+	}
+	software, err := c.Streams.StartVersion(ctx, admission.Service, c.requestInfo.Model)
+	admission.Software = software
+	return admission, err
+}
+
+// bindToOrigin restricts a stream that begins to the software version of its upstream. It returns a refusal
+// if nobody could find out that version after this and other instances have ended.
+func (c *call) bindToOrigin(ctx context.Context) error {
 	if !c.isResumable() || c.admission.Software != nil || c.handOn.isRunning {
-		return
+		return nil
 	}
 	// The instance that handed the request on may have recorded attempts of its own.
 	mayDiffer := c.origin.isCorrection || c.handOn.isReceived
@@ -86,7 +100,11 @@
 		c.origin.delivery = bound
 	}
 	c.Streams.Await(ctx, c.origin.delivery, mayDiffer)
+	if err := c.Streams.Commit(ctx, c.origin.last, c.requestInfo.Model); err != nil {
+		return c.withEarlierAttempts(verdict.FromError(err).AfterAttempts(verdict.MayHaveRun))
+	}
 	c.admission.Software = &c.origin.last.Software
+	return nil
 }
 
 // recordStreamEnd records that the stream has been forwarded to its end.
@@ -108,7 +126,7 @@
 	}
 	ctx, cancel := context.WithDeadline(ctx, c.admission.StartBy)
 	defer cancel()
-	software, err := c.Streams.Resolve(ctx, c.requestInfo.ID, c.admission.Service)
+	software, err := c.Streams.Resolve(ctx, c.requestInfo.ID, c.admission.Service, c.requestInfo.Model)
 	if err != nil {
 		return err
 	}
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -373,8 +373,12 @@
 			return c.withEarlierAttempts(verdict.FromError(err))
 		}
 		c.probe(ctx)
+		admission, err := c.startAdmission(ctx)
+		if err != nil {
+			return c.withEarlierAttempts(verdict.FromError(err))
+		}
 		began := time.Now()
-		slot, err := c.Queue.Acquire(ctx, c.admission)
+		slot, err := c.Queue.Acquire(ctx, admission)
 		c.queueTime += time.Since(began)
 		if err != nil {
 			if ctx.Err() == nil && len(c.peersToTry()) > 0 {
--- a/internal/relayer/stream.go
+++ b/internal/relayer/stream.go
@@ -70,7 +70,10 @@
 		}
 		if end > 0 {
 			if !c.reply.hasBegun() {
-				c.bindToOrigin(ctx) // which waits, but not for the client
+				// This waits, but not for the client.
+				if err := c.bindToOrigin(ctx); err != nil {
+					return attemptResult{err: err}
+				}
 			}
 			numBefore := c.stream.numEvents
 			ahead.startWrite()
--- /dev/null
+++ b/internal/streamtracker/commit.go
@@ -0,0 +1,92 @@
+package streamtracker
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"go.uber.org/zap"
+
+	"github.com/primrosedrift/primrosedrift/internal/logger"
+	"github.com/primrosedrift/primrosedrift/internal/versioner"
+	"github.com/primrosedrift/primrosedrift/pkg/verdict"
+)
+
+// commitTimeout is how long the first event of a stream waits until its origin is recorded.
+const commitTimeout = 500 * time.Millisecond
+
+// StartVersion returns the only software version at which a stream of a model may begin now, nil for any.
+// While no record can be saved, that is the default version. It returns a refusal if that is not known.
+func (k *Keeper) StartVersion(ctx context.Context, service, model string) (*string, error) {
+	if k.Defaults == nil || k.IsSaving() || !k.History.HasSeveral(service) {
+		return nil, nil
+	}
+	switch v, state := k.Defaults.Find(ctx, service, model); state {
+	case versioner.Known:
+		return &v, nil
+	case versioner.Absent:
+		return nil, nil
+	default:
+		return nil, verdict.Refuse(verdict.ReasonUnknownOrigin, unloadedRetryAfter, "the stream could not be taken up again: its origin cannot be saved, and the default version of the model is not known")
+	}
+}
+
+// Commit waits, before the first event of a stream is forwarded, until its origin can be found without this
+// instance and the homes of the stream: it follows from the default version of the model, or it is saved. It
+// returns a refusal if that takes too long. o must have been passed to Bind.
+func (k *Keeper) Commit(ctx context.Context, o Origin, model string) error {
+	if k.Defaults == nil {
+		return nil
+	}
+	hasSeveral := k.History.HasSeveral(o.Service)
+	version, state := k.Defaults.Default(o.Service, model, time.Now())
+	if state == versioner.Unknown && hasSeveral {
+		version, state = k.Defaults.Find(ctx, o.Service, model)
+	}
+	isDefault := state == versioner.Known && version == o.Software
+	switch {
+	case state == versioner.Absent, state == versioner.Unknown && !hasSeveral:
+		return nil
+	case isDefault && (!hasSeveral || !o.IsUnproven || k.IsSaving()):
+		return nil
+	}
+	began := time.Now()
+	cctx, cancel := context.WithTimeout(ctx, commitTimeout)
+	defer cancel()
+	var err error
+	if o.IsUnproven && !k.Prove(cctx, o.Stream) {
+		err = errors.New("the process is not known to be the registered one")
+	}
+	if err == nil && !isDefault {
+		o.IsBound, o.IsUnproven = true, false
+		err = k.Save(cctx, o)
+	}
+	if err == nil {
+		return nil
+	}
+	k.Log.Info("stream not begun", zap.String("stream", o.Stream), zap.String("service", o.Service), zap.String("software", o.Software),
+		zap.String("default", version), zap.Duration("waited", time.Since(began)), logger.Error(err))
+	return verdict.Refuse(verdict.ReasonUnknownOrigin, unloadedRetryAfter, "the stream could not be taken up again: %v", err)
+}
+
+// findByDefault returns the version of a stream that no instance and no record names.
+func (k *Keeper) findByDefault(ctx context.Context, stream, service, model string) (string, bool) {
+	if k.Defaults == nil {
+		return "", false
+	}
+	version, era, ok, err := k.Defaults.Origin(ctx, service, model)
+	if err == nil && ok {
+		// Records from before the default version was read take precedence.
+		err = k.LoadArchiveSince(ctx, time.Now())
+	}
+	if err != nil {
+		k.Log.Info("default version not known", zap.String("stream", stream), zap.String("service", service), logger.Error(err))
+	}
+	if err != nil || !ok || k.Era() != era {
+		return "", false
+	}
+	if o, isKnown := k.Tracker.Find(stream, time.Now()); isKnown {
+		return o.Software, o.IsBound && !o.IsUnproven && o.Service == service
+	}
+	return version, true
+}
--- a/internal/streamtracker/keeper.go
+++ b/internal/streamtracker/keeper.go
@@ -10,6 +10,7 @@
 	"go.uber.org/zap"
 
 	"github.com/primrosedrift/primrosedrift/internal/logger"
+	"github.com/primrosedrift/primrosedrift/internal/versioner"
 	"github.com/primrosedrift/primrosedrift/pkg/verdict"
 )
 
@@ -63,6 +64,15 @@
 	// adds what is saved there to the tracker.
 	Archive     func(...Origin)
 	LoadArchive func(ctx context.Context) error
+	// Defaults knows the default software versions of models, nil for none.
+	Defaults *versioner.Follower
+	// IsSaving reports whether the platform's log takes origins, as far as is known. Save saves one and
+	// returns once it is saved, and LoadArchiveSince is LoadArchive for all that was saved before a time.
+	IsSaving         func() bool
+	Save             func(context.Context, Origin) error
+	LoadArchiveSince func(ctx context.Context, at time.Time) error
+	// Era returns the newest known era of the platform's log.
+	Era func() int64
 	// IsFresh reports whether this instance has read the registrations lately.
 	IsFresh func() bool
 	// ReadCurrent returns once all registrations are known that were there when it was called.
@@ -172,7 +182,7 @@
 // Resolve returns the software version at which a stream began. It returns a refusal if
 // that is not known and the service has had several. The proof of an origin that is known here is
 // waited for until ctx ends.
-func (k *Keeper) Resolve(ctx context.Context, stream, service string) (string, error) {
+func (k *Keeper) Resolve(ctx context.Context, stream, service, model string) (string, error) {
 	own, isKnown := k.Tracker.Find(stream, time.Now())
 	proof := proofFailed
 	if isKnown = isKnown && own.Service == service; isKnown {
@@ -208,6 +218,12 @@
 		if proof == proofPending && k.Prove(ctx, stream) {
 			return own.Software, nil
 		}
+		if !isKnown && lerr == nil {
+			if software, ok := k.findByDefault(ctx, stream, service, model); ok {
+				k.Log.Info("stream without a record taken up", zap.String("stream", stream), zap.String("service", service), zap.String("software", software))
+				return software, nil
+			}
+		}
 		if lerr != nil {
 			err = verdict.Refuse(verdict.ReasonUnknownOrigin, unloadedRetryAfter, "it is not known which version began the stream: saved origins not loaded: %v", lerr)
 		}
--- a/internal/streamtracker/keeper_test.go
+++ b/internal/streamtracker/keeper_test.go
@@ -112,7 +112,7 @@
 			for _, o := range tt.own {
 				k.Tracker.Record(o, time.Now())
 			}
-			got, err := k.Resolve(t.Context(), "r", service)
+			got, err := k.Resolve(t.Context(), "r", service, "")
 			require.Equal(t, tt.want, got)
 			if tt.want != "" {
 				require.NoError(t, err)
@@ -243,7 +243,7 @@
 		IsFresh: func() bool { return true }, ReadCurrent: func(context.Context) error { return nil },
 	}
 	k.History.Observe(map[string][]string{service: {"v2"}}, true, time.Now()) // v1 has left, which nobody saw
-	_, err := k.Resolve(t.Context(), "began-at-v1", service)
+	_, err := k.Resolve(t.Context(), "began-at-v1", service, "")
 	require.Equal(t, verdict.ReasonUnknownOrigin, verdict.FromError(err).Reason)
 }
 
@@ -266,12 +266,12 @@
 			verify := func(context.Context) bool { numCalls++; return isProven }
 			k.History.Observe(map[string][]string{service: {"v1"}}, true, time.Now())
 			k.Bind(Origin{Stream: "r", Service: service, Software: "v1", Attempt: 1, TTL: time.Minute, IsUnproven: true}, false, verify)
-			_, err := k.Resolve(t.Context(), "r", service)
+			_, err := k.Resolve(t.Context(), "r", service, "")
 			require.NoError(t, err)
 			require.Zero(t, numCalls, "one version")
 			require.Empty(t, sent)
 			k.History.Observe(map[string][]string{service: {"v1", "v2"}}, true, time.Now())
-			software, err := k.Resolve(t.Context(), "r", service)
+			software, err := k.Resolve(t.Context(), "r", service, "")
 			require.Equal(t, 1, numCalls)
 			if !isProven {
 				require.Equal(t, verdict.ReasonUnknownOrigin, verdict.FromError(err).Reason)
@@ -282,7 +282,7 @@
 			require.Equal(t, "v1", software)
 			require.Len(t, sent, 1)
 			require.False(t, sent[0].IsUnproven)
-			_, err = k.Resolve(t.Context(), "r", service)
+			_, err = k.Resolve(t.Context(), "r", service, "")
 			require.NoError(t, err)
 			require.Equal(t, 1, numCalls, "known by now")
 		})
@@ -395,7 +395,7 @@
 			}
 			k.History.Observe(map[string][]string{service: {"v1", "v2"}}, true, now)
 			tt.record(k)
-			software, err := k.Resolve(t.Context(), "r", service)
+			software, err := k.Resolve(t.Context(), "r", service, "")
 			if tt.want == "" {
 				require.Equal(t, verdict.ReasonUnknownOrigin, verdict.FromError(err).Reason)
 				return
@@ -443,7 +443,7 @@
 				k.Bind(Origin{Stream: "r", Service: service, Software: "v1", Attempt: 1, TTL: time.Minute, IsUnproven: true}, false, verify)
 				ctx, cancel := context.WithTimeout(t.Context(), limit)
 				defer cancel()
-				software, err := k.Resolve(ctx, "r", service)
+				software, err := k.Resolve(ctx, "r", service, "")
 				require.Equal(t, tt.want, time.Since(began))
 				if tt.isProven && tt.after < limit {
 					require.NoError(t, err)
--- a/internal/streamtracker/simulation_test.go
+++ b/internal/streamtracker/simulation_test.go
@@ -145,7 +145,7 @@
 	case x < 16 && len(s.streams) > 0: // a client takes one of the latest up
 		stream := s.streams[max(0, len(s.streams)-1-s.rng.IntN(8))]
 		i := s.pick()
-		version, err := i.keeper.Resolve(context.Background(), stream, service)
+		version, err := i.keeper.Resolve(context.Background(), stream, service, "")
 		if err != nil && s.isGuessing {
 			version, err = i.seen[s.rng.IntN(len(i.seen))], nil
 		}
--- a/internal/syncer/client.go
+++ b/internal/syncer/client.go
@@ -18,6 +18,7 @@
 	"github.com/primrosedrift/primrosedrift/internal/registrar"
 	"github.com/primrosedrift/primrosedrift/internal/sequencer"
 	"github.com/primrosedrift/primrosedrift/internal/sleeper"
+	"github.com/primrosedrift/primrosedrift/internal/versioner"
 	peerv1 "github.com/primrosedrift/primrosedrift/pkg/api/peer/v1"
 )
 
@@ -85,6 +86,8 @@
 	IsStopping func() bool
 	// Links knows whether this instance reaches the upstreams.
 	Links *linkwatcher.Watcher
+	// Defaults are the default software versions that this instance follows, nil for none.
+	Defaults *versioner.Follower
 	// Quotas is the part of this instance in the quotas of client accounts, nil for none.
 	Quotas *Quotas
 	Log    *zap.Logger
@@ -102,6 +105,7 @@
 	responseNumber  uint64    // number of the conductor's last response
 	viewFrom        string    // incarnation of the conductor that sent the newest view
 	isConductorLost bool
+	defaultsFrom    string                    // incarnation of the conductor that sent the default versions; used by Run alone
 	respondedAt     map[string]time.Time      // last response of each member to a probe
 	views           map[string]registrar.View // by upstream, from the conductor
 	ids             map[uint32]string         // of upstreams, by their numbers in the view
@@ -266,7 +270,7 @@
 	return &peerv1.Member{
 		Instance: c.Self.GetInstance(), Incarnation: c.Self.GetIncarnation(), DataCentre: c.Self.GetDataCentre(),
 		PeerAddress: c.Self.GetPeerAddress(), CallerAddress: c.Self.GetCallerAddress(), IsStopping: c.IsStopping(),
-		IsCutOff: c.Links.IsCut(), KnowsAccounts: true,
+		IsCutOff: c.Links.IsCut(), KnowsAccounts: true, FollowsDefaults: c.Defaults != nil,
 	}
 }
 
@@ -399,6 +403,7 @@
 		c.views[x.ID] = x
 	}
 	c.mu.Unlock()
+	c.applyDefaults(v, now)
 	if isNew {
 		c.Upstreams.ApplyViews(views, now)
 	}
--- a/internal/syncer/delta.go
+++ b/internal/syncer/delta.go
@@ -21,10 +21,10 @@
 	// lastNumber is the last number that was given to an upstream. Numbers are shorter
 	// than ids, and the counts of running attempts change all the time.
 	lastNumber uint32
-	// lossesVersion, leavingVersion, limitsVersion and lendersVersion are the versions of the
+	// lossesVersion, leavingVersion, limitsVersion, lendersVersion and defaultsVersion are the versions of the
 	// last change of the losses, of the leaving upstreams, of their limits, and of the
 	// lenders of quotas.
-	lossesVersion, leavingVersion, limitsVersion, lendersVersion uint64
+	lossesVersion, leavingVersion, limitsVersion, lendersVersion, defaultsVersion uint64
 	// restartVersions are the versions of the last change of what is known of restarts, by
 	// upstream.
 	restartVersions map[string]uint64
--- a/internal/syncer/probe.go
+++ b/internal/syncer/probe.go
@@ -331,6 +331,7 @@
 			c.Log.Info("conductor found through a peer", zap.String("address", m.GetPeerAddress()), zap.String("conductor", claim.Holder), zap.Int64("token", claim.Token()))
 		}
 	}
+	c.applyFollowedDefaults(v, now)
 	c.Losses.MergeExchanged(decodeLosses(v.GetLosses(), c.Log), now)
 	c.Upstreams.MergeLimits(decodeLimits(v.GetLimits()), now)
 	c.Upstreams.MergeBrittle(decodeBrittle(v.GetBrittle()), now)
--- a/internal/syncer/server.go
+++ b/internal/syncer/server.go
@@ -20,6 +20,7 @@
 	"github.com/primrosedrift/primrosedrift/internal/sequencer"
 	"github.com/primrosedrift/primrosedrift/internal/sleeper"
 	"github.com/primrosedrift/primrosedrift/internal/streamtracker"
+	"github.com/primrosedrift/primrosedrift/internal/versioner"
 	peerv1 "github.com/primrosedrift/primrosedrift/pkg/api/peer/v1"
 )
 
@@ -63,6 +64,11 @@
 	Streams *streamtracker.Keeper
 	// Archive saves origins of streams while this instance holds the lease.
 	Archive *archiver.Writer
+	// Defaults returns the default software versions of models by service, and false if this instance does
+	// not know those that are saved.
+	Defaults func() (map[string]map[string]string, bool)
+	// Followed are the default versions that this instance follows, nil for none.
+	Followed *versioner.Follower
 	// Quotas lends the quotas of client accounts, nil if this instance lends none.
 	Quotas *Quotas
 	Log    *zap.Logger
@@ -161,6 +167,14 @@
 	s.notifyWatchersLocked()
 }
 
+// NotifyDefaults passes changed default versions on to the watchers.
+func (s *Server) NotifyDefaults() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.delta.defaultsVersion = s.version + 1
+	s.notifyWatchersLocked()
+}
+
 // NotifyBrittle passes a brittle service on to the watchers.
 func (s *Server) NotifyBrittle() {
 	s.mu.Lock()
@@ -333,6 +347,7 @@
 		out.Limits = encodeLimits(s.Conductor.Upstreams.Limits(now))
 		out.Brittle = encodeBrittle(s.Conductor.Upstreams.Brittle(now))
 		out.Restarts = encodeRestarts(s.Conductor.Upstreams.Restarts(true, now))
+		s.addFollowedDefaults(out, now)
 		return out
 	}
 	own := s.Conductor.RunningOf(instance)
@@ -343,6 +358,7 @@
 	views := s.currentViews(version, now)
 	leaving, limits := s.Conductor.Upstreams.Leaving(), s.Conductor.Upstreams.Limits(now)
 	restarts := s.Conductor.Upstreams.Restarts(true, now)
+	defaults, knowsDefaults := s.savedDefaults()
 	out.Brittle = encodeBrittle(s.Conductor.Upstreams.Brittle(now)) // a few at most, with their ages
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -372,6 +388,9 @@
 	if out.Base == 0 || s.delta.limitsVersion > out.Base {
 		out.Limits = encodeLimits(limits)
 	}
+	if knowsDefaults && (out.Base == 0 || s.delta.defaultsVersion > out.Base) {
+		out.HasDefaults, out.Defaults = true, encodeDefaults(defaults)
+	}
 	out.Restarts = encodeRestarts(s.restartsSinceLocked(restarts, out.Base))
 	if out.Base == 0 || s.delta.lossesVersion > out.Base {
 		out.HasLosses, out.Losses = true, encodeLosses(s.Losses.SharedSince(lossesTold, now))
