losstracker, relayer: a trial ends with its request however that ends

A panic in a handler would have left the content without a trial at that instance for good. FormatFingerprint moves to the losses that it formats. Found by reading.

--- a/internal/losstracker/loss.go
+++ b/internal/losstracker/loss.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strconv"
 	"time"
 
 	"github.com/primrosedrift/primrosedrift/internal/registrar"
@@ -31,6 +32,9 @@
 	IsRelapse bool
 }
 
+// FormatFingerprint returns the fingerprint of a content or of a part as it stands in logs.
+func FormatFingerprint(f uint64) string { return strconv.FormatUint(f, 16) }
+
 // Change says what happened to a loss.
 type Change string
 
--- a/internal/losstracker/trial.go
+++ b/internal/losstracker/trial.go
@@ -1,9 +1,6 @@
 package losstracker
 
-import (
-	"strconv"
-	"time"
-)
+import "time"
 
 const (
 	// maxContentTrials bounds the trials of a content, over all instances.
@@ -161,6 +158,3 @@
 	}
 	return due.Sub(now)
 }
-
-// FormatFingerprint returns the fingerprint of a request as it stands in logs.
-func FormatFingerprint(f uint64) string { return strconv.FormatUint(f, 16) }
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -216,8 +216,8 @@
 	if err == nil {
 		c.startProgress(ctx)
 		defer c.reply.progress.stop()
+		defer func() { c.trial.End() }()
 		err = c.serve(ctx)
-		c.trial.End()
 	}
 	if err == nil {
 		c.recordStreamEnd()
