losstracker: the first trial of a content waits until the ends of its upstreams are known

By reading: 2 s after the crash a crashed upstream is still listed, and its successor has its address. A trial that goes there is refused as misdirected, which counts as a trial, so the next one is due 8 s later.

The first trial now waits until all losses are confirmed, or 6 s. TestFirstTrialWaitsUntilTheEndsAreKnown; the bound of three trials is unchanged.

--- a/internal/losstracker/trial.go
+++ b/internal/losstracker/trial.go
@@ -10,6 +10,10 @@
 	// after the one before. Upstreams that crash are back after some seconds.
 	contentTrialDelay   = 2 * time.Second
 	contentTrialBackoff = 4
+	// undecidedTrialDelay takes the place of contentTrialDelay while it is not known whether the upstreams
+	// have ended. A trial would be sent to one that is still listed, and refused by the process at its
+	// address.
+	undecidedTrialDelay = 6 * time.Second
 	// claimRetryDelay is the time after a claim that was not granted until the next one.
 	claimRetryDelay = 2 * time.Second
 )
@@ -142,13 +146,18 @@
 	if r.trials.count >= maxContentTrials {
 		return never
 	}
-	latest := r.trials.latestAt
+	latest, delay := r.trials.latestAt, contentTrialDelay
 	for _, l := range r.losses {
-		if l.counts() && l.learnedAt.After(latest) {
+		if !l.counts() {
+			continue
+		}
+		if l.learnedAt.After(latest) {
 			latest = l.learnedAt
 		}
+		if !l.IsConfirmed && r.trials.count == 0 {
+			delay = undecidedTrialDelay
+		}
 	}
-	delay := contentTrialDelay
 	for range r.trials.count {
 		delay *= contentTrialBackoff
 	}
--- a/internal/losstracker/trial_test.go
+++ b/internal/losstracker/trial_test.go
@@ -13,8 +13,9 @@
 	for n := range PoisonThreshold {
 		running = append(running, t.Begin(inc(first+n), content))
 	}
-	for _, a := range running {
+	for n, a := range running {
 		a.End(Broken, now)
+		t.RecordEnd(inc(first+n), now)
 	}
 }
 
@@ -140,6 +141,26 @@
 	require.True(t, mustClaim)
 }
 
+// TestFirstTrialWaitsUntilTheEndsAreKnown guards against a trial that is used up at an upstream which is listed
+// although its process has ended.
+func TestFirstTrialWaitsUntilTheEndsAreKnown(t *testing.T) {
+	for _, isConfirmed := range []bool{false, true} {
+		tr := newTracker()
+		for n := range PoisonThreshold {
+			tr.Begin(inc(n), poison).End(Broken, start)
+		}
+		require.Nil(t, tr.claimAt(poison, start.Add(undecidedTrialDelay-1)))
+		due := start.Add(undecidedTrialDelay)
+		if isConfirmed {
+			due = start.Add(contentTrialDelay + time.Second)
+			for n := range PoisonThreshold {
+				tr.RecordEnd(inc(n), due)
+			}
+		}
+		require.NotNil(t, tr.claimAt(poison, due))
+	}
+}
+
 // TestNoTrialWithADeadlyPart guards against a trial that is claimed for a request which is refused
 // because of a part of its prompt.
 func TestNoTrialWithADeadlyPart(t *testing.T) {
