streamtracker: a first event waits two seconds for its record, not half a second

By reading its record was not saved within 500 ms on the busy machine. A late first event is better for callers than none, so the wait is 2 s. During an outage that concerns only the streams whose first event comes before it is noticed.

--- a/internal/streamtracker/commit.go
+++ b/internal/streamtracker/commit.go
@@ -12,8 +12,9 @@
 	"github.com/primrosedrift/primrosedrift/pkg/verdict"
 )
 
-// commitTimeout is how long the first event of a stream waits until its origin is recorded.
-const commitTimeout = 500 * time.Millisecond
+// commitTimeout is how long the first event of a stream waits until its origin is recorded. A late first event
+// is better for the caller than none: on a busy machine an append may take a second.
+const commitTimeout = 2 * time.Second
 
 // StartVersion returns the only software version at which a stream of a model may begin now, nil for any.
 // While no record can be saved, that is the default version. It returns a refusal if that is not known.
