versioner, streamtracker: log why the default version of a stream's model was not used

The line of a stream that is refused did not say why its model's default version was not used: a table that is not trusted, one of an earlier era, or a former default version. It has the field no-default now.

--- a/internal/streamtracker/commit.go
+++ b/internal/streamtracker/commit.go
@@ -70,24 +70,28 @@
 	return verdict.Refuse(verdict.ReasonUnknownOrigin, unloadedRetryAfter, "the stream could not be taken up again: %v", err)
 }
 
-// findByDefault returns the version of a stream that no instance and no record names.
-func (k *Keeper) findByDefault(ctx context.Context, stream, service, model string) (string, bool) {
+// findByDefault returns the version of a stream that no instance and no record names. The error says why it
+// is not known.
+func (k *Keeper) findByDefault(ctx context.Context, stream, service, model string) (string, error) {
 	if k.Defaults == nil {
-		return "", false
-	}
-	version, era, ok, err := k.Defaults.Origin(ctx, service, model)
-	if err == nil && ok {
-		// Records from before the default version was read take precedence.
-		err = k.LoadArchiveSince(ctx, time.Now())
+		return "", errors.New("no default versions")
 	}
+	version, era, err := k.Defaults.Origin(ctx, service, model)
 	if err != nil {
-		k.Log.Info("default version not known", zap.String("stream", stream), zap.String("service", service), logger.Error(err))
+		return "", err
+	}
+	// Records from before the default version was read take precedence.
+	if err := k.LoadArchiveSince(ctx, time.Now()); err != nil {
+		return "", err
 	}
-	if err != nil || !ok || k.Era() != era {
-		return "", false
+	if now := k.Era(); now != era {
+		return "", errors.Newf("the default versions are of era %d, the log is of era %d", era, now)
 	}
 	if o, isKnown := k.Tracker.Find(stream, time.Now()); isKnown {
-		return o.Software, o.IsBound && !o.IsUnproven && o.Service == service
+		if !o.IsBound || o.IsUnproven || o.Service != service {
+			return "", errors.New("an attempt to begin the stream is known, and not its origin")
+		}
+		return o.Software, nil
 	}
-	return version, true
+	return version, nil
 }
--- a/internal/streamtracker/keeper.go
+++ b/internal/streamtracker/keeper.go
@@ -209,6 +209,7 @@
 		isKnown = true
 	}
 	versions, err := k.onlyVersion(ctx, service, answers, numAsked, isKnown)
+	var noDefault string // why the default version was not taken
 	if err != nil {
 		o, ok, lerr := k.findArchived(ctx, stream, service)
 		if ok {
@@ -219,17 +220,19 @@
 			return own.Software, nil
 		}
 		if !isKnown && lerr == nil {
-			if software, ok := k.findByDefault(ctx, stream, service, model); ok {
+			software, derr := k.findByDefault(ctx, stream, service, model)
+			if derr == nil {
 				k.Log.Info("stream without a record taken up", zap.String("stream", stream), zap.String("service", service), zap.String("software", software))
 				return software, nil
 			}
+			noDefault = derr.Error()
 		}
 		if lerr != nil {
 			err = verdict.Refuse(verdict.ReasonUnknownOrigin, unloadedRetryAfter, "it is not known which version began the stream: saved origins not loaded: %v", lerr)
 		}
 	}
 	k.Log.Info("stream of unknown version taken up", zap.String("stream", stream), zap.String("service", service),
-		zap.Bool("unproven", isKnown), zap.Int("asked", numAsked), zap.Int("answers", len(answers)), zap.Strings("versions", versions), logger.Error(err))
+		zap.Bool("unproven", isKnown), zap.Int("asked", numAsked), zap.Int("answers", len(answers)), zap.Strings("versions", versions), zap.String("no-default", noDefault), logger.Error(err))
 	if err != nil {
 		return "", err
 	}
--- a/internal/versioner/follower.go
+++ b/internal/versioner/follower.go
@@ -110,14 +110,14 @@
 }
 
 // Origin returns the version at which a stream without a record began, and the era of the log in which that
-// holds. It reads the log.
-func (f *Follower) Origin(ctx context.Context, service, model string) (version string, era int64, ok bool, err error) {
+// holds. It reads the log. The error says why the version is not known.
+func (f *Follower) Origin(ctx context.Context, service, model string) (version string, era int64, err error) {
 	s, err := f.read(ctx, time.Now())
 	if err != nil {
-		return "", 0, false, err
+		return "", 0, err
 	}
-	version, ok = s.Tables[service].Origin(model, s.Era)
-	return version, s.Era, ok, nil
+	version, err = s.Tables[service].Origin(model, s.Era)
+	return version, s.Era, err
 }
 
 func (f *Follower) read(ctx context.Context, began time.Time) (Snapshot, error) {
--- a/internal/versioner/table.go
+++ b/internal/versioner/table.go
@@ -3,6 +3,8 @@
 import (
 	"maps"
 	"slices"
+
+	"github.com/cockroachdb/errors"
 )
 
 // Table holds the default versions of a service. It is immutable.
@@ -55,12 +57,20 @@
 }
 
 // Origin returns the version at which a stream without a record began. era is the present one of the log.
-func (t Table) Origin(model string, era int64) (string, bool) {
+// The error says why that is not known.
+func (t Table) Origin(model string, era int64) (string, error) {
 	list := t.versions(model)
-	if !t.IsTrusted || t.Era != era || len(list) != 1 {
-		return "", false
+	switch {
+	case len(list) == 0:
+		return "", errors.New("no default version")
+	case !t.IsTrusted:
+		return "", errors.New("the default versions are not trusted")
+	case t.Era != era:
+		return "", errors.Newf("the default versions are of era %d, the log is of era %d", t.Era, era)
+	case len(list) > 1:
+		return "", errors.Newf("the default version has changed: %v", list)
 	}
-	return list[0], true
+	return list[0], nil
 }
 
 // Next returns the table after upstreams have changed: a default version that no upstream with the model has
--- a/internal/versioner/table_test.go
+++ b/internal/versioner/table_test.go
@@ -48,9 +48,9 @@
 		{"no table", "m", Table{}, 0, ""},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
-			version, ok := tt.table.Origin(tt.model, tt.era)
+			version, err := tt.table.Origin(tt.model, tt.era)
 			require.Equal(t, tt.want, version)
-			require.Equal(t, tt.want != "", ok)
+			require.Equal(t, tt.want != "", err == nil)
 		})
 	}
 }
