archiver: an instance saves its origins itself while no holder of the lease does

After a release, streams that began after the holder of the lease had been killed were lost if all instances ended: clients that took them up got 503 for two and a half minutes, though the log served all the while.

Cause: all origins of streams go through the holder. While none is known they are in the memory of instances only, and within 150 s of a change of the default version a stream without a record is unknown. The logs of the test show "origins of streams not saved: connection refused" until the kill, and the log has none of the 30 streams.

An instance whose holder does not respond, or cannot save, appends its origins itself. It uses slots that no other process uses, so that nobody overwrites a record that can still be needed; the process, or a holder that finds them, deletes them when their streams have expired. All instances together make 100 such appends a second at most.

--- a/internal/archiver/archiver_test.go
+++ b/internal/archiver/archiver_test.go
@@ -50,6 +50,7 @@
 				l.slots = make(map[int]Batch)
 			}
 			maps.Copy(l.slots, batches)
+			maps.DeleteFunc(l.slots, func(_ int, b Batch) bool { return len(b) == 0 })
 			return nil
 		},
 	}
--- a/internal/archiver/doc.go
+++ b/internal/archiver/doc.go
@@ -12,6 +12,9 @@
 //     they are saved. No event waits for it.
 //   - A Writer at the holder saves what the senders bring, a batch of records in one append.
 //     The number of calls to the log depends neither on the streams nor on the instances.
+//   - While no holder responds, or it cannot save, an instance appends its origins itself, to slots that only
+//     its process has used. They are deleted when their streams have expired: by the process, or by a holder
+//     that finds them in the log.
 //   - Batches go to slots, which are written again when all streams in them have expired. So
 //     the log holds what can still be taken up, and nothing has to be deleted.
 //   - A stream whose origin is not saved yet stays unknown if all instances end. No record
--- a/internal/archiver/sender.go
+++ b/internal/archiver/sender.go
@@ -19,6 +19,9 @@
 	// most.
 	minSendInterval         = 25 * time.Millisecond
 	sendIntervalPerInstance = 2 * time.Millisecond
+	// localIntervalPerInstance is the time between two appends of an instance's own, by the number of
+	// instances, so that all together make 100 a second at most.
+	localIntervalPerInstance = 10 * time.Millisecond
 	// retryInterval is the time between two calls after a failure, and sendTimeout bounds a
 	// call. The holder waits for the log meanwhile.
 	retryInterval = 500 * time.Millisecond
@@ -35,11 +38,15 @@
 // errNotStorable is returned for an origin whose texts are too long, or that nothing has proven.
 var errNotStorable = errors.New("the origin cannot be saved")
 
-// Sender sends the origins of an instance to the holder of the lease until they are saved. Its
-// exported fields must be set.
+// Sender sends the origins of an instance to the holder of the lease until they are saved. Where the holder does
+// not save them the instance does. Its exported fields must be set.
 type Sender struct {
 	// Send sends origins to the holder. It returns nil once they are saved.
 	Send func(context.Context, []streamtracker.Origin) error
+	// HasHolder reports whether the holder responds, as far as is known, nil if it always does.
+	HasHolder func() bool
+	// SaveLocally saves origins by a call of this instance to the log, nil if only the holder saves.
+	SaveLocally func(context.Context, []streamtracker.Origin) error
 	// NumInstances returns the number of live instances.
 	NumInstances func() int
 	Log          *zap.Logger
@@ -146,10 +153,8 @@
 		o.TTL = time.Until(u.until)
 		out = append(out, o)
 	}
-	sctx, cancel := context.WithTimeout(ctx, sendTimeout)
-	defer cancel()
 	s.beginCall()
-	err := s.Send(sctx, out)
+	isLocal, err := s.call(ctx, out)
 	s.endCall(err)
 	if err != nil {
 		s.Log.Info("origins of streams not saved", zap.Int("streams", len(out)), logger.Error(err))
@@ -164,10 +169,29 @@
 		}
 	}
 	s.Metrics.origins.WithLabelValues("saved").Add(float64(len(out)))
-	sleeper.Sleep(ctx, max(minSendInterval, time.Duration(s.NumInstances())*sendIntervalPerInstance))
+	interval := sendIntervalPerInstance
+	if isLocal {
+		interval = localIntervalPerInstance
+	}
+	sleeper.Sleep(ctx, max(minSendInterval, time.Duration(s.NumInstances())*interval))
 	return true
 }
 
+// call has the holder save origins. If it does not, or does not respond, this instance saves them.
+func (s *Sender) call(ctx context.Context, list []streamtracker.Origin) (isLocal bool, err error) {
+	if s.HasHolder == nil || s.HasHolder() {
+		sctx, cancel := context.WithTimeout(ctx, sendTimeout)
+		defer cancel()
+		if err = s.Send(sctx, list); err == nil || s.SaveLocally == nil {
+			return false, err
+		}
+	}
+	if lerr := s.SaveLocally(ctx, list); lerr != nil {
+		return false, errors.CombineErrors(err, lerr)
+	}
+	return true, nil
+}
+
 func (s *Sender) beginCall() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/archiver/writer.go
+++ b/internal/archiver/writer.go
@@ -53,8 +53,8 @@
 
 // slot is a saved batch and when its last stream expires.
 type slot struct {
-	batch Batch
-	until time.Time
+	batch          Batch
+	savedAt, until time.Time
 }
 
 // Save saves origins with the next append and waits for it.
@@ -62,20 +62,14 @@
 	if !w.IsHolder() {
 		return ErrNotHolder
 	}
-	var storable []streamtracker.Origin
-	for _, o := range list {
-		if isStorable(o) {
-			storable = append(storable, o)
-		}
-	}
-	call := pendingCall{storable, make(chan error, 1)}
+	call := pendingCall{storable(list), make(chan error, 1)}
 	w.mu.Lock()
-	if w.numPending+len(storable) > maxPending {
+	if w.numPending+len(call.origins) > maxPending {
 		w.mu.Unlock()
 		return errFull
 	}
 	w.pending = append(w.pending, call)
-	w.numPending += len(storable)
+	w.numPending += len(call.origins)
 	w.mu.Unlock()
 	w.notify()
 	select {
@@ -178,9 +172,23 @@
 		changes[w.freeSlot(changes, now)] = newSlot(all[:n:n], now)
 		all = all[n:]
 	}
+	if len(changes) > 0 {
+		w.deleteExpired(changes, now)
+	}
 	return w.apply(ctx, changes)
 }
 
+// deleteExpired adds the deletions of the slots of single processes whose streams have expired.
+func (w *Writer) deleteExpired(changes map[int]slot, now time.Time) {
+	n := 0
+	for i, s := range w.slots {
+		if i >= maxSlots && !now.Before(s.until) && n < maxDeletions {
+			changes[i] = slot{}
+			n++
+		}
+	}
+}
+
 // load reads the slots if they are not known. Their ages are not known, so each counts as new.
 func (w *Writer) load(ctx context.Context) error {
 	if w.slots != nil {
@@ -234,13 +242,20 @@
 	for i, s := range changes {
 		out[i] = s.batch
 		numOrigins += len(s.batch)
-		w.slots[i] = s // also if the call fails, since it may have been carried out
+		if len(s.batch) > 0 {
+			w.slots[i] = s // also if the call fails, since it may have been carried out
+		}
 	}
 	sctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
 	if err := w.Store.Save(sctx, out); err != nil {
 		return err
 	}
+	for i, b := range out {
+		if len(b) == 0 {
+			delete(w.slots, i)
+		}
+	}
 	w.Metrics.appends.Inc()
 	w.Log.Debug("origins of streams saved", zap.Int("streams", numOrigins), zap.Int("slots", len(w.slots)))
 	return nil
@@ -270,5 +285,5 @@
 	for _, o := range b {
 		longest = max(longest, min(o.TTL, streamtracker.StreamMemory))
 	}
-	return slot{b, now.Add(longest)}
+	return slot{b, now, now.Add(longest)}
 }
--- a/internal/assembler/assembler.go
+++ b/internal/assembler/assembler.go
@@ -127,6 +127,7 @@
 	softwareSaver      *streamtracker.Saver
 	originSender       *archiver.Sender
 	originWriter       *archiver.Writer
+	localOrigins       *archiver.LocalWriter
 	defaults           *versioner.Follower
 	defaultsMaintainer *versioner.Maintainer
 	era                atomic.Int64 // newest known era of the platform's log
@@ -337,6 +338,7 @@
 				a.losses.RecordRestore()
 				a.softwareSaver.RecordRestore()
 				a.originWriter.RecordRestore()
+				a.originSender.Add(a.localOrigins.Saved(time.Now())...)
 				a.defaultsMaintainer.RecordRestore()
 			}
 		},
--- a/internal/assembler/streams.go
+++ b/internal/assembler/streams.go
@@ -26,9 +26,12 @@
 	archiveLog, archiveMetrics := a.Log.Named("archiver"), archiver.NewMetrics(a.registry)
 	a.originSender = &archiver.Sender{
 		Send:         func(ctx context.Context, list []streamtracker.Origin) error { return a.client.SaveOrigins(ctx, list) },
+		HasHolder:    func() bool { return a.lease.IsHolder() || a.client.HasConductor() },
 		NumInstances: func() int { return len(a.client.Members()) },
 		Log:          archiveLog, Metrics: archiveMetrics,
 	}
+	a.localOrigins = &archiver.LocalWriter{Store: a.OriginStore, Log: archiveLog, Metrics: archiveMetrics}
+	a.originSender.SaveLocally = a.localOrigins.Save
 	a.originWriter = &archiver.Writer{Store: a.OriginStore, IsHolder: func() bool { return a.lease.IsHolder() }, Log: archiveLog, Metrics: archiveMetrics}
 	a.defaults = &versioner.Follower{Load: a.DefaultsStore.Snapshot}
 	a.defaultsMaintainer = &versioner.Maintainer{
