versioner, streamtracker: a former default version is dropped once all instances have saved its streams

For two and a half minutes after each release, streams that began in an outage of the store were lost if all instances ended before it was back: clients that took them up got 503 although all upstreams were of one version.

Cause: a release changes the default version, and the former one stayed in the table for as long as a stream may last, since a stream without a record may have begun at either. The table did not say who may still have such a stream, so that it had to assume anybody. The lines of the refused streams have "no-default: the default version has changed: [v2 v1]".

Each instance that follows a changed default version saves the origins of all streams that it began before, and reports the revision for which it has done so. The holder drops the former version once all instances have that it has had a report of for as long as a stream may last. One that ends without it counts as long as its streams. A holder that cannot know all of them, because it has taken the lease from another one, waits as before. An instance follows a table only while the holder knows it, and earlier builds never settle, so that with them it stays as it was.

--- a/internal/archiver/sender.go
+++ b/internal/archiver/sender.go
@@ -81,21 +81,32 @@
 
 // Save saves an origin and returns once it is saved.
 func (s *Sender) Save(ctx context.Context, o streamtracker.Origin) error {
-	if !isStorable(o) {
-		return errNotStorable
+	return s.SaveAll(ctx, []streamtracker.Origin{o})
+}
+
+// SaveAll saves origins and returns once they are saved.
+func (s *Sender) SaveAll(ctx context.Context, list []streamtracker.Origin) error {
+	now := time.Now()
+	waiting := make([]unsaved, 0, len(list))
+	for _, o := range list {
+		if !isStorable(o) {
+			return errNotStorable
+		}
+		waiting = append(waiting, unsaved{o, now.Add(o.TTL), make(chan struct{})})
 	}
-	saved := make(chan struct{})
 	s.mu.Lock()
-	s.unsaved = append(s.unsaved, unsaved{o, time.Now().Add(o.TTL), saved})
+	s.unsaved = append(s.unsaved, waiting...)
 	s.dropOldestLocked()
 	s.mu.Unlock()
 	s.notify()
-	select {
-	case <-saved:
-		return nil
-	case <-ctx.Done():
-		return errors.Wrap(ctx.Err(), "origin not saved")
+	for _, u := range waiting {
+		select {
+		case <-u.saved:
+		case <-ctx.Done():
+			return errors.Wrap(ctx.Err(), "origin not saved")
+		}
 	}
+	return nil
 }
 
 // IsSaving reports whether origins are saved, as far as the last call and the present one say.
--- a/internal/assembler/assembler.go
+++ b/internal/assembler/assembler.go
@@ -130,6 +130,7 @@
 	localOrigins       *archiver.LocalWriter
 	defaults           *versioner.Follower
 	defaultsMaintainer *versioner.Maintainer
+	settler            *streamtracker.Settler
 	era                atomic.Int64 // newest known era of the platform's log
 	retryBudgets       *retrier.Budgets
 	relayer            *relayer.Relayer
@@ -156,6 +157,7 @@
 	a.wireLinks()
 	a.wireRequests()
 	a.wireOrders(self)
+	a.wireSettler()
 	a.wireQuotas(self)
 	a.wireFollowers()
 	return a
@@ -413,7 +415,7 @@
 	defer end()
 	var wg sync.WaitGroup
 	for _, run := range []func(context.Context){
-		a.configFollower.Run, a.upstreamFollower.Run, a.queue.Run, a.lease.Run, a.conductor.Run, a.client.Run, a.quotas.Run, a.poisonSaver.Run, a.trier.Run, a.softwareSaver.Run, a.originSender.Run, a.originWriter.Run, a.defaultsMaintainer.Run, a.links.Run, a.refresher.Run, a.sweepPeriodically, a.pauses.Run,
+		a.configFollower.Run, a.upstreamFollower.Run, a.queue.Run, a.lease.Run, a.conductor.Run, a.client.Run, a.quotas.Run, a.poisonSaver.Run, a.trier.Run, a.softwareSaver.Run, a.originSender.Run, a.originWriter.Run, a.defaultsMaintainer.Run, a.settler.Run, a.links.Run, a.refresher.Run, a.sweepPeriodically, a.pauses.Run,
 	} {
 		wg.Go(func() { run(work) })
 	}
--- a/internal/assembler/streams.go
+++ b/internal/assembler/streams.go
@@ -57,6 +57,13 @@
 	}
 }
 
+// wireSettler makes the instance save its origins when default versions change, and report that.
+func (a *Assembler) wireSettler() {
+	a.settler = &streamtracker.Settler{Keeper: a.streams, SaveAll: a.originSender.SaveAll, OnSettled: a.client.ReportNow}
+	a.client.Settled = a.settler.Settled
+	a.server.OnSettled = a.defaultsMaintainer.RecordReport
+}
+
 // observeSoftware records the software versions that are registered now.
 func (a *Assembler) observeSoftware(now time.Time) {
 	a.streams.History.Observe(a.upstreamTable.SoftwareVersions(), a.upstreamTable.IsComplete(now), now)
--- a/internal/streamtracker/commit.go
+++ b/internal/streamtracker/commit.go
@@ -46,7 +46,13 @@
 	}
 	isDefault := state == versioner.Known && version == o.Software
 	switch {
-	case state == versioner.Absent, state == versioner.Unknown && !hasSeveral:
+	case state == versioner.Unknown && !hasSeveral && !k.Defaults.IsOther(o.Service, model, o.Software):
+		if _, ok := k.Defaults.ContactAge(time.Now()); !ok && !o.IsUnproven {
+			o.IsBound = true
+			k.archive(o) // the holder of the lease does not know that this instance may have begun a stream
+		}
+		return nil
+	case state == versioner.Absent:
 		return nil
 	case isDefault && (!hasSeveral || !o.IsUnproven || k.IsSaving()):
 		return nil
--- a/internal/streamtracker/doc.go
+++ b/internal/streamtracker/doc.go
@@ -28,5 +28,7 @@
 //   - What versions a service has had is known to an instance that has watched the
 //     registrations for that long, and to the instances that it tells. The holder of the
 //     lease also keeps it in the platform's log, for the case that all instances end at once.
+//   - After a change of default versions (package versioner) a Settler saves the origins of all streams that its
+//     instance began before. It reports the change as settled only once all of them are saved.
 //   - Versions are texts without an order: they are equal or not.
 package streamtracker
--- a/internal/streamtracker/outage_test.go
+++ b/internal/streamtracker/outage_test.go
@@ -68,6 +68,8 @@
 	keeper     *Keeper
 	maintainer *versioner.Maintainer
 	follower   *versioner.Follower
+	settler    *Settler
+	life       int                // number of its process
 	seen       versioner.Replicas // nil until it has read the registrations
 	unsaved    []Origin
 	isFailing  bool // the last attempt to save has failed
@@ -85,15 +87,18 @@
 	began     map[string]string // version by stream
 	beganAt   map[string]time.Time
 	streams   []string
-	// hasDefaults makes instances follow default versions.
-	hasDefaults bool
+	// hasDefaults makes instances follow default versions, and settlesEarly makes them report that their origins
+	// are saved although they are not.
+	hasDefaults, settlesEarly bool
+	numLives                  int
 
 	numBegun, numNotBegun   int
 	resumed, refused, wrong int
 }
 
 func (s *outageSimulation) start(n int) {
-	i := &outageInstance{name: fmt.Sprint("i", n)}
+	s.numLives++
+	i := &outageInstance{name: fmt.Sprint("i", n), life: s.numLives}
 	s.instances[n] = i
 	history := &History{}
 	i.keeper = &Keeper{
@@ -145,9 +150,22 @@
 			return map[string]versioner.Service{service: {Replicas: i.seen}}
 		},
 	}
+	i.settler = &Settler{Keeper: i.keeper, SaveAll: func(_ context.Context, list []Origin) error {
+		if s.settlesEarly {
+			return nil
+		}
+		i.unsaved = append(i.unsaved, list...)
+		return s.save(i)
+	}}
 	s.read(i)
 }
 
+// report makes an instance report to the holder.
+func (s *outageSimulation) report(i *outageInstance) {
+	s.holder.maintainer.RecordReport(fmt.Sprint(i.life), i.settler.Settled(time.Now()), time.Now())
+	i.follower.RecordContact(time.Now())
+}
+
 // read makes an instance read the registrations. While the log is down, one that has just started knows
 // what others do, if there are any.
 func (s *outageSimulation) read(i *outageInstance) {
@@ -162,6 +180,9 @@
 				if defaults, age, ok := x.follower.Known(time.Now()); ok {
 					i.follower.Update(defaults, time.Now().Add(-age))
 				}
+				if age, ok := x.follower.ContactAge(time.Now()); ok {
+					i.follower.RecordContact(time.Now().Add(-age))
+				}
 				i.keeper.History.Merge(service, x.keeper.History.Versions(service, time.Now()), time.Now())
 			}
 		}
@@ -265,6 +286,10 @@
 		if isKnown && s.rng.IntN(5) > 0 {
 			i.follower.Update(defaults, time.Now())
 		}
+		if s.hasDefaults && s.rng.IntN(5) > 0 {
+			i.settler.settleAll(context.Background())
+			s.report(i)
+		}
 		if s.rng.IntN(2) == 0 {
 			s.read(i)
 		}
@@ -316,9 +341,9 @@
 	s.holder.maintainer.RecordRestore()
 }
 
-func playOutages(seed uint64, hasDefaults bool) *outageSimulation {
+func playOutages(seed uint64, hasDefaults, settlesEarly bool) *outageSimulation {
 	s := &outageSimulation{
-		rng: rand.New(rand.NewPCG(seed, 2)), replicas: map[string]int{"v1": 2}, hasDefaults: hasDefaults, isFirst: true, //nolint:gosec // a seeded test
+		rng: rand.New(rand.NewPCG(seed, 2)), replicas: map[string]int{"v1": 2}, hasDefaults: hasDefaults, settlesEarly: settlesEarly, isFirst: true, //nolint:gosec // a seeded test
 		log:   simLog{era: sequencer.FirstEra, tables: make(map[string]versioner.Table), origins: make(map[string]Origin)},
 		began: make(map[string]string), beganAt: make(map[string]time.Time), instances: make([]*outageInstance, 3+int(seed%3)),
 	}
@@ -335,16 +360,19 @@
 
 // TestNoStreamFromAnOutageGoesOnAtAnotherVersion guards against streams that go on at another version than
 // the one that began them, because no record names that version. The negative: without default versions
-// more of the streams are refused.
+// more of the streams are refused, and if instances report that they have saved what they have not, some go
+// on at another version.
 func TestNoStreamFromAnOutageGoesOnAtAnotherVersion(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		var sum, without outageSimulation
+		numWrongEarly := 0
 		for seed := range uint64(300) {
-			s := playOutages(seed, true)
+			s := playOutages(seed, true, false)
 			require.Zero(t, s.wrong, "seed %d", seed)
 			sum.resumed, sum.refused = sum.resumed+s.resumed, sum.refused+s.refused
 			sum.numBegun, sum.numNotBegun = sum.numBegun+s.numBegun, sum.numNotBegun+s.numNotBegun
-			w := playOutages(seed, false)
+			numWrongEarly += playOutages(seed, true, true).wrong
+			w := playOutages(seed, false, false)
 			without.resumed, without.refused, without.wrong = without.resumed+w.resumed, without.refused+w.refused, without.wrong+w.wrong
 			without.numBegun, without.numNotBegun = without.numBegun+w.numBegun, without.numNotBegun+w.numNotBegun
 		}
@@ -352,5 +380,6 @@
 			sum.refused, sum.resumed, sum.numNotBegun, sum.numBegun+sum.numNotBegun,
 			without.refused, without.resumed, without.wrong, without.numNotBegun, without.numBegun+without.numNotBegun)
 		require.Less(t, sum.refused*without.resumed, without.refused*sum.resumed)
+		require.Positive(t, numWrongEarly)
 	})
 }
--- a/internal/streamtracker/proof.go
+++ b/internal/streamtracker/proof.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/hashicorp/golang-lru/v2/simplelru"
 )
 
@@ -23,6 +24,9 @@
 	maxProofRetries = 6
 )
 
+// errUnproven says that it is not known which process began a stream.
+var errUnproven = errors.New("the processes that began some streams are not known")
+
 // unproven holds what proves the origins of streams that began here. Its zero value is ready to use.
 type unproven struct {
 	mu   sync.Mutex
@@ -63,6 +67,13 @@
 	return u.selectLocked(now, func(*unprovenOrigin) bool { return true })
 }
 
+// streamsOf returns those of a service.
+func (u *unproven) streamsOf(service string, now time.Time) []string {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.selectLocked(now, func(o *unprovenOrigin) bool { return o.Service == service })
+}
+
 // due returns the streams of services at risk whose proof is to be tried again, and plans the next
 // retries. The first try was made when the stream began or its service came to be at risk.
 func (u *unproven) due(isAtRisk func(service string) bool, now time.Time) []string {
@@ -149,10 +160,10 @@
 		}
 		return proofFailed
 	}
-	if k.unproven.remove(stream) { // the first caller records it
-		proven := u.Origin
-		proven.IsUnproven, proven.TTL = false, time.Until(u.until)
-		k.Tracker.Record(proven, time.Now())
+	proven := u.Origin
+	proven.IsUnproven, proven.TTL = false, time.Until(u.until)
+	k.Tracker.Record(proven, time.Now()) // before the removal: a Settler looks at one after the other
+	if k.unproven.remove(stream) {       // the first caller sends it
 		if k.History.HasSeveral(proven.Service) {
 			k.archive(proven)
 		}
--- a/internal/syncer/client.go
+++ b/internal/syncer/client.go
@@ -88,6 +88,9 @@
 	Links *linkwatcher.Watcher
 	// Defaults are the default software versions that this instance follows, nil for none.
 	Defaults *versioner.Follower
+	// Settled returns, by service, the revisions of default versions for which all origins of this instance are
+	// saved, nil for none.
+	Settled func(time.Time) map[string]int64
 	// Quotas is the part of this instance in the quotas of client accounts, nil for none.
 	Quotas *Quotas
 	Log    *zap.Logger
@@ -214,8 +217,10 @@
 		return
 	}
 	r := c.buildReport()
+	sentAt := time.Now()
 	if claim.Incarnation == c.Self.GetIncarnation() {
-		c.Server.ApplyReport(r, time.Now())
+		c.Server.ApplyReport(r, sentAt)
+		c.recordContact(sentAt)
 		return
 	}
 	losses := c.Losses.Unreported(claim.Incarnation, time.Now())
@@ -227,11 +232,21 @@
 		c.Log.Debug("failed to deliver the report", zap.String("conductor", claim.Holder), logger.Error(err))
 		return
 	}
+	if resp.GetIsConductor() {
+		c.recordContact(sentAt)
+	}
 	if resp.GetIsConductor() && c.Losses.RecordReported(claim.Incarnation, losses) {
 		c.ReportNow()
 	}
 }
 
+// recordContact records that the holder of the lease has a report that was sent at a time.
+func (c *Client) recordContact(sentAt time.Time) {
+	if c.Defaults != nil {
+		c.Defaults.RecordContact(sentAt)
+	}
+}
+
 // buildReport returns the report of this instance.
 func (c *Client) buildReport() *peerv1.ReportRequest {
 	demands, _ := c.Queue.Demands()
@@ -263,6 +278,9 @@
 	r.Limits = encodeLimits(c.Upstreams.Limits(time.Now()))
 	r.Brittle = encodeBrittle(c.Upstreams.Brittle(time.Now()))
 	r.Restarts = encodeRestarts(c.Upstreams.Restarts(false, time.Now()))
+	if c.Settled != nil {
+		r.Settled = encodeSettled(c.Settled(time.Now()))
+	}
 	return r
 }
 
--- a/internal/syncer/defaults_test.go
+++ b/internal/syncer/defaults_test.go
@@ -13,7 +13,7 @@
 // TestDefaultVersionsAreFollowedWhileTheConductorHasThem guards against an instance that takes old default
 // versions for confirmed, since a conductor which does not know them responds.
 func TestDefaultVersionsAreFollowedWhileTheConductorHasThem(t *testing.T) {
-	want := map[string]map[string]string{"lm": {"": "v1", "m": "v2"}}
+	want := map[string]versioner.Defaults{"lm": {Versions: map[string]string{"": "v1", "m": "v2"}, Revision: 5}}
 	c := &Client{Defaults: &versioner.Follower{}}
 	at := time.Now()
 	whole := &peerv1.WatchResponse{Incarnation: "a", IsConductor: true, HasDefaults: true, Defaults: encodeDefaults(want)}
@@ -38,7 +38,7 @@
 // TestPeersPassDefaultVersionsOn guards against an instance that starts while there is no conductor and begins
 // streams at any version.
 func TestPeersPassDefaultVersionsOn(t *testing.T) {
-	want := map[string]map[string]string{"lm": {"": "v1"}}
+	want := map[string]versioner.Defaults{"lm": {Versions: map[string]string{"": "v1"}}}
 	s := &Server{Followed: &versioner.Follower{}}
 	c := &Client{Defaults: &versioner.Follower{}}
 	now := time.Now()
@@ -52,6 +52,9 @@
 	_, ok := pass()
 	require.False(t, ok)
 	s.Followed.Update(want, now.Add(-2*time.Second))
+	_, ok = pass()
+	require.False(t, ok, "the holder does not know the peer")
+	s.Followed.RecordContact(now)
 	age, ok := pass()
 	require.True(t, ok)
 	require.GreaterOrEqual(t, age, 2*time.Second)
--- a/internal/syncer/server.go
+++ b/internal/syncer/server.go
@@ -66,7 +66,10 @@
 	Archive *archiver.Writer
 	// Defaults returns the default software versions of models by service, and false if this instance does
 	// not know those that are saved.
-	Defaults func() (map[string]map[string]string, bool)
+	Defaults func() (map[string]versioner.Defaults, bool)
+	// OnSettled, if set, is called with the reports of instances: what they have saved of the streams that began
+	// before they followed revisions of default versions, by service.
+	OnSettled func(incarnation string, settled map[string]int64, now time.Time)
 	// Followed are the default versions that this instance follows, nil for none.
 	Followed *versioner.Follower
 	// Quotas lends the quotas of client accounts, nil if this instance lends none.
@@ -119,6 +122,9 @@
 	}
 	s.syncLossesLocked()
 	s.mu.Unlock()
+	if s.OnSettled != nil && s.IsHolder() {
+		s.OnSettled(m.GetIncarnation(), decodeSettled(r.GetSettled()), now)
+	}
 	s.Quotas.observeReport(m, r.GetAppointment())
 	s.recordLeaving(r.GetLeaving(), now)
 	s.Conductor.Upstreams.MergeLimits(decodeLimits(r.GetLimits()), now)
--- a/internal/versioner/doc.go
+++ b/internal/versioner/doc.go
@@ -18,6 +18,13 @@
 //   - A default version changes only if no upstream of it holds the model any more. The former one
 //     stays in the table for as long as a stream may last that began at it. Meanwhile a stream without a
 //     record is unknown, as without a table.
+//   - A former default version is dropped earlier once no instance can have a stream that began at it without a
+//     record: each instance that has reported to the holder within that time has saved the origins of its
+//     streams since it follows the present revision of the table. This needs a holder that knows all of
+//     them: the first one of the log, or one that has held the lease for that time.
+//   - So an instance follows default versions only while the holder knows it.
+//   - Revisions increase with each change, over all holders and eras. An instance follows no earlier one than it
+//     has followed before.
 //   - An instance that has not had a table from the holder or the log for maxAge follows none: it begins
 //     streams only with a record. So a change reaches all instances, or they stop.
 //   - A table of an earlier era of the log is not trusted: records that it relies on may be lost.
--- a/internal/versioner/follower.go
+++ b/internal/versioner/follower.go
@@ -39,20 +39,63 @@
 	Load func(context.Context) (Snapshot, error)
 
 	mu          sync.Mutex
-	defaults    map[string]map[string]string // by service and model, nil if not known
+	defaults    map[string]Defaults // by service, nil if not known
 	confirmedAt time.Time
+	// contactAt is when the holder of the lease, or an instance that it knows, last responded.
+	contactAt time.Time
 }
 
 // Update replaces the default versions by those that the holder or the log had at a time, unless newer ones
 // are known.
-func (f *Follower) Update(defaults map[string]map[string]string, at time.Time) {
+func (f *Follower) Update(defaults map[string]Defaults, at time.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.defaults == nil || at.After(f.confirmedAt) {
+	if f.defaults == nil || at.After(f.confirmedAt) && !f.isOlderLocked(defaults) {
 		f.defaults, f.confirmedAt = defaults, at
 	}
 }
 
+// isOlderLocked reports whether default versions are of an earlier revision than those that are known. A former
+// holder of the lease may confirm them.
+func (f *Follower) isOlderLocked(defaults map[string]Defaults) bool {
+	for service, d := range defaults {
+		if d.Revision != 0 && d.Revision < f.defaults[service].Revision {
+			return true
+		}
+	}
+	return false
+}
+
+// RecordContact records that the holder of the lease has had a report of this instance at a time.
+func (f *Follower) RecordContact(at time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if at.After(f.contactAt) {
+		f.contactAt = at
+	}
+}
+
+// ContactAge returns the time since the holder had a report, false if there was none within maxAge.
+func (f *Follower) ContactAge(now time.Time) (time.Duration, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	age := now.Sub(f.contactAt)
+	return age, age < maxAge
+}
+
+// Revisions returns the revisions of the default versions that this instance follows, by service.
+func (f *Follower) Revisions(now time.Time) map[string]int64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	out := make(map[string]int64)
+	if now.Sub(f.confirmedAt) < maxAge {
+		for service, d := range f.defaults {
+			out[service] = d.Revision
+		}
+	}
+	return out
+}
+
 // Confirm records that the holder had no others at a time.
 func (f *Follower) Confirm(at time.Time) {
 	f.mu.Lock()
@@ -62,9 +105,9 @@
 	}
 }
 
-// Known returns the default versions by service and model, and the time since they were confirmed. They must
+// Known returns the default versions by service, and the time since they were confirmed. They must
 // not be changed.
-func (f *Follower) Known(now time.Time) (defaults map[string]map[string]string, age time.Duration, ok bool) {
+func (f *Follower) Known(now time.Time) (defaults map[string]Defaults, age time.Duration, ok bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	age = now.Sub(f.confirmedAt)
@@ -79,23 +122,36 @@
 	if f.defaults == nil || age >= maxAge {
 		return "", Unknown
 	}
-	versions, ok := f.defaults[service]
+	d, ok := f.defaults[service]
 	if !ok {
 		if age >= absenceAge {
 			return "", Unknown
 		}
 		return "", Absent
 	}
-	v, ok := versions[model]
-	if !ok {
-		v, ok = versions[""]
-	}
-	if !ok {
+	v, ok := d.of(model)
+	if !ok || now.Sub(f.contactAt) >= maxAge {
 		return "", Unknown
 	}
 	return v, Known
 }
 
+// IsOther reports whether the default version that was last known of a model is another one than a version.
+func (f *Follower) IsOther(service, model, version string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	v, ok := f.defaults[service].of(model)
+	return ok && v != version
+}
+
+func (d Defaults) of(model string) (string, bool) {
+	v, ok := d.Versions[model]
+	if !ok {
+		v, ok = d.Versions[""]
+	}
+	return v, ok
+}
+
 // Find is Default after a read of the log, if one is needed.
 func (f *Follower) Find(ctx context.Context, service, model string) (string, State) {
 	v, state := f.Default(service, model, time.Now())
@@ -103,6 +159,9 @@
 		return v, state
 	}
 	began := time.Now()
+	if _, ok := f.ContactAge(began); !ok {
+		return "", Unknown // also after a read
+	}
 	if _, err := f.read(ctx, began); err != nil {
 		return "", Unknown
 	}
@@ -127,7 +186,7 @@
 	if err != nil {
 		return Snapshot{}, err
 	}
-	defaults := make(map[string]map[string]string, len(s.Tables))
+	defaults := make(map[string]Defaults, len(s.Tables))
 	for service, t := range s.Tables {
 		defaults[service] = t.Defaults()
 	}
--- a/internal/versioner/maintainer.go
+++ b/internal/versioner/maintainer.go
@@ -73,11 +73,14 @@
 	mu         sync.Mutex
 	// tables are those that are saved, nil if not known, and defaults their default versions.
 	tables   map[string]Table
-	defaults map[string]map[string]string
+	defaults map[string]Defaults
+	// followers are the instances that have reported to this one while it held the lease, by incarnation.
+	followers map[string]following
 
 	// The rest is used by Run alone.
 	end      sequencer.Position
 	terms    map[string]term      // of the tables that are not trusted, by service
+	heldAt   time.Time            // from when on this instance has held the lease, zero if it does not
 	formerAt map[former]time.Time // when they were first seen
 }
 
@@ -87,15 +90,54 @@
 	delay time.Duration
 }
 
+// following says what an instance has last reported.
+type following struct {
+	at time.Time
+	// settled holds, by service, the revision of the default versions for which all its origins are saved.
+	settled map[string]int64
+}
+
 // former is a former default version.
 type former struct{ service, model, version string }
 
 // retention is how long a stream may be taken up that an instance began by an older table.
 func (m *Maintainer) retention() time.Duration { return maxAge + formerHolderTime + m.StreamTime }
 
-// Defaults returns the default versions by service and model, and false if they are not known. They must
-// not be changed.
-func (m *Maintainer) Defaults() (map[string]map[string]string, bool) {
+// RecordReport records that an instance has saved the origins of all streams that began there before it followed
+// revisions of default versions, which are given by service.
+func (m *Maintainer) RecordReport(incarnation string, settled map[string]int64, now time.Time) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.followers == nil {
+		m.followers = make(map[string]following)
+	}
+	m.followers[incarnation] = following{now, settled}
+}
+
+// isSettled reports whether no stream without a record can have begun at a former default version of a service
+// that has a revision: all instances that may have begun one have saved theirs.
+func (m *Maintainer) isSettled(service string, revision int64, now time.Time) bool {
+	if !m.IsFirst() && now.Sub(m.heldAt) < m.retention() {
+		return false // instances that have ended before are not known
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	numSettled := 0
+	for incarnation, f := range m.followers {
+		switch {
+		case now.Sub(f.at) >= m.retention():
+			delete(m.followers, incarnation)
+		case f.settled[service] != revision:
+			return false
+		default:
+			numSettled++
+		}
+	}
+	return numSettled > 0
+}
+
+// Defaults returns the default versions by service, and false if they are not known. They must not be changed.
+func (m *Maintainer) Defaults() (map[string]Defaults, bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	return m.defaults, m.tables != nil
@@ -103,7 +145,7 @@
 
 // publish replaces what is known of the log.
 func (m *Maintainer) publish(tables map[string]Table, end sequencer.Position) {
-	defaults := make(map[string]map[string]string, len(tables))
+	defaults := make(map[string]Defaults, len(tables))
 	for service, t := range tables {
 		defaults[service] = t.Defaults()
 	}
@@ -133,8 +175,12 @@
 		m.forget()
 	}
 	if !m.IsHolder() {
+		m.heldAt = time.Time{}
 		return nil
 	}
+	if m.heldAt.IsZero() {
+		m.heldAt = now
+	}
 	m.mu.Lock()
 	isKnown := m.tables != nil
 	m.mu.Unlock()
@@ -157,7 +203,7 @@
 	tables := maps.Clone(m.tables)
 	maps.Copy(tables, changed)
 	for service, t := range changed {
-		m.Log.Info("default versions saved", zap.String("service", service), zap.Any("versions", t.Versions), zap.Bool("trusted", t.IsTrusted), zap.Int64("era", t.Era))
+		m.Log.Info("default versions saved", zap.String("service", service), zap.Any("versions", t.Versions), zap.Int64("revision", t.Revision), zap.Bool("trusted", t.IsTrusted), zap.Int64("era", t.Era))
 	}
 	m.publish(tables, end)
 	return nil
@@ -199,7 +245,7 @@
 				delay = trustDelay
 			}
 			m.terms[service] = term{now, delay}
-			if t := NewTable(s.Replicas, m.end.Era); len(t.Versions) > 0 {
+			if t := NewTable(s.Replicas, m.end.Era).WithRevisionAfter(Table{}); len(t.Versions) > 0 {
 				changed[service] = t
 			}
 			continue
@@ -217,7 +263,12 @@
 		m.terms[service] = term{now, m.retention()}
 		t = t.WithTrust(false, m.end.Era)
 	}
-	t = t.Next(s.Replicas)
+	saved := t
+	t = t.Next(s.Replicas).WithRevisionAfter(saved)
+	if t.Revision == saved.Revision && t.HasFormer() && allFollow && m.isSettled(service, t.Revision, now) {
+		m.Log.Info("former default versions dropped", zap.String("service", service), zap.Any("versions", t.Versions), zap.Int64("revision", t.Revision))
+		t = t.WithoutFormers()
+	}
 	for model, list := range t.Versions {
 		for _, v := range list[1:] {
 			key := former{service, model, v}
--- a/internal/versioner/maintainer_test.go
+++ b/internal/versioner/maintainer_test.go
@@ -163,6 +163,9 @@
 		l := newLog()
 		l.tables["lm"] = NewTable(replicas("", "v1", "m", "v2"), sequencer.FirstEra)
 		f := &Follower{Load: l.store().Snapshot}
+		_, state := f.Find(t.Context(), "lm", "m")
+		require.Equal(t, Unknown, state, "the holder does not know this instance")
+		f.RecordContact(time.Now())
 		requireFound := func(service string, state State, version string) {
 			got, gotState := f.Find(t.Context(), service, "m")
 			require.Equal(t, state, gotState)
@@ -176,13 +179,84 @@
 		time.Sleep(maxAge - 2*absenceAge)
 		requireFound("lm", Known, "v2")
 		f.Confirm(time.Now())
+		f.RecordContact(time.Now())
 		time.Sleep(maxAge - time.Nanosecond)
 		requireFound("lm", Known, "v2")
 		time.Sleep(time.Nanosecond)
 		requireFound("lm", Unknown, "")
-		f.Update(map[string]map[string]string{"lm": {"": "v3"}}, time.Now())
+		f.RecordContact(time.Now())
+		f.Update(map[string]Defaults{"lm": {map[string]string{"": "v3"}, 3}}, time.Now())
 		requireFound("lm", Known, "v3")
-		f.Update(map[string]map[string]string{"lm": {"": "v1"}}, time.Now().Add(-time.Second))
+		f.Update(map[string]Defaults{"lm": {map[string]string{"": "v1"}, 4}}, time.Now().Add(-time.Second))
 		requireFound("lm", Known, "v3")
+		time.Sleep(time.Second)
+		f.Update(map[string]Defaults{"lm": {map[string]string{"": "v2"}, 2}}, time.Now())
+		requireFound("lm", Known, "v3")
+	})
+}
+
+// TestFormerVersionIsDroppedOnceAllInstancesHaveSettled guards against streams from an outage that nobody knows
+// for minutes after a release, and against a stream that goes on at the new version because an instance still had
+// its origin.
+func TestFormerVersionIsDroppedOnceAllInstancesHaveSettled(t *testing.T) {
+	for _, tt := range []struct {
+		name      string
+		isFirst   bool
+		allFollow bool
+		// reports are made after the release, by incarnation: how far behind the revision they are.
+		reports map[string]int64
+		want    []string
+	}{
+		{"all settled", true, true, map[string]int64{"a": 0, "b": 0}, []string{"v2"}},
+		{"one has not settled", true, true, map[string]int64{"a": 0, "b": 1}, []string{"v2", "v1"}},
+		{"one has ended", true, true, map[string]int64{"a": 0}, []string{"v2", "v1"}},
+		{"nobody has reported", true, true, nil, []string{"v2", "v1"}},
+		{"not the first holder", false, true, map[string]int64{"a": 0, "b": 0}, []string{"v2", "v1"}},
+		{"earlier builds", true, false, map[string]int64{"a": 0, "b": 0}, []string{"v2", "v1"}},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				l := newLog()
+				i := newInstance(l, tt.isFirst)
+				i.allFollow = tt.allFollow
+				for _, name := range []string{"a", "b"} {
+					i.RecordReport(name, nil, time.Now())
+				}
+				i.run(t, 2*trustDelay)
+				i.services["lm"] = Service{Replicas: replicas("", "v2")}
+				i.run(t, time.Second)
+				require.Equal(t, []string{"v2", "v1"}, l.tables["lm"].Versions[""])
+				for name, behind := range tt.reports {
+					i.RecordReport(name, map[string]int64{"lm": l.tables["lm"].Revision - behind}, time.Now())
+				}
+				i.run(t, time.Second)
+				require.Equal(t, tt.want, l.tables["lm"].Versions[""])
+			})
+		})
+	}
+}
+
+// TestInstanceThatHasEndedCountsAsLongAsItsStreams guards against a former version that stays for ever, and
+// against one that is dropped while a stream of an instance that has ended may be taken up.
+func TestInstanceThatHasEndedCountsAsLongAsItsStreams(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := newLog()
+		i := newInstance(l, false)
+		i.run(t, i.retention()+time.Second)
+		i.RecordReport("ended", nil, time.Now())
+		i.services["lm"] = Service{Replicas: replicas("", "v2")}
+		i.run(t, time.Second)
+		settle := func(d time.Duration) {
+			for end := time.Now().Add(d); time.Now().Before(end); {
+				i.RecordReport("a", map[string]int64{"lm": l.tables["lm"].Revision}, time.Now())
+				i.run(t, roundInterval)
+			}
+		}
+		settle(50 * time.Second)
+		i.services["lm"] = Service{Replicas: replicas("", "v3")}
+		settle(i.retention() - 52*time.Second)
+		require.Equal(t, []string{"v3", "v2", "v1"}, l.tables["lm"].Versions[""])
+		settle(2 * time.Second)
+		require.Equal(t, []string{"v3"}, l.tables["lm"].Versions[""])
 	})
 }
--- a/internal/versioner/table.go
+++ b/internal/versioner/table.go
@@ -16,6 +16,15 @@
 	IsTrusted bool
 	// Era is the era of the log in which the table was saved.
 	Era int64
+	// Revision increases with each change of a default version, also over eras of the log. It is 0 in tables of
+	// earlier builds.
+	Revision int64
+}
+
+// Defaults are the default versions of a service.
+type Defaults struct {
+	Versions map[string]string // by model
+	Revision int64
 }
 
 // Replicas is the number of upstreams by model and software version. The model "" stands for the
@@ -123,6 +132,36 @@
 	return t
 }
 
+// WithRevisionAfter returns the table with the revision that it has as the successor of another one.
+func (t Table) WithRevisionAfter(former Table) Table {
+	t.Revision = max(former.Revision, t.Era<<revisionBits)
+	if t.Revision == 0 || !maps.Equal(t.Defaults().Versions, former.Defaults().Versions) {
+		t.Revision++
+	}
+	return t
+}
+
+// revisionBits is the number of bits of a revision that count the changes within an era.
+const revisionBits = 32
+
+// HasFormer reports whether a stream without a record may have begun at a former default version.
+func (t Table) HasFormer() bool {
+	for _, list := range t.Versions {
+		if len(list) > 1 {
+			return true
+		}
+	}
+	return false
+}
+
+// WithoutFormers returns the table without its former versions.
+func (t Table) WithoutFormers() Table {
+	for model, list := range t.Versions {
+		t = t.withVersions(model, list[:min(1, len(list))])
+	}
+	return t
+}
+
 // WithTrust returns the table as it is to be saved in an era.
 func (t Table) WithTrust(isTrusted bool, era int64) Table {
 	t.IsTrusted, t.Era = isTrusted, era
@@ -131,16 +170,16 @@
 
 // Equal reports whether two tables say the same.
 func (t Table) Equal(o Table) bool {
-	return t.IsTrusted == o.IsTrusted && t.Era == o.Era && maps.EqualFunc(t.Versions, o.Versions, slices.Equal)
+	return t.IsTrusted == o.IsTrusted && t.Era == o.Era && t.Revision == o.Revision && maps.EqualFunc(t.Versions, o.Versions, slices.Equal)
 }
 
-// Defaults returns the default version by model.
-func (t Table) Defaults() map[string]string {
+// Defaults returns the default versions.
+func (t Table) Defaults() Defaults {
 	out := make(map[string]string, len(t.Versions))
 	for model, list := range t.Versions {
 		if len(list) > 0 {
 			out[model] = list[0]
 		}
 	}
-	return out
+	return Defaults{out, t.Revision}
 }
--- a/internal/versioner/table_test.go
+++ b/internal/versioner/table_test.go
@@ -55,6 +55,21 @@
 	}
 }
 
+// TestRevisionIncreasesWithEachChange guards against an instance that follows default versions of before a change
+// once more.
+func TestRevisionIncreasesWithEachChange(t *testing.T) {
+	first := NewTable(replicas("", "v1"), 1).WithRevisionAfter(Table{})
+	require.Equal(t, int64(1<<revisionBits+1), first.Revision)
+	require.Equal(t, first, first.Next(replicas("", "v1", "", "v2")).WithRevisionAfter(first))
+	second := first.Next(replicas("", "v2")).WithRevisionAfter(first)
+	require.Equal(t, first.Revision+1, second.Revision)
+	require.True(t, second.HasFormer())
+	require.Equal(t, second.Revision, second.WithoutFormers().WithRevisionAfter(second).Revision)
+	require.Equal(t, map[string][]string{"": {"v2"}}, second.WithoutFormers().Versions)
+	restored := first.WithTrust(false, 2).Next(replicas("", "v2")).WithRevisionAfter(first)
+	require.Greater(t, restored.Revision, second.Revision)
+}
+
 func ExampleTable_Default() {
 	t := NewTable(replicas("", "v1", "m", "v1"), 1)
 	fmt.Println(t.Default("m"))
