relayer: a slow client that takes its response before the reset gets all of it

A client that had taken nothing for its time limit, and took its response at the moment at which the instance ended it, got all but the last bytes: its request was passed on, answered whole by the upstream, and cut.

Cause: one goroutine marks the response as ended and resets the connection later; the one that forwards had written everything by then, saw the mark and aborted. The socket held an unread request, so that the close was a reset, which drops what the client has not read.

Who comes first decides now. A response that is written before the reset is complete, and is the last one of its connection: requests that follow are refused as not run.

The test now also wants an answer to the second request.

--- a/internal/relayer/ahead.go
+++ b/internal/relayer/ahead.go
@@ -92,6 +92,8 @@
 	readErr   error     // after the bytes in chunks
 	stallErr  error     // replaces the error of a read
 	endErr    error     // why this instance has ended the response
+	isReset   bool      // the connection to the client is about to be reset
+	isTaken   bool      // all of the response has been written
 	isWaiting bool      // the client has been sent all there is
 	held      int64     // reserved of the buffers
 }
@@ -220,15 +222,29 @@
 	return err
 }
 
-// close releases what is held. The body is closed by the caller.
-func (a *readAhead) close() { _ = a.finish() }
-
-// finish is close, and returns why this instance has ended the response, nil if it has not and will not any
-// more. A response that it has ended must not be completed, even if the client has taken it meanwhile: the
-// connection is about to be reset, and another request on it would be passed on and get no answer.
+// finish is close once all of the response has been written. It returns why the response must not be completed: the
+// connection is about to be reset, and another request on it would be passed on and get no answer. If the client has
+// taken the response after it was ended and before the reset, it is completed, as the last one of its connection.
 func (a *readAhead) finish() error {
 	a.mu.Lock()
-	wasClosed, err := a.isClosed, a.endErr
+	if a.isReset {
+		a.mu.Unlock()
+		a.close()
+		return a.endErr
+	}
+	a.isTaken = true
+	if a.endErr != nil {
+		a.c.client.isLast.Store(true)
+	}
+	a.mu.Unlock()
+	a.close()
+	return nil
+}
+
+// close releases what is held. The body is closed by the caller.
+func (a *readAhead) close() {
+	a.mu.Lock()
+	wasClosed := a.isClosed
 	a.isClosed = true
 	a.releaseLocked()
 	a.mu.Unlock()
@@ -236,7 +252,6 @@
 	if a.isAhead && !wasClosed {
 		allowSlowClient(a.c.clientConn, a.clientTimeout+unwatchedMargin)
 	}
-	return err
 }
 
 func (a *readAhead) releaseLocked() {
@@ -415,5 +430,11 @@
 		zap.Int("slow", c.Buffers.numSlow()), zap.Bool("read-to-end", isRead))
 	c.Metrics.recordEnded(why)
 	_ = a.body.Close()
-	c.resetClient()
+	a.mu.Lock()
+	a.isReset = !a.isTaken
+	isReset := a.isReset
+	a.mu.Unlock()
+	if isReset {
+		c.resetClient()
+	}
 }
--- a/internal/relayer/ahead_test.go
+++ b/internal/relayer/ahead_test.go
@@ -244,7 +244,7 @@
 			c := g.open("/once/", "1")
 			_, err := fmt.Fprintf(c, "POST /once/ HTTP/1.1\r\nHost: h.example\r\n%s: 2\r\nContent-Length: 0\r\n\r\n", hID)
 			require.NoError(t, err)
-			numAnswered := 0
+			numAnswered, numRefused := 0, 0
 			read := func() {
 				defer close(broken)
 				in := bufio.NewReader(c)
@@ -256,6 +256,10 @@
 					if err != nil {
 						return
 					}
+					if resp.StatusCode == http.StatusServiceUnavailable {
+						numRefused++
+						continue
+					}
 					numAnswered++
 				}
 			}
@@ -274,7 +278,9 @@
 			}
 			<-broken
 			require.Equal(t, 1, logs.Len())
-			require.Equal(t, numAnswered, up.count(), "each request that is passed on is answered")
+			require.Equal(t, 1, up.count(), "the second request is not passed on")
+			require.Equal(t, 1, numAnswered, "the request that is passed on is answered")
+			require.Equal(t, 1, numRefused, "the second request is answered")
 		})
 	}
 }
--- a/internal/relayer/client.go
+++ b/internal/relayer/client.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -15,17 +16,27 @@
 
 type clientConnKey struct{}
 
+// clientConn is the connection of a client.
+type clientConn struct {
+	*net.TCPConn
+	// isLast says that the response on it is the last one: requests that follow are refused.
+	isLast atomic.Bool
+}
+
 // WithClientConn returns a context that holds the connection of a client. It is the ConnContext
 // function of a server whose handler is a Relayer. Without it, only whole writes count as
 // progress of a client.
 func WithClientConn(ctx context.Context, c net.Conn) context.Context {
-	return context.WithValue(ctx, clientConnKey{}, c)
+	tcp, _ := c.(*net.TCPConn)
+	return context.WithValue(ctx, clientConnKey{}, &clientConn{TCPConn: tcp})
 }
 
-// clientConnOf returns the connection of the client, nil if it is not known.
-func clientConnOf(ctx context.Context) *net.TCPConn {
-	c, _ := ctx.Value(clientConnKey{}).(*net.TCPConn)
-	return c
+// clientConnOf returns the connection of the client. Its TCPConn is nil if that is not known.
+func clientConnOf(ctx context.Context) *clientConn {
+	if c, ok := ctx.Value(clientConnKey{}).(*clientConn); ok {
+		return c
+	}
+	return &clientConn{}
 }
 
 // resetClient ends the connection to the client with a reset, so that the kernel drops what the
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -176,7 +176,8 @@
 	trial       *losstracker.Trial // nil unless the request is one
 
 	reply          reply
-	clientConn     *net.TCPConn // nil if it is not known
+	client         *clientConn
+	clientConn     *net.TCPConn // of client, nil if it is not known
 	releaseSlot    func()       // of the last attempt; may be called again
 	bodyHeld       buffer       // of the request's body
 	origin         originState
@@ -205,7 +206,8 @@
 
 // ServeHTTP implements http.Handler.
 func (h *Relayer) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	c := &call{Relayer: h, reply: reply{w: w, isStopping: h.IsStopping}, arrived: time.Now(), clientHeader: r.Header, clientConn: clientConnOf(r.Context()), bodyHeld: buffer{of: &h.Buffers}}
+	c := &call{Relayer: h, reply: reply{w: w, isStopping: h.IsStopping}, arrived: time.Now(), clientHeader: r.Header, client: clientConnOf(r.Context()), bodyHeld: buffer{of: &h.Buffers}}
+	c.clientConn = c.client.TCPConn
 	defer c.bodyHeld.release()
 	ctx, cancel := context.WithCancelCause(r.Context())
 	defer cancel(nil)
@@ -285,6 +287,10 @@
 		HasBody: r.ContentLength > 0 || len(r.TransferEncoding) > 0 || r.Header.Get("Content-Length") != "",
 	}
 	c.prepareAdmission()
+	if c.client.isLast.Load() {
+		c.reply.w.Header().Set("Connection", "close")
+		return c.refuse(verdict.ReasonCanceled, minRetryAfter, "the connection is closed, since its client has not taken the response before")
+	}
 	if c.IsClosed() {
 		return c.refuseStopped("the instance is stopping")
 	}
