archiver, relayer: no lock is held during a call to the log, and a field has a name of its own

LocalWriter held its lock while it called the log, which CONTRIBUTING.md forbids. readAhead had a field with the name of a constant.

--- a/internal/archiver/local.go
+++ b/internal/archiver/local.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -30,13 +31,25 @@
 	if len(batch) == 0 {
 		return nil
 	}
+	changes := w.plan(batch, time.Now())
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	if err := w.Store.Save(ctx, changes); err != nil {
+		return err
+	}
+	w.Metrics.appends.Inc()
+	w.Log.Info("origins of streams saved by this instance", zap.Int("streams", len(batch)), zap.Int("slots", w.recordSaved(changes)))
+	return nil
+}
+
+// plan returns the changes of one append: a batch in a slot that was not used before, and expired slots.
+func (w *LocalWriter) plan(batch Batch, now time.Time) map[int]Batch {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if w.next == 0 {
 		// No process uses a slot of another one, since it does not know what is saved there.
 		w.next, w.slots = maxSlots+rand.IntN(localSlots), make(map[int]slot)
 	}
-	now := time.Now()
 	changes := map[int]Batch{w.next: batch}
 	w.slots[w.next] = newSlot(batch, now)
 	w.next++ // also if the call fails, since it may be carried out later
@@ -45,19 +58,18 @@
 			changes[i] = nil
 		}
 	}
-	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
-	defer cancel()
-	if err := w.Store.Save(ctx, changes); err != nil {
-		return err
-	}
-	for i, b := range changes {
-		if b == nil {
-			delete(w.slots, i)
-		}
-	}
-	w.Metrics.appends.Inc()
-	w.Log.Info("origins of streams saved by this instance", zap.Int("streams", len(batch)), zap.Int("slots", len(w.slots)))
-	return nil
+	return changes
+}
+
+// recordSaved drops the slots that were deleted, and returns how many are left.
+func (w *LocalWriter) recordSaved(changes map[int]Batch) int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	maps.DeleteFunc(w.slots, func(i int, _ slot) bool {
+		b, isChanged := changes[i]
+		return isChanged && b == nil
+	})
+	return len(w.slots)
 }
 
 // Saved returns the origins that this instance has saved and that have not expired.
--- a/internal/relayer/ahead.go
+++ b/internal/relayer/ahead.go
@@ -93,7 +93,7 @@
 	stallErr  error     // replaces the error of a read
 	endErr    error     // why this instance has ended the response
 	isReset   bool      // the connection to the client is about to be reset
-	isTaken   bool      // all of the response has been written
+	isWritten bool      // all of the response has been written
 	isWaiting bool      // the client has been sent all there is
 	held      int64     // reserved of the buffers
 }
@@ -232,7 +232,7 @@
 		a.close()
 		return a.endErr
 	}
-	a.isTaken = true
+	a.isWritten = true
 	if a.endErr != nil {
 		a.c.client.isLast.Store(true)
 	}
@@ -431,7 +431,7 @@
 	c.Metrics.recordEnded(why)
 	_ = a.body.Close()
 	a.mu.Lock()
-	a.isReset = !a.isTaken
+	a.isReset = !a.isWritten
 	isReset := a.isReset
 	a.mu.Unlock()
 	if isReset {
