--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -2,4 +2,5 @@
 # Builds the stand-ins that the scripts of the cases 6 to 10 start.
 set -euo pipefail
 cd "$(dirname "$0")/.."
-go build -o target/ ./review/standin-2
+mkdir -p target
+go build -tags review -o target/standin-2 ./review/standin-2
--- a/review/standin-2/fleet.go
+++ b/review/standin-2/fleet.go
@@ -1,3 +1,5 @@
+//go:build review
+
 package main
 
 import (
@@ -206,7 +208,6 @@
 		if err := f.start(p); err != nil {
 			return err
 		}
-		f.instances = append(f.instances, p)
 	}
 	deadline := time.Now().Add(readyTimeout)
 	for _, p := range f.instances {
@@ -226,8 +227,9 @@
 	return nil
 }
 
+// start starts the process of an instance.
 func (f *fleet) start(p *process) error {
-	if err := p.cmd.Start(); err != nil {
+	if err := f.startIfOpen(p, &f.instances); err != nil {
 		return err
 	}
 	f.log("%s started", p.name)
@@ -263,7 +265,7 @@
 	if err != nil {
 		return nil, err
 	}
-	if err := f.startIfOpen(p); err != nil {
+	if err := f.startIfOpen(p, &f.replicas); err != nil {
 		return nil, err
 	}
 	f.log("%s started, service %s at %s", id, service, address)
@@ -300,8 +302,8 @@
 	return p, nil
 }
 
-// startIfOpen starts the process of a replica, unless the case is over.
-func (f *fleet) startIfOpen(p *process) error {
+// startIfOpen starts a process and adds it to a list, unless the case is over.
+func (f *fleet) startIfOpen(p *process, list *[]*process) error {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.isClosed {
@@ -310,7 +312,7 @@
 	if err := p.cmd.Start(); err != nil {
 		return err
 	}
-	f.replicas = append(f.replicas, p)
+	*list = append(*list, p)
 	return nil
 }
 
--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -1,3 +1,5 @@
+//go:build review
+
 // Command standin-2 holds the stand-ins and the drivers of the review cases 6 to 10: a store, replicas
 // and clients, and for each case the order of events that it plays.
 //
@@ -12,8 +14,10 @@
 	"flag"
 	"fmt"
 	"os"
+	"os/signal"
 	"slices"
 	"strings"
+	"syscall"
 	"time"
 )
 
@@ -56,6 +60,13 @@
 		fatal(err)
 	}
 	defer f.close()
+	stop := make(chan os.Signal, 1)
+	signal.Notify(stop, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	go func() {
+		f.log("ended by a signal: %v", <-stop)
+		f.close()
+		os.Exit(exitNotRun)
+	}()
 	time.AfterFunc(maxDuration, func() {
 		f.log("the case has hung")
 		f.close()
--- a/review/standin-2/store.go
+++ b/review/standin-2/store.go
@@ -1,3 +1,5 @@
+//go:build review
+
 package main
 
 import (
