--- a/review/standin-2/client.go
+++ b/review/standin-2/client.go
@@ -5,6 +5,7 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -15,6 +16,9 @@
 // clientDeadline is what clients state in X-Deadline-Ms.
 const clientDeadline = 25 * time.Second
 
+// maxAnswerBytes is where a client gives up an answer. It is longer than all sound ones.
+const maxAnswerBytes = 1 << 20
+
 // send sends a request on a channel of its own, or on the one that it names, and reads the answer.
 func (f *fleet) send(ctx context.Context, address string, r *request) (a answer) {
 	defer func() {
@@ -50,7 +54,11 @@
 	a.status, a.stamp, a.id = resp.StatusCode, resp.Header.Get("X-Server-Stamp"), resp.Header.Get("X-Request-Id")
 	c.r.rate, a.closes = r.rate, resp.Close
 	time.Sleep(r.pause)
-	a.body, a.err = io.ReadAll(resp.Body)
+	a.body, a.err = io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes))
+	if a.err == nil && len(a.body) == maxAnswerBytes {
+		a.err = errors.New("longer than any answer that the client waits for")
+		_ = c.Close() // the client leaves
+	}
 	a.isWhole = a.err == nil && (resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0)
 	return a
 }
