--- a/review/standin-3/main.go
+++ b/review/standin-3/main.go
@@ -87,7 +87,7 @@
 	if len(os.Args) < 2 {
 		fail("usage: CASE RECORD")
 	}
-	cases := map[string]func(*recorder) int{"origins": runOrigins, "brittle": runBrittle, "handover": runHandover}
+	cases := map[string]func(*recorder) int{"origins": runOrigins, "brittle": runBrittle, "handover": runHandover, "memory": runMemory}
 	run, ok := cases[os.Args[1]]
 	if !ok || len(os.Args) != 3 {
 		fail("unknown case %q", os.Args[1])
--- a/review/standin-3/replica.go
+++ b/review/standin-3/replica.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"slices"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 )
@@ -33,6 +34,8 @@
 	slots                      int
 	models                     []model
 	handler                    func(w http.ResponseWriter, r *http.Request)
+	// onOrder, if set, answers orders. Otherwise they are carried out at once.
+	onOrder func(w http.ResponseWriter, r *http.Request)
 
 	store *store
 	log   *recorder
@@ -56,7 +59,10 @@
 	p.conns, p.running = make(map[net.Conn]bool), make(map[string]int)
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /report", p.handleReport)
-	mux.HandleFunc("POST /order", p.handleOrder)
+	if p.onOrder == nil {
+		p.onOrder = p.handleOrder
+	}
+	mux.HandleFunc("POST /order", p.onOrder)
 	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { w.Header().Set("X-Instance-Id", p.id) })
 	mux.HandleFunc("/", p.handleRequest)
 	srv := &http.Server{Handler: mux, ConnState: func(c net.Conn, s http.ConnState) {
@@ -190,7 +196,7 @@
 	h.Set("X-Request-Id", r.Header.Get("X-Request-Id"))
 	h.Set("X-Instance-Id", p.id)
 	p.mu.Lock()
-	name := r.Header.Get("X-Model")
+	name, _, _ := strings.Cut(r.Header.Get("X-Model"), "/")
 	holds := name == "" || slices.ContainsFunc(p.models, func(m model) bool { return m.Name == name })
 	p.mu.Unlock()
 	if e := r.Header.Get("X-Expect-Instance"); e != "" && e != p.id || !holds {
