--- a/review/standin-3/case_handover.go
+++ b/review/standin-3/case_handover.go
@@ -46,8 +46,10 @@
 	var isOver atomic.Bool
 	var start func(n int)
 	start = func(n int) {
-		p := &replica{id: "i-" + newID()[:8], service: "llm", zone: zoneOf(n), version: "v1", slots: slots, store: s, log: log,
-			models: []model{{fmt.Sprintf("m%d", 2*n), 1, []string{}}, {fmt.Sprintf("m%d", 2*n+1), 1, []string{}}}}
+		p := &replica{
+			id: "i-" + newID()[:8], service: "llm", zone: zoneOf(n), version: "v1", slots: slots, store: s, log: log,
+			models: []model{{fmt.Sprintf("m%d", 2*n), 1, []string{}}, {fmt.Sprintf("m%d", 2*n+1), 1, []string{}}},
+		}
 		b := &brittleServer{replica: p}
 		p.handler = func(w http.ResponseWriter, r *http.Request) {
 			id := r.Header.Get("X-Request-Id")
