archiver: a slot is used for one append, so that a late one replaces nothing

Cause: the holder of the lease chose slots of keyed.origins from a listing and appended without a condition. An append without a response may be carried out seconds later. By then the next holder had used the slot, since the listing did not name it, and had reported its origins as saved; the late append replaced them.

Now each writer takes consecutive slots from a random one on, once each, as instances without a holder did before. A late append adds true records and replaces none. Slots of earlier builds are deleted only while the topic has not changed since it was read. A slot that cannot be read makes a stream without a record unknown. The log lines name the slots.

TestSlotsAreUsedAgain is TestExpiredSlotsAreDeleted now, with the same check: its old name said how.

--- a/internal/archiver/archiver.go
+++ b/internal/archiver/archiver.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"fmt"
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/primrosedrift/primrosedrift/internal/sequencer"
 	"github.com/primrosedrift/primrosedrift/internal/streamtracker"
 )
 
@@ -13,26 +15,34 @@
 	// takes 200 kB at most, less than the platform's bound of a record.
 	MaxBatch     = 512
 	maxTextBytes = 96
-	// maxSlots bounds the slots of the holder of the lease. Those from maxSlots on are of single processes.
-	maxSlots = 4096
-	// localSlots is the number of those slots. Each process uses some from a random one on.
-	localSlots = 1 << 52
-	// maxDeletions bounds the slots that are deleted with one append.
-	maxDeletions = 64
 )
 
 // ErrNotHolder is returned by an instance that does not hold the lease.
 var ErrNotHolder = errors.New("this instance does not save origins")
 
+// MalformedError is the error of a slot that cannot be read, or not all of it.
+type MalformedError struct {
+	Slot  int
+	Cause error
+}
+
+func (e MalformedError) Error() string { return fmt.Sprintf("origins in slot %d: %v", e.Slot, e.Cause) }
+
+// Unwrap returns the cause.
+func (e MalformedError) Unwrap() error { return e.Cause }
+
 // Batch are the origins in one slot. Their TTLs count from when the batch was saved.
 type Batch []streamtracker.Origin
 
 // Store keeps batches in the platform's log.
 type Store struct {
-	// Load returns the saved batches by slot, and why some of them cannot be read.
-	Load func(context.Context) (batches map[int]Batch, malformed []error, err error)
-	// Save replaces the batches of slots, all or none. A slot with an empty batch is deleted.
+	// Load returns the saved batches by slot, why some of them cannot be read, and the end of the log.
+	Load func(context.Context) (batches map[int]Batch, malformed []error, end sequencer.Position, err error)
+	// Save replaces the batches of slots, all or none. A slot with an empty batch is deleted. After an error it
+	// may still be done seconds later.
 	Save func(context.Context, map[int]Batch) error
+	// Delete deletes slots if the log still ends at a position.
+	Delete func(ctx context.Context, slots []int, end sequencer.Position) error
 }
 
 func storable(list []streamtracker.Origin) (out Batch) {
--- a/internal/archiver/archiver_test.go
+++ b/internal/archiver/archiver_test.go
@@ -17,6 +17,7 @@
 	"github.com/stretchr/testify/require"
 	"go.uber.org/zap"
 
+	"github.com/primrosedrift/primrosedrift/internal/sequencer"
 	"github.com/primrosedrift/primrosedrift/internal/streamtracker"
 )
 
@@ -25,19 +26,24 @@
 	mu       sync.Mutex
 	slots    map[int]Batch
 	numSaves int
-	numLoads int
+	// numAppends is the number of changes.
+	numAppends int
+	numLoads   int
 	// malformed are the records that cannot be read, and err is the result of each call.
 	malformed []error
 	err       error
+	// isLate, if set, selects the calls that get no response and are carried out by carryOut.
+	isLate func() bool
+	late   []map[int]Batch
 }
 
 func (l *fakeLog) store() Store {
 	return Store{
-		Load: func(context.Context) (map[int]Batch, []error, error) {
+		Load: func(context.Context) (map[int]Batch, []error, sequencer.Position, error) {
 			l.mu.Lock()
 			defer l.mu.Unlock()
 			l.numLoads++
-			return maps.Clone(l.slots), l.malformed, l.err
+			return maps.Clone(l.slots), l.malformed, l.endLocked(), l.err
 		},
 		Save: func(_ context.Context, batches map[int]Batch) error {
 			l.mu.Lock()
@@ -46,14 +52,49 @@
 			if l.err != nil {
 				return l.err
 			}
-			if l.slots == nil {
-				l.slots = make(map[int]Batch)
+			if l.isLate != nil && l.isLate() {
+				l.late = append(l.late, batches)
+				return errors.New("no response")
 			}
-			maps.Copy(l.slots, batches)
-			maps.DeleteFunc(l.slots, func(_ int, b Batch) bool { return len(b) == 0 })
+			l.applyLocked(batches)
 			return nil
 		},
+		Delete: func(_ context.Context, slots []int, end sequencer.Position) error {
+			l.mu.Lock()
+			defer l.mu.Unlock()
+			if end != l.endLocked() {
+				return errors.New("the log has changed")
+			}
+			for _, i := range slots {
+				delete(l.slots, i)
+			}
+			l.numAppends++
+			return nil
+		},
+	}
+}
+
+func (l *fakeLog) endLocked() sequencer.Position {
+	return sequencer.Position{Offset: int64(l.numAppends)}
+}
+
+func (l *fakeLog) applyLocked(batches map[int]Batch) {
+	if l.slots == nil {
+		l.slots = make(map[int]Batch)
+	}
+	l.numAppends++
+	maps.Copy(l.slots, batches)
+	maps.DeleteFunc(l.slots, func(_ int, b Batch) bool { return len(b) == 0 })
+}
+
+// carryOut carries out the calls that got no response.
+func (l *fakeLog) carryOut() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, batches := range l.late {
+		l.applyLocked(batches)
 	}
+	l.late = nil
 }
 
 func (l *fakeLog) streams() (out []string) {
@@ -134,8 +175,8 @@
 	})
 }
 
-// TestSlotsAreUsedAgain guards against a log that grows for as long as two versions are in service.
-func TestSlotsAreUsedAgain(t *testing.T) {
+// TestExpiredSlotsAreDeleted guards against a log that grows for as long as two versions are in service.
+func TestExpiredSlotsAreDeleted(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		l := &fakeLog{}
 		w := newWriter(l)
--- a/internal/archiver/doc.go
+++ b/internal/archiver/doc.go
@@ -12,12 +12,12 @@
 //     they are saved. No event waits for it.
 //   - A Writer at the holder saves what the senders bring, a batch of records in one append.
 //     The number of calls to the log depends neither on the streams nor on the instances.
-//   - While no holder responds, or it cannot save, an instance appends its origins itself, to slots that only
-//     its process has used. They are deleted when their streams have expired: by the process, or by a holder
-//     that finds them in the log.
-//   - Batches go to slots, which are written again when all streams in them have expired. So
-//     the log holds what can still be taken up, and nothing has to be deleted.
+//   - While no holder responds, or it cannot save, an instance appends its origins itself.
+//   - Batches go to slots of the writer's own, each of which it uses once. So no append, however late it is carried
+//     out, replaces a batch that is reported as saved: a late one only adds origins that are true.
+//   - A slot is deleted when all its streams have expired, by its writer or by a holder that finds it in the log.
 //   - A stream whose origin is not saved yet stays unknown if all instances end. No record
 //     is taken for proof that there was none.
-//   - A Reader loads the slots when a stream is taken up that no instance knows.
+//   - A Reader loads the slots when a stream is taken up that no instance knows. While a slot cannot be read,
+//     a stream without a record is unknown.
 package archiver
--- a/internal/archiver/local.go
+++ b/internal/archiver/local.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"maps"
-	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -20,9 +19,8 @@
 	Metrics *Metrics
 
 	mu sync.Mutex
-	// next is the slot of the next append, 0 before the first.
-	next  int
-	slots map[int]slot // by number; those that have not been deleted
+	numbers
+	slots map[int]slot // those that have not been deleted
 }
 
 // Save saves origins with an append of its own. It also deletes the slots whose streams have expired.
@@ -35,6 +33,7 @@
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
 	if err := w.Store.Save(ctx, changes); err != nil {
+		w.recordUnknown(changes)
 		return err
 	}
 	w.Metrics.appends.Inc()
@@ -46,13 +45,12 @@
 func (w *LocalWriter) plan(batch Batch, now time.Time) map[int]Batch {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if w.next == 0 {
-		// No process uses a slot of another one, since it does not know what is saved there.
-		w.next, w.slots = maxSlots+rand.IntN(localSlots), make(map[int]slot)
+	if w.slots == nil {
+		w.slots = make(map[int]slot)
 	}
-	changes := map[int]Batch{w.next: batch}
-	w.slots[w.next] = newSlot(batch, now)
-	w.next++ // also if the call fails, since it may be carried out later
+	i := w.nextNumber()
+	changes := map[int]Batch{i: batch}
+	w.slots[i] = newSlot(batch, now)
 	for i, s := range w.slots {
 		if len(changes) <= maxDeletions && !now.Before(s.until) {
 			changes[i] = nil
@@ -61,6 +59,17 @@
 	return changes
 }
 
+// recordUnknown records that an append had no response.
+func (w *LocalWriter) recordUnknown(changes map[int]Batch) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for i, b := range changes {
+		if b != nil {
+			w.slots[i] = w.slots[i].withUnknownResult(time.Now())
+		}
+	}
+}
+
 // recordSaved drops the slots that were deleted, and returns how many are left.
 func (w *LocalWriter) recordSaved(changes map[int]Batch) int {
 	w.mu.Lock()
--- a/internal/archiver/reader.go
+++ b/internal/archiver/reader.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
 
 	"github.com/primrosedrift/primrosedrift/internal/streamtracker"
@@ -27,7 +28,9 @@
 
 	mu       sync.Mutex
 	loadedAt time.Time
-	running  *load
+	// malformed is the error of a slot that the last load could not read, nil for none.
+	malformed error
+	running   *load
 }
 
 // load is a load that runs, for which several requests may wait.
@@ -58,13 +61,14 @@
 	}
 }
 
-// LoadSince makes the tracker know all origins that were saved before a time.
+// LoadSince makes the tracker know all origins that were saved before a time. It returns an error if some of
+// them cannot be read: a stream without a record may be one of these.
 func (r *Reader) LoadSince(ctx context.Context, at time.Time) error {
 	for {
 		r.mu.Lock()
 		if !r.loadedAt.Before(at) {
-			r.mu.Unlock()
-			return nil
+			defer r.mu.Unlock()
+			return r.malformed
 		}
 		if r.running == nil {
 			r.running = &load{done: make(chan struct{})}
@@ -87,7 +91,7 @@
 	ctx, cancel := context.WithTimeout(ctx, loadTimeout)
 	defer cancel()
 	began := time.Now()
-	batches, malformed, err := r.Store.Load(ctx)
+	batches, malformed, _, err := r.Store.Load(ctx)
 	logMalformed(r.Log, malformed)
 	numStreams := 0
 	for _, b := range batches {
@@ -106,7 +110,12 @@
 	r.Metrics.loads.WithLabelValues(result).Inc()
 	r.mu.Lock()
 	if err == nil {
-		r.loadedAt = began
+		r.loadedAt, r.malformed = began, nil
+		for _, err := range malformed {
+			if m := (MalformedError{}); errors.As(err, &m) {
+				r.malformed = m
+			}
+		}
 	}
 	l.err, r.running = err, nil
 	r.mu.Unlock()
--- a/internal/archiver/save_test.go
+++ b/internal/archiver/save_test.go
@@ -10,6 +10,7 @@
 	"github.com/stretchr/testify/require"
 	"go.uber.org/zap"
 
+	"github.com/primrosedrift/primrosedrift/internal/sequencer"
 	"github.com/primrosedrift/primrosedrift/internal/streamtracker"
 )
 
@@ -59,10 +60,10 @@
 		l := &fakeLog{}
 		store := l.store()
 		r := &Reader{Store: store, Tracker: &streamtracker.Tracker{}, Log: zap.NewNop(), Metrics: newMetrics()}
-		r.Store.Load = func(ctx context.Context) (map[int]Batch, []error, error) {
-			batches, malformed, err := store.Load(ctx)
+		r.Store.Load = func(ctx context.Context) (map[int]Batch, []error, sequencer.Position, error) {
+			batches, malformed, end, err := store.Load(ctx)
 			time.Sleep(100 * time.Millisecond)
-			return batches, malformed, err
+			return batches, malformed, end, err
 		}
 		go func() { _ = r.Load(t.Context()) }()
 		time.Sleep(10 * time.Millisecond)
--- a/internal/archiver/writer.go
+++ b/internal/archiver/writer.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -43,7 +45,12 @@
 	wake       chan struct{}
 
 	isRestored atomic.Bool
-	slots      map[int]slot // used by Run alone; nil if not known
+
+	// The rest is used by Run alone.
+	numbers
+	slots map[int]slot // nil if not known
+	// sharedAt is when slots of earlier builds were last deleted.
+	sharedAt time.Time
 }
 
 type pendingCall struct {
@@ -51,12 +58,6 @@
 	done    chan error
 }
 
-// slot is a saved batch and when its last stream expires.
-type slot struct {
-	batch          Batch
-	savedAt, until time.Time
-}
-
 // Save saves origins with the next append and waits for it.
 func (w *Writer) Save(ctx context.Context, list []streamtracker.Origin) error {
 	if !w.IsHolder() {
@@ -126,6 +127,9 @@
 	for _, c := range calls {
 		c.done <- err
 	}
+	if derr := w.deleteShared(ctx, time.Now()); err == nil && derr != nil {
+		w.Log.Info("origins of streams of earlier builds not deleted", logger.Error(derr))
+	}
 }
 
 // take removes calls for one append.
@@ -169,7 +173,7 @@
 	changes := make(map[int]slot)
 	for len(all) > 0 {
 		n := min(len(all), MaxBatch)
-		changes[w.freeSlot(changes, now)] = newSlot(all[:n:n], now)
+		changes[w.nextNumber()] = newSlot(all[:n:n], now)
 		all = all[n:]
 	}
 	if len(changes) > 0 {
@@ -178,17 +182,69 @@
 	return w.apply(ctx, changes)
 }
 
-// deleteExpired adds the deletions of the slots of single processes whose streams have expired.
+// deleteExpired adds the deletions of slots whose streams have expired and, if there are too many slots, of those
+// that expire first.
 func (w *Writer) deleteExpired(changes map[int]slot, now time.Time) {
+	excess := len(w.slots) + len(changes) - maxSlots
 	n := 0
 	for i, s := range w.slots {
-		if i >= maxSlots && !now.Before(s.until) && n < maxDeletions {
+		if i >= firstNumber && !now.Before(s.until) && n < maxDeletions {
+			changes[i] = slot{}
+			n++
+		}
+	}
+	if n >= excess {
+		return
+	}
+	kept := slices.SortedFunc(maps.Keys(w.slots), func(i, j int) int { return w.slots[i].until.Compare(w.slots[j].until) })
+	for _, i := range kept {
+		if _, isChanged := changes[i]; i >= firstNumber && !isChanged && n < min(excess, maxDeletions) {
 			changes[i] = slot{}
 			n++
 		}
 	}
 }
 
+// deleteShared deletes the expired slots of earlier builds, whose instances use numbers again. The deletion may be
+// carried out late, so it is made under the condition that the log has not changed since the slots were read.
+func (w *Writer) deleteShared(ctx context.Context, now time.Time) error {
+	isExpired := func(i int, s slot) bool { return i < firstNumber && !now.Before(s.until) }
+	isAny := false
+	for i, s := range w.slots {
+		isAny = isAny || isExpired(i, s)
+	}
+	if !isAny || now.Sub(w.sharedAt) < sharedInterval {
+		return nil
+	}
+	w.sharedAt = now
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	saved, _, end, err := w.Store.Load(ctx)
+	if err != nil {
+		return err
+	}
+	var list []int
+	for i, s := range w.slots {
+		switch b := saved[i]; {
+		case !isExpired(i, s) || len(list) == maxDeletions:
+		case !slices.Equal(b, s.batch):
+			w.slots[i] = newSlot(b, now) // an instance of an earlier build has used the number since
+		default:
+			list = append(list, i)
+		}
+	}
+	if len(list) == 0 {
+		return nil
+	}
+	if err := w.Store.Delete(ctx, list, end); err != nil {
+		return err
+	}
+	for _, i := range list {
+		delete(w.slots, i)
+	}
+	return nil
+}
+
 // load reads the slots if they are not known. Their ages are not known, so each counts as new.
 func (w *Writer) load(ctx context.Context) error {
 	if w.slots != nil {
@@ -196,7 +252,7 @@
 	}
 	lctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
-	saved, malformed, err := w.Store.Load(lctx)
+	saved, malformed, _, err := w.Store.Load(lctx)
 	if err != nil {
 		return err
 	}
@@ -205,10 +261,15 @@
 	for i, b := range saved {
 		w.slots[i] = newSlot(b, time.Now())
 	}
+	for _, err := range malformed {
+		if m := (MalformedError{}); errors.As(err, &m) {
+			w.slots[m.Slot] = malformedSlot(time.Now())
+		}
+	}
 	return nil
 }
 
-// logMalformed logs records that cannot be read. Their slots are written again.
+// logMalformed logs records that cannot be read.
 func logMalformed(log *zap.Logger, malformed []error) {
 	for _, err := range malformed {
 		log.Warn("saved origins of streams not read", logger.Error(err))
@@ -219,7 +280,7 @@
 func (w *Writer) saveAgain(ctx context.Context, now time.Time) error {
 	changes := make(map[int]slot)
 	for i, s := range w.slots {
-		if !now.Before(s.until) {
+		if !now.Before(s.until) || len(s.batch) == 0 {
 			continue
 		}
 		changes[i] = s
@@ -242,48 +303,24 @@
 	for i, s := range changes {
 		out[i] = s.batch
 		numOrigins += len(s.batch)
-		if len(s.batch) > 0 {
-			w.slots[i] = s // also if the call fails, since it may have been carried out
-		}
 	}
 	sctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
-	if err := w.Store.Save(sctx, out); err != nil {
-		return err
-	}
-	for i, b := range out {
-		if len(b) == 0 {
+	err := w.Store.Save(sctx, out)
+	for i, s := range changes {
+		switch {
+		case len(s.batch) > 0 && err != nil:
+			w.slots[i] = s.withUnknownResult(time.Now())
+		case len(s.batch) > 0:
+			w.slots[i] = s
+		case err == nil:
 			delete(w.slots, i)
 		}
 	}
+	if err != nil {
+		return errors.Wrapf(err, "slots %v", slices.Sorted(maps.Keys(out)))
+	}
 	w.Metrics.appends.Inc()
-	w.Log.Debug("origins of streams saved", zap.Int("streams", numOrigins), zap.Int("slots", len(w.slots)))
+	w.Log.Debug("origins of streams saved", zap.Int("streams", numOrigins), zap.Int("slots", len(w.slots)), zap.Ints("changed", slices.Sorted(maps.Keys(out))))
 	return nil
 }
-
-// freeSlot returns the first slot whose streams have expired, or a new one. If there are too many
-// it returns the one that expires first.
-func (w *Writer) freeSlot(taken map[int]slot, now time.Time) int {
-	first, firstUntil := 0, time.Time{}
-	for i := range maxSlots {
-		if _, isTaken := taken[i]; isTaken {
-			continue
-		}
-		s, isUsed := w.slots[i]
-		if !isUsed || !now.Before(s.until) {
-			return i
-		}
-		if firstUntil.IsZero() || s.until.Before(firstUntil) {
-			first, firstUntil = i, s.until
-		}
-	}
-	return first
-}
-
-func newSlot(b Batch, now time.Time) slot {
-	longest := time.Duration(0)
-	for _, o := range b {
-		longest = max(longest, min(o.TTL, streamtracker.StreamMemory))
-	}
-	return slot{b, now, now.Add(longest)}
-}
