--- a/internal/archiver/archiver.go
+++ b/internal/archiver/archiver.go
@@ -31,6 +31,9 @@
 // Unwrap returns the cause.
 func (e MalformedError) Unwrap() error { return e.Cause }
 
+// ErrConflict is returned by Store.Delete if the log has changed since it was read.
+var ErrConflict = errors.New("other origins have been saved")
+
 // Batch are the origins in one slot. Their TTLs count from when the batch was saved.
 type Batch []streamtracker.Origin
 
@@ -41,7 +44,7 @@
 	// Save replaces the batches of slots, all or none. A slot with an empty batch is deleted. After an error it
 	// may still be done seconds later.
 	Save func(context.Context, map[int]Batch) error
-	// Delete deletes slots if the log still ends at a position.
+	// Delete deletes slots if the log still ends at a position. Otherwise it returns ErrConflict.
 	Delete func(ctx context.Context, slots []int, end sequencer.Position) error
 }
 
--- a/internal/streamtracker/saver.go
+++ b/internal/streamtracker/saver.go
@@ -7,9 +7,11 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
 
 	"github.com/primrosedrift/primrosedrift/internal/logger"
+	"github.com/primrosedrift/primrosedrift/internal/sequencer"
 	"github.com/primrosedrift/primrosedrift/internal/sleeper"
 )
 
@@ -22,12 +24,16 @@
 	storeTimeout = 800 * time.Millisecond
 )
 
+// ErrConflict is returned by Store.Save if the log has changed since it was read.
+var ErrConflict = errors.New("another instance has changed the software versions")
+
 // Store keeps the software versions of services in the platform's log.
 type Store struct {
-	// Load returns the saved versions by service, and the errors of records that are malformed.
-	Load func(context.Context) (versions map[string][]string, malformed []error, err error)
-	// Save replaces the versions of services.
-	Save func(context.Context, map[string][]string) error
+	// Load returns the saved versions by service, the errors of records that are malformed, and the end of the log.
+	Load func(context.Context) (versions map[string][]string, malformed []error, end sequencer.Position, err error)
+	// Save replaces the versions of services if the log still ends at a position, and returns its end after that.
+	// Otherwise it returns ErrConflict. So a call of a former holder that is carried out late replaces nothing.
+	Save func(context.Context, map[string][]string, sequencer.Position) (sequencer.Position, error)
 }
 
 // LoadService returns the saved versions of a service, to be merged into a History. What is
@@ -35,7 +41,7 @@
 // version have a model loaded. Without a record nothing is known: it may not have been accepted, or the
 // log may have come back from a copy that is older than it.
 func (s Store) LoadService(ctx context.Context, service string) (Versions, error) {
-	all, _, err := s.Load(ctx)
+	all, _, _, err := s.Load(ctx)
 	if err != nil {
 		return Versions{}, err
 	}
@@ -65,6 +71,7 @@
 	wake       chan struct{}
 	isRestored atomic.Bool
 	saved      map[string][]string // nil if not known
+	end        sequencer.Position  // of the log after that
 }
 
 // NewSaver returns a saver.
@@ -109,14 +116,14 @@
 	if s.saved == nil {
 		lctx, cancel := context.WithTimeout(ctx, storeTimeout)
 		defer cancel()
-		saved, malformed, err := s.Store.Load(lctx)
+		saved, malformed, end, err := s.Store.Load(lctx)
 		if err != nil {
 			return err
 		}
 		for _, err := range malformed {
 			s.Log.Warn("saved software versions are malformed", logger.Error(err))
 		}
-		s.saved = make(map[string][]string)
+		s.saved, s.end = make(map[string][]string), end
 		for service, list := range saved {
 			s.saved[service] = slices.Sorted(slices.Values(list))
 			s.History.Merge(service, savedVersions(list), time.Now())
@@ -133,10 +140,15 @@
 	}
 	sctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
-	if err := s.Store.Save(sctx, changed); err != nil {
+	end, err := s.Store.Save(sctx, changed, s.end)
+	if err != nil {
 		s.saved = nil // whether it was saved is not known
+		if errors.Is(err, ErrConflict) {
+			s.Wake()
+		}
 		return err
 	}
+	s.end = end
 	maps.Copy(s.saved, changed)
 	s.Log.Info("software versions saved", zap.Any("versions", changed))
 	return nil
