queuer: brittle upstreams have one home, with a window for each

Cause: each upstream had an instance as its home, but a home took a request that was handed on as one for any upstream, so that each home sent to all. The same bound was broken whenever instances disagree: an instance that could not reach a home took its place, a home that was back began with all the slots, and after the loss of the conductor each instance took itself for the only one.

A home has a window for each upstream that starts with one request, grows with what is accepted and is halved by a refusal. A request whose home cannot be reached goes to the next instance by rank, up to the third, and is refused after that. The instances of the conductor's last view count until they have had time to respond to a probe.

--- a/internal/assembler/assembler.go
+++ b/internal/assembler/assembler.go
@@ -452,7 +452,7 @@
 			if a.upstreamTable.IsComplete(now) {
 				a.losses.Sweep(a.upstreamTable.IsRegistered, now)
 			}
-			members := a.client.Members()
+			members := a.client.Sharers()
 			a.queue.SetInstances(a.Instance, instanceNames(members))
 			n := max(len(members), minReserveMembers)
 			a.retryBudgets.SetReserve(usedReserveFraction * a.RetryReserve / float64(n))
--- a/internal/assembler/peers.go
+++ b/internal/assembler/peers.go
@@ -62,9 +62,9 @@
 	return numBefore < maxSavers
 }
 
-// peerNamed returns a live peer by the name of its instance.
+// peerNamed returns a peer that shares upstreams by the name of its instance.
 func (a *Assembler) peerNamed(instance string) (relayer.Peer, bool) {
-	for _, m := range a.client.Members() {
+	for _, m := range a.client.Sharers() {
 		if m.GetInstance() == instance {
 			return peerOf(m), true
 		}
--- a/internal/emulator/emulator.go
+++ b/internal/emulator/emulator.go
@@ -358,7 +358,7 @@
 	if len(e.runs) >= sim.Engine.Slots && len(sim.instances) > 1 {
 		x.table.RecordPrefill(q, u.ID)
 		x.table.Release(q, u.ID)
-		x.table.Shed(q, u.ID, sim.time())
+		x.table.Shed(q, u, sim.time())
 		sim.results[k.Name].Shed++
 		again := *x
 		again.waiter = nil
--- a/internal/queuer/brittle_test.go
+++ b/internal/queuer/brittle_test.go
@@ -20,17 +20,20 @@
 	sent     int
 }
 
-func playBrittle(numInstances int, isBrittle bool, model func(n int) string) brittlePlay {
+func playBrittle(numInstances, numPlain int, isBrittle bool, model func(n int) string) brittlePlay {
 	const step, length, runs = 10 * time.Millisecond, 30 * time.Second, 200 * time.Millisecond
 	names, cfg := instanceNames(numInstances), config()
 	cfg.Services["lm"].Engine.Models["m2"] = matcher.Model{Name: "m2", StoreLoadDuration: storeLoadDuration}
 	m1, m2 := registrar.Model{Name: "m1"}, registrar.Model{Name: "m2"}
 	engines := []*registrar.Upstream{engine("e1", m1, m2), engine("e2", m1)}
-	plain := &registrar.Upstream{ID: "p1", Service: "plain", DataCentre: "dc1", Slots: 6, StartedAtMs: 1}
 	for _, u := range engines {
 		u.Slots = 8
 	}
-	s := snapshot(engines[0], engines[1], plain)
+	all := engines
+	for n := range numPlain {
+		all = append(all, &registrar.Upstream{ID: fmt.Sprint("p", n+1), Service: "plain", DataCentre: "dc1", Slots: 6, StartedAtMs: 1})
+	}
+	s := snapshot(all...)
 	tables := make(map[string]*Table)
 	for _, name := range names {
 		t := newTable()
@@ -94,11 +97,12 @@
 				t.RecordPrefill(req, u.ID)
 				if atUpstream[u.ID] >= u.Slots {
 					out.refusals = append(out.refusals, now)
-					t.Shed(req, u.ID, now)
+					t.Shed(req, u, now)
 					t.Release(req, u.ID)
 					left = append(left, req)
 					continue
 				}
+				t.RecordAccepted(req, u, now)
 				atUpstream[u.ID]++
 				running = append(running, run{t, req, u.ID, now.Add(runs)})
 			}
@@ -111,17 +115,23 @@
 // TestBrittleUpstreamsTurnNothingAway plays a rush of requests over all instances. The negative:
 // if the instances do not know that the upstreams are brittle, dozens are turned away at once.
 func TestBrittleUpstreamsTurnNothingAway(t *testing.T) {
-	for name, model := range map[string]func(int) string{
-		"models":        func(n int) string { return []string{"m1", "m1", "m2"}[n%3] },
-		"plain service": func(int) string { return "" },
+	noModel := func(int) string { return "" }
+	for name, tt := range map[string]struct {
+		numPlain int
+		model    func(int) string
+	}{
+		"models":                         {1, func(n int) string { return []string{"m1", "m1", "m2"}[n%3] }},
+		"plain service":                  {1, noModel},
+		"plain service, three upstreams": {3, noModel},
+		"plain service, 20 upstreams":    {20, noModel},
 	} {
 		for _, numInstances := range []int{1, 6, 195} {
 			t.Run(fmt.Sprint(name, ", ", numInstances, " instances"), func(t *testing.T) {
-				p := playBrittle(numInstances, true, model)
+				p := playBrittle(numInstances, tt.numPlain, true, tt.model)
 				require.Empty(t, p.refusals)
 				require.GreaterOrEqual(t, p.served, p.sent-20, "those of the last moments still run")
-				if numInstances > 1 {
-					require.Greater(t, len(playBrittle(numInstances, false, model).refusals), 20)
+				if numInstances > 1 && tt.numPlain < 20 { // 100 requests at once are no rush for 20
+					require.Greater(t, len(playBrittle(numInstances, tt.numPlain, false, tt.model).refusals), 20)
 				}
 			})
 		}
@@ -134,7 +144,7 @@
 	table.IsBrittle = func(string, time.Time) bool { return true }
 	req := newRequest(1, 0)
 	require.NotNil(t, table.Grant(req, s, cfg, start))
-	table.Shed(req, "e1", start)
+	table.Shed(req, s.ByID["e1"], start)
 	table.Release(req, "e1")
 	require.Nil(t, table.Grant(req, s, cfg, start.Add(time.Second)))
 	require.NotNil(t, table.Grant(req, s, cfg, start.Add(brittlePause)))
--- a/internal/queuer/choose.go
+++ b/internal/queuer/choose.go
@@ -69,13 +69,13 @@
 	isBroken := make([]bool, 0, len(list))
 	prefixUpstream, _ := t.prefixes.Get(req.Prefix)
 	isBrittle := t.isBrittle(req.Service, now)
+	if isBrittle {
+		list = t.withBrittleRoom(req, s, list, now)
+	}
 	for _, u := range list {
 		if u.IsPaused(now) || !t.canStart(u, now) || req.Model != "" && !u.Holds(req.Model, req.Adapter) {
 			continue
 		}
-		if isBrittle && !t.hasBrittleRoom(req, u, now) {
-			continue
-		}
 		prefill := t.prefill[u.ID]
 		if prefill > 0 && prefill+req.Tokens > maxPrefillTokens {
 			continue
@@ -139,11 +139,11 @@
 
 // Shed records that an upstream refused a request without running it, because
 // it is full or an order for the model is in progress there.
-func (t *Table) Shed(req Request, upstream string, now time.Time) {
+func (t *Table) Shed(req Request, u *registrar.Upstream, now time.Time) {
 	if t.isBrittle(req.Service, now) {
-		t.brittlePauses[upstream] = now.Add(brittlePause)
+		t.shedBrittle(req, u, now)
 	}
-	t.shedUntil[shedKey{upstream, req.key()}] = now.Add(shedDelay)
+	t.shedUntil[shedKey{u.ID, req.key()}] = now.Add(shedDelay)
 	if len(t.shedUntil) > maxShedEntries {
 		for k, until := range t.shedUntil {
 			if now.After(until) {
--- a/internal/queuer/doc.go
+++ b/internal/queuer/doc.go
@@ -20,6 +20,8 @@
 //   - An upstream may limit the requests that it takes from all instances together. They
 //     share the limit evenly, each with a token bucket of one request. If the limit is
 //     too low for that, only some send to it, chosen by hash of upstream and instance.
+//   - An upstream may be brittle: it falls over if it turns many requests away. One instance, the home, sends the requests
+//     of a model, or of a group of upstreams, within a window that grows with what is accepted.
 //   - Where upstreams state how long their work takes, one is chosen by its pace: by the
 //     expected time to the first event and the expected pauses of the streams there.
 //   - Waiting requests are granted by priority, then by objective.
--- a/internal/queuer/pace.go
+++ b/internal/queuer/pace.go
@@ -79,6 +79,7 @@
 
 // RecordLoad records the load that an upstream states in a response to this instance.
 func (t *Table) RecordLoad(u *registrar.Upstream, l registrar.Load, now time.Time) {
+	t.recordOthers(u, l, now)
 	if l.Slowdown > 0 {
 		p := t.pacing.services[u.Service]
 		if p == nil {
--- a/internal/queuer/queuer.go
+++ b/internal/queuer/queuer.go
@@ -204,12 +204,12 @@
 	}
 }
 
-// Home returns the instance that has to send a request to a brittle service, empty if this
-// instance may.
-func (q *Queue) Home(req Request) string {
+// Homes returns the instances that should send a request to a brittle service rather than this one, the first
+// choice first.
+func (q *Queue) Homes(req Request) []string {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	return q.Table.Home(req, q.Upstreams.Snapshot(), time.Now())
+	return q.Table.Homes(req, q.Upstreams.Snapshot(), time.Now())
 }
 
 // SetInstances sets the names of this instance and of all live ones, which share the
@@ -282,7 +282,15 @@
 func (s *Slot) Shed() {
 	s.q.mu.Lock()
 	defer s.q.mu.Unlock()
-	s.q.Table.Shed(s.request, s.Upstream.ID, time.Now())
+	s.q.Table.Shed(s.request, s.Upstream, time.Now())
+}
+
+// RecordAccepted records that the upstream has accepted the request.
+func (s *Slot) RecordAccepted() {
+	s.q.mu.Lock()
+	s.q.Table.RecordAccepted(s.request, s.Upstream, time.Now())
+	s.q.mu.Unlock()
+	s.q.grantWaiting()
 }
 
 // RecordOutcome records the outcome of the attempt. It reports whether the outcome
--- a/internal/queuer/queuer_test.go
+++ b/internal/queuer/queuer_test.go
@@ -156,7 +156,7 @@
 func TestUpstreamThatShedsOrFailsIsSkipped(t *testing.T) {
 	table, s, cfg := newTable(), snapshot(engine("e1", registrar.Model{Name: "m1"})), config()
 	table.Arrive(newRequest(1, 0))
-	table.Shed(newRequest(1, 0), "e1", start)
+	table.Shed(newRequest(1, 0), s.ByID["e1"], start)
 	require.Nil(t, table.Grant(newRequest(1, 0), s, cfg, start))
 	u := table.Grant(newRequest(1, 0), s, cfg, start.Add(shedDelay))
 	require.NotNil(t, u)
--- a/internal/queuer/table.go
+++ b/internal/queuer/table.go
@@ -189,9 +189,8 @@
 	shares           map[string]share // of limited upstreams, by id
 	// versionsSeen holds when an upstream of a software version was last in a snapshot.
 	versionsSeen map[version]time.Time
-	// brittlePauses holds until when nothing is sent to brittle upstreams, by id.
-	brittlePauses map[string]time.Time
-	pacing        pacing
+	brittle      brittleState
+	pacing       pacing
 }
 
 // Waiter is a waiting request.
@@ -263,7 +262,7 @@
 	estimates := make(map[key]StartEstimate)
 	for _, w := range t.waiting {
 		k := key{service: w.Request.Service, model: w.Request.Model}
-		if t.Home(w.Request, s, now) != "" {
+		if !t.isHome(w.Request, s, now) {
 			w.refused <- StartEstimate{IsElsewhere: true}
 			t.leaveOrder(w)
 			continue
@@ -292,7 +291,7 @@
 		maps.DeleteFunc(t.health, func(id string, _ health) bool { return s.ByID[id] == nil })
 	}
 	t.dropEndedPaces(s)
-	maps.DeleteFunc(t.brittlePauses, func(_ string, until time.Time) bool { return now.After(until) })
+	t.brittle.expire(s, now)
 	maps.DeleteFunc(t.versionsSeen, func(_ version, at time.Time) bool { return now.Sub(at) > versionReturnTime })
 	maps.DeleteFunc(t.shares, func(id string, _ share) bool { return s.ByID[id] == nil })
 }
@@ -419,7 +418,6 @@
 	t.health = make(map[string]health)
 	t.shares = make(map[string]share)
 	t.versionsSeen = make(map[version]time.Time)
-	t.brittlePauses = make(map[string]time.Time)
 	t.shedUntil = make(map[shedKey]time.Time)
 	t.prefixes, _ = simplelru.NewLRU[string, string](maxPrefixes, nil) // fails only for a size below one
 	if t.Rand == nil {
--- a/internal/relayer/attempt.go
+++ b/internal/relayer/attempt.go
@@ -203,6 +203,7 @@
 	case isPromise(resp.Status) && !r.IsStamped: // the client would take it for a request that did not run
 		return attemptResult{hasFailed: true, reason: "refusal that does not say that the request did not run, with status " + strconv.Itoa(resp.Status)}
 	}
+	slot.RecordAccepted()
 	return c.forward(actx, slot, resp)
 }
 
--- a/internal/relayer/handon.go
+++ b/internal/relayer/handon.go
@@ -27,6 +27,9 @@
 // provably did not receive it or refused it.
 const maxPeersTried = 3
 
+// homeRetryAfter is the retry delay while the instances that send requests to a brittle service cannot be reached.
+const homeRetryAfter = 500 * time.Millisecond
+
 // handOnState says whether a request comes from a peer or goes to one.
 type handOnState struct {
 	isReceived bool // from a peer
@@ -54,18 +57,21 @@
 	return nil
 }
 
-// peersToTry returns the peers that should serve the request: the one that sends such requests
-// if the upstreams are brittle, and any if the links of this instance to the upstreams are cut or
+// peersToTry returns the peers that should serve the request: those that send such requests
+// if the upstreams are brittle, in their order, and any if the links of this instance to the upstreams are cut or
 // it cannot check the key.
 func (c *call) peersToTry() []string {
 	if c.handOn.isReceived || c.handOn.peer != "" || c.handOn.hasGivenUp || c.attemptsLeft() <= 0 {
 		return nil
 	}
 	var out []string
-	if home := c.Queue.Home(c.admission); home != "" {
+	for _, home := range c.Queue.Homes(c.admission) {
 		if p, ok := c.PeerOf(home); ok && (p.KnowsAccounts || !c.needsKey()) {
 			out = append(out, p.Address)
 		}
+		if len(out) == maxPeersTried {
+			break
+		}
 	}
 	if c.Links.IsCut() || c.isKeyStale {
 		out = append(out, c.handOnPeers()...)
@@ -110,7 +116,12 @@
 	if ctx.Err() != nil {
 		return false, c.refuse(verdict.ReasonCanceled, 0, "the client left")
 	}
-	c.handOn.hasGivenUp, c.admission.IgnoresCut, c.admission.IsHandedOn = true, true, true
+	c.handOn.hasGivenUp = true
+	if len(c.Queue.Homes(c.admission)) >= maxPeersTried {
+		// If each instance sent requests whose home it cannot reach, brittle upstreams would fall over.
+		return false, c.refuse(verdict.ReasonNoUpstream, homeRetryAfter, "the upstreams are brittle, and none of the instances that should send the request can be reached")
+	}
+	c.admission.IgnoresCut, c.admission.IsHandedOn = true, true
 	return false, nil
 }
 
--- a/internal/syncer/client.go
+++ b/internal/syncer/client.go
@@ -36,6 +36,8 @@
 	retryDelay = 150 * time.Millisecond
 	// conductorTTL is how long the conductor counts as reachable after a response.
 	conductorTTL = 1500 * time.Millisecond
+	// firstProbeTime is how long after the loss of the conductor the members have had time to respond to a probe.
+	firstProbeTime = time.Second
 	// probeInterval is the time between two rounds of probes of the members.
 	probeInterval = 300 * time.Millisecond
 	// probeIntervalPerPeer lengthens the least time between two rounds of probes with the number of
@@ -176,6 +178,19 @@
 	return out
 }
 
+// Sharers returns the instances that share the limits and the room of upstreams. These are the live ones; right after
+// the last response of the conductor, when no instance has been probed yet, they are those of its last view. An
+// instance that took itself for the only one would take the share of all.
+func (c *Client) Sharers() []*peerv1.Member {
+	c.mu.Lock()
+	if time.Since(c.viewAt) < conductorTTL+firstProbeTime {
+		defer c.mu.Unlock()
+		return c.members
+	}
+	c.mu.Unlock()
+	return c.Members()
+}
+
 // Run reports and watches until ctx ends.
 func (c *Client) Run(ctx context.Context) {
 	var wg sync.WaitGroup
--- a/internal/syncer/client_test.go
+++ b/internal/syncer/client_test.go
@@ -39,6 +39,19 @@
 	require.Equal(t, []string{"a", "b"}, names, "this instance, and the member that responds to it")
 }
 
+// TestAllMembersShareUntilTheyHaveBeenProbed guards against instances that each take the whole of what an upstream
+// takes from all, for the moment after the loss of the conductor in which none has responded to a probe.
+func TestAllMembersShareUntilTheyHaveBeenProbed(t *testing.T) {
+	now := time.Now()
+	c := &Client{Self: &peerv1.Member{Instance: "a"}, members: []*peerv1.Member{{Instance: "a"}, {Instance: "b"}, {Instance: "c"}}}
+	c.viewAt = now.Add(-conductorTTL)
+	require.Len(t, c.Members(), 1)
+	require.Len(t, c.Sharers(), 3)
+	c.respondedAt = map[string]time.Time{"b": now}
+	c.viewAt = now.Add(-conductorTTL - firstProbeTime)
+	require.Len(t, c.Sharers(), 2)
+}
+
 // The load: a conductor is lost in a fleet of hundreds of instances, and each of them
 // looks for live members and for the next conductor.
 func TestProbesAreBounded(t *testing.T) {
