courier: the end of a connection ends no response whose request was not written

A client got a part of an answer as a complete one: a replica answered a long upload at once without a length, and reset the connection while the upload was still being written.

Cause: requests of more than 16 kB are written by a goroutine whose error was dropped. The kernel reports the error of a socket once. If the write is told of the reset, the read sees the end of the connection as if it had been closed in order, which ends a response without a length.

Now that end counts only once the request was written without an error; the reader waits for the writer for 300 ms at most. A look at what has arrived keeps an error that it is told of. Responses that state their end are whole as before.

TestEndOfAResponseAfterAPeekTookTheReset fails without the kept error.

--- a/internal/courier/arrived.go
+++ b/internal/courier/arrived.go
@@ -25,10 +25,15 @@
 		return false
 	}
 	hasUnread := false
+	c.peeking.Lock()
+	defer c.peeking.Unlock()
 	err = raw.Control(func(fd uintptr) {
 		var b [1]byte
 		n, _, err := unix.Recvfrom(int(fd), b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
 		hasUnread = err == nil && n > 0
+		if err != nil && !errors.Is(err, unix.EAGAIN) {
+			c.peekErr = err
+		}
 	})
 	return err == nil && hasUnread
 }
--- a/internal/courier/courier.go
+++ b/internal/courier/courier.go
@@ -123,13 +123,40 @@
 
 // exchange is one request and its response on a connection.
 type exchange struct {
-	pool          *Pool
-	conn          *conn
-	address       string
-	stop          func() bool
-	isSent        bool
-	once          sync.Once
-	isLongRequest bool // the request is written while the response is read
+	pool    *Pool
+	conn    *conn
+	address string
+	stop    func() bool
+	isSent  bool
+	once    sync.Once
+	// written is closed once a request that is written while its response is read has been written, or that has
+	// failed with writeErr. It is nil for a request that was written before.
+	written  chan struct{}
+	writeErr error
+}
+
+// endTimeout bounds how long the end of a response waits until it is known whether its request was written.
+const endTimeout = 300 * time.Millisecond
+
+// checkEnd returns an error unless the end of the connection is known to be one in order: the request was written to
+// its end, and no other call was told of an error. The kernel reports the error of a socket once, to whichever call
+// comes first: after a reset that a write was told of, a read sees the end of the connection as if it had been
+// closed in order.
+func (x *exchange) checkEnd() error {
+	x.conn.peeking.Lock()
+	peekErr := x.conn.peekErr
+	x.conn.peeking.Unlock()
+	if peekErr != nil || x.written == nil {
+		return peekErr
+	}
+	timer := time.NewTimer(endTimeout)
+	defer timer.Stop()
+	select {
+	case <-x.written:
+		return errors.Wrap(x.writeErr, "answer without a length, and the request was not written")
+	case <-timer.C:
+		return errors.New("answer without a length, and the request is still being written")
+	}
 }
 
 func (x *exchange) run(req *Request) (*Response, error) {
@@ -142,9 +169,12 @@
 			return nil, err
 		}
 	} else {
-		x.isSent, x.isLongRequest = true, true
-		parts := net.Buffers{out, req.Body}               // not copied into one
-		go func() { _, _ = parts.WriteTo(x.conn.Conn) }() // a failed write also fails the read, or the response arrived anyway
+		x.isSent, x.written = true, make(chan struct{})
+		parts := net.Buffers{out, req.Body} // not copied into one
+		go func() {
+			_, x.writeErr = parts.WriteTo(x.conn.Conn)
+			close(x.written)
+		}()
 	}
 	httpResp, isMatched, err := x.readHead(req)
 	if err != nil {
@@ -153,10 +183,10 @@
 	// A response without a length ends with the connection.
 	hasLength := httpResp.ContentLength >= 0 || slices.Contains(httpResp.TransferEncoding, "chunked") || req.Method == http.MethodHead
 	x.conn.applyKeepAlive(httpResp.Header)
-	isReusable := hasLength && !httpResp.Close && isMatched && !x.isLongRequest
+	isReusable := hasLength && !httpResp.Close && isMatched && x.written == nil
 	return &Response{
 		Status: httpResp.StatusCode, Header: httpResp.Header, HasLength: hasLength, IsMatched: isMatched, OpenedAt: x.conn.openedAt,
-		Body: &body{ReadCloser: httpResp.Body, x: x, isReusable: isReusable},
+		Body: &body{ReadCloser: httpResp.Body, x: x, isReusable: isReusable, hasLength: hasLength},
 	}, nil
 }
 
@@ -220,12 +250,17 @@
 // body is the body of a response. Reading it to its end ends the exchange.
 type body struct {
 	io.ReadCloser
-	x          *exchange
-	isReusable bool
+	x                     *exchange
+	isReusable, hasLength bool
 }
 
 func (b *body) Read(p []byte) (int, error) {
 	n, err := b.ReadCloser.Read(p)
+	if errors.Is(err, io.EOF) && !b.hasLength {
+		if cause := b.x.checkEnd(); cause != nil {
+			err = errors.CombineErrors(io.ErrUnexpectedEOF, cause)
+		}
+	}
 	if err != nil {
 		b.x.end(b.isReusable && errors.Is(err, io.EOF))
 		b.x.pool.closeIfLost(b.x.address, err)
--- a/internal/courier/pool.go
+++ b/internal/courier/pool.go
@@ -62,6 +62,10 @@
 	openedAt    time.Time
 	idleAt      time.Time
 	maxIdle     time.Duration
+
+	// peekErr is the error of the socket that hasUnread was told of, so that no read will be.
+	peeking sync.Mutex
+	peekErr error
 }
 
 // get returns an idle connection to the address if one exists that the request with the id can
