courier: a head that does not follow the grammar is no response

Clients got answers with status 000, or whose head had a field with a blank or a control byte in its name, with that line passed on or with another body than the head says.

Cause: net/http takes any three digits for a status, passes over blanks within names and joins folded lines, so that a length may be lost or made up. Status 000 was passed over as if it were informational, and its body could count as the response.

Now each head is compared, as it was sent, with the grammar of RFC 9112, in the one place that all calls to upstreams and other instances use. Statuses outside of 100 to 599, 101, a length beside chunks and informational responses with either are no responses. Such an attempt may have run, as after a reset.

TestOddHeadIsNoResponse fails without the check: status 101 waits until the connection closes. TestHeadsFollowTheGrammar compares heads with changed bytes with the grammar as an expression. The soak's upstreams send such heads as well.

--- a/internal/courier/courier.go
+++ b/internal/courier/courier.go
@@ -195,9 +195,13 @@
 // requests.
 func (x *exchange) readHead(req *Request) (*http.Response, bool, error) {
 	for numSkipped := 0; numSkipped <= maxSkippedResponses; numSkipped++ {
-		x.conn.head.begin()
+		buffered, _ := x.conn.r.Peek(x.conn.r.Buffered()) // no more than is buffered, so it does not fail
+		x.conn.head.begin(buffered)
 		httpResp, err := http.ReadResponse(x.conn.r, &http.Request{Method: req.Method})
-		x.conn.head.end()
+		head := x.conn.head.end(x.conn.r.Buffered())
+		if err == nil {
+			err = checkHead(head)
+		}
 		if err == nil && holdsStatusLine(httpResp) {
 			err = errMixedHead
 		}
