arranger: adapters count for the memory of an upstream

Cause: the planner counted adapters by their slots alone, while weights and adapters share the memory. Now their sizes count, and idle adapters are unloaded for another one or for a model, the least recently used first.

TestAdaptersCountForMemory and TestPlanStaysWithinMemoryAndAdapterSlots fail on; the latter counts the memory of adapters now, and after each order rather than after the last.

--- a/internal/arranger/adapter.go
+++ b/internal/arranger/adapter.go
@@ -49,7 +49,7 @@
 }
 
 // placeAdapter returns the move that loads an adapter on an upstream that holds
-// its model and has a free adapter slot or an idle adapter to unload.
+// its model and has a free adapter slot and memory for it, or idle adapters to unload.
 func (p *planner) placeAdapter(d Demand) (Move, bool) {
 	var best Move
 	bestCost := math.Inf(1)
@@ -59,12 +59,13 @@
 		}
 		m := Move{Upstream: u.ID, Reason: fmt.Sprintf("adapter requested but not loaded on any upstream: waiting %d", d.Waiting)}
 		cost := float64(u.Running)
-		if u.adapterCount() >= p.Engine.AdapterSlots {
-			model, a, ok := leastRecentlyUsed(u)
-			if !ok {
-				continue
-			}
-			m.Orders = append(m.Orders, Order{Operation: Unload, Model: model, Adapter: a.Name})
+		missingMB := u.usedMB(p.Engine) + p.Engine.Models[d.Model].AdapterMB - p.Engine.MemoryMB
+		victims, ok := u.adaptersToUnload(p.Engine, missingMB, u.adapterCount()+1-p.Engine.AdapterSlots)
+		if !ok {
+			continue
+		}
+		for _, a := range victims {
+			m.Orders = append(m.Orders, Order{Operation: Unload, Model: a.model, Adapter: a.Name})
 			// A recently used adapter is likely to be requested again.
 			cost += 100 / (1 + p.Now.Sub(a.LastUsed).Seconds())
 		}
@@ -75,16 +76,3 @@
 	}
 	return best, !math.IsInf(bestCost, 1)
 }
-
-// leastRecentlyUsed returns the least recently used adapter without running
-// requests, and its model.
-func leastRecentlyUsed(u Upstream) (model string, best Adapter, ok bool) {
-	for _, r := range u.Models {
-		for _, a := range r.Adapters {
-			if a.Running == 0 && (!ok || a.LastUsed.Before(best.LastUsed)) {
-				model, best, ok = r.Model, a, true
-			}
-		}
-	}
-	return model, best, ok
-}
--- a/internal/arranger/arranger_test.go
+++ b/internal/arranger/arranger_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -209,6 +210,37 @@
 	require.Empty(t, Plan(f), "the adapter is loaded")
 }
 
+// TestAdaptersCountForMemory guards against engines that crash because they are ordered to load adapters, or a model
+// beside adapters, beyond their memory.
+func TestAdaptersCountForMemory(t *testing.T) {
+	f := fleet(1, 2)
+	f.Engine.AdapterSlots = 8
+	for name, m := range f.Engine.Models {
+		m.SizeMB, m.AdapterMB = 80, 15
+		f.Engine.Models[name] = m
+	}
+	f.addModels(0, "m0", "m1")
+	f.Upstreams[0].Models[0].Adapters = []Adapter{{Name: "a1", LastUsed: now.Add(-time.Minute)}, {Name: "a2", LastUsed: now.Add(-time.Hour)}}
+	f.addDemand("m0", "", 1, 0)
+	f.addDemand("m1", "", 1, 0)
+	f.addDemand("m1", "a3", 1, 1)
+	load := Order{Operation: Load, Model: "m1", Adapter: "a3"}
+	require.Equal(t, []Order{{Operation: Unload, Model: "m0", Adapter: "a2"}, load}, Plan(f)[0].Orders)
+	f.Upstreams[0].Models[0].Adapters[1].Running = 1
+	require.Equal(t, []Order{{Operation: Unload, Model: "m0", Adapter: "a1"}, load}, Plan(f)[0].Orders)
+	f.Upstreams[0].Models[0].Adapters[0].Running = 1
+	require.Empty(t, Plan(f))
+
+	f.Demands = nil
+	f.addDemand("m1", "", 1, 1)
+	f.Upstreams[0].Models = []Resident{{Model: "m0", Running: 1, Adapters: []Adapter{{Name: "a1"}, {Name: "a2", LastUsed: now}, {Name: "a3", Running: 1, LastUsed: now}}}}
+	f.addDemand("m0", "", 1, 0)
+	orders := Plan(f)[0].Orders
+	require.Equal(t, Order{Operation: Unload, Model: "m0", Adapter: "a1"}, orders[0])
+	require.Len(t, orders, 2)
+	require.Equal(t, "m1", orders[1].Model)
+}
+
 func TestBusyUpstreamGetsNoOrders(t *testing.T) {
 	f := fleet(1, 1)
 	f.Upstreams[0].IsBusy = true
@@ -217,6 +249,30 @@
 	require.Empty(t, Plan(f))
 }
 
+// carryOut returns an upstream after an order.
+func carryOut(t *rapid.T, u Upstream, o Order) Upstream {
+	i := slices.IndexFunc(u.Models, func(r Resident) bool { return r.Model == o.Model })
+	if o.Adapter == "" {
+		require.Equal(t, o.Operation == Unload, i >= 0)
+		if o.Operation == Unload {
+			return u.without([]string{o.Model})
+		}
+		u.Models = append(slices.Clone(u.Models), Resident{Model: o.Model})
+		return u
+	}
+	require.GreaterOrEqual(t, i, 0)
+	u.Models = slices.Clone(u.Models)
+	r := &u.Models[i]
+	if o.Operation == Load {
+		r.Adapters = append(slices.Clone(r.Adapters), Adapter{Name: o.Adapter})
+		return u
+	}
+	k := slices.IndexFunc(r.Adapters, func(a Adapter) bool { return a.Name == o.Adapter && a.Running == 0 })
+	require.GreaterOrEqual(t, k, 0)
+	r.Adapters = slices.Delete(slices.Clone(r.Adapters), k, k+1)
+	return u
+}
+
 // For random states and demands, a move never exceeds an upstream's memory or
 // adapter slots and unloads only loaded models, and no upstream gets two moves.
 func TestPlanStaysWithinMemoryAndAdapterSlots(t *testing.T) {
@@ -224,6 +280,7 @@
 		f := fleet(rapid.IntRange(1, 6).Draw(t, "engines"), rapid.IntRange(1, 8).Draw(t, "models"))
 		for name, m := range f.Engine.Models {
 			m.SizeMB = float64(rapid.IntRange(20, 200).Draw(t, "size"))
+			m.AdapterMB = float64(rapid.IntRange(0, 40).Draw(t, "size of adapters"))
 			f.Engine.Models[name] = m
 		}
 		for i := range f.Upstreams {
@@ -232,7 +289,8 @@
 			for name, m := range f.Engine.Models {
 				if rapid.Bool().Draw(t, "held") && u.usedMB(f.Engine)+m.SizeMB <= f.Engine.MemoryMB {
 					r := Resident{Model: name, Running: rapid.IntRange(0, 2).Draw(t, "running")}
-					if u.adapterCount() < f.Engine.AdapterSlots && rapid.Bool().Draw(t, "adapter") {
+					hasRoom := u.usedMB(f.Engine)+m.SizeMB+m.AdapterMB <= f.Engine.MemoryMB
+					if hasRoom && u.adapterCount() < f.Engine.AdapterSlots && rapid.Bool().Draw(t, "adapter") {
 						r.Adapters = []Adapter{{Name: "a0", Running: rapid.IntRange(0, 1).Draw(t, "used")}}
 					}
 					u.Models = append(u.Models, r)
@@ -253,23 +311,11 @@
 			}
 			u := f.Upstreams[i]
 			require.False(t, u.IsBusy)
-			used, adapters := u.usedMB(f.Engine), u.adapterCount()
 			for _, o := range m.Orders {
-				switch {
-				case o.Adapter != "" && o.Operation == Load:
-					adapters++
-				case o.Adapter != "":
-					adapters--
-				case o.Operation == Load:
-					require.False(t, u.holds(o.Model))
-					used += f.Engine.Models[o.Model].SizeMB
-				default:
-					require.True(t, u.holds(o.Model))
-					used -= f.Engine.Models[o.Model].SizeMB
-				}
+				u = carryOut(t, u, o)
+				require.LessOrEqual(t, u.usedMB(f.Engine), f.Engine.MemoryMB)
+				require.LessOrEqual(t, u.adapterCount(), f.Engine.AdapterSlots)
 			}
-			require.LessOrEqual(t, used, f.Engine.MemoryMB)
-			require.LessOrEqual(t, adapters, f.Engine.AdapterSlots)
 		}
 	})
 }
--- a/internal/arranger/fleet.go
+++ b/internal/arranger/fleet.go
@@ -160,16 +160,62 @@
 	return n
 }
 
-// usedMB returns the memory that the models use. Adapters have memory of their
-// own, which is limited by their number.
+// usedMB returns the memory that the models use with their adapters.
 func (u Upstream) usedMB(e matcher.Engine) float64 {
 	sum := 0.0
 	for _, r := range u.Models {
-		sum += e.Models[r.Model].SizeMB
+		m := e.Models[r.Model]
+		sum += m.SizeMB + float64(len(r.Adapters))*m.AdapterMB
 	}
 	return sum
 }
 
+// occupiedMB returns the memory of a model and of its adapters with running requests. The others can be
+// unloaded at any time.
+func (r Resident) occupiedMB(e matcher.Engine) float64 {
+	m := e.Models[r.Model]
+	sum := m.SizeMB
+	for _, a := range r.Adapters {
+		if a.Running > 0 {
+			sum += m.AdapterMB
+		}
+	}
+	return sum
+}
+
+// idleAdapter is an adapter without running requests.
+type idleAdapter struct {
+	Adapter
+	model string
+}
+
+// adaptersToUnload returns the least recently used idle adapters whose unloads free some memory and some
+// adapter slots. It reports false if all of them are not enough.
+func (u Upstream) adaptersToUnload(e matcher.Engine, missingMB float64, missingSlots int) ([]idleAdapter, bool) {
+	var idle []idleAdapter
+	for _, r := range u.Models {
+		for _, a := range r.Adapters {
+			if a.Running == 0 {
+				idle = append(idle, idleAdapter{a, r.Model})
+			}
+		}
+	}
+	slices.SortStableFunc(idle, func(a, b idleAdapter) int { return a.LastUsed.Compare(b.LastUsed) })
+	for n, a := range idle {
+		if missingMB <= 0 && missingSlots <= 0 {
+			return idle[:n], true
+		}
+		missingMB, missingSlots = missingMB-e.Models[a.model].AdapterMB, missingSlots-1
+	}
+	return idle, missingMB <= 0 && missingSlots <= 0
+}
+
+// without returns the upstream without some models.
+func (u Upstream) without(models []string) Upstream {
+	u.Models = slices.DeleteFunc(slices.Clone(u.Models), func(r Resident) bool { return slices.Contains(models, r.Model) })
+	return u
+}
+
 // tier returns the fastest tier that has the model's weights, and how long a load
 // from it takes.
 func (u Upstream) tier(m matcher.Model) (Tier, time.Duration) {
--- a/internal/arranger/place.go
+++ b/internal/arranger/place.go
@@ -57,6 +57,11 @@
 	for _, v := range bestVictims {
 		m.Orders = append(m.Orders, Order{Operation: Unload, Model: v})
 	}
+	rest := u.without(bestVictims)
+	adapters, _ := rest.adaptersToUnload(p.Engine, rest.usedMB(p.Engine)+c.model.SizeMB-p.Engine.MemoryMB, 0) // makeRoom has checked it
+	for _, a := range adapters {
+		m.Orders = append(m.Orders, Order{Operation: Unload, Model: a.model, Adapter: a.Name})
+	}
 	m.Orders = append(m.Orders, Order{Operation: Load, Model: c.model.Name, Tier: bestSource.tier, LoadDuration: bestSource.duration, OtherDuration: bestSource.other})
 	if u.runningOf(bestVictims) > 0 {
 		m.ModelsToDrain = bestVictims
@@ -151,9 +156,12 @@
 }
 
 // makeRoom returns the models to unload for a candidate, and what that costs in
-// requests per second.
+// requests per second. Idle adapters of the others may have to be unloaded as well, which costs nothing.
 func (p *planner) makeRoom(u Upstream, c candidate, tier Tier) (victims []string, cost float64, ok bool) {
-	missingMB := u.usedMB(p.Engine) + c.model.SizeMB - p.Engine.MemoryMB
+	missingMB := c.model.SizeMB - p.Engine.MemoryMB
+	for _, r := range u.Models {
+		missingMB += r.occupiedMB(p.Engine)
+	}
 	if missingMB <= 0 {
 		return nil, 0, true
 	}
@@ -184,13 +192,12 @@
 	}
 	slices.SortFunc(list, func(a, b victim) int { return cmp.Compare(costPerMB(a), costPerMB(b)) })
 	for _, v := range list {
-		size := p.Engine.Models[v.Model].SizeMB
 		if missingMB <= 0 {
 			break
 		}
 		victims = append(victims, v.Model)
 		cost += v.cost
-		missingMB -= size
+		missingMB -= v.occupiedMB(p.Engine)
 	}
 	return victims, cost, missingMB <= 0
 }
