relayer: the test of a closing upstream closes what is not accepted

TestResponseOfAnUpstreamThatIsBeingClosedIsNotWhole failed on the commit before: its upstream accepted the new connection and kept it open, which a process that ends does not.

--- a/internal/relayer/complete_test.go
+++ b/internal/relayer/complete_test.go
@@ -1,6 +1,7 @@
 package relayer
 
 import (
+	"bufio"
 	"io"
 	"net"
 	"net/http"
@@ -124,13 +125,22 @@
 // whole because the upstream's listener is closed some milliseconds after its connections.
 func TestResponseOfAnUpstreamThatIsBeingClosedIsNotWhole(t *testing.T) {
 	for _, path := range []string{"/once/", "/again/", "/stream/"} {
-		var up *upstream
-		up = rawUpstream(t, func(c net.Conn, r *http.Request) {
-			_, _ = io.Copy(io.Discard, r.Body)
-			time.AfterFunc(10*time.Millisecond, func() { _ = up.listen.Close() })
-			send(c, "HTTP/1.1 200 OK\r\n"+hID+": "+r.Header.Get(hID)+"\r\n"+stamped+"\r\n"+event(1))
-		})
-		g := newFixture(t, up)
+		ln, err := net.Listen("tcp4", "127.0.0.1:0")
+		require.NoError(t, err)
+		go func() {
+			defer ln.Close()
+			c, err := ln.Accept() // the next connection is opened and not accepted
+			if err != nil {
+				return
+			}
+			if r, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
+				_, _ = io.Copy(io.Discard, r.Body)
+				send(c, "HTTP/1.1 200 OK\r\n"+hID+": "+r.Header.Get(hID)+"\r\n"+stamped+"\r\n"+event(1))
+			}
+			_ = c.Close()
+			time.Sleep(10 * time.Millisecond)
+		}()
+		g := newFixture(t, &upstream{t: t, listen: ln})
 		g.requireBroken(path, "being closed")
 	}
 }
