relayer: an upstream that is removed has to listen at the end of a response

Cause: any end in order counted for an upstream that leaves, since it may close its listener before its last response. One that is removed at short notice states so (remaining-ms, which was not read), and is gone at a set time whatever it runs.

--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -57,6 +57,9 @@
 	// IsLeaving reports whether the upstream accepts no new requests, according to its
 	// registration or to a response of its own.
 	IsLeaving bool
+	// IsPreempted reports whether the upstream leaves at short notice: its process ends at a set time, whatever it
+	// is running.
+	IsPreempted bool
 	// PausedUntil is the time until which the upstream accepts nothing from this
 	// instance, zero for none.
 	PausedUntil time.Time
--- a/internal/relayer/complete_test.go
+++ b/internal/relayer/complete_test.go
@@ -88,9 +88,12 @@
 	} {
 		for ending, end := range map[string]struct {
 			isReset, hasEnded, isLeaving, isWhole bool
+			isPreempted                           bool
 		}{
 			"closed": {isWhole: true}, "reset": {isReset: true}, "the upstream ends": {hasEnded: true},
 			"the upstream ends and had said so": {hasEnded: true, isLeaving: true, isWhole: true},
+			"the upstream is removed":           {hasEnded: true, isPreempted: true},
+			"the upstream is to be removed":     {isPreempted: true, isWhole: true},
 		} {
 			t.Run(kind+"/"+ending, func(t *testing.T) {
 				var g *fixture
@@ -100,6 +103,11 @@
 					if end.isLeaving {
 						g.Upstreams.RecordLeaving("u0", 1, time.Now())
 					}
+					if end.isPreempted {
+						u := *g.Upstreams.Snapshot().ByID["u0"]
+						u.Sequence, u.IsLeaving, u.IsPreempted = u.Sequence+1, true, true
+						g.Upstreams.ApplyRegistrations(map[string]*registrar.Upstream{"u0": &u}, time.Now())
+					}
 					if end.hasEnded {
 						_ = up.listen.Close()
 					}
--- a/internal/relayer/ending.go
+++ b/internal/relayer/ending.go
@@ -37,7 +37,7 @@
 	}
 	u := c.origin.upstream
 	switch now := c.Upstreams.Snapshot().ByID[u.ID]; {
-	case now == nil || now.IsLeaving:
+	case now == nil || now.IsLeaving && !now.IsPreempted:
 		return nil // it may have closed its listener before it ends the response
 	case now.StartedAtMs != u.StartedAtMs:
 		return errors.Wrap(errNoLength, "the upstream has restarted")
