--- a/internal/losstracker/saver.go
+++ b/internal/losstracker/saver.go
@@ -5,11 +5,9 @@
 	"sync"
 	"time"
 
-	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
 
 	"github.com/primrosedrift/primrosedrift/internal/logger"
-	"github.com/primrosedrift/primrosedrift/internal/sequencer"
 	"github.com/primrosedrift/primrosedrift/internal/sleeper"
 )
 
@@ -23,8 +21,6 @@
 	loadRetryInterval = 2 * time.Second
 	// storeTimeout bounds a call to the store.
 	storeTimeout = 800 * time.Millisecond
-	// maxSaveAttempts bounds the attempts of one round, each after a read of the log.
-	maxSaveAttempts = 3
 )
 
 // Poison is a poison request as it is kept in the platform's log.
@@ -38,17 +34,13 @@
 	level level
 }
 
-// ErrConflict is returned by Store.Save if the log has changed since it was read.
-var ErrConflict = errors.New("another instance has changed the poison requests")
-
 // Store keeps poison requests in the platform's log.
 type Store struct {
-	// Load returns the saved poison requests, the errors of the records that are
-	// malformed, and the end of the log.
-	Load func(context.Context) (list []Poison, malformed []error, end sequencer.Position, err error)
-	// Save saves poison requests, and removes those without losses, if the log still ends at a position. It returns
-	// the end after that, or ErrConflict. So a call that is carried out late replaces no losses saved since.
-	Save func(context.Context, []Poison, sequencer.Position) (sequencer.Position, error)
+	// Load returns the saved poison requests, and the errors of the records that are
+	// malformed.
+	Load func(context.Context) (list []Poison, malformed []error, err error)
+	// Save saves poison requests, and removes those without losses.
+	Save func(context.Context, []Poison) error
 }
 
 // Saver keeps the poison requests of a Tracker in the platform's log. All fields must be
@@ -67,13 +59,10 @@
 	After <-chan struct{}
 	Log   *zap.Logger
 
-	isLoaded bool
-	// end is the end of the log after the last call. It is not known after one that failed.
-	end        sequencer.Position
-	isEndKnown bool
-	tidiedAt   time.Time // zero while this instance does not hold the lease
-	initOnce   sync.Once
-	firstLoad  chan struct{} // closed after the first load, whatever its result
+	isLoaded  bool
+	tidiedAt  time.Time // zero while this instance does not hold the lease
+	initOnce  sync.Once
+	firstLoad chan struct{} // closed after the first load, whatever its result
 }
 
 // saving is what is to be saved or removed.
@@ -107,7 +96,7 @@
 			close(s.firstLoaded())
 		}
 		s.tidy(ctx, time.Now())
-		s.save(ctx, time.Now())
+		s.save(ctx)
 		sleeper.Sleep(ctx, minSaveInterval)
 		select {
 		case <-ctx.Done():
@@ -117,7 +106,7 @@
 	}
 	last, cancel := context.WithTimeout(context.WithoutCancel(ctx), storeTimeout)
 	defer cancel()
-	s.save(last, time.Now())
+	s.save(last)
 }
 
 // FirstLoad returns a channel that is closed after the first attempt to load the saved
@@ -133,11 +122,10 @@
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
 	numRestores := s.Tracker.numRestores()
-	list, malformed, end, err := s.Store.Load(ctx)
+	list, malformed, err := s.Store.Load(ctx)
 	if err != nil {
 		return err
 	}
-	s.end, s.isEndKnown = end, true
 	for _, err := range malformed {
 		s.Log.Warn("record of a poison request is malformed", logger.Error(err))
 	}
@@ -148,7 +136,7 @@
 		return nil
 	}
 	if len(old) > 0 {
-		if err := s.put(ctx, old); err != nil {
+		if err := s.Store.Save(ctx, old); err != nil {
 			return err
 		}
 	}
@@ -171,42 +159,20 @@
 	}
 }
 
-// save saves what is not saved. If the log has changed since it was read, it is read again and merged first: another
-// instance may have saved the same.
-func (s *Saver) save(ctx context.Context, now time.Time) {
-	for range maxSaveAttempts {
-		numRestores := s.Tracker.numRestores()
-		list := s.Tracker.unsaved(s.IsHolder(), s.MaySaveForOthers != nil && s.MaySaveForOthers())
-		if len(list) == 0 {
-			return
-		}
-		var err error
-		if s.isEndKnown {
-			sctx, cancel := context.WithTimeout(ctx, storeTimeout)
-			err = s.put(sctx, list)
-			cancel()
-			if err == nil {
-				s.Tracker.recordSaved(list, numRestores)
-				s.Log.Info("poison requests saved", zap.Int("requests", len(list)))
-				return
-			}
-		}
-		if err == nil || errors.Is(err, ErrConflict) {
-			err = s.load(ctx, now)
-		}
-		if err != nil {
-			s.Log.Warn("poison requests could not be saved", zap.Int("requests", len(list)), logger.Error(err))
-			return
-		}
+func (s *Saver) save(ctx context.Context) {
+	numRestores := s.Tracker.numRestores()
+	list := s.Tracker.unsaved(s.IsHolder(), s.MaySaveForOthers != nil && s.MaySaveForOthers())
+	if len(list) == 0 {
+		return
 	}
-	s.Log.Warn("poison requests not saved yet: other instances save as well")
-}
-
-// put saves poison requests at the known end of the log.
-func (s *Saver) put(ctx context.Context, list []Poison) error {
-	end, err := s.Store.Save(ctx, list, s.end)
-	s.end, s.isEndKnown = end, err == nil
-	return err
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	if err := s.Store.Save(ctx, list); err != nil {
+		s.Log.Warn("poison requests could not be saved", zap.Int("requests", len(list)), logger.Error(err))
+		return
+	}
+	s.Tracker.recordSaved(list, numRestores)
+	s.Log.Info("poison requests saved", zap.Int("requests", len(list)))
 }
 
 // level is how much is known against a request.
