archiver, queuer: bounds of an outage, and no grants without a change

Found while the change was read again. The holder's slots grew with each append of an outage, since expired ones are deleted with appends that succeed (TestSlotsOfAnOutageAreBounded). Each response of any service started a round of grants; now only one that widens the window of a brittle upstream does.

--- a/internal/archiver/late_test.go
+++ b/internal/archiver/late_test.go
@@ -145,3 +145,14 @@
 		require.NoError(t, r.LoadSince(t.Context(), time.Now()))
 	})
 }
+
+// TestSlotsOfAnOutageAreBounded guards against a holder whose memory grows with each append of an outage.
+func TestSlotsOfAnOutageAreBounded(t *testing.T) {
+	l := &fakeLog{isLate: func() bool { return true }}
+	w := newWriter(l)
+	for n := range maxSlots + 2 {
+		require.Error(t, w.save(t.Context(), []pendingCall{{origins: Batch{origin(fmt.Sprint(n), time.Minute)}}}))
+		l.late = nil
+		require.LessOrEqual(t, len(w.slots), maxSlots)
+	}
+}
--- a/internal/archiver/writer.go
+++ b/internal/archiver/writer.go
@@ -318,6 +318,9 @@
 		}
 	}
 	if err != nil {
+		if len(w.slots) > maxSlots {
+			w.slots = nil // they grow with each append of an outage; the next load has those that are saved
+		}
 		return errors.Wrapf(err, "slots %v", slices.Sorted(maps.Keys(out)))
 	}
 	w.Metrics.appends.Inc()
--- a/internal/queuer/brittle.go
+++ b/internal/queuer/brittle.go
@@ -210,11 +210,13 @@
 	t.brittle.windows[windowKey{u.ID, req.Model}] = window{limit, now}
 }
 
-// RecordAccepted records that an upstream has accepted a request.
-func (t *Table) RecordAccepted(req Request, u *registrar.Upstream, now time.Time) {
-	if t.isBrittle(req.Service, now) {
-		t.setWindow(req, u, t.windowOf(req, u, now).limit+1, now)
+// RecordAccepted records that an upstream has accepted a request. It reports whether this instance may send it more.
+func (t *Table) RecordAccepted(req Request, u *registrar.Upstream, now time.Time) (hasGrown bool) {
+	if !t.isBrittle(req.Service, now) {
+		return false
 	}
+	t.setWindow(req, u, t.windowOf(req, u, now).limit+1, now)
+	return true
 }
 
 // shedBrittle records that a brittle upstream has refused a request.
--- a/internal/queuer/queuer.go
+++ b/internal/queuer/queuer.go
@@ -288,9 +288,11 @@
 // RecordAccepted records that the upstream has accepted the request.
 func (s *Slot) RecordAccepted() {
 	s.q.mu.Lock()
-	s.q.Table.RecordAccepted(s.request, s.Upstream, time.Now())
+	hasGrown := s.q.Table.RecordAccepted(s.request, s.Upstream, time.Now())
 	s.q.mu.Unlock()
-	s.q.grantWaiting()
+	if hasGrown {
+		s.q.grantWaiting()
+	}
 }
 
 // RecordOutcome records the outcome of the attempt. It reports whether the outcome
