--- a/internal/relayer/upload_test.go
+++ b/internal/relayer/upload_test.go
@@ -32,14 +32,20 @@
 		for _, path := range []string{"/once/", "/stream/", "/resumable/"} {
 			for _, size := range []int{512 << 10, 1_000_000} {
 				t.Run(fmt.Sprint(name, path, size), func(t *testing.T) {
-					t.Parallel()
-					for range 3 {
+					const numRequests = 3
+					var fixtures []*fixture
+					var requests []*http.Request
+					for range numRequests {
 						up := rawUpstream(t, func(c net.Conn, r *http.Request) {
 							send(c, "HTTP/1.1 200 OK\r\n"+hID+": "+r.Header.Get(hID)+"\r\n"+stamped+"\r\n"+event(1)+event(2))
 							end(c, r)
 						})
 						g := newFixture(t, up)
-						resp, got := g.do(g.request("POST", path, strings.Repeat("x", size)))
+						fixtures, requests = append(fixtures, g), append(requests, g.request("POST", path, strings.Repeat("x", size)))
+					}
+					t.Parallel()
+					for n, g := range fixtures {
+						resp, got := g.do(requests[n])
 						if resp.StatusCode == http.StatusOK {
 							require.Contains(t, got, "!", "it must not look complete")
 							continue
