--- a/internal/queuer/brittle_play_test.go
+++ b/internal/queuer/brittle_play_test.go
@@ -135,7 +135,7 @@
 	f.snapshot = snapshot(list...)
 }
 
-// changeInstances ends and starts instances, and tells all what is known by now.
+// changeInstances ends and starts instances, and updates the member lists of the others.
 func (f *brittleFleet) changeInstances() {
 	if f.restartInterval > 0 {
 		phase := f.now.Sub(start) % f.restartInterval
