--- a/review/standin-4/harness.go
+++ b/review/standin-4/harness.go
@@ -3,7 +3,9 @@
 import (
 	"bufio"
 	"encoding/json"
+	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -106,7 +108,11 @@
 // startInstances starts entry instances with the command of the deploy file.
 func (r *rig) startInstances(zones ...string) error {
 	for n, zone := range zones {
-		i := &instance{name: fmt.Sprintf("edge-%d", n+1), ip: fmt.Sprintf("127.0.%d.1", n+21), zone: zone, rig: r}
+		ip, err := freeIP()
+		if err != nil {
+			return err
+		}
+		i := &instance{name: fmt.Sprintf("edge-%d", n+1), ip: ip, zone: zone, rig: r}
 		i.log = filepath.Join(r.dir, i.name+".log")
 		r.instances = append(r.instances, i)
 	}
@@ -268,6 +274,26 @@
 	return resp.StatusCode
 }
 
+// freeIP returns a loopback address at which nothing listens at the ports of an instance.
+func freeIP() (string, error) {
+	for range 100 {
+		ip := fmt.Sprintf("127.%d.%d.%d", 64+rand.IntN(128), 1+rand.IntN(250), 1+rand.IntN(250))
+		isFree := true
+		for _, port := range []string{"18141", "18143", "18144", "18149", "17380", "17381"} {
+			ln, err := net.Listen("tcp4", ip+":"+port)
+			if err != nil {
+				isFree = false
+				break
+			}
+			_ = ln.Close()
+		}
+		if isFree {
+			return ip, nil
+		}
+	}
+	return "", errors.New("no free address")
+}
+
 // freeAddress returns an address of a loopback IP that nothing listens at.
 func freeAddress(ip string) string {
 	ln, err := net.Listen("tcp4", ip+":0")
