--- a/review/standin-4/main.go
+++ b/review/standin-4/main.go
@@ -5,9 +5,15 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
 	"path/filepath"
+	"syscall"
+	"time"
 )
 
+// maxTime ends a case that hangs.
+const maxTime = 105 * time.Second
+
 var cases = map[string]func(*rig) (broken bool, err error){}
 
 func main() {
@@ -35,6 +41,18 @@
 		return exitNotRun
 	}
 	defer r.stop()
+	stop := make(chan os.Signal, 1)
+	signal.Notify(stop, syscall.SIGTERM, syscall.SIGINT)
+	go func() {
+		select {
+		case x := <-stop:
+			note("not run: ended by a signal: %v", x)
+		case <-time.After(maxTime):
+			note("not run: the case has hung")
+		}
+		r.stop()
+		os.Exit(exitNotRun)
+	}()
 	broken, err := cases[name](r)
 	switch {
 	case err != nil:
