review/standin-4: formatted as the project's formatter asks, errors of writes checked

Cause: the formatter of ./scripts/test also reads the module of the stand-ins, and refused five files. Change: format, and the errors that the linter names.

--- a/review/standin-4/case_busy.go
+++ b/review/standin-4/case_busy.go
@@ -25,8 +25,10 @@
 func busy(r *rig) (bool, error) {
 	if err := r.configure(map[string]any{
 		"version": 1, "limits": limits(),
-		"routes": []any{map[string]any{"name": "notes", "host": "app.example", "path-prefix": "/notes/", "route-type": "streaming", "timeout-ms": 12000,
-			"target-latency-ms": 2500, "priority": 1, "service": "app", "max-attempts": 1, "resumable": false, "target-gap-ms": 200}},
+		"routes": []any{map[string]any{
+			"name": "notes", "host": "app.example", "path-prefix": "/notes/", "route-type": "streaming", "timeout-ms": 12000,
+			"target-latency-ms": 2500, "priority": 1, "service": "app", "max-attempts": 1, "resumable": false, "target-gap-ms": 200,
+		}},
 		"services": []any{map[string]any{"name": "app", "health-path": "/healthz", "max-connections": 96, "protocol": "h1", "tls": false}},
 	}); err != nil {
 		return false, err
@@ -133,7 +135,9 @@
 // readEvents sends a request on a channel and counts the events of its answer.
 func readEvents(conn net.Conn, id, target string) (status, events int, err error) {
 	_ = conn.SetDeadline(time.Now().Add(12 * time.Second))
-	fmt.Fprintf(conn, "POST %s HTTP/1.1\r\nHost: app.example\r\nX-Request-Id: %s\r\nX-Deadline-Ms: 12000\r\nContent-Length: 0\r\n\r\n", target, id)
+	if _, err := fmt.Fprintf(conn, "POST %s HTTP/1.1\r\nHost: app.example\r\nX-Request-Id: %s\r\nX-Deadline-Ms: 12000\r\nContent-Length: 0\r\n\r\n", target, id); err != nil {
+		return 0, 0, err
+	}
 	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
 	if err != nil {
 		return 0, 0, err
--- a/review/standin-4/case_frozen_check.go
+++ b/review/standin-4/case_frozen_check.go
@@ -20,8 +20,10 @@
 func frozenCheck(r *rig) (bool, error) {
 	if err := r.configure(map[string]any{
 		"version": 1, "limits": limits(),
-		"routes": []any{map[string]any{"name": "book", "host": "app.example", "path-prefix": "/book/", "route-type": "non_idempotent", "timeout-ms": 10000,
-			"target-latency-ms": 2000, "priority": 1, "service": "app", "max-attempts": 1}},
+		"routes": []any{map[string]any{
+			"name": "book", "host": "app.example", "path-prefix": "/book/", "route-type": "non_idempotent", "timeout-ms": 10000,
+			"target-latency-ms": 2000, "priority": 1, "service": "app", "max-attempts": 1,
+		}},
 		"services": []any{map[string]any{"name": "app", "health-path": "/healthz", "max-connections": 96, "protocol": "h1", "tls": false}},
 	}); err != nil {
 		return false, err
--- a/review/standin-4/case_late_check.go
+++ b/review/standin-4/case_late_check.go
@@ -25,8 +25,10 @@
 func lateCheck(r *rig) (bool, error) {
 	if err := r.configure(map[string]any{
 		"version": 1, "limits": limits(),
-		"routes": []any{map[string]any{"name": "get", "host": "app.example", "path-prefix": "/get/", "route-type": "idempotent", "timeout-ms": 30000,
-			"target-latency-ms": 2000, "priority": 1, "service": "app", "max-attempts": 2}},
+		"routes": []any{map[string]any{
+			"name": "get", "host": "app.example", "path-prefix": "/get/", "route-type": "idempotent", "timeout-ms": 30000,
+			"target-latency-ms": 2000, "priority": 1, "service": "app", "max-attempts": 2,
+		}},
 		"services": []any{map[string]any{"name": "app", "health-path": "/healthz", "max-connections": 96, "protocol": "h1", "tls": false}},
 	}); err != nil {
 		return false, err
@@ -80,7 +82,9 @@
 	}
 	defer conn.Close()
 	_ = conn.SetDeadline(time.Now().Add(30 * time.Second))
-	fmt.Fprintf(conn, "GET %s HTTP/1.1\r\nHost: app.example\r\nX-Request-Id: %s\r\nX-Deadline-Ms: 30000\r\n\r\n", target, id)
+	if _, err := fmt.Fprintf(conn, "GET %s HTTP/1.1\r\nHost: app.example\r\nX-Request-Id: %s\r\nX-Deadline-Ms: 30000\r\n\r\n", target, id); err != nil {
+		return 0, nil, err
+	}
 	if rate > 0 {
 		note("client: request %s sent to %s: GET %s", id, address, target)
 	}
--- a/review/standin-4/case_slow.go
+++ b/review/standin-4/case_slow.go
@@ -27,8 +27,10 @@
 func slow(r *rig) (bool, error) {
 	if err := r.configure(map[string]any{
 		"version": 1, "limits": limits(),
-		"routes": []any{map[string]any{"name": "get", "host": "app.example", "path-prefix": "/get/", "route-type": "idempotent", "timeout-ms": 25000,
-			"target-latency-ms": 2000, "priority": 1, "service": "app", "max-attempts": 2}},
+		"routes": []any{map[string]any{
+			"name": "get", "host": "app.example", "path-prefix": "/get/", "route-type": "idempotent", "timeout-ms": 25000,
+			"target-latency-ms": 2000, "priority": 1, "service": "app", "max-attempts": 2,
+		}},
 		"services": []any{map[string]any{"name": "app", "health-path": "/healthz", "max-connections": 96, "protocol": "h1", "tls": false}},
 	}); err != nil {
 		return false, err
@@ -106,7 +108,9 @@
 		if k == 0 {
 			rid = id + "-first"
 		}
-		fmt.Fprintf(conn, "GET %s HTTP/1.1\r\nHost: app.example\r\nX-Request-Id: %s\r\nX-Deadline-Ms: 25000\r\n\r\n", t, rid)
+		if _, err := fmt.Fprintf(conn, "GET %s HTTP/1.1\r\nHost: app.example\r\nX-Request-Id: %s\r\nX-Deadline-Ms: 25000\r\n\r\n", t, rid); err != nil {
+			return 0, nil, err
+		}
 		resp, err := http.ReadResponse(in, nil)
 		if err != nil {
 			return 0, nil, err
--- a/review/standin-4/harness.go
+++ b/review/standin-4/harness.go
@@ -34,7 +34,7 @@
 	defer recordMu.Unlock()
 	line := fmt.Sprintf("%8.3f  ", time.Since(started).Seconds()) + fmt.Sprintf(format, args...)
 	if record != nil {
-		fmt.Fprintln(record, line)
+		_, _ = fmt.Fprintln(record, line)
 	}
 	fmt.Println(line)
 }
@@ -157,7 +157,7 @@
 	if err != nil {
 		return err
 	}
-	i.cmd, err = r.spawn(i.name, []string{"PRIMROSEDRIFT_CONFIG=" + path, "GOMAXPROCS=1", "GOGC=50"}, func(line string) { fmt.Fprintln(log, line) }, program(), "entry")
+	i.cmd, err = r.spawn(i.name, []string{"PRIMROSEDRIFT_CONFIG=" + path, "GOMAXPROCS=1", "GOGC=50"}, func(line string) { _, _ = fmt.Fprintln(log, line) }, program(), "entry")
 	return err
 }
 
