review/13: uploads end answers that other clients read

Cause: bodies of requests and what is read ahead for clients share one bound, and a new body makes its room by ending answers that have been accepted.

--- a/review/standin-4/replica.go
+++ b/review/standin-4/replica.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"flag"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"os"
@@ -124,6 +125,7 @@
 	}
 	s.running.Add(1)
 	defer s.running.Add(-1)
+	_, _ = io.Copy(io.Discard, r.Body)
 	fmt.Println("runs", id, r.Method, r.RequestURI)
 	h.Set("X-Server-Stamp", "review."+s.id+"."+id)
 	q := r.URL.Query()
