endchecker: whole responses of upstreams without room are not cut

Cause: the end of such a response counts if a new connection can be opened to the upstream, and since a reset of it counts as the end of the process.

Now the instance holds a second connection to the process while such a response runs. If it is open after the end, the process lives. Without one, new connections are tried three times, and only a refusal counts as the end. Which sound peer looks like the crashed one is a table in the package comment, with a test a row; a log line and a metric give the inputs of each decision.

--- a/internal/courier/courier.go
+++ b/internal/courier/courier.go
@@ -55,12 +55,14 @@
 	// Body ends with io.EOF only if the response is complete, or has no length.
 	Body io.ReadCloser
 	// HasLength says that the framing marks the end of the response. Otherwise it ends with its connection,
-	// which an upstream that crashes may close in order as well: see Pool.CheckListening.
+	// which an upstream that crashes may close in order as well.
 	HasLength bool
 	// IsMatched says that the response carries the request's id.
 	IsMatched bool
 	// OpenedAt is when the connection was established.
 	OpenedAt time.Time
+
+	conn *conn
 }
 
 // Error is a failure to send a request or to read its response.
@@ -185,7 +187,7 @@
 	x.conn.applyKeepAlive(httpResp.Header)
 	isReusable := hasLength && !httpResp.Close && isMatched && x.written == nil
 	return &Response{
-		Status: httpResp.StatusCode, Header: httpResp.Header, HasLength: hasLength, IsMatched: isMatched, OpenedAt: x.conn.openedAt,
+		Status: httpResp.StatusCode, Header: httpResp.Header, HasLength: hasLength, IsMatched: isMatched, OpenedAt: x.conn.openedAt, conn: x.conn,
 		Body: &body{ReadCloser: httpResp.Body, x: x, isReusable: isReusable, hasLength: hasLength},
 	}, nil
 }
--- a/internal/courier/pool.go
+++ b/internal/courier/pool.go
@@ -29,8 +29,6 @@
 	// keepAliveMargin is how long before its keep-alive timeout a connection is
 	// closed, so that no request is sent while the upstream closes it.
 	keepAliveMargin = 700 * time.Millisecond
-	// listenTime is how long a new connection to an upstream has to stay open to show that it listens.
-	listenTime = 25 * time.Millisecond
 	// readBufferBytes is enough for the head of a response and a few events.
 	readBufferBytes = 4 << 10
 )
@@ -64,6 +62,8 @@
 	openedAt    time.Time
 	idleAt      time.Time
 	maxIdle     time.Duration
+	// hasStatedTimeout says that the upstream has stated its keep-alive timeout.
+	hasStatedTimeout bool
 
 	// peekErr is the error of the socket that hasUnread was told of, so that no read will be.
 	peeking sync.Mutex
@@ -110,39 +110,13 @@
 	if err != nil {
 		return nil, &Error{Address: address, Err: err, IsDial: true}
 	}
-	head := &headLimiter{r: nc}
-	now := time.Now()
-	return &conn{Conn: nc, head: head, r: bufio.NewReaderSize(head, readBufferBytes), openedAt: now, idleAt: now, maxIdle: orDefault(p.MaxIdle, DefaultMaxIdle)}, nil
+	return p.newConn(nc), nil
 }
 
-// errListenerClosed is returned by CheckListening if a new connection was closed at once.
-var errListenerClosed = errors.New("a new connection was closed")
-
-// CheckListening returns an error if no process listens at an address any more. A process that crashes closes its
-// connections and its listener one after the other, within some milliseconds, so a connection that can be opened in
-// between is watched for listenTime: the end of the listener resets it. The new connection is kept for a later request.
-func (p *Pool) CheckListening(ctx context.Context, address string) error {
-	c, err := p.dial(ctx, address)
-	if errors.IsAny(err, syscall.ECONNREFUSED, syscall.ECONNRESET) {
-		p.CloseIdle(address)
-		return err
-	}
-	if err != nil {
-		return nil // without a response nothing is known
-	}
-	timer := time.NewTimer(listenTime)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-	if !c.isOpenAndEmpty() {
-		c.abort()
-		p.CloseIdle(address)
-		return errListenerClosed
-	}
-	p.put(address, c)
-	return nil
+func (p *Pool) newConn(nc net.Conn) *conn {
+	head := &headLimiter{r: nc}
+	now := time.Now()
+	return &conn{Conn: nc, head: head, r: bufio.NewReaderSize(head, readBufferBytes), openedAt: now, idleAt: now, maxIdle: orDefault(p.MaxIdle, DefaultMaxIdle)}
 }
 
 // TryConnect opens a connection to an address and closes it. It does not call OnDial.
@@ -214,27 +188,7 @@
 
 // isOpenAndEmpty reports whether the connection is open and no unread bytes are
 // pending on it.
-func (c *conn) isOpenAndEmpty() bool {
-	if c.r.Buffered() > 0 {
-		return false
-	}
-	sc, ok := c.Conn.(syscall.Conn)
-	if !ok {
-		return true
-	}
-	raw, err := sc.SyscallConn()
-	if err != nil {
-		return false
-	}
-	isEmpty := false
-	err = raw.Read(func(fd uintptr) bool {
-		var b [1]byte
-		_, _, err := unix.Recvfrom(int(fd), b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
-		isEmpty = errors.Is(err, unix.EAGAIN)
-		return true
-	})
-	return err == nil && isEmpty
-}
+func (c *conn) isOpenAndEmpty() bool { return c.peek() == HeldOpen }
 
 // abort closes the connection with a TCP reset, so that written bytes that have
 // not arrived yet are dropped.
@@ -254,6 +208,7 @@
 		}
 		if s, err := strconv.Atoi(strings.TrimSpace(value)); err == nil {
 			c.maxIdle = min(c.maxIdle, max(0, time.Duration(s)*time.Second-keepAliveMargin))
+			c.hasStatedTimeout = true
 		}
 	}
 }
--- a/internal/relayer/continuation.go
+++ b/internal/relayer/continuation.go
@@ -102,6 +102,7 @@
 	if err := c.checkContinuation(resp); err != nil {
 		return attemptResult{hasFailed: true, reason: err.Error()}
 	}
+	defer c.watchEnd(resp)()
 	if resp.Status < http.StatusMultipleChoices && c.route.IsStream {
 		return c.forwardStream(ctx, slot, resp)
 	}
--- /dev/null
+++ b/internal/relayer/ending_test.go
@@ -0,0 +1,195 @@
+package relayer
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
+	"golang.org/x/sys/unix"
+
+	"github.com/primrosedrift/primrosedrift/internal/streamtracker"
+)
+
+// process is an upstream whose listener and connections end together, as those of a process do.
+type process struct {
+	upstream
+	// reset resets a new connection if it is set, and stopsAccepting leaves all later ones in the queue of the kernel.
+	reset          atomic.Pointer[func(net.Conn)]
+	stopsAccepting atomic.Bool
+
+	mu    sync.Mutex
+	conns []net.Conn
+}
+
+// newProcess starts an upstream. It serves one request on each connection and then closes it. A backlog of 0 is the default one.
+func newProcess(t *testing.T, backlog int, serve func(p *process, c net.Conn, r *http.Request)) *process {
+	ln := listen(t, backlog)
+	p := &process{upstream: upstream{t: t, listen: ln}}
+	t.Cleanup(p.end)
+	go func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			if reset := p.reset.Load(); reset != nil {
+				go (*reset)(c)
+				continue
+			}
+			p.mu.Lock()
+			p.conns = append(p.conns, c)
+			p.mu.Unlock()
+			if p.stopsAccepting.Load() {
+				return
+			}
+			go func() {
+				defer c.Close()
+				if r, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
+					_, _ = io.Copy(io.Discard, r.Body)
+					serve(p, c, r)
+				}
+			}()
+		}
+	}()
+	return p
+}
+
+// listen returns a listener with a backlog.
+func listen(t *testing.T, backlog int) net.Listener {
+	if backlog == 0 {
+		ln, err := net.Listen("tcp4", "127.0.0.1:0")
+		require.NoError(t, err)
+		return ln
+	}
+	fd, err := unix.Socket(unix.AF_INET, unix.SOCK_STREAM|unix.SOCK_CLOEXEC, 0)
+	require.NoError(t, err)
+	require.NoError(t, unix.Bind(fd, &unix.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}))
+	require.NoError(t, unix.Listen(fd, backlog))
+	f := os.NewFile(uintptr(fd), "listener")
+	defer f.Close()
+	ln, err := net.FileListener(f)
+	require.NoError(t, err)
+	return ln
+}
+
+// end closes the connections of the process and then its listener, as its kernel does when it crashes.
+func (p *process) end() {
+	p.mu.Lock()
+	conns := p.conns
+	p.conns = nil
+	p.mu.Unlock()
+	for _, c := range conns {
+		_ = c.Close()
+	}
+	_ = p.listen.Close()
+}
+
+// resetAfter resets each new connection after a delay from now on.
+func (p *process) resetAfter(delay time.Duration) {
+	reset := func(c net.Conn) {
+		time.Sleep(delay)
+		_ = c.(*net.TCPConn).SetLinger(0)
+		_ = c.Close()
+	}
+	p.reset.Store(&reset)
+}
+
+// fill fills the queue of connections that are not accepted, so that the kernel drops the first packets of new ones.
+func (p *process) fill() {
+	p.stopsAccepting.Store(true)
+	for range 8 {
+		c, err := net.DialTimeout("tcp4", p.listen.Addr().String(), 50*time.Millisecond)
+		if err != nil {
+			return
+		}
+		p.t.Cleanup(func() { _ = c.Close() })
+	}
+}
+
+// knowNoOrigins makes the fixture know no origin of a stream, as an instance that reaches no others.
+func (g *fixture) knowNoOrigins() {
+	g.Streams.Ask = func(context.Context, string, string) ([]streamtracker.Answer, int) { return nil, 0 }
+	g.Streams.Log = zap.NewNop()
+	g.Streams.IsFresh = func() bool { return false }
+	g.Streams.ReadCurrent = func(context.Context) error { return errors.New("not reached") }
+	g.Streams.Load = func(context.Context, string) (streamtracker.Versions, error) {
+		return streamtracker.Versions{}, errors.New("not reached")
+	}
+}
+
+// unframedHead is the head of a response that ends with its connection.
+func unframedHead(r *http.Request) string {
+	return responseHead(r, 200, stamped+"Connection: close\r\n\r\n")
+}
+
+// responseTime is how long the responses of these tests take. A second connection is opened within it.
+const responseTime = 150 * time.Millisecond
+
+// TestWholeResponseOfAFullUpstreamIsNotCut guards against whole responses without a length that are cut because their
+// upstream takes no new connections, and against broken ones that pass for whole if such an upstream crashes.
+func TestWholeResponseOfAFullUpstreamIsNotCut(t *testing.T) {
+	for name, full := range map[string]struct {
+		backlog int
+		begin   func(p *process)
+	}{
+		"resets at once":   {begin: func(p *process) { p.resetAfter(0) }},
+		"resets after ms":  {begin: func(p *process) { p.resetAfter(8 * time.Millisecond) }},
+		"drops the packet": {backlog: 1, begin: (*process).fill},
+	} {
+		for when, isFullAtHead := range map[string]bool{"before the response": true, "within the response": false} {
+			for _, crashes := range []bool{false, true} {
+				for _, isHandedOn := range []bool{false, true} {
+					for _, path := range routesOfAllKinds {
+						what := "whole"
+						if crashes {
+							what = "crash"
+						}
+						if isHandedOn {
+							what += ", handed on"
+						}
+						t.Run(name+"/"+when+"/"+what+path, func(t *testing.T) {
+							t.Parallel()
+							p := newProcess(t, full.backlog, func(p *process, c net.Conn, r *http.Request) {
+								if isFullAtHead {
+									full.begin(p)
+								}
+								send(c, unframedHead(r)+event(1))
+								time.Sleep(responseTime)
+								if !isFullAtHead {
+									full.begin(p)
+								}
+								if crashes {
+									p.end()
+									return
+								}
+								send(c, event(2))
+							})
+							g := newFixture(t, &p.upstream)
+							if isHandedOn {
+								g, _ = newCutFixture(t, &upstream{t: t, listen: g.server.Listener})
+								g.knowNoOrigins()
+							}
+							if crashes {
+								g.requireBroken(path, what)
+								return
+							}
+							resp, body := g.do(g.request("POST", path, "x"))
+							require.Equal(t, http.StatusOK, resp.StatusCode)
+							require.Equal(t, event(1)+event(2), body)
+						})
+					}
+				}
+			}
+		}
+	}
+}
--- a/internal/relayer/metrics.go
+++ b/internal/relayer/metrics.go
@@ -27,6 +27,7 @@
 	withheldSends *prometheus.CounterVec
 	closeAge      *prometheus.HistogramVec
 	stopped       *prometheus.CounterVec
+	unframedEnds  *prometheus.CounterVec
 	quota         quotaMetrics
 }
 
@@ -67,13 +68,16 @@
 		stopped: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "primrosedrift_stopped_requests_total", Help: "Requests that a planned stop of the instance ended, by what was done: refused, answered or cut.",
 		}, []string{"service", "action"}),
+		unframedEnds: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "primrosedrift_unframed_ends_total", Help: "Responses that ended with their connection, by what showed whether they are whole.",
+		}, []string{"service", "verdict"}),
 		closeAge:    histogram("primrosedrift_close_age_seconds", "Time from the arrival of a client's close until it was noticed."),
 		duration:    histogram("primrosedrift_relayed_seconds", "Time from a request's arrival to its end."),
 		headLatency: histogram("primrosedrift_relayed_first_byte_seconds", "Time from an attempt to the head of its answer."),
 		queueTime:   histogram("primrosedrift_relayed_wait_seconds", "Time in the queue."),
 	}
 	m.quota.register(r)
-	r.MustRegister(m.requests, m.attempts, m.duration, m.headLatency, m.queueTime, m.losses, m.limited, m.handedOn, m.rejectedKeys, m.ended, m.loadProbes, m.withheldSends, m.closeAge, m.stopped)
+	r.MustRegister(m.requests, m.attempts, m.duration, m.headLatency, m.queueTime, m.losses, m.limited, m.handedOn, m.rejectedKeys, m.ended, m.loadProbes, m.withheldSends, m.closeAge, m.stopped, m.unframedEnds)
 	return m
 }
 
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -10,6 +10,7 @@
 
 	"github.com/primrosedrift/primrosedrift/internal/authenticator"
 	"github.com/primrosedrift/primrosedrift/internal/courier"
+	"github.com/primrosedrift/primrosedrift/internal/endchecker"
 	"github.com/primrosedrift/primrosedrift/internal/linkwatcher"
 	"github.com/primrosedrift/primrosedrift/internal/losstracker"
 	"github.com/primrosedrift/primrosedrift/internal/matcher"
@@ -132,6 +133,8 @@
 	KeyChecks KeyChecks
 	// Buffers bounds what is held of responses.
 	Buffers Buffers
+	// Ends finds out whether responses that end with their connection are whole.
+	Ends    endchecker.Checker
 	Log     *zap.Logger
 	Metrics *Metrics
 	// MayTry, if set, reports whether this instance tries whether a part of a prompt still
@@ -181,6 +184,7 @@
 	releaseSlot    func()       // of the last attempt; may be called again
 	bodyHeld       buffer       // of the request's body
 	origin         originState
+	endWatch       *endchecker.Watch // of the response that is forwarded, nil if its end is marked
 	handOn         handOnState
 	numMayHaveRun  int // attempts that may have run
 	numSends       int
--- a/internal/relayer/relayer_test.go
+++ b/internal/relayer/relayer_test.go
@@ -203,15 +203,15 @@
 	return g
 }
 
-var nextID int
+var nextID atomic.Int64
 
 func (g *fixture) request(method, path, body string) *http.Request {
 	g.t.Helper()
 	r, err := http.NewRequestWithContext(g.t.Context(), method, g.server.URL+path, strings.NewReader(body))
 	require.NoError(g.t, err)
 	r.Host = "h.example"
-	nextID++
-	r.Header.Set(hID, fmt.Sprintf("r%d", nextID))
+
+	r.Header.Set(hID, fmt.Sprintf("r%d", nextID.Add(1)))
 	return r
 }
 
