relayer: the end of a response is checked when it is read

Cause: the end was checked after the last write to the client. By then the registration of the upstream had been removed, which counts as a planned leave, or another process listened at its address. The reverse cut whole responses of upstreams that restarted meanwhile.

Now the body checks its end where it is read from the upstream. A doubtful end is no longer counted as a crash of the upstream.

--- a/internal/relayer/ahead.go
+++ b/internal/relayer/ahead.go
@@ -282,7 +282,7 @@
 	pause := time.Duration(at - a.lastEvent.Load())
 	why := errStreamStalled
 	switch {
-	case a.eventTimeout == 0:
+	case a.eventTimeout == 0 || a.c.isEndRead.Load():
 		return
 	case pause >= a.eventTimeout:
 	case a.cutTimeout > 0 && pause >= a.cutTimeout && a.c.Links.IsCut():
@@ -360,7 +360,7 @@
 		a.readErr = err
 		a.ready.Broadcast()
 		a.mu.Unlock()
-		if errors.Is(err, io.EOF) && a.releaseSlot != nil {
+		if (errors.Is(err, io.EOF) || a.c.isEndRead.Load()) && a.releaseSlot != nil {
 			a.releaseSlot() // the upstream has done its work, however long the client takes
 		}
 	}
--- a/internal/relayer/attempt.go
+++ b/internal/relayer/attempt.go
@@ -235,14 +235,12 @@
 	switch {
 	case !resp.HasLength && resp.Status < http.StatusMultipleChoices && isChunked(body):
 		return attemptResult{hasFailed: true, reason: errLostFraming.Error()}
-	case isComplete:
-		err = c.checkEnd(resp)
-	case errors.Is(err, errBuffersFull):
+	case isComplete || errors.Is(err, errBuffersFull):
 		err = nil
 	}
 	switch {
 	case err != nil:
-		return attemptResult{hasFailed: true, isBroken: true, reason: "answer broke off: " + err.Error()}
+		return attemptResult{hasFailed: isBreak(err), isBroken: isBreak(err), reason: "answer broke off: " + err.Error()}
 	case canRetry && isComplete && c.retryBudget().TryWithdraw():
 		c.isRetryCharged, c.fallback = true, &plainResponse{resp.Status, resp.Header, body}
 		return attemptResult{hasFailed: true, isComplete: true, reason: "status 500"}
@@ -261,12 +259,8 @@
 		return attemptResult{isForwarded: true, hasFailed: failed, isComplete: isComplete, err: truncatedError{err}}
 	}
 	if !isComplete {
-		err := ahead.copyRest()
-		if err == nil {
-			err = c.checkEnd(resp)
-		}
-		if err != nil {
-			return attemptResult{hasFailed: !isEndedHere(err), err: truncatedError{err}}
+		if err := ahead.copyRest(); err != nil {
+			return attemptResult{hasFailed: !isEndedHere(err) && isBreak(err), err: truncatedError{err}}
 		}
 	}
 	if err := ahead.finish(); err != nil {
--- a/internal/relayer/ending.go
+++ b/internal/relayer/ending.go
@@ -3,8 +3,10 @@
 import (
 	"bytes"
 	"context"
+	"io"
 	"net/http"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -12,6 +14,7 @@
 
 	"github.com/primrosedrift/primrosedrift/internal/courier"
 	"github.com/primrosedrift/primrosedrift/internal/endchecker"
+	"github.com/primrosedrift/primrosedrift/internal/registrar"
 )
 
 // errLostFraming says that a response without a length is encoded in chunks.
@@ -30,39 +33,68 @@
 
 func (e endError) Error() string { return errNoLength.Error() + ": " + string(e.verdict) }
 
-// watchEnd begins to watch the process that sends a response without a length. The returned function ends that.
+// isBreak reports whether an error of a read from an upstream says that its connection broke or its process ended.
+func isBreak(err error) bool {
+	var e endError
+	return !errors.As(err, &e) || e.verdict.IsCrash()
+}
+
+// endBody is the body of a response that may end with its connection. The end is checked as soon as it is read from the
+// upstream, however long the client takes: later nothing may be known of the process any more.
+type endBody struct {
+	io.ReadCloser
+	check  func() error
+	isRead *atomic.Bool // set when the end was read, before it is checked
+	err    error        // of the end, once it was checked
+}
+
+func (b *endBody) Read(p []byte) (int, error) {
+	if b.err != nil {
+		return 0, b.err
+	}
+	n, err := b.ReadCloser.Read(p)
+	if errors.Is(err, io.EOF) {
+		b.isRead.Store(true)
+		if cause := b.check(); cause != nil {
+			err = cause
+		}
+		b.err = err
+	}
+	return n, err
+}
+
+// watchEnd makes the body of a response without a length end with an error unless it is known to be whole. The process
+// that sends it is watched until the returned function is called.
 func (c *call) watchEnd(resp *courier.Response) (stop func()) {
-	c.endWatch = nil
-	if resp.HasLength || resp.Status >= http.StatusMultipleChoices || c.handOn.isRunning {
+	c.isEndRead.Store(false)
+	if resp.HasLength || resp.Status >= http.StatusMultipleChoices {
+		return func() {}
+	}
+	if c.handOn.isRunning {
+		// A peer states where its response ends.
+		resp.Body = &endBody{ReadCloser: resp.Body, isRead: &c.isEndRead, check: func() error { return errNoLength }}
 		return func() {}
 	}
 	u := c.origin.upstream
 	w := c.Ends.Watch(c.Pool, endchecker.Process{Incarnation: u.Incarnation(), Address: u.Address}, resp)
-	c.endWatch = w
+	resp.Body = &endBody{ReadCloser: resp.Body, isRead: &c.isEndRead, check: func() error { return c.checkEnd(u, w) }}
 	return func() {
 		now := c.Upstreams.Snapshot().ByID[u.ID]
 		w.Stop(now == nil || now.IsLeaving)
 	}
 }
 
-// checkEnd returns an error if a response whose connection was closed in order is not known to be whole. One
-// without a length ends with its connection, but so does one whose upstream crashes.
-func (c *call) checkEnd(resp *courier.Response) error {
-	if resp.HasLength || resp.Status >= http.StatusMultipleChoices {
-		return nil
-	}
-	if c.handOn.isRunning {
-		return errNoLength // a peer states where its response ends
-	}
+// checkEnd returns an error if a response of an upstream whose connection was closed in order is not known to be whole.
+// One without a length ends with its connection, but so does one whose upstream crashes.
+func (c *call) checkEnd(u *registrar.Upstream, w *endchecker.Watch) error {
 	began := time.Now()
-	u := c.origin.upstream
 	now := c.Upstreams.Snapshot().ByID[u.ID]
 	hasRestarted := now != nil && now.StartedAtMs != u.StartedAtMs
 	isLeaving := now == nil || now.IsLeaving && !now.IsPreempted
 	var e endchecker.Evidence
 	if !hasRestarted && !isLeaving {
 		// Not the context of the attempt: the response is here, also if its client leaves now.
-		e = c.endWatch.Collect(context.Background())
+		e = w.Collect(context.Background())
 	}
 	e.HasRestarted, e.IsLeaving = hasRestarted, isLeaving
 	v := e.Verdict()
--- a/internal/relayer/ending_test.go
+++ b/internal/relayer/ending_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -13,10 +14,12 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/prometheus/client_golang/prometheus"
 	"github.com/stretchr/testify/require"
 	"go.uber.org/zap"
 	"golang.org/x/sys/unix"
 
+	"github.com/primrosedrift/primrosedrift/internal/registrar"
 	"github.com/primrosedrift/primrosedrift/internal/streamtracker"
 )
 
@@ -193,3 +196,85 @@
 		}
 	}
 }
+
+// TestEndIsCheckedWhenItIsRead guards against the end of a response that is checked only when a slow client has taken all
+// before it: what is known of the upstream by then may be that it has left, or runs again, or is gone.
+func TestEndIsCheckedWhenItIsRead(t *testing.T) {
+	const numEvents = 40 // 320 KB, more than is held of a plain response before any of it is forwarded
+	body := ""
+	for n := range numEvents {
+		body += largeEvent(n + 1)
+	}
+	for later, change := range map[string]func(g *slowFixture, p *process){
+		"nothing": func(*slowFixture, *process) {},
+		"registration vanishes": func(g *slowFixture, _ *process) {
+			g.Upstreams.ApplyRegistrations(map[string]*registrar.Upstream{"u0": nil}, time.Now())
+		},
+		"says that it leaves": func(g *slowFixture, _ *process) { g.Upstreams.RecordLeaving("u0", 1, time.Now()) },
+		"is registered again": func(g *slowFixture, _ *process) {
+			next := *g.Upstreams.Snapshot().ByID["u0"]
+			next.StartedAtMs = 2
+			g.Upstreams.ApplyRegistrations(map[string]*registrar.Upstream{"u0": &next}, time.Now())
+		},
+		"listener is closed": func(_ *slowFixture, p *process) { p.end() },
+		"runs again": func(_ *slowFixture, p *process) {
+			p.end()
+			ln, err := net.Listen("tcp4", p.listen.Addr().String())
+			require.NoError(p.t, err)
+			p.t.Cleanup(func() { _ = ln.Close() })
+			go func() {
+				for {
+					c, err := ln.Accept()
+					if err != nil {
+						return
+					}
+					_, _ = http.ReadRequest(bufio.NewReader(c))
+					_ = c.Close()
+				}
+			}()
+		},
+	} {
+		for _, crashes := range []bool{false, true} {
+			for _, path := range routesOfAllKinds {
+				t.Run(fmt.Sprintf("%s/crashes %v%s", later, crashes, path), func(t *testing.T) {
+					t.Parallel()
+					p := newProcess(t, 0, func(p *process, c net.Conn, r *http.Request) {
+						send(c, unframedHead(r)+body[:len(body)-len(largeEvent(numEvents))])
+						if crashes {
+							p.end()
+							return
+						}
+						send(c, largeEvent(numEvents))
+					})
+					g := newSlowFixture(t, time.Minute, &p.upstream)
+					if parse := g.Codec.ParseRequest; crashes {
+						g.Codec.ParseRequest = func(r *http.Request) (RequestInfo, error) {
+							info, err := parse(r)
+							info.Deadline = 5 * time.Second // there is no other upstream for the rest
+							return info, err
+						}
+					}
+					c := g.open(path, "slow")
+					isChecked := func() bool {
+						found := make(chan prometheus.Metric, 8)
+						g.Metrics.unframedEnds.Collect(found)
+						return len(found) > 0
+					}
+					for end := time.Now().Add(2 * time.Second); !isChecked() && time.Now().Before(end); {
+						time.Sleep(time.Millisecond)
+					}
+					change(g, p)
+					resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+					require.NoError(t, err)
+					got, err := io.ReadAll(resp.Body)
+					if crashes {
+						require.Error(t, err)
+						return
+					}
+					require.NoError(t, err)
+					require.True(t, string(got) == body, "unchanged")
+				})
+			}
+		}
+	}
+}
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -184,7 +185,7 @@
 	releaseSlot    func()       // of the last attempt; may be called again
 	bodyHeld       buffer       // of the request's body
 	origin         originState
-	endWatch       *endchecker.Watch // of the response that is forwarded, nil if its end is marked
+	isEndRead      atomic.Bool // the end of a response without a length was read
 	handOn         handOnState
 	numMayHaveRun  int // attempts that may have run
 	numSends       int
--- a/internal/relayer/stream.go
+++ b/internal/relayer/stream.go
@@ -108,9 +108,6 @@
 		case errors.Is(rerr, io.EOF) && !resp.HasLength && len(pending) > 0:
 			return c.interrupted(ctx, errNoLength)
 		case errors.Is(rerr, io.EOF) && len(pending) == 0:
-			if err := c.checkEnd(resp); err != nil {
-				return c.interrupted(ctx, err)
-			}
 			if err := ahead.finish(); err != nil {
 				return attemptResult{err: truncatedError{err}}
 			}
@@ -120,6 +117,7 @@
 			return attemptResult{hasFailed: true, reason: "stream ended within an event"}
 		case rerr != nil:
 			res := c.interrupted(ctx, rerr)
+			res.hasFailed = res.hasFailed && isBreak(rerr)
 			res.isBroken = res.hasFailed
 			return res
 		case len(pending) > maxEventBytes:
