relayer: the end of a response of a leaving upstream is checked

Cause: any end in order counted for an upstream that leaves, since it may have closed its listener before its last response, and nothing told that from a crash.

The second connection tells it: if it has ended together with the response and no new one can be opened, the process has crashed. If the response has outlived it, or there was none, the end counts as planned, as before.

--- a/internal/relayer/ending.go
+++ b/internal/relayer/ending.go
@@ -92,7 +92,7 @@
 	hasRestarted := now != nil && now.StartedAtMs != u.StartedAtMs
 	isLeaving := now == nil || now.IsLeaving && !now.IsPreempted
 	var e endchecker.Evidence
-	if !hasRestarted && !isLeaving {
+	if !hasRestarted {
 		// Not the context of the attempt: the response is here, also if its client leaves now.
 		e = w.Collect(context.Background())
 	}
--- a/internal/relayer/ending_test.go
+++ b/internal/relayer/ending_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"os"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -97,6 +98,19 @@
 	_ = p.listen.Close()
 }
 
+// stopListening closes the listener, and all connections but the given ones, as a server does that ends its last requests.
+func (p *process) stopListening(busy ...net.Conn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	_ = p.listen.Close()
+	for _, c := range p.conns {
+		if !slices.Contains(busy, c) {
+			_ = c.Close()
+		}
+	}
+	p.conns = busy
+}
+
 // resetAfter resets each new connection after a delay from now on.
 func (p *process) resetAfter(delay time.Duration) {
 	reset := func(c net.Conn) {
@@ -278,3 +292,50 @@
 		}
 	}
 }
+
+// TestCrashOfALeavingUpstreamBreaksItsResponses guards against a response without a length that passes for whole though
+// its upstream crashed, since the upstream was leaving, and against one that is cut at an upstream which leaves as planned.
+func TestCrashOfALeavingUpstreamBreaksItsResponses(t *testing.T) {
+	for known, leave := range map[string]func(g *fixture){
+		"says so": func(g *fixture) { g.Upstreams.RecordLeaving("u0", 1, time.Now()) },
+		"registration is removed": func(g *fixture) {
+			g.Upstreams.ApplyRegistrations(map[string]*registrar.Upstream{"u0": nil}, time.Now())
+		},
+	} {
+		for ending, tt := range map[string]struct {
+			end     func(p *process, c net.Conn)
+			isWhole bool
+		}{
+			"crashes":                 {end: func(p *process, _ net.Conn) { p.end() }},
+			"goes on":                 {func(*process, net.Conn) {}, true},
+			"has closed its listener": {func(p *process, _ net.Conn) { _ = p.listen.Close() }, true},
+			"has closed its listener and idle connections": {func(p *process, c net.Conn) {
+				p.stopListening(c)
+				time.Sleep(responseTime)
+			}, true},
+			"has no room": {func(p *process, _ net.Conn) { p.resetAfter(0) }, true},
+		} {
+			for _, path := range routesOfAllKinds {
+				t.Run(known+"/"+ending+path, func(t *testing.T) {
+					t.Parallel()
+					var g *fixture
+					p := newProcess(t, 0, func(p *process, c net.Conn, r *http.Request) {
+						leave(g)
+						send(c, unframedHead(r)+event(1))
+						time.Sleep(responseTime)
+						tt.end(p, c)
+						send(c, event(2))
+					})
+					g = newFixture(t, &p.upstream)
+					if !tt.isWhole {
+						g.requireBroken(path, known)
+						return
+					}
+					resp, body := g.do(g.request("POST", path, "x"))
+					require.Equal(t, http.StatusOK, resp.StatusCode)
+					require.Equal(t, event(1)+event(2), body)
+				})
+			}
+		}
+	}
+}
