relayer: resets of a full upstream are no crash

No upstream had ended.

An upstream without room resets new connections, at times after the request was sent, and each reset counted as a crash within the request.

Now one more connection shows whether its process is there. If so, the upstream is avoided for a moment, as after a refusal, and nothing counts as a crash. A refused connection counts as before.

--- a/internal/courier/courier.go
+++ b/internal/courier/courier.go
@@ -71,6 +71,8 @@
 	Err     error
 	// IsDial says that no connection was established.
 	IsDial bool
+	// IsNew says that the connection was opened for the request, or was to be.
+	IsNew bool
 	// IsSent says that a byte of the request may have been sent.
 	IsSent bool
 }
@@ -120,7 +122,7 @@
 	if cause := context.Cause(ctx); cause != nil {
 		err = errors.CombineErrors(cause, err)
 	}
-	return nil, &Error{Address: address, Err: err, IsSent: x.isSent}
+	return nil, &Error{Address: address, Err: err, IsNew: c.numRequests == 1, IsSent: x.isSent}
 }
 
 // exchange is one request and its response on a connection.
--- a/internal/courier/held.go
+++ b/internal/courier/held.go
@@ -43,7 +43,7 @@
 		began := time.Now()
 		nc, err := p.connect(ctx, address)
 		if err != nil {
-			return nil, &Error{Address: address, Err: err, IsDial: true}
+			return nil, &Error{Address: address, Err: err, IsDial: true, IsNew: true}
 		}
 		if p.OnDial != nil {
 			p.OnDial(address, time.Since(began), nil)
--- a/internal/courier/pool.go
+++ b/internal/courier/pool.go
@@ -108,7 +108,7 @@
 		p.OnDial(address, time.Since(began), err)
 	}
 	if err != nil {
-		return nil, &Error{Address: address, Err: err, IsDial: true}
+		return nil, &Error{Address: address, Err: err, IsDial: true, IsNew: true}
 	}
 	return p.newConn(nc), nil
 }
--- a/internal/relayer/attempt.go
+++ b/internal/relayer/attempt.go
@@ -43,6 +43,7 @@
 	isNotRun    bool  // the upstream provably did not run the request
 	isUnsent    bool  // no byte of the request reached the upstream
 	isRefused   bool  // the upstream refused it because it is full or busy with an order
+	hasNoRoom   bool  // the upstream lives and takes no new connections
 	isComplete  bool  // the upstream's response was complete
 	isBroken    bool  // the connection was refused or broke
 	isPeerCut   bool  // the peer to which it was handed on has lost its links, too
@@ -71,7 +72,7 @@
 		// After the end of the attempt, which would be lost with the upstream otherwise.
 		c.recordMisdirected(u, *res.misdirected)
 	}
-	if res.isRefused {
+	if res.isRefused || res.hasNoRoom {
 		slot.Shed()
 	}
 	c.releaseSlot()
@@ -157,14 +158,17 @@
 		if errors.Is(err, errClientLeft) {
 			c.cancel() // not earlier, which would reset a connection that can be used again
 		}
-		var e *courier.Error
-		if errors.As(err, &e) && e.IsDial && ctx.Err() == nil {
-			c.Pool.CloseIdle(u.Address)
-		}
 		if errors.Is(err, errWithheld) {
 			return attemptResult{isNotRun: true, isWithheld: true, reason: err.Error()}
 		}
 		unsent := !courier.WasSent(err)
+		if c.hasNoRoom(u, err) {
+			return attemptResult{hasNoRoom: true, isNotRun: unsent, isUnsent: unsent, reason: "the upstream takes no new connections: " + err.Error()}
+		}
+		var e *courier.Error
+		if errors.As(err, &e) && e.IsDial && ctx.Err() == nil {
+			c.Pool.CloseIdle(u.Address)
+		}
 		return attemptResult{hasFailed: !errors.Is(err, errLinksCut), isNotRun: unsent, isUnsent: unsent, isBroken: actx.Err() == nil, reason: err.Error()}
 	}
 	defer resp.Body.Close()
