relayer: slow clients of plain responses have until their deadline

Cause: a client counts as stalled if it acknowledges nothing for 8 s, and the kernel counts its user timeout, 4 to 9 s, while it waits for the client's window. A slow client's kernel opens a closed window in steps of up to its receive buffer, so it acknowledges nothing for longer.

Now the client of a route without an event timeout has until the deadline of its request, for both. The bound of the buffers stands. The next request on the connection restores the user timeout, which stayed raised before, so that clients of streams that are gone are noticed as soon as before.

--- a/internal/relayer/ahead.go
+++ b/internal/relayer/ahead.go
@@ -34,8 +34,9 @@
 	// a client counts as stalled. A slow client acknowledges in steps, since its kernel opens
 	// a closed window only when a part of the receive buffer is free.
 	clientTimeoutFactor = 4
-	// defaultClientTimeout is that time for routes without an event timeout.
-	defaultClientTimeout = 8 * time.Second
+	// minClientTimeout is the least of that time for routes without an event timeout. Their clients wait until the deadline,
+	// and a slow one may acknowledge nothing until its receive buffer of some 100 KB is nearly empty.
+	minClientTimeout = 8 * time.Second
 )
 
 var (
@@ -110,7 +111,7 @@
 	a.ready.L = &a.mu
 	a.lastEvent.Store(now())
 	if a.clientTimeout == 0 {
-		a.clientTimeout = defaultClientTimeout
+		a.clientTimeout = max(minClientTimeout, time.Until(c.deadline))
 	}
 	if isComplete {
 		a.readErr = io.EOF
@@ -238,6 +239,9 @@
 	}
 	a.mu.Unlock()
 	a.close()
+	if !a.isAhead && a.c.client.hasUnsent() {
+		a.c.client.allowSlow(a.clientTimeout + unwatchedMargin) // a response that fits into the socket
+	}
 	return nil
 }
 
@@ -250,7 +254,7 @@
 	a.mu.Unlock()
 	a.c.Buffers.unwatch(a)
 	if a.isAhead && !wasClosed {
-		allowSlowClient(a.c.clientConn, a.clientTimeout+unwatchedMargin)
+		a.c.client.allowSlow(a.clientTimeout + unwatchedMargin)
 	}
 }
 
@@ -319,7 +323,7 @@
 
 // run reads the response ahead until its end.
 func (a *readAhead) run() {
-	allowSlowClient(a.c.clientConn, watchedFactor*a.clientTimeout)
+	a.c.client.allowSlow(watchedFactor * a.clientTimeout)
 	if err := a.reserve(clientSocketBytes); err != nil {
 		a.end(errMadeRoom)
 		return
--- a/internal/relayer/client.go
+++ b/internal/relayer/client.go
@@ -21,6 +21,8 @@
 	*net.TCPConn
 	// isLast says that the response on it is the last one: requests that follow are refused.
 	isLast atomic.Bool
+	// userTimeoutMs is the user timeout that it had before allowSlow changed that, 0 if it did not.
+	userTimeoutMs atomic.Int64
 }
 
 // WithClientConn returns a context that holds the connection of a client. It is the ConnContext
@@ -59,14 +61,41 @@
 	unwatchedMargin = time.Second
 )
 
-// allowSlowClient sets how long the kernel waits for a client that acknowledges nothing. Otherwise the
-// user timeout of the connection, which is meant for clients that are not reachable, ends slow ones first.
-func allowSlowClient(c *net.TCPConn, timeout time.Duration) {
-	control(c, func(fd int) {
+// allowSlow sets how long the kernel waits for a client that acknowledges nothing. Otherwise the user timeout of the
+// connection, which is meant for clients that are not reachable, ends slow ones first: the kernel counts it also while
+// it waits for the client's window.
+func (c *clientConn) allowSlow(timeout time.Duration) {
+	control(c.TCPConn, func(fd int) {
+		if before, err := unix.GetsockoptInt(fd, unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT); err == nil {
+			c.userTimeoutMs.CompareAndSwap(0, int64(before))
+		}
 		_ = unix.SetsockoptInt(fd, unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(timeout.Milliseconds())) // the shorter one stays in force
 	})
 }
 
+// restoreTimeout undoes allowSlow for the next request, unless bytes of an earlier response are still in the socket.
+func (c *clientConn) restoreTimeout() {
+	if c.userTimeoutMs.Load() == 0 {
+		return
+	}
+	control(c.TCPConn, func(fd int) {
+		if pending, err := unix.IoctlGetInt(fd, unix.SIOCOUTQ); err != nil || pending > 0 {
+			return
+		}
+		_ = unix.SetsockoptInt(fd, unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(c.userTimeoutMs.Swap(0))) // the longer one stays in force
+	})
+}
+
+// hasUnsent reports whether bytes in the socket have not been sent, for instance because the client's window is closed.
+func (c *clientConn) hasUnsent() bool {
+	hasUnsent := false
+	control(c.TCPConn, func(fd int) {
+		i, err := unix.GetsockoptTCPInfo(fd, unix.IPPROTO_TCP, unix.TCP_INFO)
+		hasUnsent = err == nil && i.Notsent_bytes > 0
+	})
+	return hasUnsent
+}
+
 // bytesAcked returns how many bytes the client has acknowledged, 0 if that is not known.
 func bytesAcked(c *net.TCPConn) uint64 {
 	acked := uint64(0)
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -213,6 +213,7 @@
 func (h *Relayer) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	c := &call{Relayer: h, reply: reply{w: w, isStopping: h.IsStopping}, arrived: time.Now(), clientHeader: r.Header, client: clientConnOf(r.Context()), bodyHeld: buffer{of: &h.Buffers}}
 	c.clientConn = c.client.TCPConn
+	c.client.restoreTimeout()
 	defer c.bodyHeld.release()
 	ctx, cancel := context.WithCancelCause(r.Context())
 	defer cancel(nil)
