relayer: bodies of new requests end no responses that are read

Cause: what is read ahead for slow clients and the bodies of requests share one bound, and a body that found no room ended the responses without progress for the longest until there was.

Now a body ends only responses whose client has made no progress for 8 s, and is refused as not run otherwise.

--- a/internal/relayer/buffers.go
+++ b/internal/relayer/buffers.go
@@ -16,6 +16,9 @@
 	// freeBufferBytes is what each response may hold whatever the others hold. Events and
 	// plain responses are usually far smaller.
 	freeBufferBytes = 4 << 10
+	// stalledTime is how long a client must make no progress to be ended for the body of a request, which may as well be
+	// refused. One that reads slowly and steadily mostly acknowledges something within it.
+	stalledTime = 8 * time.Second
 )
 
 // errBuffersFull ends a response that would hold too much of the memory for buffers.
@@ -51,19 +54,25 @@
 
 // buffer is the part that one response holds.
 type buffer struct {
-	of   *Buffers
-	size int64 // beyond freeBufferBytes
+	of     *Buffers
+	isBody bool  // of a request
+	size   int64 // beyond freeBufferBytes
 }
 
 // resize changes the number of bytes that are held. It fails if that is too much.
 func (b *buffer) resize(size int) error {
 	wanted := max(0, int64(size)-freeBufferBytes)
 	grown := wanted - b.size
-	if grown > 0 {
+	switch {
+	case grown > 0 && b.isBody:
+		if err := b.of.reserveForBody(grown); err != nil {
+			return err
+		}
+	case grown > 0:
 		if err := b.of.reserve(grown); err != nil {
 			return err
 		}
-	} else {
+	default:
 		b.of.used.Add(grown)
 	}
 	b.size = wanted
@@ -77,20 +86,35 @@
 	return b.MaxBytes
 }
 
-// reserve reserves bytes. If there are not enough, responses with slow clients are ended, the
-// one without progress for the longest first.
-func (b *Buffers) reserve(n int64) error {
+// reserve reserves bytes for a response. If there are not enough, responses with slow clients are ended, the one without
+// progress for the longest first.
+func (b *Buffers) reserve(n int64) error { return b.reserveFrom(n, b.stalest) }
+
+// reserveForBody reserves bytes for the body of a request. It ends responses of clients that seem stalled and no others: a
+// request can be refused as not run, and a response that has begun cannot be had again.
+func (b *Buffers) reserveForBody(n int64) error {
+	return b.reserveFrom(n, func() *readAhead { return b.stalestSince(stalledTime) })
+}
+
+// reserveFrom ends the responses that the choices name, in their order, until there is room.
+func (b *Buffers) reserveFrom(n int64, choices ...func() *readAhead) error {
 	if b.tryReserve(n) {
 		return nil
 	}
 	b.ending.Lock()
 	defer b.ending.Unlock()
 	for !b.tryReserve(n) { // another one may have made room meanwhile
-		stalest := b.stalest()
-		if stalest == nil {
+		var a *readAhead
+		for _, choose := range choices {
+			if a = choose(); a != nil {
+				break
+			}
+		}
+		if a == nil {
 			return errBuffersFull
 		}
-		stalest.end(errMadeRoom)
+		b.unwatch(a) // so that it is found once
+		a.end(errMadeRoom)
 	}
 	return nil
 }
@@ -117,10 +141,17 @@
 			out = a
 		}
 	}
-	delete(b.responses, out) // so that it is found once
 	return out
 }
 
+// stalestSince is stalest if that has made no progress for some time.
+func (b *Buffers) stalestSince(d time.Duration) *readAhead {
+	if a := b.stalest(); a != nil && now()-a.progressAt.Load() >= int64(d) {
+		return a
+	}
+	return nil
+}
+
 // watch adds a response to those that are checked.
 func (b *Buffers) watch(a *readAhead) {
 	b.mu.Lock()
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -211,7 +211,7 @@
 
 // ServeHTTP implements http.Handler.
 func (h *Relayer) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	c := &call{Relayer: h, reply: reply{w: w, isStopping: h.IsStopping}, arrived: time.Now(), clientHeader: r.Header, client: clientConnOf(r.Context()), bodyHeld: buffer{of: &h.Buffers}}
+	c := &call{Relayer: h, reply: reply{w: w, isStopping: h.IsStopping}, arrived: time.Now(), clientHeader: r.Header, client: clientConnOf(r.Context()), bodyHeld: buffer{of: &h.Buffers, isBody: true}}
 	c.clientConn = c.client.TCPConn
 	c.client.restoreTimeout()
 	defer c.bodyHeld.release()
