relayer: a response without an end is ended before sound ones

Cause: at the bound of the buffers the response without progress for the longest is ended. All clients that read steadily make progress, so the endless response was one among equals.

Now, if all have made progress within a second, the one that holds the most goes first, if that is more than an equal share of the bound.

--- a/internal/relayer/ahead.go
+++ b/internal/relayer/ahead.go
@@ -399,6 +399,13 @@
 	}
 }
 
+// heldBytes returns how many bytes of the buffers the response holds.
+func (a *readAhead) heldBytes() int64 {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.held
+}
+
 // reserve reserves bytes of the buffers.
 func (a *readAhead) reserve(n int64) error {
 	if err := a.c.Buffers.reserve(n); err != nil {
--- a/internal/relayer/bound_test.go
+++ b/internal/relayer/bound_test.go
@@ -35,7 +35,7 @@
 }
 
 // TestWholeResponsesOutlastWhatTakesTheirRoom guards against responses of clients that read steadily and are ended because
-// the bodies of new requests fill the memory for buffers.
+// the bodies of new requests, or a response without an end, fill the memory for buffers.
 func TestWholeResponsesOutlastWhatTakesTheirRoom(t *testing.T) {
 	const maxBytes, numReaders, size = 4 << 20, 4, 600 << 10
 	body := strings.Repeat("x", size)
@@ -62,13 +62,23 @@
 				held[i].release()
 			}
 		},
+		"response without an end": func(t *testing.T, g *slowFixture) {
+			endless := g.open("/once/endless", "endless")
+			_, _ = readSteadily(endless)
+			require.Equal(t, 1, g.ended.Len())
+			require.Equal(t, "endless", g.ended.All()[0].ContextMap()["request"])
+		},
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			up := rawUpstream(t, func(c net.Conn, r *http.Request) {
 				_, _ = io.Copy(io.Discard, r.Body)
 				isOpen := send(c, unframedHead(r)+body)
-				for isOpen && strings.HasSuffix(r.URL.Path, "endless") {
+				if !strings.HasSuffix(r.URL.Path, "endless") {
+					return
+				}
+				time.Sleep(500 * time.Millisecond) // its client makes progress as the others do
+				for isOpen {
 					isOpen = send(c, body)
 				}
 			})
--- a/internal/relayer/buffers.go
+++ b/internal/relayer/buffers.go
@@ -16,9 +16,10 @@
 	// freeBufferBytes is what each response may hold whatever the others hold. Events and
 	// plain responses are usually far smaller.
 	freeBufferBytes = 4 << 10
-	// stalledTime is how long a client must make no progress to be ended for the body of a request, which may as well be
-	// refused. One that reads slowly and steadily mostly acknowledges something within it.
-	stalledTime = 8 * time.Second
+	// quietTime is how long a client must make no progress to be ended before one that holds more than its share, and
+	// stalledTime to be ended for the body of a request, which may as well be refused. One that reads slowly and steadily
+	// mostly acknowledges something within that time.
+	quietTime, stalledTime = time.Second, 8 * time.Second
 )
 
 // errBuffersFull ends a response that would hold too much of the memory for buffers.
@@ -86,9 +87,12 @@
 	return b.MaxBytes
 }
 
-// reserve reserves bytes for a response. If there are not enough, responses with slow clients are ended, the one without
-// progress for the longest first.
-func (b *Buffers) reserve(n int64) error { return b.reserveFrom(n, b.stalest) }
+// reserve reserves bytes for a response. If there are not enough, responses with slow clients are ended: the one
+// without progress for the longest, but before one that has made progress within quietTime the one that holds the most, if that
+// is more than an equal share of the bound. Otherwise a response without an end would end all others.
+func (b *Buffers) reserve(n int64) error {
+	return b.reserveFrom(n, func() *readAhead { return b.stalestSince(quietTime) }, b.largest, b.stalest)
+}
 
 // reserveForBody reserves bytes for the body of a request. It ends responses of clients that seem stalled and no others: a
 // request can be refused as not run, and a response that has begun cannot be had again.
@@ -152,6 +156,27 @@
 	return nil
 }
 
+// largest returns the slow response that holds the most, if that is more than an equal share of the bound.
+func (b *Buffers) largest() *readAhead {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var out *readAhead
+	most, numSlow := int64(0), int64(0)
+	for a, isSlow := range b.responses {
+		if !isSlow {
+			continue
+		}
+		numSlow++
+		if held := a.heldBytes(); held > most {
+			out, most = a, held
+		}
+	}
+	if out == nil || most <= b.limit()/numSlow {
+		return nil
+	}
+	return out
+}
+
 // watch adds a response to those that are checked.
 func (b *Buffers) watch(a *readAhead) {
 	b.mu.Lock()
