endchecker: only a pause after the send makes an end doubtful

Responses without a length that were sent within a second after the process had stood still, and that are too short for a second connection, counted as doubtful: a sound upstream's answer would be cut, or its request sent again. Found by reading; no play has shown it.

Now the pause must have ended after the request was sent. TestResponseAfterAPauseHasNoDoubts plays a response on either side of the pause.

--- a/internal/endchecker/checker.go
+++ b/internal/endchecker/checker.go
@@ -75,11 +75,12 @@
 	checker *Checker
 	process *process
 	resp    *courier.Response
-	second  *second // was open at the same time as the connection of the response, nil for none; guarded like process
+	sentAt  time.Time // of the request
+	second  *second   // was open at the same time as the connection of the response, nil for none; guarded like process
 }
 
-// Watch begins to watch the process that sends a response. Stop must be called.
-func (c *Checker) Watch(pool *courier.Pool, id Process, resp *courier.Response) *Watch {
+// Watch begins to watch the process that sends a response to a request that was sent at a time. Stop must be called.
+func (c *Checker) Watch(pool *courier.Pool, id Process, resp *courier.Response, sentAt time.Time) *Watch {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	p := c.processes[id]
@@ -95,7 +96,7 @@
 			go c.run()
 		}
 	}
-	w := &Watch{checker: c, process: p, resp: resp}
+	w := &Watch{checker: c, process: p, resp: resp, sentAt: sentAt}
 	p.watches[w] = true
 	w.joinLocked()
 	return w
@@ -171,7 +172,8 @@
 	now := time.Now()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	e := Evidence{Second: SecondNone, StoodStill: now.Sub(c.tickedAt) >= stillTime || !c.resumedAt.IsZero() && now.Sub(c.resumedAt) < resumeTime}
+	hasResumed := c.resumedAt.After(w.sentAt) && now.Sub(c.resumedAt) < resumeTime
+	e := Evidence{Second: SecondNone, StoodStill: now.Sub(c.tickedAt) >= stillTime || hasResumed}
 	if w.second == nil {
 		return e
 	}
--- a/internal/endchecker/checker_test.go
+++ b/internal/endchecker/checker_test.go
@@ -72,10 +72,11 @@
 
 // watch sends a request to the peer and watches its response.
 func (p *peer) watch(t *testing.T, c *Checker, pool *courier.Pool) (*Watch, *courier.Response) {
+	sentAt := time.Now()
 	resp, err := pool.Do(t.Context(), p.ln.Addr().String(), &courier.Request{Method: http.MethodGet, Host: "h", Target: "/"})
 	require.NoError(t, err)
 	t.Cleanup(func() { _ = resp.Body.Close() })
-	w := c.Watch(pool, Process{registrar.Incarnation{ID: "u", StartedAtMs: 1}, p.ln.Addr().String()}, resp)
+	w := c.Watch(pool, Process{registrar.Incarnation{ID: "u", StartedAtMs: 1}, p.ln.Addr().String()}, resp, sentAt)
 	t.Cleanup(func() { w.Stop(false) })
 	return w, resp
 }
@@ -175,6 +176,26 @@
 	require.Equal(t, Doubtful, w.Collect(t.Context()).Verdict())
 }
 
+// TestResponseAfterAPauseHasNoDoubts guards against a short response that is cut though its request was sent after this
+// process had stood still.
+func TestResponseAfterAPauseHasNoDoubts(t *testing.T) {
+	p := newPeer(t)
+	c, pool := &Checker{}, &courier.Pool{}
+	before, _ := p.watch(t, c, pool)
+	c.mu.Lock()
+	c.tickedAt = time.Now().Add(-stillTime)
+	c.mu.Unlock()
+	require.Eventually(t, func() bool { return before.ask().StoodStill }, waitTime, time.Millisecond)
+	require.Eventually(t, func() bool {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		return !c.resumedAt.IsZero()
+	}, waitTime, time.Millisecond)
+	after, _ := p.watch(t, c, pool)
+	require.True(t, before.ask().StoodStill)
+	require.False(t, after.ask().StoodStill)
+}
+
 // TestSecondConnectionIsReleased guards against connections that stay open, and a goroutine that goes on, after the last
 // response of an upstream.
 func TestSecondConnectionIsReleased(t *testing.T) {
--- a/internal/relayer/ending.go
+++ b/internal/relayer/ending.go
@@ -76,7 +76,8 @@
 		return func() {}
 	}
 	u := c.origin.upstream
-	w := c.Ends.Watch(c.Pool, endchecker.Process{Incarnation: u.Incarnation(), Address: u.Address}, resp)
+	sentAt := time.Now().Add(-c.headLatency)
+	w := c.Ends.Watch(c.Pool, endchecker.Process{Incarnation: u.Incarnation(), Address: u.Address}, resp, sentAt)
 	resp.Body = &endBody{ReadCloser: resp.Body, isRead: &c.isEndRead, check: func() error { return c.checkEnd(u, w) }}
 	return func() {
 		now := c.Upstreams.Snapshot().ByID[u.ID]
