relayer: the rest of a stream may begin with a smaller step of ids

Cause: where the ids so far had a constant step, the first id of the rest had to have the same. Ids may count tokens, and the first event of a run may hold fewer than the others.

Now a smaller step is accepted: it leaves nothing out.

--- a/internal/relayer/continuation.go
+++ b/internal/relayer/continuation.go
@@ -56,10 +56,11 @@
 	return next
 }
 
-// checkNext returns an error if an event with the id cannot be the next one.
+// checkNext returns an error if an event with the id cannot be the next one. A smaller step than that between the events
+// before leaves nothing out: ids may count tokens, and the first event of a run may hold fewer than the others.
 func (e eventIDs) checkNext(id string) error {
 	next := eventIDsAfter(id)
-	if id == "" || next.isNumber != e.isNumber || id == e.last || e.isNumber && (next.number < e.number || e.step != 0 && next.number-e.number != e.step) {
+	if id == "" || next.isNumber != e.isNumber || id == e.last || e.isNumber && (next.number < e.number || e.step != 0 && next.number-e.number > e.step) {
 		return errors.Wrapf(errNoContinuation, "first event %q after %q", id, e.last)
 	}
 	return nil
