courier: requests are not sent to upstreams that reset new connections

Cause: an upstream without room accepts a new connection and then resets it. The request was written as soon as the connection was open.

Now, if a new connection to the address was reset within 2 s, the next ones are watched for 10 ms before a request is written. If the reset comes, no byte was sent, and the request goes elsewhere, waits, or is refused as not run.

--- a/internal/courier/courier.go
+++ b/internal/courier/courier.go
@@ -10,6 +10,7 @@
 	"slices"
 	"strconv"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -69,7 +70,7 @@
 type Error struct {
 	Address string
 	Err     error
-	// IsDial says that no connection was established.
+	// IsDial says that no connection was established, or that it was reset before it was used.
 	IsDial bool
 	// IsNew says that the connection was opened for the request, or was to be.
 	IsNew bool
@@ -119,6 +120,9 @@
 	}
 	x.end(false)
 	p.closeIfLost(address, err)
+	if c.numRequests == 1 && errors.Is(err, syscall.ECONNRESET) {
+		p.recordReset(address, time.Now())
+	}
 	if cause := context.Cause(ctx); cause != nil {
 		err = errors.CombineErrors(cause, err)
 	}
--- a/internal/courier/held_test.go
+++ b/internal/courier/held_test.go
@@ -6,6 +6,8 @@
 	"io"
 	"net"
 	"net/http"
+	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -114,3 +116,38 @@
 		require.Equal(t, ListeningUnknown, (&Pool{}).TryListening(ctx, address))
 	})
 }
+
+// TestNewConnectionIsWatchedAfterAReset guards against a request that is sent on a connection which the upstream is about
+// to reset for want of room, as the one before, and against a delay at an upstream that resets none.
+func TestNewConnectionIsWatchedAfterAReset(t *testing.T) {
+	var isFull atomic.Bool
+	isFull.Store(true)
+	address := serve(t, func(_ int, c net.Conn) {
+		if isFull.Load() {
+			time.Sleep(2 * time.Millisecond)
+			_ = c.(*net.TCPConn).SetLinger(0)
+			_ = c.Close()
+			return
+		}
+		if _, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
+			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\nConnection: close\r\n\r\n")
+		}
+		_ = c.Close()
+	})
+	p := &Pool{RoomTime: time.Second}
+	_, err := call(t, p, address)
+	require.ErrorIs(t, err, syscall.ECONNRESET)
+	require.True(t, WasSent(err))
+	for range 5 {
+		_, err = call(t, p, address)
+		require.ErrorIs(t, err, syscall.ECONNRESET)
+		require.False(t, WasSent(err))
+	}
+	isFull.Store(false)
+	_, err = call(t, p, address)
+	require.NoError(t, err)
+	require.True(t, p.hasReset(address, time.Now()))
+	require.False(t, p.hasReset(address, time.Now().Add(resetTTL)))
+	p.Sweep(time.Now().Add(resetTTL))
+	require.Empty(t, p.resetAt)
+}
--- a/internal/courier/pool.go
+++ b/internal/courier/pool.go
@@ -29,6 +29,11 @@
 	// keepAliveMargin is how long before its keep-alive timeout a connection is
 	// closed, so that no request is sent while the upstream closes it.
 	keepAliveMargin = 700 * time.Millisecond
+	// DefaultRoomTime is how long a new connection to an upstream that has reset another one within resetTTL has to stay
+	// open until a request is sent on it. It is looked at each peekInterval.
+	DefaultRoomTime = 10 * time.Millisecond
+	resetTTL        = 2 * time.Second
+	peekInterval    = time.Millisecond
 	// readBufferBytes is enough for the head of a response and a few events.
 	readBufferBytes = 4 << 10
 )
@@ -39,6 +44,7 @@
 	DialTimeout time.Duration
 	UserTimeout time.Duration
 	MaxIdle     time.Duration
+	RoomTime    time.Duration
 	// SocketBytes, if set, is the size of the send and the receive buffer of connections. The
 	// kernel doubles it.
 	SocketBytes int
@@ -48,8 +54,9 @@
 	// OnDial, if set, is called after each attempt to open a connection.
 	OnDial func(address string, took time.Duration, err error)
 
-	mu   sync.Mutex
-	idle map[string][]*conn
+	mu      sync.Mutex
+	idle    map[string][]*conn
+	resetAt map[string]time.Time // when a new connection to an address was last reset
 }
 
 // conn is a connection that carries one request at a time.
@@ -76,7 +83,7 @@
 	for {
 		c := p.popIdle(address)
 		if c == nil {
-			return p.dial(ctx, address)
+			return p.dialWithRoom(ctx, address)
 		}
 		isUsable := time.Since(c.idleAt) < c.maxIdle && c.isOpenAndEmpty() && (p.IDHeader == "" || c.canMatch(id))
 		if isUsable {
@@ -84,7 +91,7 @@
 		}
 		_ = c.Close() // not reused, so the error does not matter
 		if p.IDHeader != "" && id == "" {
-			return p.dial(ctx, address) // the others cannot be used either, and are kept for other requests
+			return p.dialWithRoom(ctx, address) // the others cannot be used either, and are kept for other requests
 		}
 	}
 }
@@ -113,6 +120,41 @@
 	return p.newConn(nc), nil
 }
 
+// dialWithRoom opens a connection for a request. An upstream without room may accept a connection and then reset it. If it
+// has just done so, the connection is watched for RoomTime first, so that the request is known not to have been sent.
+func (p *Pool) dialWithRoom(ctx context.Context, address string) (*conn, error) {
+	c, err := p.dial(ctx, address)
+	if err != nil || !p.hasReset(address, time.Now()) {
+		return c, err
+	}
+	for end := time.Now().Add(orDefault(p.RoomTime, DefaultRoomTime)); time.Now().Before(end) && ctx.Err() == nil; wait(ctx, peekInterval) {
+		if c.peek() == HeldEnded {
+			_ = c.Close() // nothing was sent on it
+			p.recordReset(address, time.Now())
+			return nil, &Error{Address: address, Err: errors.Wrap(syscall.ECONNRESET, "new connection"), IsDial: true, IsNew: true}
+		}
+	}
+	return c, nil
+}
+
+// recordReset records that a new connection to an address was reset.
+func (p *Pool) recordReset(address string, now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.resetAt == nil {
+		p.resetAt = make(map[string]time.Time)
+	}
+	p.resetAt[address] = now
+}
+
+// hasReset reports whether a new connection to an address was reset within resetTTL.
+func (p *Pool) hasReset(address string, now time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	at, ok := p.resetAt[address]
+	return ok && now.Sub(at) < resetTTL
+}
+
 func (p *Pool) newConn(nc net.Conn) *conn {
 	head := &headLimiter{r: nc}
 	now := time.Now()
@@ -160,6 +202,11 @@
 			delete(p.idle, address)
 		}
 	}
+	for address, at := range p.resetAt {
+		if now.Sub(at) >= resetTTL {
+			delete(p.resetAt, address)
+		}
+	}
 	p.mu.Unlock()
 	for _, c := range old {
 		_ = c.Close() // no request is in flight on it
--- a/internal/relayer/room_test.go
+++ b/internal/relayer/room_test.go
@@ -57,3 +57,31 @@
 		}
 	}
 }
+
+// TestRequestIsNotSentToAFullUpstream guards against requests that end with 502 since they were sent on a connection which
+// a full upstream had accepted and then reset: they may have run, so that no other upstream gets them.
+func TestRequestIsNotSentToAFullUpstream(t *testing.T) {
+	const numRequests = 12
+	for name, delay := range map[string]time.Duration{"resets at once": 0, "resets after ms": 3 * time.Millisecond} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			serve := func(_ *process, c net.Conn, r *http.Request) { send(c, response(r, 200, stamped, "done")) }
+			first, second := newProcess(t, 0, serve), newProcess(t, 0, serve)
+			first.resetAfter(delay)
+			second.resetAfter(delay)
+			g := newFixture(t, &first.upstream, &second.upstream)
+			g.Pool.RoomTime = time.Second // the upstreams run in this process, which may be busy
+			statuses := make(map[int]int)
+			for range numRequests {
+				resp, _ := g.do(g.request("POST", "/once/", "x"))
+				statuses[resp.StatusCode]++
+			}
+			// For each upstream one finds it out, and another may be sent on the connection that is opened then.
+			require.LessOrEqual(t, statuses[http.StatusBadGateway], 4, "%v", statuses)
+			require.GreaterOrEqual(t, statuses[http.StatusServiceUnavailable], numRequests-4, "%v", statuses)
+			first.reset.Store(nil)
+			resp, _ := g.do(g.request("POST", "/once/", "x"))
+			require.Equal(t, http.StatusOK, resp.StatusCode)
+		})
+	}
+}
