--- a/internal/courier/held.go
+++ b/internal/courier/held.go
@@ -24,7 +24,7 @@
 )
 
 // Held is a connection that is kept open without a request. A connection that is open shows that the process at its
-// other end lives, and one that has ended stays ended, so it can also be asked late.
+// other end lives, and one that has ended stays ended, so it can also be looked at late.
 type Held struct {
 	pool    *Pool
 	address string
--- a/internal/endchecker/checker.go
+++ b/internal/endchecker/checker.go
@@ -18,7 +18,7 @@
 	stillTime = 500 * time.Millisecond
 	// resumeTime is how long after it stood still the process may take to read what has arrived meanwhile.
 	resumeTime = time.Second
-	// settleTime is how long a second connection has to stay open until it counts. An upstream without room accepts a
+	// settleTime is how long a second connection has to stay open until it counts: an upstream without room accepts a
 	// connection and then resets it.
 	settleTime = 25 * time.Millisecond
 	// minHoldDelay and maxHoldDelay bound the time until a second connection is tried again after one has failed.
@@ -153,11 +153,11 @@
 func (w *Watch) Collect(ctx context.Context) Evidence {
 	ctx, cancel := context.WithTimeout(ctx, listenTimeout)
 	defer cancel()
-	e := w.ask()
+	e := w.observe()
 	if e.Second == SecondOpen {
 		wait(ctx, tickInterval)
 		stoodStill := e.StoodStill
-		e = w.ask()
+		e = w.observe()
 		e.StoodStill = e.StoodStill || stoodStill
 	}
 	if e.Second != SecondOpen {
@@ -166,8 +166,8 @@
 	return e
 }
 
-// ask returns what the second connection shows.
-func (w *Watch) ask() Evidence {
+// observe returns what the second connection shows now.
+func (w *Watch) observe() Evidence {
 	c := w.checker
 	now := time.Now()
 	c.mu.Lock()
--- a/internal/endchecker/checker_test.go
+++ b/internal/endchecker/checker_test.go
@@ -157,7 +157,7 @@
 	later, _ := p.watch(t, c, pool)
 	require.Eventually(t, later.hasSecond, waitTime, time.Millisecond)
 	require.False(t, w.hasSecond())
-	require.Equal(t, SecondNone, w.ask().Second)
+	require.Equal(t, SecondNone, w.observe().Second)
 }
 
 // TestProcessThatStoodStillHasDoubts guards against an upstream that crashed and came back while this process stood still,
@@ -185,15 +185,15 @@
 	c.mu.Lock()
 	c.tickedAt = time.Now().Add(-stillTime)
 	c.mu.Unlock()
-	require.Eventually(t, func() bool { return before.ask().StoodStill }, waitTime, time.Millisecond)
+	require.Eventually(t, func() bool { return before.observe().StoodStill }, waitTime, time.Millisecond)
 	require.Eventually(t, func() bool {
 		c.mu.Lock()
 		defer c.mu.Unlock()
 		return !c.resumedAt.IsZero()
 	}, waitTime, time.Millisecond)
 	after, _ := p.watch(t, c, pool)
-	require.True(t, before.ask().StoodStill)
-	require.False(t, after.ask().StoodStill)
+	require.True(t, before.observe().StoodStill)
+	require.False(t, after.observe().StoodStill)
 }
 
 // TestSecondConnectionIsReleased guards against connections that stay open, and a goroutine that goes on, after the last
--- a/internal/endchecker/doc.go
+++ b/internal/endchecker/doc.go
@@ -6,7 +6,7 @@
 //
 // The evidence that proves most is a second connection to the same process, which was open at the same time as that of
 // the response. A process that ends loses both. One that is open after the end shows that the process lives, and it needs
-// no new place at the upstream. It can be asked late as well, since a connection that has ended stays ended. The
+// no new place at the upstream. It can be looked at late as well, since a connection that has ended stays ended. The
 // Checker holds one for each upstream while responses without a length run there: an idle one of the pool, or a new
 // one. Where there is none, a new connection is tried.
 //
